--- /dev/null
+++ b/apps/plantaindoord/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/packages/request/src/placeholder.cpp
@@ -0,0 +1,2 @@
+namespace plantaindoor::request {
+}
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
