--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -95,8 +95,9 @@
     void set_entries(std::vector<entry_id> live, time_point now);
     /// Takes a peer's report of its demand; older ones than heard before are ignored.
     void hear(const demand_report& report, time_point now);
-    /// This entry's present demand, for a report to the peers.
-    [[nodiscard]] std::vector<service_demand> demand() const;
+    /// Reads this entry's demand for a report to the peers, and shares slots by it from now on, as
+    /// the peers will. Call it for every report.
+    [[nodiscard]] std::vector<service_demand> report_demand(time_point now);
 
     /// Takes a request, or the next attempt of one (then `tried` is not empty, and the team's rate
     /// is not charged again). Throws a refusal at once if it can't be served in time.
