--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -74,6 +74,8 @@
     milliseconds report_lifetime{2000};
 };
 
+class slot_shares;
+
 /// Admits requests, chooses their targets and keeps this entry's share of the targets' slots.
 /// Deterministic: no clock, no random device. Not synchronised; loop thread only.
 ///
@@ -81,7 +83,10 @@
 /// at next_advance().
 class dispatcher {
 public:
+    /// Shares slots by demand.
     explicit dispatcher(dispatcher_options options);
+    /// Shares slots by the given strategy.
+    dispatcher(const dispatcher_options& options, std::unique_ptr<slot_shares> shares);
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
     ~dispatcher();
@@ -90,7 +95,7 @@
     /// comparing walk. Grants in progress are kept.
     void update(version::fleet_ptr fleet, time_point now);
     /// Replaces the targets that the platform's list shows as leaving.
-    void set_leaving(std::set<instance_id> leaving, time_point now);
+    void set_leaving(std::set<instance_id> leaving);
     /// Replaces the live entries (self may be left out).
     void set_entries(std::vector<entry_id> live, time_point now);
     /// Takes a peer's report of its demand; older ones than heard before are ignored.
@@ -103,7 +108,7 @@
     /// is not charged again). Throws a refusal at once if it can't be served in time.
     ticket_id submit(const caller_request& request, const tried_targets& tried, time_point now);
     /// Ends a waiting ticket whose caller went away. Does nothing for an unknown ticket.
-    void cancel(ticket_id ticket, time_point now);
+    void cancel(ticket_id ticket);
     /// Ends a granted ticket and frees its slot. Does nothing for an unknown ticket.
     void release(ticket_id ticket, attempt_result result, time_point now);
 
--- /dev/null
+++ b/packages/request/src/router.cpp
@@ -0,0 +1,418 @@
+#include "plantaindoor/request/router.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::request {
+
+namespace {
+
+/// Near targets are preferred until this part of their slots is in use, and beyond it while they
+/// are less loaded than the far ones.
+constexpr double near_load_limit = 0.75;
+/// A probe this many times slower than usual leaves the target ejected.
+constexpr double slow_probe = 3;
+/// After so many good answers a target's earlier ejections are forgotten.
+constexpr std::uint32_t settled_answers = 16;
+
+double load_of(const slot_load& load)
+{
+    return load.slots == 0 ? 1.0
+                           : static_cast<double>(load.in_use) / static_cast<double>(load.slots);
+}
+
+template<class Value>
+bool contains(const std::vector<Value>& values, const Value& value)
+{
+    return std::ranges::find(values, value) != values.end();
+}
+
+} // namespace
+
+router::router(const router_options& options, std::unique_ptr<slot_shares> shares)
+    : m_options(options), m_shares(std::move(shares)), m_random(options.seed)
+{
+}
+
+std::uint64_t router::next_random()
+{
+    // splitmix64
+    m_random += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t z = m_random;
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31U);
+}
+
+bool router::excludes(const tried_targets& excluded, const target_state& target) const
+{
+    return contains(excluded.instances, target.id) || contains(excluded.racks, target.rack);
+}
+
+bool router::racks_matter(const service_routes& routes, const tried_targets& tried) const
+{
+    std::size_t usable = 0;
+    std::size_t in_racks = 0;
+    for (const std::size_t pool : routes.pools) {
+        usable += m_pools[pool].usable();
+        for (auto rack = tried.racks.begin(); rack != tried.racks.end(); ++rack) {
+            if (std::find(tried.racks.begin(), rack, *rack) == rack) {
+                in_racks += m_pools[pool].usable_in(*rack);
+            }
+        }
+    }
+    return usable > in_racks;
+}
+
+std::optional<target_index> router::sample(const std::vector<target_index>& list,
+                                           const tried_targets& excluded)
+{
+    if (list.empty()) {
+        return std::nullopt;
+    }
+    // Ends after as many steps as targets are excluded.
+    const std::size_t start = next_random() % list.size();
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const target_index candidate = list[(start + i) % list.size()];
+        if (!excludes(excluded, m_targets[candidate])) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+target_index router::less_loaded(target_index a, target_index b) const
+{
+    const target_state& first = m_targets[a];
+    const target_state& second = m_targets[b];
+    const std::uint64_t first_load = std::uint64_t{first.in_progress} * second.share;
+    const std::uint64_t second_load = std::uint64_t{second.in_progress} * first.share;
+    if (first_load != second_load) {
+        return first_load < second_load ? a : b;
+    }
+    return first.health.failures() <= second.health.failures() ? a : b;
+}
+
+std::optional<target_index> router::pick(const target_pool& pool, target_tier tier,
+                                         const tried_targets& excluded)
+{
+    const auto first = sample(pool.tier(tier), excluded);
+    if (!first) {
+        return std::nullopt;
+    }
+    return less_loaded(*first, *sample(pool.tier(tier), excluded));
+}
+
+std::optional<target_index> router::pick_healthy(const target_pool& pool,
+                                                 const tried_targets& excluded)
+{
+    const double near_load = load_of(pool.near_load());
+    const bool near_first = near_load < near_load_limit || near_load < load_of(pool.far_load());
+    const target_tier first = near_first ? target_tier::near : target_tier::far;
+    const target_tier second = near_first ? target_tier::far : target_tier::near;
+    const auto found = pick(pool, first, excluded);
+    return found ? found : pick(pool, second, excluded);
+}
+
+std::optional<target_index> router::due_probe(const service_routes& routes,
+                                              const route_query& query, time_point now) const
+{
+    for (const std::size_t index : routes.pools) {
+        const target_pool& pool = m_pools[index];
+        if (pool.probes().empty() || pool.probing() > 0) {
+            continue;
+        }
+        const auto& [due, target] = *pool.probes().begin();
+        const bool allowed = query.idempotent || now - due >= m_options.probe_patience;
+        if (due <= now && allowed && !excludes(*query.tried, m_targets[target])) {
+            return target;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<target_index> router::pick_any(const service_routes& routes, const route_query& query,
+                                             const tried_targets& excluded)
+{
+    std::optional<target_index> best;
+    std::size_t healthy = 0;
+    for (const std::size_t pool : routes.pools) {
+        healthy += m_pools[pool].healthy();
+        const auto found = pick_healthy(m_pools[pool], excluded);
+        if (found) {
+            best = best ? less_loaded(*best, *found) : *found;
+        }
+    }
+    if (best || (!query.idempotent && healthy > 0)) {
+        return best;
+    }
+    for (const std::size_t pool : routes.pools) {
+        const auto found = pick(m_pools[pool], target_tier::suspect, excluded);
+        if (found) {
+            best = best ? less_loaded(*best, *found) : *found;
+        }
+    }
+    return best;
+}
+
+std::optional<target_index> router::choose(const route_query& query, time_point now)
+{
+    const auto service = m_services.find(query.service);
+    if (service == m_services.end()) {
+        return std::nullopt;
+    }
+    const service_routes& routes = service->second;
+    const auto probe = due_probe(routes, query, now);
+    if (probe) {
+        change(*probe, [](target_state& target) {
+            target.probing = true;
+            ++target.in_progress;
+        });
+        return probe;
+    }
+    tried_targets instances_only;
+    const tried_targets* excluded = query.tried;
+    if (!excluded->racks.empty() && !racks_matter(routes, *excluded)) {
+        instances_only.instances = excluded->instances;
+        excluded = &instances_only;
+    }
+    const auto chosen = pick_any(routes, query, *excluded);
+    if (chosen) {
+        const target_state& target = m_targets[*chosen];
+        m_pools[target.pool].set_load(m_targets, *chosen, target.share, target.in_progress + 1);
+    }
+    return chosen;
+}
+
+void router::release(target_index index, const service_id& service, attempt_result result,
+                     nanoseconds duration, time_point now)
+{
+    target_state& target = m_targets[index];
+    m_pools[target.pool].set_load(m_targets, index, target.share, target.in_progress - 1);
+    double slowness = 1;
+    const auto routes = m_services.find(service);
+    if (result == attempt_result::answered && routes != m_services.end()) {
+        usual_duration& usual = routes->second.usual;
+        usual.add(duration);
+        slowness =
+            static_cast<double>(duration.count()) / static_cast<double>(usual.value().count());
+    }
+    if (result == attempt_result::refused) {
+        m_shares->refused(target.id, now);
+        set_share(index);
+    }
+    else if (is_telling(result)) {
+        m_shares->taken(target.id, now);
+    }
+    if (target.probing) {
+        end_probe(index, result, slowness, now);
+        return;
+    }
+    if (is_telling(result) && target.usable()) {
+        target.health.add(result, slowness);
+        judge(index, now);
+    }
+}
+
+void router::end_probe(target_index index, attempt_result result, double slowness, time_point now)
+{
+    // One answer weighs little when smoothed, so a probe is judged by itself.
+    if (result == attempt_result::answered && slowness < slow_probe) {
+        change(index, [](target_state& target) {
+            target.probing = false;
+            target.ejected = false;
+            target.answers = 0;
+            target.health.reset();
+        });
+        return;
+    }
+    change(index, [](target_state& target) { target.probing = false; });
+    if (is_telling(result)) {
+        eject(index, now);
+        return;
+    }
+    change(index, [&](target_state& target) { target.probe_due = now + m_options.ejection.first; });
+}
+
+void router::judge(target_index index, time_point now)
+{
+    target_state& target = m_targets[index];
+    if (target.health.condition() == target_condition::healthy) {
+        if (target.suspect) {
+            change(index, [](target_state& subject) { subject.suspect = false; });
+        }
+        if (++target.answers >= settled_answers) {
+            target.ejections = 0;
+        }
+        return;
+    }
+    if (may_eject(index)) {
+        eject(index, now);
+        return;
+    }
+    if (!target.suspect) {
+        change(index, [](target_state& subject) { subject.suspect = true; });
+    }
+}
+
+void router::eject(target_index index, time_point now)
+{
+    const std::uint64_t jitter = next_random() % 256;
+    change(index, [&](target_state& target) {
+        target.ejected = true;
+        target.suspect = false;
+        ++target.ejections;
+        const milliseconds time = ejection_time(m_options.ejection, target.ejections);
+        target.probe_due = now + time + time * jitter / 1024;
+    });
+}
+
+router::domain_counts router::counts(const service_routes& routes,
+                                     const target_state* without) const
+{
+    domain_counts result;
+    std::unordered_map<std::string, std::size_t> domains;
+    const auto add = [&domains](const auto& by_domain) {
+        for (const auto& [domain, count] : by_domain) {
+            domains[domain.str()] += count;
+        }
+    };
+    const version::failure_domain survive = routes.budget.survive;
+    for (const std::size_t index : routes.pools) {
+        const target_pool& pool = m_pools[index];
+        result.size += pool.size();
+        result.admitted += pool.admitted();
+        result.usable += pool.usable();
+        if (survive == version::failure_domain::rack) {
+            add(pool.usable_by_rack());
+        }
+        if (survive == version::failure_domain::availability_zone) {
+            add(pool.usable_by_zone());
+        }
+    }
+    if (without != nullptr) {
+        --result.usable;
+        const bool by_rack = survive == version::failure_domain::rack;
+        const auto found = domains.find(by_rack ? without->rack.str() : without->zone.str());
+        if (found != domains.end()) {
+            --found->second;
+        }
+    }
+    for (const auto& [domain, count] : domains) {
+        result.largest_domain = std::max(result.largest_domain, count);
+    }
+    return result;
+}
+
+bool router::within_budget(const version::availability_budget& budget, const domain_counts& counts)
+{
+    const std::size_t minimum = budget.unit == version::budget_unit::count
+                                    ? budget.minimum
+                                    : (counts.size * budget.minimum + 99) / 100;
+    const bool enough = counts.usable >= minimum + counts.largest_domain;
+    // Half of the targets failing at once is hardly the targets' own fault.
+    const bool few_ejected = 2 * counts.usable >= counts.admitted;
+    return enough && few_ejected && counts.usable > 0;
+}
+
+bool router::may_eject(target_index index) const
+{
+    const target_state& target = m_targets[index];
+    return std::ranges::all_of(services_at(index), [&](const service_id& id) {
+        const service_routes& routes = m_services.at(id);
+        return within_budget(routes.budget, counts(routes, &target));
+    });
+}
+
+void router::restore_budgets()
+{
+    for (const auto& [id, routes] : m_services) {
+        for (const std::size_t pool : routes.pools) {
+            while (!m_pools[pool].probes().empty() &&
+                   !within_budget(routes.budget, counts(routes, nullptr))) {
+                change(m_pools[pool].probes().begin()->second, [](target_state& target) {
+                    target.ejected = false;
+                    target.suspect = true;
+                });
+            }
+        }
+    }
+}
+
+bool router::has_untried(const service_id& service, const tried_targets& tried) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return false;
+    }
+    std::size_t usable = 0;
+    for (const std::size_t pool : found->second.pools) {
+        usable += m_pools[pool].usable();
+    }
+    for (auto id = tried.instances.begin(); id != tried.instances.end(); ++id) {
+        const auto index = find(*id);
+        const bool first = std::find(tried.instances.begin(), id, *id) == id;
+        if (first && index && m_targets[*index].usable() &&
+            contains(found->second.pools, m_targets[*index].pool)) {
+            --usable;
+        }
+    }
+    return usable > 0;
+}
+
+bool router::knows(const service_id& service) const
+{
+    return m_services.contains(service);
+}
+
+service_capacity router::capacity(const service_id& service) const
+{
+    service_capacity result;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return result;
+    }
+    for (const std::size_t pool : found->second.pools) {
+        const auto slots = static_cast<std::uint32_t>(m_pools[pool].slots());
+        result.slots += slots;
+        result.in_use += slots - static_cast<std::uint32_t>(m_pools[pool].free_slots());
+    }
+    return result;
+}
+
+std::optional<target_index> router::find(const instance_id& id) const
+{
+    const auto found = m_by_id.find(id);
+    return found == m_by_id.end() ? std::nullopt : std::optional(found->second);
+}
+
+const std::vector<service_id>& router::services_at(target_index index) const
+{
+    return m_pool_services[m_targets[index].pool];
+}
+
+std::vector<instance_id> router::busy_targets() const
+{
+    std::vector<instance_id> busy;
+    for (const target_state& target : m_targets) {
+        if (target.in_progress > 0) {
+            busy.push_back(target.id);
+        }
+    }
+    std::ranges::sort(busy);
+    return busy;
+}
+
+std::vector<instance_id> router::ejected_targets() const
+{
+    std::vector<instance_id> ejected;
+    for (const target_state& target : m_targets) {
+        if (target.ejected && target.admitted) {
+            ejected.push_back(target.id);
+        }
+    }
+    std::ranges::sort(ejected);
+    return ejected;
+}
+
+} // namespace plantaindoor::request
