--- a/packages/request/include/plantaindoor/request/router.hpp
+++ b/packages/request/include/plantaindoor/request/router.hpp
@@ -116,6 +116,7 @@
                                        const target_state* without) const;
     [[nodiscard]] static bool within_budget(const version::availability_budget& budget,
                                             const domain_counts& counts);
+    [[nodiscard]] std::optional<target_index> earliest_probe(const service_routes& routes) const;
     void restore_budgets();
     std::uint64_t next_random();
 
--- a/packages/request/src/router.cpp
+++ b/packages/request/src/router.cpp
@@ -324,17 +324,34 @@
     });
 }
 
+std::optional<target_index> router::earliest_probe(const service_routes& routes) const
+{
+    std::optional<std::pair<time_point, target_index>> earliest;
+    for (const std::size_t pool : routes.pools) {
+        const auto& probes = m_pools[pool].probes();
+        if (!probes.empty() && (!earliest || *probes.begin() < *earliest)) {
+            earliest = *probes.begin();
+        }
+    }
+    return earliest ? std::optional(earliest->second) : std::nullopt;
+}
+
 void router::restore_budgets()
 {
+    std::vector<service_id> services;
     for (const auto& [id, routes] : m_services) {
-        for (const std::size_t pool : routes.pools) {
-            while (!m_pools[pool].probes().empty() &&
-                   !within_budget(routes.budget, counts(routes, nullptr))) {
-                change(m_pools[pool].probes().begin()->second, [](target_state& target) {
-                    target.ejected = false;
-                    target.suspect = true;
-                });
-            }
+        services.push_back(id);
+    }
+    std::ranges::sort(services);
+    for (const service_id& id : services) {
+        const service_routes& routes = m_services.at(id);
+        for (auto next = earliest_probe(routes);
+             next && !within_budget(routes.budget, counts(routes, nullptr));
+             next = earliest_probe(routes)) {
+            change(*next, [](target_state& target) {
+                target.ejected = false;
+                target.suspect = true;
+            });
         }
     }
 }
--- a/stand_ins/fakes/uniform_fleet.hpp
+++ b/stand_ins/fakes/uniform_fleet.hpp
@@ -21,6 +21,12 @@
     bool shared_pool = false;
 };
 
+/// "p" and 7 make "p7".
+inline std::string numbered(std::string prefix, std::size_t number)
+{
+    return prefix.append(std::to_string(number));
+}
+
 /// Pools p0, p1, ... with instances p0-w00, ...; service s0 uses p0 and so on; one team "team".
 inline std::shared_ptr<version::fleet> uniform_fleet(const uniform_fleet_options& options)
 {
@@ -28,25 +34,22 @@
     fleet->version = 1;
     fleet->teams[team_id("team")] = {.id = team_id("team")};
     for (std::size_t p = 0; p < options.pools; ++p) {
-        const pool_id pool("p" + std::to_string(p));
-        const service_id service("s" + std::to_string(p));
+        const pool_id pool(numbered("p", p));
+        const service_id service(numbered("s", p));
         fleet->pools[pool] = {.id = pool};
         fleet->services[service] = {
             .id = service, .team = team_id("team"), .pools = {pool}, .budget = options.budget};
         for (std::size_t i = 0; i < options.instances_per_pool; ++i) {
-            const std::string number = std::to_string(i);
-            const instance_id id(pool.str() + "-w" + (i < 10 ? "0" : "") + number);
-            const std::string rack =
-                pool.str() + "-r" + std::to_string(i / options.instances_per_rack);
-            fleet->instances[id] = {
-                .id = id,
-                .pool = pool,
-                .zone = availability_zone_id("z" + std::to_string(i % options.zones)),
-                .rack = rack_id(rack),
-                .address = "127.0.0.1",
-                .port = static_cast<std::uint16_t>(10000 + p * 100 + i),
-                .slots = options.slots,
-                .state_version = 1};
+            const instance_id id(numbered(pool.str() + (i < 10 ? "-w0" : "-w"), i));
+            const rack_id rack(numbered(pool.str() + "-r", i / options.instances_per_rack));
+            fleet->instances[id] = {.id = id,
+                                    .pool = pool,
+                                    .zone = availability_zone_id(numbered("z", i % options.zones)),
+                                    .rack = rack,
+                                    .address = "127.0.0.1",
+                                    .port = static_cast<std::uint16_t>(10000 + p * 100 + i),
+                                    .slots = options.slots,
+                                    .state_version = 1};
         }
     }
     if (options.shared_pool && options.pools > 1) {
