--- /dev/null
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -0,0 +1,86 @@
+// HTTP calls on the event loop, by libcurl. Says exactly whether a request can have reached the
+// other side, and never sends one twice by itself.
+#pragma once
+
+#include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/connection/endpoint.hpp"
+#include "plantaindoor/connection/http_message.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace plantaindoor::connection {
+
+enum class transport_fault {
+    none,           ///< the whole answer is here
+    connect_failed, ///< no connection within the time
+    broken,         ///< the connection ended before the whole answer
+    timed_out,      ///< the time was over before the whole answer
+    too_long,       ///< the answer is longer than the limit
+    malformed,      ///< the answer is not HTTP, or contradicts its own length
+};
+
+struct http_call {
+    endpoint to;
+    http_request request;
+    /// Longest time until the whole answer.
+    milliseconds timeout{1000};
+    milliseconds connect_timeout{500};
+    std::size_t answer_limit_bytes = 8U << 20U;
+};
+
+struct http_result {
+    transport_fault fault = transport_fault::none;
+    /// False only if no byte of the request can have reached the other side.
+    bool sent = false;
+    http_response response;
+};
+
+/// Names a call that has not ended.
+enum class call_id : std::uint64_t { none = 0 };
+
+/// A pool of connections and the calls on them. Loop thread only.
+class http_client {
+public:
+    using callback = std::function<void(http_result)>;
+
+    /// The loop must outlive the client.
+    explicit http_client(event_loop& loop);
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    /// Ends every call without calling back.
+    ~http_client();
+
+    /// Starts a call; the callback runs once, later, unless the call is cancelled.
+    call_id start(http_call call, callback done);
+    /// Ends a call and closes its connection; no callback. Says whether the request can have
+    /// reached the other side. False for a call that has ended.
+    bool cancel(call_id call);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace plantaindoor::connection
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<connection::transport_fault> {
+    static constexpr std::array<enum_name<connection::transport_fault>, 6> table{{
+        {connection::transport_fault::none, "none"},
+        {connection::transport_fault::connect_failed, "connect-failed"},
+        {connection::transport_fault::broken, "broken"},
+        {connection::transport_fault::timed_out, "timed-out"},
+        {connection::transport_fault::too_long, "too-long"},
+        {connection::transport_fault::malformed, "malformed"},
+    }};
+};
+
+} // namespace plantaindoor
