--- a/cmake/plantaindoor.cmake
+++ b/cmake/plantaindoor.cmake
@@ -22,7 +22,8 @@
 
 add_library(plantaindoor_flags INTERFACE)
 target_compile_options(plantaindoor_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror
-    -Wno-missing-field-initializers)
+    -Wno-missing-field-initializers
+    -Wno-restrict) # GCC 12 reports literal + std::string falsely (its bug 105329).
 target_compile_definitions(plantaindoor_flags INTERFACE BOOST_LOG_DYN_LINK)
 if(PLANTAINDOOR_SANITIZE)
     target_compile_options(plantaindoor_flags INTERFACE -fsanitize=address,undefined
--- a/packages/process/include/plantaindoor/process/reactor_loop.hpp
+++ b/packages/process/include/plantaindoor/process/reactor_loop.hpp
@@ -12,6 +12,8 @@
 public:
     /// Throws loop_error where the system refuses a descriptor.
     reactor_loop();
+    reactor_loop(const reactor_loop&) = delete;
+    reactor_loop& operator=(const reactor_loop&) = delete;
     ~reactor_loop() override;
 
     [[nodiscard]] time_point now() const override;
