--- /dev/null
+++ b/stand_ins/fakes/delayed_table.hpp
@@ -0,0 +1,113 @@
+// One entry's way to a shared table in virtual time: calls and replies take a while, and either
+// may be lost. A call whose reply is lost may take effect long after the caller gave up on it.
+#pragma once
+
+#include "fakes/memory_table.hpp"
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/table.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace plantaindoor::fakes {
+
+struct delayed_table_options {
+    nanoseconds shortest{milliseconds(1)};
+    nanoseconds longest{milliseconds(5)};
+    /// Time after which a lost call is reported to the caller.
+    nanoseconds timeout{milliseconds(500)};
+    /// Chances in a thousand, for each call.
+    unsigned lose_call = 0;
+    unsigned lose_reply = 0;
+    unsigned late_effect = 0;
+    unsigned unavailable = 0;
+};
+
+/// The loop and the rows must outlive it and every call.
+class delayed_table final : public table {
+public:
+    delayed_table(event_loop& loop, memory_table& rows, delayed_table_options options,
+                  std::uint64_t seed)
+        : m_loop(loop), m_rows(rows), m_options(options), m_random(seed)
+    {
+    }
+
+    /// While set, no call reaches the table.
+    bool down = false;
+    std::size_t reads = 0;
+    std::size_t transactions = 0;
+
+    void read(std::vector<std::string> keys, read_callback done) override
+    {
+        ++reads;
+        call<read_result>([this, keys = std::move(keys)] { return m_rows.read(keys); },
+                          std::move(done), std::nullopt, std::nullopt);
+    }
+
+    void scan(scan_options options, read_callback done) override
+    {
+        ++reads;
+        call<read_result>([this, options = std::move(options)] { return m_rows.scan(options); },
+                          std::move(done), std::nullopt, std::nullopt);
+    }
+
+    void transact(table_transaction transaction, transact_callback done) override
+    {
+        ++transactions;
+        call<transact_result>(
+            [this, transaction = std::move(transaction)] { return m_rows.transact(transaction); },
+            std::move(done), transact_result{.outcome = transact_outcome::unknown},
+            transact_result{.outcome = transact_outcome::unavailable});
+    }
+
+private:
+    template<class Result, class Callback>
+    void call(std::function<Result()> effect, Callback done, Result lost, Result refused)
+    {
+        const unsigned roll = std::uniform_int_distribution<unsigned>(0, 999)(m_random);
+        unsigned edge = m_options.unavailable;
+        if (down || roll < edge) {
+            reply(delay(), std::move(done), std::move(refused));
+            return;
+        }
+        if (roll < (edge += m_options.lose_call)) {
+            reply(m_options.timeout, std::move(done), std::move(lost));
+            return;
+        }
+        const bool late = roll < (edge += m_options.late_effect);
+        const bool silent = late || roll < (edge += m_options.lose_reply);
+        if (silent) {
+            m_loop.call_after(late ? m_options.timeout + 20 * delay() : delay(),
+                              [effect = std::move(effect)] { effect(); });
+            reply(m_options.timeout, std::move(done), std::move(lost));
+            return;
+        }
+        m_loop.call_after(delay(), [this, effect = std::move(effect), done = std::move(done)] {
+            reply(delay(), done, effect());
+        });
+    }
+
+    template<class Callback, class Result>
+    void reply(nanoseconds after, Callback done, Result result)
+    {
+        m_loop.call_after(after,
+                          [done = std::move(done), result = std::move(result)] { done(result); });
+    }
+
+    nanoseconds delay()
+    {
+        return nanoseconds(std::uniform_int_distribution<std::int64_t>(
+            m_options.shortest.count(), m_options.longest.count())(m_random));
+    }
+
+    event_loop& m_loop;
+    memory_table& m_rows;
+    delayed_table_options m_options;
+    std::mt19937_64 m_random;
+};
+
+} // namespace plantaindoor::fakes
