--- a/packages/version/include/plantaindoor/version/table_change_log.hpp
+++ b/packages/version/include/plantaindoor/version/table_change_log.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/version/append_group.hpp"
 #include "plantaindoor/version/change_log.hpp"
+#include "plantaindoor/version/log_compactor.hpp"
 #include "plantaindoor/version/log_follower.hpp"
 
 #include <cstddef>
@@ -35,6 +36,7 @@
     log_follower::options follower;
     /// Where snapshots are; null for none.
     object_store* snapshots = nullptr;
+    compaction_options compaction;
 };
 
 /// See change_log. The loop, the table and the object store must outlive it. Loop thread only.
@@ -121,6 +123,7 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::minstd_rand m_random;
 
+    std::optional<log_compactor> m_compactor;
     log_follower m_follower;
     log_head m_head;
     row_version m_head_row = absent_row;
--- a/packages/version/src/table_change_log.cpp
+++ b/packages/version/src/table_change_log.cpp
@@ -48,6 +48,9 @@
       m_random(static_cast<std::minstd_rand::result_type>(m_options.seed)),
       m_follower(m_options.follower)
 {
+    if (m_options.snapshots != nullptr) {
+        m_compactor.emplace(m_table, *m_options.snapshots, m_options.compaction);
+    }
 }
 
 table_change_log::~table_change_log()
@@ -364,6 +367,9 @@
     if (m_follower.on_records({landed})) {
         publish();
     }
+    if (m_compactor) {
+        m_compactor->consider(m_head, m_follower.current());
+    }
     finish(append_outcome::accepted);
 }
 
--- a/packages/version/tests/table_change_log_test.cpp
+++ b/packages/version/tests/table_change_log_test.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include "fakes/delayed_table.hpp"
+#include "fakes/memory_store.hpp"
 #include "fakes/virtual_loop.hpp"
 
 #include <catch2/catch.hpp>
@@ -56,7 +57,10 @@
         one->way = std::make_unique<fakes::delayed_table>(loop, rows, faults, seed);
         one->log = std::make_unique<table_change_log>(
             loop, *one->way,
-            table_change_log_options{.author_id = fmt::format("e{}", seed), .seed = seed});
+            table_change_log_options{.author_id = fmt::format("e{}", seed),
+                                     .seed = seed,
+                                     .snapshots = &store,
+                                     .compaction = compaction});
         one->log->subscribe([raw = one.get()](const fleet_ptr& newest) {
             REQUIRE(newest->version > raw->last_seen);
             raw->last_seen = newest->version;
@@ -95,8 +99,11 @@
         return found;
     }
 
+    /// Nothing is deleted, but snapshots change the head's row between appends.
+    compaction_options compaction{.every = 3, .keep = 1000};
     fakes::virtual_loop loop;
     fakes::memory_table rows;
+    fakes::memory_store store{loop};
     std::vector<std::unique_ptr<member>> members;
     std::map<std::string, append_result> results;
 };
@@ -154,6 +161,26 @@
     CHECK(all.results.at("exams").outcome == append_outcome::unavailable);
 }
 
+TEST_CASE("a starting entry reads a bounded part of a long log", "[log]")
+{
+    cluster all(0);
+    all.compaction = {.every = 10, .keep = 15, .max_deleted = 12};
+    all.add({}, 1);
+    all.add({}, 2);
+    for (int each = 0; each < 200; ++each) {
+        const std::string name = fmt::format("t{}", each);
+        all.append(static_cast<std::size_t>(each % 2), adding(name), name);
+        all.loop.run_for(milliseconds(200));
+    }
+    CHECK(all.rows.scan({.prefix = "log/delta/"}).size() <= 25);
+    CHECK(all.store.objects.size() == 1);
+    all.add({}, 99);
+    all.loop.run_for(milliseconds(200));
+    CHECK(all.members.back()->log->current()->version == 200);
+    CHECK(*all.members.back()->log->current() == *all.members.front()->log->current());
+    CHECK(all.members.back()->way->reads <= 3);
+}
+
 TEST_CASE("every report of an append is true whatever calls and replies are lost", "[log]")
 {
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
