stand-ins: Add the platform stand-in

The request path and the duties need a platform to run against: table, objects, lagging instance list, reboots and tasks, each with faults (down, slow, lost call, lost reply, lag).

Ruled out: closing the listening port for "down", since other parts of the platform must stay up meanwhile; it answers 503 without carrying the call out. A task's state is computed from the commands that it received, so that the lagging report is a reading at an earlier moment. Checked by driving every path and fault once over HTTP.

--- /dev/null
+++ b/stand_ins/platform/platform.cpp
@@ -0,0 +1,350 @@
+#include "platform.hpp"
+
+#include "plantaindoor/common/scope_guard.hpp"
+
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace plantaindoor::stand_in {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr long reboot_call_timeout_ms = 1000;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http_reply reply_of(const json& body, unsigned status = 200)
+{
+    return {.status = status, .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+http_reply failure(unsigned status, const std::string& type)
+{
+    return reply_of({{"type", type}}, status);
+}
+
+json rows_of(const std::vector<table_row>& rows)
+{
+    json all = json::array();
+    for (const table_row& row : rows) {
+        all.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
+    }
+    return all;
+}
+
+table_transaction transaction_of(const json& in)
+{
+    table_transaction out;
+    for (const json& each : in.value("conditions", json::array())) {
+        out.conditions.push_back({each.at("key"), each.at("version").get<row_version>()});
+    }
+    for (const json& each : in.value("writes", json::array())) {
+        row_write write{.key = each.at("key")};
+        if (!each.value("delete", false)) {
+            write.value = each.at("value").get<std::string>();
+        }
+        out.writes.push_back(std::move(write));
+    }
+    return out;
+}
+
+http_reply reply_of(operation_answer answer)
+{
+    switch (answer) {
+    case operation_answer::started:
+        return reply_of(json{{"accepted", true}}, 202);
+    case operation_answer::already_done:
+        return reply_of(json{{"accepted", true}, {"repeated", true}}, 202);
+    case operation_answer::stale_epoch:
+        return failure(409, "stale-epoch");
+    case operation_answer::unknown_subject:
+        break;
+    }
+    return failure(409, "unknown-subject");
+}
+
+/// Tells a target stand-in that its machine reboots.
+void tell_reboot(const std::string& address, milliseconds down)
+{
+    CURL* easy = curl_easy_init();
+    const scope_guard cleanup([easy] { curl_easy_cleanup(easy); });
+    const std::string url = "http://" + address + "/admin/reboot";
+    const std::string body = json{{"down_ms", down.count()}}.dump();
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body.c_str());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, reboot_call_timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(
+        easy, CURLOPT_WRITEFUNCTION,
+        +[](char*, std::size_t size, std::size_t count, void*) -> std::size_t {
+            return size * count;
+        });
+    curl_easy_perform(easy);
+}
+
+} // namespace
+
+platform::platform(const platform_options& options)
+{
+    m_instances.lag = options.list_lag;
+    m_tasks.lag = options.list_lag;
+    m_instances.reboot_time = options.reboot_time;
+}
+
+std::optional<http_reply> platform::handle(const http_call& call)
+{
+    const route to = route_of(call.path);
+    std::this_thread::sleep_for(slowness(to));
+    std::string rebooted;
+    std::optional<http_reply> reply;
+    {
+        const std::lock_guard lock(m_mutex);
+        const fate drawn = draw_fate(call, to);
+        if (drawn == fate::refused) {
+            return failure(503, "down");
+        }
+        if (drawn == fate::call_lost) {
+            return std::nullopt;
+        }
+        try {
+            reply = carry_out(call, to);
+        }
+        catch (const json::exception& fault) {
+            return reply_of({{"type", "bad-request"}, {"detail", fault.what()}}, 400);
+        }
+        if (to.verb == "reboot" && reply->body == reply_of(operation_answer::started).body) {
+            rebooted = m_instances.reboot_address(to.name);
+        }
+        if (drawn == fate::reply_lost) {
+            reply.reset();
+        }
+    }
+    if (!rebooted.empty()) {
+        tell_reboot(rebooted, m_instances.reboot_time);
+    }
+    return reply;
+}
+
+platform::route platform::route_of(const std::string& path)
+{
+    const auto first = path.find('/', 1);
+    if (first == std::string::npos) {
+        return {.part = path.substr(1)};
+    }
+    const std::string part = path.substr(1, first - 1);
+    const auto second = part == "instances" ? path.find('/', first + 1) : std::string::npos;
+    const std::string name = path.substr(first + 1, second - first - 1);
+    return {part, name, second == std::string::npos ? "" : path.substr(second + 1)};
+}
+
+bool platform::has_effect(const http_call& call, const route& to)
+{
+    return to.part == "table" ? to.name == "transact" : call.method != "GET";
+}
+
+milliseconds platform::slowness(const route& to)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool hit = to.part != "admin" && (m_faults.only.empty() || m_faults.only == to.part);
+    return hit ? m_faults.slow : milliseconds(0);
+}
+
+platform::fate platform::draw_fate(const http_call& call, const route& to)
+{
+    if (to.part == "admin") {
+        return fate::carried_out;
+    }
+    ++m_counts[to.part == "table" ? to.part + "/" + to.name : call.method + " " + to.part];
+    if (!m_faults.only.empty() && m_faults.only != to.part) {
+        return fate::carried_out;
+    }
+    if (m_faults.down) {
+        ++m_counts["refused"];
+        return fate::refused;
+    }
+    const bool counts = !m_faults.effects_only || has_effect(call, to);
+    if (counts && m_faults.lose_call > 0) {
+        --m_faults.lose_call;
+        ++m_counts["lost_calls"];
+        return fate::call_lost;
+    }
+    if (counts && m_faults.lose_reply > 0) {
+        --m_faults.lose_reply;
+        ++m_counts["lost_replies"];
+        return fate::reply_lost;
+    }
+    return fate::carried_out;
+}
+
+http_reply platform::carry_out(const http_call& call, const route& to)
+{
+    using handler = http_reply (platform::*)(const http_call&, const route&);
+    static const std::map<std::string, handler> handlers{
+        {"table", &platform::on_table},         {"objects", &platform::on_objects},
+        {"instances", &platform::on_instances}, {"tasks", &platform::on_tasks},
+        {"admin", &platform::on_admin},
+    };
+    const auto found = handlers.find(to.part);
+    return found == handlers.end() ? failure(404, "unknown-path")
+                                   : (this->*found->second)(call, to);
+}
+
+http_reply platform::on_table(const http_call& call, const route& to)
+{
+    const json in = json::parse(call.body);
+    if (to.name == "read") {
+        return reply_of({{"rows", rows_of(m_table.read(in.at("keys")))}});
+    }
+    if (to.name == "scan") {
+        const scan_options options{.prefix = in.at("prefix"),
+                                   .after = in.value("after", std::string()),
+                                   .limit = in.value("limit", scan_options{}.limit)};
+        return reply_of({{"rows", rows_of(m_table.scan(options))}});
+    }
+    if (to.name != "transact") {
+        return failure(404, "unknown-path");
+    }
+    const transact_result result = m_table.transact(transaction_of(in));
+    if (result.outcome == transact_outcome::applied) {
+        return reply_of({{"applied", true}, {"version", result.version}});
+    }
+    return reply_of({{"applied", false}, {"present", rows_of(result.present)}}, 409);
+}
+
+http_reply platform::on_objects(const http_call& call, const route& to)
+{
+    if (call.method == "PUT") {
+        m_objects.insert_or_assign(to.name, call.body);
+        return reply_of(json::object());
+    }
+    const auto found = m_objects.find(to.name);
+    if (found == m_objects.end()) {
+        return failure(404, "unknown-object");
+    }
+    if (call.method == "DELETE") {
+        m_objects.erase(found);
+        return reply_of(json::object());
+    }
+    return {.body = found->second, .content_type = "application/octet-stream"};
+}
+
+http_reply platform::on_instances(const http_call& call, const route& to)
+{
+    if (to.verb == "reboot") {
+        const json in = json::parse(call.body);
+        return reply_of(m_instances.reboot(to.name, in.at("operation_id"),
+                                           in.at("epoch").get<std::uint64_t>(), now()));
+    }
+    if (to.name.empty()) {
+        json all = json::array();
+        for (const listed_instance& each : m_instances.list(now())) {
+            all.push_back(
+                {{"id", each.id}, {"role", name_of(each.role)}, {"state", name_of(each.state)}});
+        }
+        return reply_of({{"instances", std::move(all)}});
+    }
+    const auto count = m_instances.boot_count(to.name, now());
+    return count ? reply_of(json{{"boot_count", *count}}) : failure(404, "unknown-instance");
+}
+
+http_reply platform::on_tasks(const http_call& call, const route& /*to*/)
+{
+    if (call.method == "POST") {
+        const json in = json::parse(call.body);
+        const auto action = parse_enum<task_action>(in.at("action").get<std::string>());
+        if (!action) {
+            return failure(400, "unknown-action");
+        }
+        const task_command command{.action = *action,
+                                   .job = job_id(in.at("job")),
+                                   .worker = instance_id(in.at("worker")),
+                                   .processors = in.value("processors", 0.0),
+                                   .memory_mb = in.value("memory_mb", std::uint64_t{0}),
+                                   .accelerators = in.value("accelerators", 0U),
+                                   .lease_ms = in.value("lease_ms", std::uint64_t{0})};
+        return reply_of(m_tasks.command(command, in.at("operation_id"),
+                                        in.at("epoch").get<std::uint64_t>(), now()));
+    }
+    json all = json::array();
+    for (const auto& [command, reading] : m_tasks.reports(now())) {
+        all.push_back({{"job", command.job.str()},
+                       {"worker", command.worker.str()},
+                       {"state", name_of(reading.state)},
+                       {"processors_used", command.processors},
+                       {"memory_mb_used", command.memory_mb},
+                       {"run_ms", reading.run.count()},
+                       {"saved_ms", reading.saved.count()}});
+    }
+    return reply_of({{"tasks", std::move(all)}});
+}
+
+http_reply platform::on_admin(const http_call& call, const route& to)
+{
+    if (to.name == "counts") {
+        return reply_of(json(m_counts));
+    }
+    using setter = void (platform::*)(const json&);
+    static const std::map<std::string, setter> setters{
+        {"faults", &platform::set_faults},
+        {"instances", &platform::set_instance},
+        {"tasks", &platform::set_tasks},
+    };
+    const auto found = setters.find(to.name);
+    if (found == setters.end()) {
+        return failure(404, "unknown-path");
+    }
+    (this->*found->second)(json::parse(call.body));
+    return reply_of(json::object());
+}
+
+void platform::set_faults(const json& in)
+{
+    m_faults = {.down = in.value("down", false),
+                .slow = milliseconds(in.value("slow_ms", 0)),
+                .lose_reply = in.value("lose_reply", std::uint64_t{0}),
+                .lose_call = in.value("lose_call", std::uint64_t{0}),
+                .only = in.value("only", std::string()),
+                .effects_only = in.value("effects_only", false)};
+    if (in.contains("list_lag_ms")) {
+        m_instances.lag = milliseconds(in.at("list_lag_ms").get<std::int64_t>());
+        m_tasks.lag = m_instances.lag;
+    }
+}
+
+void platform::set_instance(const json& in)
+{
+    const std::string role = in.value("role", std::string("target"));
+    m_instances.set(in.at("id"), parse_enum<listed_role>(role).value_or(listed_role::target),
+                    parse_enum<listed_state>(in.at("state").get<std::string>()),
+                    in.value("address", std::string()), now());
+}
+
+void platform::set_tasks(const json& in)
+{
+    if (in.contains("run_ms")) {
+        const milliseconds run_time(in.at("run_ms").get<std::int64_t>());
+        if (in.contains("job")) {
+            m_tasks.run_times.insert_or_assign(in.at("job").get<std::string>(), run_time);
+        }
+        else {
+            m_tasks.default_run_time = run_time;
+        }
+    }
+    if (in.contains("failing_worker")) {
+        m_tasks.failing_workers.insert(in.at("failing_worker").get<std::string>());
+    }
+    if (in.contains("sound_worker")) {
+        m_tasks.failing_workers.erase(in.at("sound_worker").get<std::string>());
+    }
+}
+
+} // namespace plantaindoor::stand_in
--- /dev/null
+++ b/stand_ins/platform/platform.hpp
@@ -0,0 +1,79 @@
+// The platform stand-in: table, objects, instance list, reboots and tasks over HTTP, with faults.
+#pragma once
+
+#include "http_server.hpp"
+#include "instance_board.hpp"
+#include "task_board.hpp"
+
+#include "fakes/memory_table.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace plantaindoor::stand_in {
+
+struct platform_options {
+    milliseconds list_lag{0};
+    milliseconds reboot_time{1000};
+};
+
+/// Thread-safe.
+class platform {
+public:
+    explicit platform(const platform_options& options);
+
+    /// No value: the reply is lost.
+    [[nodiscard]] std::optional<http_reply> handle(const http_call& call);
+
+private:
+    /// What is done to the calls of one part, or of all where `only` is empty.
+    struct faults {
+        bool down = false;
+        milliseconds slow{0};
+        std::uint64_t lose_reply = 0;
+        std::uint64_t lose_call = 0;
+        std::string only;
+        /// Lost calls and replies are counted off by calls that have an effect alone.
+        bool effects_only = false;
+    };
+
+    enum class fate { carried_out, refused, reply_lost, call_lost };
+
+    /// Splits "/instances/w1/reboot" into {"instances", "w1", "reboot"}.
+    struct route {
+        std::string part;
+        std::string name;
+        std::string verb;
+    };
+
+    static route route_of(const std::string& path);
+    static bool has_effect(const http_call& call, const route& to);
+    [[nodiscard]] milliseconds slowness(const route& to);
+    [[nodiscard]] fate draw_fate(const http_call& call, const route& to);
+    [[nodiscard]] http_reply carry_out(const http_call& call, const route& to);
+
+    [[nodiscard]] http_reply on_table(const http_call& call, const route& to);
+    [[nodiscard]] http_reply on_objects(const http_call& call, const route& to);
+    [[nodiscard]] http_reply on_instances(const http_call& call, const route& to);
+    [[nodiscard]] http_reply on_tasks(const http_call& call, const route& to);
+    [[nodiscard]] http_reply on_admin(const http_call& call, const route& to);
+
+    void set_faults(const nlohmann::json& in);
+    void set_instance(const nlohmann::json& in);
+    void set_tasks(const nlohmann::json& in);
+
+    std::mutex m_mutex;
+    fakes::memory_table m_table;
+    std::map<std::string, std::string> m_objects;
+    instance_board m_instances;
+    task_board m_tasks;
+    faults m_faults;
+    std::map<std::string, std::uint64_t> m_counts;
+};
+
+} // namespace plantaindoor::stand_in
