--- a/packages/version/include/plantaindoor/version/delta.hpp
+++ b/packages/version/include/plantaindoor/version/delta.hpp
@@ -63,11 +63,16 @@
     wave_id wave;
     /// Set when a wave has finished with the instance.
     std::optional<wall_time> maintained;
+    /// Set for a drain that prepares a move.
+    std::optional<planned_move> moving;
+    /// Set when stopping for a reboot.
+    std::uint64_t boots_before = 0;
     friend bool operator==(const set_instance_state&, const set_instance_state&) = default;
 };
 
 /// Moves an instance to another pool, for good or on loan. Sets state_version to the delta's
-/// version. The instance must be stopped or draining-and-confirmed; the planner sees to that.
+/// version and clears `moving`. The instance must be stopped or draining-and-confirmed; the planner
+/// sees to that.
 struct move_instance {
     instance_id id;
     pool_id pool;
--- a/packages/version/include/plantaindoor/version/fleet.hpp
+++ b/packages/version/include/plantaindoor/version/fleet.hpp
@@ -46,6 +46,15 @@
     friend bool operator==(const loan&, const loan&) = default;
 };
 
+/// Where a draining instance goes once no request is in progress there.
+struct planned_move {
+    pool_id to;
+    /// Set for a loan; a move for good has none.
+    std::optional<loan> lent;
+
+    friend bool operator==(const planned_move&, const planned_move&) = default;
+};
+
 /// A worker or other target, in exactly one pool.
 struct instance {
     instance_id id;
@@ -63,8 +72,13 @@
     instance_state state = instance_state::admitted;
     /// The version that last changed `state` or `pool`; names one drain without doubt.
     version_number state_version = 0;
-    /// The wave that planned the present outage; empty for an operator's drain.
+    /// The wave that planned the present outage; empty for an operator's drain. A failed instance
+    /// keeps the wave that it failed in.
     wave_id outage_wave;
+    /// The move that the present drain prepares.
+    std::optional<planned_move> moving;
+    /// Boots counted before the present stop: the reboot is over when the platform counts more.
+    std::uint64_t boots_before = 0;
     /// The last wave that finished with this instance, and when.
     wave_id last_wave;
     wall_time maintained{};
--- a/packages/version/src/codec.cpp
+++ b/packages/version/src/codec.cpp
@@ -66,6 +66,22 @@
     value.until = wall_from(in, "until");
 }
 
+void to_json(json& out, const planned_move& value)
+{
+    out = {{"to", value.to}};
+    if (value.lent) {
+        out["lent"] = *value.lent;
+    }
+}
+
+void from_json(const json& in, planned_move& value)
+{
+    in.at("to").get_to(value.to);
+    if (in.contains("lent")) {
+        value.lent = in.at("lent").get<loan>();
+    }
+}
+
 void to_json(json& out, const instance& value)
 {
     out = {{"id", value.id},
@@ -83,10 +99,14 @@
            {"state_version", value.state_version},
            {"outage_wave", value.outage_wave},
            {"last_wave", value.last_wave},
-           {"maintained", millis(value.maintained)}};
+           {"maintained", millis(value.maintained)},
+           {"boots_before", value.boots_before}};
     if (value.lent) {
         out["lent"] = *value.lent;
     }
+    if (value.moving) {
+        out["moving"] = *value.moving;
+    }
 }
 
 void from_json(const json& in, instance& value)
@@ -107,9 +127,13 @@
     in.at("outage_wave").get_to(value.outage_wave);
     in.at("last_wave").get_to(value.last_wave);
     value.maintained = wall_from(in, "maintained");
+    value.boots_before = in.value("boots_before", std::uint64_t{0});
     if (in.contains("lent")) {
         value.lent = in.at("lent").get<loan>();
     }
+    if (in.contains("moving")) {
+        value.moving = in.at("moving").get<planned_move>();
+    }
 }
 
 void to_json(json& out, const availability_budget& value)
@@ -243,7 +267,11 @@
 {
     set_instance_state value{.id = in.at("id").get<instance_id>(),
                              .state = enum_from<instance_state>(in, "state"),
-                             .wave = in.at("wave").get<wave_id>()};
+                             .wave = in.at("wave").get<wave_id>(),
+                             .boots_before = in.value("boots_before", std::uint64_t{0})};
+    if (in.contains("moving")) {
+        value.moving = in.at("moving").get<planned_move>();
+    }
     if (in.contains("maintained")) {
         value.maintained = wall_from(in, "maintained");
     }
@@ -279,7 +307,13 @@
     }
     json operator()(const set_instance_state& c) const
     {
-        json out = {{"id", c.id}, {"state", name_of(c.state)}, {"wave", c.wave}};
+        json out = {{"id", c.id},
+                    {"state", name_of(c.state)},
+                    {"wave", c.wave},
+                    {"boots_before", c.boots_before}};
+        if (c.moving) {
+            out["moving"] = *c.moving;
+        }
         if (c.maintained) {
             out["maintained"] = millis(*c.maintained);
         }
--- a/packages/version/src/delta.cpp
+++ b/packages/version/src/delta.cpp
@@ -53,9 +53,12 @@
         instance& subject = existing(m_fleet.instances, c.id, "instance");
         const bool planned_out =
             c.state == instance_state::draining || c.state == instance_state::stopped;
+        const bool out = planned_out || c.state == instance_state::failed;
         subject.state = c.state;
         subject.state_version = m_version;
-        subject.outage_wave = planned_out ? c.wave : wave_id{};
+        subject.outage_wave = out ? c.wave : wave_id{};
+        subject.moving = planned_out ? c.moving : std::nullopt;
+        subject.boots_before = c.boots_before;
         if (c.maintained) {
             subject.maintained = *c.maintained;
             subject.last_wave = c.wave;
@@ -67,6 +70,7 @@
         instance& subject = existing(m_fleet.instances, c.id, "instance");
         subject.pool = c.pool;
         subject.lent = c.lent;
+        subject.moving.reset();
         subject.state_version = m_version;
     }
 
@@ -97,6 +101,9 @@
         if (value.lent) {
             require(target.pools, value.lent->home, from, "pool");
         }
+        if (value.moving) {
+            require(target.pools, value.moving->to, from, "pool");
+        }
     }
     for (const auto& [id, value] : target.waves) {
         for (const pool_id& used : value.pools) {
