process: Serve a request from caller to target and back in one entry

Ruled out: leaving signal handlers to the reactor's destructor, which calls them after their end (seen as a segmentation fault at SIGTERM; the test 'a signal runs its action on the loop, and the loop ends cleanly' crashed before the change).

--- /dev/null
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -0,0 +1,59 @@
+// One run of an entry: owns every part of it, from the listeners to the log of versions.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/connection/endpoint.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::process {
+
+struct entry_options {
+    std::string cluster;
+    entry_id id;
+    availability_zone_id zone;
+    /// Random per start.
+    std::uint64_t incarnation = 0;
+    connection::endpoint callers;
+    connection::endpoint operators;
+    connection::endpoint peers;
+    connection::endpoint platform;
+    std::vector<connection::endpoint> known_peers;
+    std::string operator_token;
+    std::size_t body_limit_bytes = 1U << 20U;
+    std::size_t answer_limit_bytes = 8U << 20U;
+    milliseconds platform_timeout{2000};
+    milliseconds head_poll{500};
+    /// From the moment of being told to end until no new request is taken.
+    milliseconds leave_delay{2000};
+};
+
+/// The explicit owner of a run's state. Loop thread only.
+class entry {
+public:
+    /// Opens the listeners. Throws listen_error. The loop must outlive the entry.
+    entry(event_loop& loop, entry_options options);
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+    ~entry();
+
+    /// Begins to follow the log and to serve.
+    void start();
+    /// Turns not ready at once, later takes no new work, and calls back once nothing is in
+    /// progress. Later calls do nothing.
+    void end(event_loop::action on_ended);
+
+    [[nodiscard]] connection::endpoint callers_endpoint() const;
+    [[nodiscard]] connection::endpoint operators_endpoint() const;
+
+private:
+    class parts;
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace plantaindoor::process
--- /dev/null
+++ b/packages/process/src/entry.cpp
@@ -0,0 +1,229 @@
+#include "plantaindoor/process/entry.hpp"
+
+#include "plantaindoor/connection/http_client.hpp"
+#include "plantaindoor/connection/http_platform.hpp"
+#include "plantaindoor/connection/http_server.hpp"
+#include "plantaindoor/connection/operator_router.hpp"
+#include "plantaindoor/process/caller_path.hpp"
+#include "plantaindoor/process/operator_api.hpp"
+#include "plantaindoor/version/table_change_log.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace plantaindoor::process {
+
+using connection::http_request;
+using connection::http_responder;
+using connection::http_response;
+
+namespace {
+
+constexpr milliseconds end_check_period{20};
+/// Time for the last answers to leave the sockets.
+constexpr milliseconds flush_time{200};
+
+http_response plain(std::uint16_t status, std::string text)
+{
+    return {.status = status,
+            .headers = {{"Content-Type", "text/plain"}},
+            .body = std::move(text) + "\n"};
+}
+
+} // namespace
+
+class entry::parts {
+public:
+    parts(event_loop& loop, entry_options options)
+        : m_loop(loop),
+          m_options(std::move(options)),
+          m_client(loop),
+          m_table(m_client, platform()),
+          m_objects(m_client, platform()),
+          m_log(loop, m_table, log_options()),
+          m_callers(caller_options()),
+          m_router(m_options.operator_token),
+          m_caller_server(loop, caller_server_options()),
+          m_operator_server(loop, operator_server_options())
+    {
+        add_operator_routes({.router = m_router, .log = m_log, .rows = m_table, .status = [this] {
+                                 return status();
+                             }});
+        m_router.add_open("GET", "/health", [](const auto&, const auto& respond) {
+            respond.respond(plain(200, "healthy"));
+        });
+        m_router.add_open("GET", "/ready", [this](const auto&, const auto& respond) {
+            respond.respond(readiness());
+        });
+    }
+
+    void start() { m_log.start(); }
+
+    void end(event_loop::action on_ended)
+    {
+        if (m_on_ended) {
+            return;
+        }
+        m_on_ended = std::move(on_ended);
+        m_loop.call_after(m_options.leave_delay, [this] { leave(); });
+    }
+
+    [[nodiscard]] std::uint16_t callers_port() const { return m_caller_server.port(); }
+    [[nodiscard]] std::uint16_t operators_port() const { return m_operator_server.port(); }
+    [[nodiscard]] const entry_options& options() const { return m_options; }
+
+private:
+    [[nodiscard]] connection::platform_options platform() const
+    {
+        return {.at = m_options.platform, .timeout = m_options.platform_timeout};
+    }
+
+    [[nodiscard]] std::string run_name() const
+    {
+        return fmt::format("{}-{:x}", m_options.id.str(), m_options.incarnation);
+    }
+
+    version::table_change_log_options log_options()
+    {
+        return {.author_id = run_name(),
+                .seed = m_options.incarnation,
+                .poll_period = m_options.head_poll,
+                .snapshots = &m_objects};
+    }
+
+    caller_path_options caller_options()
+    {
+        return {.loop = m_loop,
+                .client = m_client,
+                .log = m_log,
+                .id_prefix = run_name(),
+                .body_limit_bytes = m_options.body_limit_bytes,
+                .answer_limit_bytes = m_options.answer_limit_bytes,
+                .not_serving_reason = [this] { return not_serving_reason(); }};
+    }
+
+    connection::http_server_options caller_server_options()
+    {
+        return {.listen = m_options.callers,
+                .body_limit_bytes = m_options.body_limit_bytes,
+                .on_request =
+                    [this](http_request request, http_responder respond) {
+                        from_caller(std::move(request), std::move(respond));
+                    },
+                .on_overflow = [this] { return m_callers.overflow_answer(); }};
+    }
+
+    connection::http_server_options operator_server_options()
+    {
+        return {.listen = m_options.operators,
+                .body_limit_bytes = 16U << 20U,
+                .on_request =
+                    [this](const http_request& request, http_responder respond) {
+                        m_router.handle(request, std::move(respond));
+                    },
+                .on_overflow = [] { return plain(413, "the body is longer than 16 MiB"); }};
+    }
+
+    void from_caller(http_request request, http_responder respond)
+    {
+        if (request.target == "/health") {
+            respond(plain(200, "healthy"));
+        }
+        else if (request.target == "/ready") {
+            respond(readiness());
+        }
+        else {
+            m_callers.handle(std::move(request), std::move(respond));
+        }
+    }
+
+    /// Empty while new requests are taken.
+    [[nodiscard]] std::string not_serving_reason() const
+    {
+        if (m_left) {
+            return "ending";
+        }
+        return m_log.current_as_of() ? "" : "the log of versions has not been read";
+    }
+
+    /// Empty while the balancer may send callers here.
+    [[nodiscard]] std::string not_ready_reason() const
+    {
+        return m_on_ended ? "ending" : not_serving_reason();
+    }
+
+    [[nodiscard]] http_response readiness() const
+    {
+        const std::string reason = not_ready_reason();
+        return reason.empty() ? plain(200, "ready") : plain(503, "not ready: " + reason);
+    }
+
+    [[nodiscard]] entry_status status() const
+    {
+        return {.entry = m_options.id,
+                .zone = m_options.zone,
+                .incarnation = m_options.incarnation,
+                .not_ready_reason = not_ready_reason(),
+                .requests_in_progress = m_callers.in_progress()};
+    }
+
+    void leave()
+    {
+        m_left = true;
+        m_caller_server.stop_listening();
+        check_ended();
+    }
+
+    void check_ended()
+    {
+        if (m_callers.in_progress() == 0 && m_caller_server.in_progress() == 0) {
+            m_loop.call_after(flush_time, m_on_ended);
+        }
+        else {
+            m_loop.call_after(end_check_period, [this] { check_ended(); });
+        }
+    }
+
+    event_loop& m_loop;
+    entry_options m_options;
+    connection::http_client m_client;
+    connection::http_table m_table;
+    connection::http_objects m_objects;
+    version::table_change_log m_log;
+    caller_path m_callers;
+    connection::operator_router m_router;
+    connection::http_server m_caller_server;
+    connection::http_server m_operator_server;
+    event_loop::action m_on_ended;
+    bool m_left = false;
+};
+
+entry::entry(event_loop& loop, entry_options options)
+    : m_parts(std::make_unique<parts>(loop, std::move(options)))
+{
+}
+
+entry::~entry() = default;
+
+void entry::start()
+{
+    m_parts->start();
+}
+
+void entry::end(event_loop::action on_ended)
+{
+    m_parts->end(std::move(on_ended));
+}
+
+connection::endpoint entry::callers_endpoint() const
+{
+    return {m_parts->options().callers.address, m_parts->callers_port()};
+}
+
+connection::endpoint entry::operators_endpoint() const
+{
+    return {m_parts->options().operators.address, m_parts->operators_port()};
+}
+
+} // namespace plantaindoor::process
--- /dev/null
+++ b/packages/process/src/operator_api.cpp
@@ -0,0 +1,209 @@
+#include "plantaindoor/process/operator_api.hpp"
+
+#include "plantaindoor/version/codec.hpp"
+#include "plantaindoor/version/fleet_document.hpp"
+#include "plantaindoor/version/registration.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace plantaindoor::process {
+
+using connection::not_supported_error;
+using connection::operator_request;
+using connection::operator_responder;
+using connection::table_unavailable_error;
+using nlohmann::json;
+
+namespace {
+
+struct verb_route {
+    const char* method;
+    const char* path;
+    const char* verb;
+};
+
+/// Verbs whose subsystem is not in this entry yet.
+constexpr std::array<verb_route, 15> missing_verbs{{
+    {"POST", "/v1/instances/{}/drain", "drain"},
+    {"POST", "/v1/instances/{}/undrain", "undrain"},
+    {"POST", "/v1/instances/{}/move", "move"},
+    {"POST", "/v1/instances/{}/lend", "lend"},
+    {"POST", "/v1/waves", "wave start"},
+    {"POST", "/v1/waves/{}/pause", "wave pause"},
+    {"POST", "/v1/waves/{}/resume", "wave resume"},
+    {"POST", "/v1/waves/{}/abort", "wave abort"},
+    {"GET", "/v1/waves/{}", "wave watch"},
+    {"POST", "/v1/rules/check", "rules check"},
+    {"POST", "/v1/rules/explain", "rules explain"},
+    {"GET", "/v1/jobs", "get jobs"},
+    {"POST", "/v1/jobs", "job submit"},
+    {"POST", "/v1/jobs/{}/cancel", "job cancel"},
+    {"GET", "/v1/journal", "journal"},
+}};
+
+constexpr std::array<const char*, 6> kinds{"teams",     "pools", "services",
+                                           "instances", "waves", "rules"};
+
+void add_missing_verbs(connection::operator_router& router)
+{
+    for (const verb_route& each : missing_verbs) {
+        router.add(each.method, each.path,
+                   [&each](const operator_request&, const operator_responder&) {
+                       throw not_supported_error(each.verb);
+                   });
+    }
+}
+
+void add_reads(const operator_api_options& options)
+{
+    for (const char* const kind : kinds) {
+        options.router.add(
+            "GET", std::string("/v1/") + kind,
+            [&log = options.log, kind](const operator_request&, const operator_responder& respond) {
+                const auto fleet = log.current();
+                const json whole = json::parse(encode(*fleet));
+                respond.json(json{{"version", fleet->version}, {"items", whole.at(kind)}}.dump());
+            });
+    }
+    options.router.add(
+        "GET", "/v1/fleet",
+        [&log = options.log](const operator_request&, const operator_responder& respond) {
+            respond.respond({.status = 200,
+                             .headers = {{"Content-Type", "application/yaml"}},
+                             .body = to_fleet_document(*log.current())});
+        });
+}
+
+void add_status(const operator_api_options& options)
+{
+    options.router.add("GET", "/v1/status",
+                       [&log = options.log, status = options.status](
+                           const operator_request&, const operator_responder& respond) {
+                           const entry_status now = status();
+                           const auto fleet = log.current();
+                           respond.json(json{{"entry", now.entry.str()},
+                                             {"zone", now.zone.str()},
+                                             {"incarnation", now.incarnation},
+                                             {"ready", now.not_ready_reason.empty()},
+                                             {"reason", now.not_ready_reason},
+                                             {"version", fleet->version},
+                                             {"requests_in_progress", now.requests_in_progress},
+                                             {"pools", fleet->pools.size()},
+                                             {"services", fleet->services.size()},
+                                             {"instances", fleet->instances.size()}}
+                                            .dump());
+                       });
+}
+
+json entry_json(const table_row& row)
+{
+    const auto entry = version::decode_registration(row.value);
+    json busy = json::array();
+    for (const instance_id& each : entry.busy) {
+        busy.push_back(each.str());
+    }
+    return {{"id", entry.entry.str()},
+            {"incarnation", entry.incarnation},
+            {"zone", entry.zone.str()},
+            {"peers", entry.peer_address + ":" + std::to_string(entry.peer_port)},
+            {"version", entry.applied},
+            {"busy", std::move(busy)},
+            {"lease_until_ms", entry.lease_until.time_since_epoch().count()}};
+}
+
+void list_entries(table& rows, const operator_responder& respond)
+{
+    rows.scan({.prefix = std::string(version::registration_prefix)},
+              [respond](const read_result& found) {
+                  try {
+                      if (!found) {
+                          throw table_unavailable_error("no answer");
+                      }
+                      json items = json::array();
+                      for (const table_row& row : *found) {
+                          items.push_back(entry_json(row));
+                      }
+                      respond.json(json{{"items", std::move(items)}}.dump());
+                  }
+                  catch (const std::exception&) {
+                      respond.fail(std::current_exception());
+                  }
+              });
+}
+
+std::string applied_body(const version::fleet& before, const std::vector<version::change>& changes,
+                         version::version_number after)
+{
+    json lines = json::array();
+    for (const version::change& each : changes) {
+        lines.push_back(version::describe(each));
+    }
+    return json{{"before", before.version}, {"version", after}, {"changes", std::move(lines)}}
+        .dump();
+}
+
+void respond_appended(const operator_responder& respond, const version::append_result& result,
+                      const std::function<std::string()>& body)
+{
+    switch (result.outcome) {
+    case version::append_outcome::accepted:
+        respond.json(body());
+        break;
+    case version::append_outcome::refused:
+        respond.fail(result.refusal);
+        break;
+    default:
+        respond.fail(table_unavailable_error(std::string(name_of(result.outcome))));
+    }
+}
+
+void apply_document(version::change_log& log, const operator_request& request,
+                    const operator_responder& respond)
+{
+    const auto wanted = std::make_shared<version::fleet_document>(
+        version::parse_fleet_document(request.body, request.query_or("file", "fleet.yaml")));
+    if (request.query_or("dry_run", "false") == "true") {
+        const auto fleet = log.current();
+        respond.json(
+            applied_body(*fleet, version::changes_to_match(*fleet, *wanted), fleet->version));
+        return;
+    }
+    auto last = std::make_shared<std::pair<version::fleet, std::vector<version::change>>>();
+    log.append({.author = request.author,
+                .reason = request.query_or("reason", "apply"),
+                .propose =
+                    [wanted, last](const version::fleet& newest) {
+                        last->first.version = newest.version;
+                        last->second = version::changes_to_match(newest, *wanted);
+                        return last->second;
+                    }},
+               [respond, last](const version::append_result& result) {
+                   respond_appended(respond, result, [&] {
+                       return applied_body(last->first, last->second, result.version);
+                   });
+               });
+}
+
+} // namespace
+
+void add_operator_routes(const operator_api_options& options)
+{
+    add_status(options);
+    add_reads(options);
+    options.router.add(
+        "GET", "/v1/entries",
+        [&rows = options.rows](const operator_request&, const operator_responder& respond) {
+            list_entries(rows, respond);
+        });
+    options.router.add(
+        "POST", "/v1/apply",
+        [&log = options.log](const operator_request& request, const operator_responder& respond) {
+            apply_document(log, request, respond);
+        });
+    add_missing_verbs(options.router);
+}
+
+} // namespace plantaindoor::process
--- a/packages/process/src/reactor_loop.cpp
+++ b/packages/process/src/reactor_loop.cpp
@@ -16,6 +16,7 @@
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
+#include <ace/Log_Msg.h>
 #include <ace/Reactor.h>
 #include <ace/Sig_Handler.h>
 #include <sys/eventfd.h>
@@ -123,6 +124,8 @@
           m_poll_reactor(handle_limit()),
           m_reactor(&m_poll_reactor)
     {
+        // A wait that a signal ends is reported there as an error; real ones are checked here.
+        ACE_LOG_MSG->priority_mask(0, ACE_Log_Msg::PROCESS);
         if (m_wake_descriptor < 0) {
             throw loop_error("eventfd", errno);
         }
@@ -141,6 +144,10 @@
             unwatch(m_handlers.begin()->first);
         }
         m_removed.clear();
+        // The reactor's own destructor would still call the handlers of signals.
+        for (auto& [signal, state] : m_signals) {
+            m_reactor.remove_handler(signal, static_cast<ACE_Sig_Action*>(nullptr));
+        }
         ::close(m_wake_descriptor);
     }
 
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <optional>
 #include <vector>
 
@@ -99,9 +100,24 @@
 TEST_CASE("an answer given later than its request is delivered", "[http]")
 {
     loopback both;
-    both.handler = [&](const http_request&, http_responder respond) {
+    both.handler = [&](const http_request&, const http_responder& respond) {
         both.loop.call_after(milliseconds(5),
                              [respond] { respond({.status = 200, .body = "late"}); });
     };
     CHECK(both.call({.method = "GET", .target = "/"}).response.body == "late");
 }
+
+TEST_CASE("a signal runs its action on the loop, and the loop ends cleanly", "[reactor_loop]")
+{
+    bool seen = false;
+    {
+        reactor_loop loop;
+        loop.on_signal(SIGUSR1, [&] {
+            seen = true;
+            loop.stop();
+        });
+        loop.call_after(nanoseconds(0), [] { std::raise(SIGUSR1); });
+        loop.run();
+    }
+    CHECK(seen);
+}
