process: Serve requests by attempts, claims and checked answers

Cause: the request path sent each request once and passed on whatever came.

caller_path now claims an Idempotency-Key before the send (claim_store runs claim_batcher against the table), asks a target_source for each attempt, lets attempt_tracker decide, and checks the answer while it arrives (target_call). The client's new observer is asked right before the first byte leaves, so the deadline is judged then and not when the connect began. A non-idempotent request gets a connection of its own: the closing of an idle kept one can't be mistaken for a lost answer. An ending entry waits up to 5 s for the ends of answered requests to be recorded.

rotating_targets is the earlier choice behind target_source, until the dispatcher takes its place.

--- a/packages/connection/include/plantaindoor/connection/caller_headers.hpp
+++ b/packages/connection/include/plantaindoor/connection/caller_headers.hpp
@@ -18,6 +18,8 @@
 inline constexpr std::string_view outcome_header = "Plantaindoor-Outcome";
 inline constexpr std::string_view request_id_header = "Plantaindoor-Request-Id";
 inline constexpr std::string_view attempts_header = "Plantaindoor-Attempts";
+/// Present on an answer that was recorded for an earlier request with the same key.
+inline constexpr std::string_view replayed_header = "Plantaindoor-Replayed";
 inline constexpr std::string_view traceparent_header = "traceparent";
 
 /// Where and when a request arrived.
@@ -38,6 +40,9 @@
     std::uint32_t attempts = 0;
 };
 
+/// A target's headers that its caller gets: neither the hop's own nor the entry's. Thread-safe.
+[[nodiscard]] http_headers end_to_end_headers(http_headers headers);
+
 /// A target's whole answer for the caller: status and body unaltered, marked. Thread-safe.
 [[nodiscard]] http_response marked_answer(http_response from_target, const answer_marks& marks);
 
--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -23,6 +23,24 @@
     timed_out,      ///< the time was over before the whole answer
     too_long,       ///< the answer is longer than the limit
     malformed,      ///< the answer is not HTTP, or contradicts its own length
+    rejected,       ///< the call's observer ended it
+};
+
+/// Watches one call from inside the client: its methods must neither start nor cancel calls. Each
+/// returns whether the call may go on; otherwise it ends as `rejected` and its connection closes.
+class call_observer {
+public:
+    call_observer() = default;
+    call_observer(const call_observer&) = delete;
+    call_observer& operator=(const call_observer&) = delete;
+    virtual ~call_observer() = default;
+
+    /// The connection stands; after `true` the first byte of the request leaves.
+    virtual bool may_send() = 0;
+    /// The answer's whole head is here.
+    virtual bool head(const http_response& head) = 0;
+    /// More bytes of the answer's body are here.
+    virtual bool body(std::size_t bytes) = 0;
 };
 
 struct http_call {
@@ -32,6 +50,11 @@
     milliseconds timeout{1000};
     milliseconds connect_timeout{500};
     std::size_t answer_limit_bytes = 8U << 20U;
+    /// Neither takes a kept connection nor leaves one behind, so that the other side's closing of
+    /// an idle connection can't be mistaken for a lost answer.
+    bool own_connection = false;
+    /// May be null.
+    std::shared_ptr<call_observer> observer;
 };
 
 struct http_result {
@@ -73,13 +96,14 @@
 
 template<>
 struct enum_names<connection::transport_fault> {
-    static constexpr std::array<enum_name<connection::transport_fault>, 6> table{{
+    static constexpr std::array<enum_name<connection::transport_fault>, 7> table{{
         {connection::transport_fault::none, "none"},
         {connection::transport_fault::connect_failed, "connect-failed"},
         {connection::transport_fault::broken, "broken"},
         {connection::transport_fault::timed_out, "timed-out"},
         {connection::transport_fault::too_long, "too-long"},
         {connection::transport_fault::malformed, "malformed"},
+        {connection::transport_fault::rejected, "rejected"},
     }};
 };
 
--- a/packages/connection/src/caller_headers.cpp
+++ b/packages/connection/src/caller_headers.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/connection/caller_headers.hpp"
 
 #include "plantaindoor/connection/error_json.hpp"
+#include "plantaindoor/request/claim_record.hpp"
 
 #include <algorithm>
 #include <array>
@@ -14,7 +15,6 @@
 namespace {
 
 constexpr std::string_view header_prefix = "Plantaindoor-";
-constexpr std::size_t longest_key = 255;
 
 service_id service_of(std::string_view target)
 {
@@ -72,10 +72,11 @@
     if (text == nullptr) {
         return {};
     }
-    const auto printable = [](char c) { return c > ' ' && c <= '~'; };
-    if (text->empty() || text->size() > longest_key || !std::ranges::all_of(*text, printable)) {
-        throw request::malformed_header_refusal(std::string(idempotency_key_header), *text,
-                                                "1 to 255 printable ASCII characters");
+    if (!request::is_idempotency_key(*text)) {
+        throw request::malformed_header_refusal(
+            std::string(idempotency_key_header), *text,
+            "1 to " + std::to_string(request::max_idempotency_key_bytes) +
+                " printable ASCII characters");
     }
     return *text;
 }
@@ -115,11 +116,17 @@
             .body_bytes = from.body.size()};
 }
 
-http_response marked_answer(http_response from_target, const answer_marks& marks)
+http_headers end_to_end_headers(http_headers headers)
 {
-    std::erase_if(from_target.headers, [](const http_header& header) {
+    std::erase_if(headers, [](const http_header& header) {
         return is_hop_header(header.name) || is_own_header(header.name);
     });
+    return headers;
+}
+
+http_response marked_answer(http_response from_target, const answer_marks& marks)
+{
+    from_target.headers = end_to_end_headers(std::move(from_target.headers));
     add_marks(from_target.headers, marks);
     return from_target;
 }
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "plantaindoor/common/error.hpp"
 
+#include <charconv>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -34,6 +35,7 @@
 using easy_ptr = std::unique_ptr<CURL, easy_deleter>;
 using slist_ptr = std::unique_ptr<curl_slist, slist_deleter>;
 
+constexpr std::uint16_t first_final_status = 200;
 constexpr std::size_t kept_handles = 256;
 constexpr long kept_connections = 2048;
 /// An idle connection older than this may be closed by the other side at any moment.
@@ -49,6 +51,17 @@
     http_result result;
     bool overflow = false;
     bool resend_refused = false;
+    bool rejected = false;
+
+    /// Asks the observer, if there is one; false ends the transfer.
+    template<class Question>
+    bool observed(Question ask)
+    {
+        if (call.observer != nullptr && !ask(*call.observer)) {
+            rejected = true;
+        }
+        return !rejected;
+    }
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* to)
@@ -59,6 +72,9 @@
         current.overflow = true;
         return 0;
     }
+    if (!current.observed([bytes](call_observer& observer) { return observer.body(bytes); })) {
+        return 0;
+    }
     current.result.response.body.append(data, bytes);
     return bytes;
 }
@@ -72,18 +88,43 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+/// The status in a status line such as "HTTP/1.1 200 OK"; zero where there is none.
+std::uint16_t status_of(std::string_view line)
+{
+    std::uint16_t status = 0;
+    const auto space = line.find(' ');
+    if (space != std::string_view::npos) {
+        std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
+    }
+    return status;
+}
+
+bool head_ended(transfer& current)
+{
+    const http_response& head = current.result.response;
+    if (head.status < first_final_status) {
+        return true;
+    }
+    return current.observed([&head](call_observer& observer) { return observer.head(head); });
+}
+
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* to)
 {
-    auto& headers = static_cast<transfer*>(to)->result.response.headers;
+    auto& current = *static_cast<transfer*>(to);
+    http_response& head = current.result.response;
     const std::string_view line(data, size * count);
     if (line.starts_with("HTTP/")) {
         // Another head follows an interim one.
-        headers.clear();
+        head.headers.clear();
+        head.status = status_of(line);
         return line.size();
     }
+    if (trimmed(line).empty()) {
+        return head_ended(current) ? line.size() : 0;
+    }
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
-        headers.push_back(
+        head.headers.push_back(
             {std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
     }
     return line.size();
@@ -99,6 +140,9 @@
         current.resend_refused = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!current.observed([](call_observer& observer) { return observer.may_send(); })) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     current.result.sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -111,6 +155,9 @@
     if (current.resend_refused) {
         return transport_fault::broken;
     }
+    if (current.rejected) {
+        return transport_fault::rejected;
+    }
     switch (code) {
     case CURLE_OK:
         return transport_fault::none;
@@ -266,9 +313,6 @@
         auto current = std::move(found->second);
         m_transfers.erase(found);
         current->result.fault = fault_of(code, *current);
-        long status = 0;
-        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        current->result.response.status = static_cast<std::uint16_t>(status);
         curl_multi_remove_handle(m_multi.get(), easy);
         if (m_idle.size() < kept_handles) {
             m_idle.push_back(std::move(current->easy));
@@ -316,6 +360,8 @@
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &on_before_send);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &current);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.own_connection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
         set_method(easy, call.request);
     }
 
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -1,30 +1,43 @@
-// The path of a caller's request through an entry: read, sent to a target, answered once.
+// The path of a caller's request through an entry: read, claimed, sent to a target, answered once.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/http_server.hpp"
+#include "plantaindoor/process/claim_store.hpp"
+#include "plantaindoor/process/target_source.hpp"
+#include "plantaindoor/request/answer_check.hpp"
+#include "plantaindoor/request/attempt_tracker.hpp"
+#include "plantaindoor/request/retry_budget.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace plantaindoor::process {
 
+struct target_call_result;
+
 struct caller_path_options {
     event_loop& loop;
     connection::http_client& client;
     version::change_log& log;
+    target_source& targets;
+    claim_store& claims;
     /// Prefix of request ids, unique for each start of a process.
     std::string id_prefix;
     std::size_t body_limit_bytes = 1U << 20U;
-    std::size_t answer_limit_bytes = 8U << 20U;
+    request::answer_limits answers;
+    request::attempt_options attempts;
+    request::retry_budget_options retries;
+    /// Longest wait for a claim; less where the deadline is nearer.
+    milliseconds claim_wait{1000};
     /// Why no new work is taken; empty while it is.
     std::function<std::string()> not_serving_reason;
 };
@@ -42,25 +55,33 @@
     /// The answer to a body over the limit.
     [[nodiscard]] connection::http_response overflow_answer();
     /// Requests not yet answered.
-    [[nodiscard]] std::size_t in_progress() const;
-    /// Targets at which a request may be in progress, in order of id.
-    [[nodiscard]] std::vector<instance_id> busy_targets() const;
+    [[nodiscard]] std::size_t in_progress() const { return m_active.size(); }
 
 private:
     struct active_request;
+    using active_ptr = std::shared_ptr<active_request>;
 
     request_id next_id();
-    void choose_and_send(const std::shared_ptr<active_request>& current);
-    const version::instance* choose(const version::fleet& fleet, const service_id& service);
-    void on_result(const std::shared_ptr<active_request>& current, const instance_id& target,
-                   connection::http_result result);
-    void finish(active_request& current, connection::http_response answer);
+    void admit(const active_ptr& current);
+    void claim(const active_ptr& current);
+    void on_verdict(const active_ptr& current, request::claim_verdict verdict);
+    void begin(const active_ptr& current);
+    void act(const active_ptr& current, const request::attempt_action& action);
+    void choose(const active_ptr& current);
+    void on_offer(const active_ptr& current, target_offer offer);
+    void send(const active_ptr& current, const request::attempt_action& times);
+    void on_result(const active_ptr& current, target_call_result result);
+    void answer(const active_ptr& current);
+    void refuse(const active_ptr& current, const request::refusal& why);
+    void replay(const active_ptr& current, request::recorded_answer recorded);
+    void finish(const active_ptr& current, connection::http_response answer);
+
+    request::retry_budget& budget_of(const service_id& service);
 
     caller_path_options m_options;
     std::uint64_t m_last_request = 0;
-    std::uint64_t m_last_choice = 0;
-    std::size_t m_in_progress = 0;
-    std::map<instance_id, std::uint32_t> m_sent;
+    std::unordered_set<active_ptr> m_active;
+    std::unordered_map<service_id, request::retry_budget> m_budgets;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -1,28 +1,84 @@
 #include "plantaindoor/process/caller_path.hpp"
 
 #include "plantaindoor/connection/caller_headers.hpp"
+#include "plantaindoor/process/target_call.hpp"
 #include "plantaindoor/request/caller_request.hpp"
+#include "plantaindoor/request/claim_record.hpp"
 #include "plantaindoor/request/outcome.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace plantaindoor::process {
 
+using connection::http_header;
 using connection::http_request;
 using connection::http_response;
-using connection::http_result;
 using connection::marked_answer;
 using connection::read_caller_request;
 using connection::refusal_answer;
 using connection::request_for_target;
 using connection::transport_fault;
+using request::answer_verdict;
+using request::attempt_action;
+using request::attempt_failure;
+using request::attempt_result;
+using request::attempt_step;
 
 namespace {
 
 constexpr milliseconds retry_advice{1000};
-constexpr std::uint16_t gateway_timeout = 504;
-constexpr std::uint16_t bad_gateway = 502;
+constexpr std::uint16_t first_server_failure = 500;
+
+attempt_failure failure_of(const target_call_result& result)
+{
+    switch (result.fault) {
+    case transport_fault::connect_failed:
+        return attempt_failure::connect_failed;
+    case transport_fault::broken:
+        return attempt_failure::broken;
+    case transport_fault::timed_out:
+        return attempt_failure::timed_out;
+    default:
+        return result.verdict == answer_verdict::late ? attempt_failure::timed_out
+                                                      : attempt_failure::bad_answer;
+    }
+}
+
+attempt_result health_of(attempt_failure failure)
+{
+    switch (failure) {
+    case attempt_failure::connect_failed:
+        return attempt_result::unreachable;
+    case attempt_failure::timed_out:
+        return attempt_result::timed_out;
+    default:
+        return attempt_result::failed;
+    }
+}
+
+request::claim_state claim_state_of(request::outcome truth)
+{
+    switch (truth) {
+    case request::outcome::answered:
+        return request::claim_state::answered;
+    case request::outcome::not_run:
+        return request::claim_state::released;
+    case request::outcome::unknown:
+        break;
+    }
+    return request::claim_state::unknown;
+}
+
+request::recorded_answer recorded_of(const http_response& answer)
+{
+    request::recorded_answer recorded{.status = answer.status, .body = answer.body};
+    for (http_header& header : connection::end_to_end_headers(answer.headers)) {
+        recorded.headers.push_back({std::move(header.name), std::move(header.value)});
+    }
+    return recorded;
+}
 
 } // namespace
 
@@ -31,6 +87,13 @@
     request::caller_request subject;
     connection::http_responder respond;
     connection::answer_marks marks;
+    request::claim_ticket claim = request::claim_ticket::none;
+    std::vector<std::uint16_t> refusal_statuses;
+    std::optional<request::attempt_tracker> tracker;
+    /// The attempt in progress, or the last one.
+    request::target_grant grant;
+    std::unique_ptr<target_call> call;
+    http_response response;
 };
 
 caller_path::caller_path(caller_path_options options) : m_options(std::move(options)) {}
@@ -38,22 +101,16 @@
 
 void caller_path::handle(http_request from, connection::http_responder respond)
 {
-    auto current = std::make_shared<active_request>();
+    const auto current = std::make_shared<active_request>();
     current->marks.id = next_id();
     current->respond = std::move(respond);
-    ++m_in_progress;
+    current->from = std::move(from);
+    m_active.insert(current);
     try {
-        const std::string reason = m_options.not_serving_reason();
-        if (!reason.empty()) {
-            throw request::not_serving_refusal(reason, retry_advice);
-        }
-        current->subject = read_caller_request(
-            from, *m_options.log.current(), {.id = current->marks.id, .at = m_options.loop.now()});
-        current->from = std::move(from);
-        choose_and_send(current);
+        admit(current);
     }
     catch (const request::refusal& why) {
-        finish(*current, refusal_answer(why, current->marks));
+        refuse(current, why);
     }
 }
 
@@ -63,86 +120,217 @@
                           {.id = next_id()});
 }
 
-std::size_t caller_path::in_progress() const
+request_id caller_path::next_id()
+{
+    return request_id(m_options.id_prefix + "-" + std::to_string(++m_last_request));
+}
+
+request::retry_budget& caller_path::budget_of(const service_id& service)
 {
-    return m_in_progress;
+    return m_budgets.try_emplace(service, m_options.retries).first->second;
 }
 
-std::vector<instance_id> caller_path::busy_targets() const
+void caller_path::admit(const active_ptr& current)
 {
-    std::vector<instance_id> busy;
-    for (const auto& [id, count] : m_sent) {
-        busy.push_back(id);
+    const std::string reason = m_options.not_serving_reason();
+    if (!reason.empty()) {
+        throw request::not_serving_refusal(reason, retry_advice);
+    }
+    const auto fleet = m_options.log.current();
+    current->subject = read_caller_request(current->from, *fleet,
+                                           {.id = current->marks.id, .at = m_options.loop.now()});
+    current->refusal_statuses = fleet->services.at(current->subject.service).refusal_statuses;
+    const bool keyed = !current->subject.idempotent && !current->subject.idempotency_key.empty();
+    if (keyed) {
+        claim(current);
+    }
+    else {
+        begin(current);
     }
-    return busy;
 }
 
-request_id caller_path::next_id()
+void caller_path::claim(const active_ptr& current)
 {
-    return request_id(m_options.id_prefix + "-" + std::to_string(++m_last_request));
+    const request::caller_request& subject = current->subject;
+    const nanoseconds allowed = subject.deadline - subject.arrived;
+    m_options.claims.claim(
+        {.row_key = request::claim_key(subject.service, subject.idempotency_key),
+         .request_hash =
+             request::request_hash(current->from.method, current->from.target, current->from.body),
+         .priority = subject.priority,
+         .give_up_at = subject.arrived + std::min<nanoseconds>(m_options.claim_wait, allowed),
+         .ends_by = m_options.loop.wall_now() + std::chrono::ceil<milliseconds>(allowed)},
+        [this, current](request::claim_verdict verdict) {
+            on_verdict(current, std::move(verdict));
+        });
 }
 
-const version::instance* caller_path::choose(const version::fleet& fleet, const service_id& service)
+void caller_path::on_verdict(const active_ptr& current, request::claim_verdict verdict)
 {
-    const auto& pools = fleet.services.at(service).pools;
-    std::vector<const version::instance*> admitted;
-    for (const auto& [id, instance] : fleet.instances) {
-        if (instance.state == version::instance_state::admitted &&
-            std::ranges::find(pools, instance.pool) != pools.end()) {
-            admitted.push_back(&instance);
-        }
+    switch (verdict.decision) {
+    case request::claim_decision::granted:
+        current->claim = verdict.ticket;
+        begin(current);
+        break;
+    case request::claim_decision::replay:
+        replay(current, std::move(verdict.recorded));
+        break;
+    case request::claim_decision::refused:
+        refuse(current, *verdict.why);
+        break;
     }
-    return admitted.empty() ? nullptr : admitted[m_last_choice++ % admitted.size()];
 }
 
-void caller_path::choose_and_send(const std::shared_ptr<active_request>& current)
+void caller_path::begin(const active_ptr& current)
 {
-    const auto fleet = m_options.log.current();
     const request::caller_request& subject = current->subject;
-    const version::instance* const target = choose(*fleet, subject.service);
-    if (target == nullptr) {
-        throw request::no_target_refusal(subject.service, retry_advice);
+    current->tracker.emplace(
+        request::attempt_subject{.idempotent = subject.idempotent,
+                                 .claimed = current->claim != request::claim_ticket::none,
+                                 .deadline = subject.deadline,
+                                 .refusal_statuses = std::move(current->refusal_statuses)},
+        m_options.attempts, budget_of(subject.service));
+    act(current, current->tracker->start(m_options.loop.now()));
+}
+
+void caller_path::act(const active_ptr& current, const attempt_action& action)
+{
+    if (action.close_connection) {
+        current->call.reset();
+    }
+    switch (action.step) {
+    case attempt_step::choose_target:
+        choose(current);
+        break;
+    case attempt_step::send:
+        send(current, action);
+        break;
+    case attempt_step::answer:
+        answer(current);
+        break;
+    case attempt_step::refuse:
+        refuse(current, *action.why);
+        break;
+    case attempt_step::wait:
+    case attempt_step::drop:
+        break;
     }
-    const auto left = std::chrono::floor<milliseconds>(subject.deadline - m_options.loop.now());
-    ++current->marks.attempts;
-    ++m_sent[target->id];
-    m_options.client.start(
-        {.to = {.address = target->address, .port = target->port},
-         .request = request_for_target(current->from, current->marks.id, left, ""),
-         .timeout = std::max(left, milliseconds(1)),
-         .answer_limit_bytes = m_options.answer_limit_bytes},
-        [this, current, id = target->id](http_result result) {
-            on_result(current, id, std::move(result));
-        });
 }
 
-void caller_path::on_result(const std::shared_ptr<active_request>& current,
-                            const instance_id& target, http_result result)
+void caller_path::choose(const active_ptr& current)
 {
-    if (--m_sent[target] == 0) {
-        m_sent.erase(target);
+    request::tried_targets tried;
+    for (const request::tried_target& each : current->tracker->tried()) {
+        tried.instances.push_back(each.instance);
+        tried.racks.push_back(each.rack);
     }
-    if (result.fault == transport_fault::none) {
-        current->marks.told = request::outcome::answered;
-        finish(*current, marked_answer(std::move(result.response), current->marks));
+    m_options.targets.submit(current->subject, tried, [this, current](target_offer offer) {
+        on_offer(current, std::move(offer));
+    });
+}
+
+void caller_path::on_offer(const active_ptr& current, target_offer offer)
+{
+    const time_point now = m_options.loop.now();
+    if (offer.refused != nullptr) {
+        act(current, current->tracker->no_target(std::move(offer.refused)));
         return;
     }
-    const std::string reason(name_of(result.fault));
-    if (!result.sent) {
-        finish(*current, refusal_answer(request::target_unreachable_refusal(reason, retry_advice),
-                                        current->marks));
+    current->grant = std::move(offer.grant);
+    const attempt_action action = current->tracker->target_chosen(
+        {.instance = current->grant.target, .rack = current->grant.rack}, now);
+    if (action.step != attempt_step::send) {
+        m_options.targets.release(current->grant, attempt_result::abandoned);
+    }
+    act(current, action);
+}
+
+void caller_path::send(const active_ptr& current, const attempt_action& times)
+{
+    ++current->marks.attempts;
+    const time_point now = m_options.loop.now();
+    const auto left = std::chrono::floor<milliseconds>(current->subject.deadline - now);
+    // The request owns the call.
+    const std::weak_ptr<active_request> weak = current;
+    current->call = std::make_unique<target_call>(
+        m_options.loop, m_options.client,
+        target_call_options{.to = {.address = current->grant.address, .port = current->grant.port},
+                            .request =
+                                request_for_target(current->from, current->marks.id, left, ""),
+                            .connect_by = times.connect_by,
+                            .answer_by = times.answer_by,
+                            .own_connection = !current->subject.idempotent,
+                            .expected = {.request_id = current->marks.id.str(),
+                                         .head_only = current->from.method == "HEAD",
+                                         .deadline = times.answer_by,
+                                         .limits = m_options.answers},
+                            .may_send =
+                                [this, weak] {
+                                    const auto held = weak.lock();
+                                    return held && held->tracker->may_send(m_options.loop.now());
+                                }},
+        [this, weak](target_call_result result) {
+            if (const auto held = weak.lock()) {
+                on_result(held, std::move(result));
+            }
+        });
+}
+
+void caller_path::on_result(const active_ptr& current, target_call_result result)
+{
+    const time_point now = m_options.loop.now();
+    const auto ended = std::move(current->call);
+    if (result.verdict != answer_verdict::whole) {
+        const attempt_failure failure = failure_of(result);
+        m_options.targets.release(current->grant, health_of(failure));
+        act(current, current->tracker->failed(failure, now));
         return;
     }
-    const bool late = result.fault == transport_fault::timed_out;
-    finish(*current, refusal_answer(
-                         request::lost_answer_refusal(reason, late ? gateway_timeout : bad_gateway),
-                         current->marks));
+    current->response = std::move(result.response);
+    const std::uint16_t status = current->response.status;
+    const attempt_action action = current->tracker->answered(status, now);
+    const bool refused = action.step != attempt_step::answer;
+    m_options.targets.release(current->grant, refused ? attempt_result::refused
+                                              : status >= first_server_failure
+                                                  ? attempt_result::failed
+                                                  : attempt_result::answered);
+    act(current, action);
+}
+
+void caller_path::answer(const active_ptr& current)
+{
+    current->marks.told = request::outcome::answered;
+    if (current->claim != request::claim_ticket::none) {
+        m_options.claims.finish(current->claim, {.state = request::claim_state::answered,
+                                                 .answer = recorded_of(current->response)});
+    }
+    finish(current, marked_answer(std::move(current->response), current->marks));
+}
+
+void caller_path::refuse(const active_ptr& current, const request::refusal& why)
+{
+    if (current->claim != request::claim_ticket::none) {
+        m_options.claims.finish(current->claim, {.state = claim_state_of(why.told())});
+    }
+    finish(current, refusal_answer(why, current->marks));
+}
+
+void caller_path::replay(const active_ptr& current, request::recorded_answer recorded)
+{
+    http_response answer{.status = recorded.status, .body = std::move(recorded.body)};
+    for (request::answer_header& header : recorded.headers) {
+        answer.headers.push_back({std::move(header.name), std::move(header.value)});
+    }
+    current->marks.told = request::outcome::answered;
+    answer = marked_answer(std::move(answer), current->marks);
+    answer.headers.push_back({std::string(connection::replayed_header), "yes"});
+    finish(current, std::move(answer));
 }
 
-void caller_path::finish(active_request& current, http_response answer)
+void caller_path::finish(const active_ptr& current, http_response answer)
 {
-    --m_in_progress;
-    current.respond(std::move(answer));
+    current->respond(std::move(answer));
+    m_active.erase(current);
 }
 
 } // namespace plantaindoor::process
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -5,7 +5,9 @@
 #include "plantaindoor/connection/http_server.hpp"
 #include "plantaindoor/connection/operator_router.hpp"
 #include "plantaindoor/process/caller_path.hpp"
+#include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/operator_api.hpp"
+#include "plantaindoor/process/rotating_targets.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
@@ -23,6 +25,8 @@
 constexpr milliseconds end_check_period{20};
 /// Time for the last answers to leave the sockets.
 constexpr milliseconds flush_time{200};
+/// Longest wait for the table after the last answer.
+constexpr milliseconds settle_time{5000};
 
 http_response plain(std::uint16_t status, std::string text)
 {
@@ -42,6 +46,8 @@
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
           m_log(loop, m_table, log_options()),
+          m_targets(m_log),
+          m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_callers(caller_options()),
           m_router(m_options.operator_token),
           m_caller_server(loop, caller_server_options()),
@@ -97,9 +103,11 @@
         return {.loop = m_loop,
                 .client = m_client,
                 .log = m_log,
+                .targets = m_targets,
+                .claims = m_claims,
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
-                .answer_limit_bytes = m_options.answer_limit_bytes,
+                .answers = {.max_bytes = m_options.answer_limit_bytes},
                 .not_serving_reason = [this] { return not_serving_reason(); }};
     }
 
@@ -172,17 +180,26 @@
     {
         m_left = true;
         m_caller_server.stop_listening();
+        m_settle_until = m_loop.now() + settle_time;
         check_ended();
     }
 
+    /// The ends of answered requests are recorded before the process goes, if the table answers.
+    [[nodiscard]] bool settled() const
+    {
+        return m_claims.unsettled() == 0 || m_loop.now() >= m_settle_until;
+    }
+
     void check_ended()
     {
-        if (m_callers.in_progress() == 0 && m_caller_server.in_progress() == 0) {
-            m_loop.call_after(flush_time, m_on_ended);
+        if (m_callers.in_progress() != 0 || m_caller_server.in_progress() != 0) {
+            m_settle_until = m_loop.now() + settle_time;
         }
-        else {
-            m_loop.call_after(end_check_period, [this] { check_ended(); });
+        else if (settled()) {
+            m_loop.call_after(flush_time, m_on_ended);
+            return;
         }
+        m_loop.call_after(end_check_period, [this] { check_ended(); });
     }
 
     event_loop& m_loop;
@@ -191,12 +208,15 @@
     connection::http_table m_table;
     connection::http_objects m_objects;
     version::table_change_log m_log;
+    rotating_targets m_targets;
+    claim_store m_claims;
     caller_path m_callers;
     connection::operator_router m_router;
     connection::http_server m_caller_server;
     connection::http_server m_operator_server;
     event_loop::action m_on_ended;
     bool m_left = false;
+    time_point m_settle_until{};
 };
 
 entry::entry(event_loop& loop, entry_options options)
--- /dev/null
+++ b/packages/process/src/target_call.cpp
@@ -0,0 +1,148 @@
+#include "plantaindoor/process/target_call.hpp"
+
+#include "plantaindoor/connection/caller_headers.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace plantaindoor::process {
+
+using connection::http_header;
+using connection::http_response;
+using connection::same_header;
+using connection::transport_fault;
+using request::answer_verdict;
+
+namespace {
+
+/// How often an answer that has begun is judged while nothing arrives.
+constexpr milliseconds tick_period{500};
+
+std::optional<std::size_t> parsed_length(const std::string& text)
+{
+    std::size_t length = 0;
+    const char* const last = text.data() + text.size();
+    const auto [end, code] = std::from_chars(text.data(), last, length);
+    return code == std::errc{} && end == last ? std::optional(length) : std::nullopt;
+}
+
+/// What the check needs of a head. Lengths that contradict one another or can't be read make it
+/// look like one with both kinds of framing, which the check calls malformed.
+request::answer_head head_of(const http_response& response)
+{
+    request::answer_head head{.status = response.status};
+    bool contradictory = false;
+    for (const http_header& header : response.headers) {
+        if (same_header(header.name, "Content-Length")) {
+            const auto length = parsed_length(header.value);
+            contradictory |= !length || (head.length && head.length != length);
+            head.length = length.value_or(0);
+        }
+        else if (same_header(header.name, "Transfer-Encoding")) {
+            head.chunked = true;
+        }
+        else if (same_header(header.name, connection::request_id_header)) {
+            head.request_id = header.value;
+        }
+    }
+    head.chunked |= contradictory;
+    return head;
+}
+
+milliseconds until(time_point at, time_point now)
+{
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(at - now));
+}
+
+} // namespace
+
+/// Shared with the client, which may hold it longer than the call lives.
+class target_call::watch final : public connection::call_observer {
+public:
+    watch(const event_loop& loop, request::answer_expectation expected,
+          std::function<bool()> may_send)
+        : m_loop(loop), m_check(std::move(expected)), m_may_send(std::move(may_send))
+    {
+    }
+
+    bool may_send() override { return m_may_send(); }
+
+    bool head(const http_response& head) override
+    {
+        return m_check.head(head_of(head), m_loop.now()) == answer_verdict::incomplete;
+    }
+
+    bool body(std::size_t bytes) override
+    {
+        return m_check.body(bytes, m_loop.now()) == answer_verdict::incomplete;
+    }
+
+    answer_verdict end(bool clean) { return m_check.end(clean, m_loop.now()); }
+    answer_verdict tick() { return m_check.tick(m_loop.now()); }
+    [[nodiscard]] answer_verdict verdict() const { return m_check.verdict(); }
+
+private:
+    const event_loop& m_loop;
+    request::answer_check m_check;
+    std::function<bool()> m_may_send;
+};
+
+target_call::target_call(event_loop& loop, connection::http_client& client,
+                         target_call_options options, callback done)
+    : m_loop(loop),
+      m_client(client),
+      m_done(std::move(done)),
+      m_watch(
+          std::make_shared<watch>(loop, std::move(options.expected), std::move(options.may_send)))
+{
+    const time_point now = loop.now();
+    const std::size_t limit = options.expected.limits.max_bytes;
+    m_call = m_client.start({.to = std::move(options.to),
+                             .request = std::move(options.request),
+                             .timeout = until(options.answer_by, now),
+                             .connect_timeout = until(options.connect_by, now),
+                             .answer_limit_bytes = limit,
+                             .own_connection = options.own_connection,
+                             .observer = m_watch},
+                            [this](connection::http_result result) { finish(std::move(result)); });
+    schedule_tick();
+}
+
+target_call::~target_call()
+{
+    m_loop.cancel(m_tick);
+    m_client.cancel(m_call);
+}
+
+void target_call::schedule_tick()
+{
+    m_tick = m_loop.call_after(tick_period, [this] { tick(); });
+}
+
+void target_call::tick()
+{
+    if (m_watch->tick() == answer_verdict::incomplete) {
+        schedule_tick();
+        return;
+    }
+    m_client.cancel(m_call);
+    finish({.fault = transport_fault::rejected, .sent = true});
+}
+
+void target_call::finish(connection::http_result result)
+{
+    m_loop.cancel(m_tick);
+    m_tick = timer_id::none;
+    target_call_result ended{.verdict = m_watch->verdict(),
+                             .fault = result.fault,
+                             .response = std::move(result.response)};
+    if (ended.verdict == answer_verdict::incomplete) {
+        ended.verdict = m_watch->end(result.fault == transport_fault::none);
+    }
+    const callback done = std::move(m_done);
+    done(std::move(ended));
+}
+
+} // namespace plantaindoor::process
--- a/packages/request/include/plantaindoor/request/attempt_tracker.hpp
+++ b/packages/request/include/plantaindoor/request/attempt_tracker.hpp
@@ -25,6 +25,8 @@
     /// An idempotent request that may be tried again leaves this share of its time to later
     /// attempts, in percent.
     std::uint32_t later_share_percent = 50;
+    /// A further attempt needs at least this much time before the deadline.
+    milliseconds shortest_attempt{5};
     /// Told to callers whose request found no target.
     milliseconds retry_after{1000};
 };
@@ -89,8 +91,8 @@
     attempt_action start(time_point now);
     /// Routing's choice. Precondition: the last step was choose_target.
     attempt_action target_chosen(tried_target target, time_point now);
-    /// Routing has no target; `retry_after` is routing's advice.
-    attempt_action no_target(const service_id& service, milliseconds retry_after, time_point now);
+    /// There is no target for a further attempt. `why` is told if nothing was sent before.
+    attempt_action no_target(std::shared_ptr<const refusal> why);
     /// Must be called before the first byte of the request is handed to the transport, and the byte
     /// withheld if this returns false: the deadline has passed, or the request has ended.
     [[nodiscard]] bool may_send(time_point now);
--- a/packages/request/include/plantaindoor/request/claim_record.hpp
+++ b/packages/request/include/plantaindoor/request/claim_record.hpp
@@ -16,7 +16,7 @@
 namespace plantaindoor::request {
 
 inline constexpr std::string_view claim_prefix = "claim/";
-inline constexpr std::size_t max_idempotency_key_bytes = 128;
+inline constexpr std::size_t max_idempotency_key_bytes = 255;
 
 /// How the request of a key stands.
 enum class claim_state {
--- a/packages/request/src/attempt_tracker.cpp
+++ b/packages/request/src/attempt_tracker.cpp
@@ -56,8 +56,8 @@
 
 bool attempt_tracker::retry_allowed(time_point now) const
 {
-    return !m_ending && now < m_subject.deadline && m_tried.size() < m_options.max_attempts &&
-           (m_subject.idempotent || !m_may_have_run);
+    return !m_ending && now + m_options.shortest_attempt <= m_subject.deadline &&
+           m_tried.size() < m_options.max_attempts && (m_subject.idempotent || !m_may_have_run);
 }
 
 attempt_action attempt_tracker::try_again(std::string_view reason, time_point now)
@@ -97,8 +97,7 @@
             .answer_by = now + own};
 }
 
-attempt_action attempt_tracker::no_target(const service_id& service, milliseconds retry_after,
-                                          time_point /*now*/)
+attempt_action attempt_tracker::no_target(std::shared_ptr<const refusal> why)
 {
     if (m_state != state::choosing) {
         return {};
@@ -106,8 +105,7 @@
     if (m_may_have_run) {
         return give_up("no other target is free");
     }
-    return finish({.step = attempt_step::refuse,
-                   .why = std::make_shared<no_target_refusal>(service, retry_after)});
+    return finish({.step = attempt_step::refuse, .why = std::move(why)});
 }
 
 bool attempt_tracker::may_send(time_point now)
--- a/packages/request/tests/attempt_tracker_test.cpp
+++ b/packages/request/tests/attempt_tracker_test.cpp
@@ -43,7 +43,7 @@
         case event_kind::chosen:
             return tracker.target_chosen(target(m_next++), at);
         case event_kind::no_target:
-            return tracker.no_target(checks, milliseconds(5), at);
+            return tracker.no_target(std::make_shared<no_target_refusal>(checks, milliseconds(5)));
         case event_kind::may_send:
             may_run = tracker.may_send(at);
             return {};
--- a/packages/request/tests/naive_attempts.hpp
+++ b/packages/request/tests/naive_attempts.hpp
@@ -61,7 +61,8 @@
         connecting = false;
         sent = false;
         const bool permitted = subject.idempotent || !lost;
-        if (ending || at >= subject.deadline || attempts >= options.max_attempts || !permitted) {
+        if (ending || subject.deadline - at < options.shortest_attempt ||
+            attempts >= options.max_attempts || !permitted) {
             refuse();
             return;
         }
