tests: Run the binaries as processes and judge what callers were told

Cause: what must hold is judged from outside, by the counts of runs that the targets keep. Ruled out: a judge inside the entries.

--- /dev/null
+++ b/tests/process/harness.py
@@ -0,0 +1,288 @@
+"""Starts the platform stand-in, targets and entries as processes, and judges what callers were told.
+
+Every process is started here, found by its own id and ended here. Ports are chosen by the system.
+"""
+import collections
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BUILD = pathlib.Path(os.environ.get("PLANTAINDOOR_BUILD", ROOT / "build" / "release"))
+LONGEST_WAIT_S = 60
+
+
+class WaitError(AssertionError):
+    """A condition did not come true within the longest wait."""
+
+
+def wait_for(what, condition, longest_s=LONGEST_WAIT_S):
+    """Polls until the condition holds and returns its value; the bound only ends a hung run."""
+    end = time.monotonic() + longest_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise WaitError(f"waited {longest_s} s for: {what}")
+        time.sleep(0.02)
+
+
+class Answer:
+    """An HTTP answer, or the transport failure in its place."""
+
+    def __init__(self, status=0, headers=None, body=b"", failure=None):
+        self.status, self.body, self.failure = status, body, failure
+        self.headers = headers or {}
+
+    @property
+    def outcome(self):
+        return self.headers.get("plantaindoor-outcome")
+
+    @property
+    def request_id(self):
+        return self.headers.get("plantaindoor-request-id")
+
+    def json(self):
+        return json.loads(self.body or b"null")
+
+
+def call(endpoint, method, path, body=None, headers=None, timeout_s=30):
+    """One HTTP call on a connection of its own."""
+    host, port = endpoint.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        got = connection.getresponse()
+        return Answer(got.status, {k.lower(): v for k, v in got.getheaders()}, got.read())
+    except (OSError, http.client.HTTPException) as failure:
+        return Answer(failure=failure)
+    finally:
+        connection.close()
+
+
+class Process:
+    """One started program; its first lines name the endpoints that it listens on."""
+
+    def __init__(self, name, arguments, wanted_lines, folder):
+        self.name = name
+        self.log = open(pathlib.Path(folder) / f"{name}.log", "wb")
+        self.child = subprocess.Popen([str(a) for a in arguments], stdout=subprocess.PIPE,
+                                      stderr=self.log, cwd=folder)
+        self.endpoints = {}
+        for _ in range(wanted_lines):
+            line = self.child.stdout.readline().decode().split()
+            if len(line) < 2:
+                raise RuntimeError(f"{name} ended at its start; see {self.log.name}")
+            self.endpoints[line[0]] = line[1]
+
+    def signal(self, number):
+        if self.child.poll() is None:
+            os.kill(self.child.pid, number)
+
+    def end(self, number=signal.SIGTERM):
+        """Ends the process and returns its exit code."""
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        try:
+            code = self.child.wait(LONGEST_WAIT_S)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            code = self.child.wait()
+        self.child.stdout.close()
+        self.log.close()
+        return code
+
+
+class Cluster:
+    """A platform, targets in several zones and racks, and entries; used as a context."""
+
+    def __init__(self, targets=6, entries=3, zones=("a", "b", "c"), service_ms=0, service=None,
+                 entry_settings=None):
+        self.folder = tempfile.mkdtemp(prefix="plantaindoor-test-")
+        self.zones = zones
+        self.target_count, self.entry_count = targets, entries
+        self.service_ms = service_ms
+        self.service = service or {}
+        self.entry_settings = entry_settings or {}
+        self.platform = None
+        self.targets, self.entries = {}, {}
+
+    def __enter__(self):
+        try:
+            self.platform = Process("platform", [BUILD / "stand_ins/platform_stand_in", "--port", 0,
+                                                 "--list-lag-ms", 200, "--reboot-ms", 300], 1,
+                                    self.folder)
+            self.platform_at = self.platform.endpoints["listening"]
+            for number in range(self.target_count):
+                self.start_target(f"w{number + 1}")
+            for number in range(self.entry_count):
+                self.start_entry(f"e{number + 1}", self.zones[number % len(self.zones)])
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, *_):
+        running = list(self.entries.values()) + list(self.targets.values())
+        for process in running + ([self.platform] if self.platform else []):
+            if process.child.poll() is None:
+                process.end(signal.SIGKILL)
+
+    def start_target(self, name):
+        process = Process(name, [BUILD / "stand_ins/target_stand_in", "--port", 0], 1, self.folder)
+        self.targets[name] = process
+        self.list_instance(name, "target")
+        call(self.platform_at, "POST", "/admin/targets", json.dumps(
+            {"id": name, "address": self.target_at(name)}))
+        if self.service_ms:
+            self.fault_target(name, service_ms=self.service_ms)
+        return process
+
+    def list_instance(self, name, role, state="live"):
+        answer = call(self.platform_at, "POST", "/admin/instances",
+                      json.dumps({"id": name, "role": role, "state": state}))
+        assert answer.status == 200, (answer.status, answer.body)
+
+    def start_entry(self, name, zone):
+        settings = pathlib.Path(self.folder) / f"{name}.yaml"
+        settings.write_text(json.dumps(self.settings_of(name, zone)))
+        process = Process(name, [BUILD / "apps/plantaindoord", "--config", settings], 3, self.folder)
+        self.entries[name] = process
+        self.list_instance(name, "entry")
+        return process
+
+    def settings_of(self, name, zone):
+        peers = [e.endpoints["peers"] for e in self.entries.values() if e.child.poll() is None]
+        return {"cluster": "test", "entry": name, "availability_zone": zone, "region": "r1",
+                "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0",
+                           "peers": "127.0.0.1:0"},
+                "platform": {"address": self.platform_at}, "peers": peers, **self.entry_settings}
+
+    def target_at(self, name):
+        return self.targets[name].endpoints["listening"]
+
+    def callers_at(self, name):
+        return self.entries[name].endpoints["callers"]
+
+    def operators_at(self, name):
+        return self.entries[name].endpoints["operators"]
+
+    def fault_platform(self, **faults):
+        assert call(self.platform_at, "POST", "/admin/faults", json.dumps(faults)).status == 200
+
+    def fault_target(self, name, **faults):
+        answer = call(self.target_at(name), "POST", "/admin/faults", json.dumps(faults))
+        assert answer.status == 200, (answer.status, answer.body)
+
+    def runs(self):
+        """How often each request id was run, over all targets that answer."""
+        counts = collections.Counter()
+        for name in self.targets:
+            answer = call(self.target_at(name), "GET", "/admin/runs")
+            if answer.status == 200:
+                counts.update(answer.json()["runs"])
+        return counts
+
+    def cut(self):
+        """Requests that a reboot of a target cut off."""
+        return sum(call(self.target_at(name), "GET", "/admin/runs").json()["cut"]
+                   for name in self.targets)
+
+    def fleet(self):
+        instances = []
+        for number, name in enumerate(self.targets):
+            host, port = self.target_at(name).rsplit(":", 1)
+            instances.append({"id": name, "pool": "checks", "zone": self.zones[number % len(self.zones)],
+                              "rack": f"r{number + 1}", "address": host, "port": int(port)})
+        service = {"id": "spell", "team": "exams", "pools": ["checks"], "budget": {"minimum": 1},
+                   "idempotent": False, "refusal_statuses": [503], **self.service}
+        return {"teams": [{"id": "exams"}], "pools": [{"id": "checks"}], "services": [service],
+                "instances": instances}
+
+    def apply(self, fleet=None, entry=None):
+        at = self.operators_at(entry or next(iter(self.entries)))
+        answer = call(at, "POST", "/v1/apply", json.dumps(fleet or self.fleet()))
+        assert answer.status == 200, (answer.status, answer.body)
+        return answer.json()["version"]
+
+    def status(self, entry):
+        answer = call(self.operators_at(entry), "GET", "/v1/status", timeout_s=5)
+        return answer.json() if answer.status == 200 else None
+
+    def wait_version(self, version, entries=None):
+        for name in entries or self.entries:
+            wait_for(f"{name} at version {version}",
+                     lambda n=name: (self.status(n) or {}).get("version", -1) >= version)
+
+    def request(self, entry, body=b"", path="/spell/check", headers=None, timeout_s=30):
+        return call(self.callers_at(entry), "POST", path, body, headers, timeout_s)
+
+
+class Load:
+    """Callers that send one request after another until told to stop; each answer is kept."""
+
+    def __init__(self, cluster, entries, callers=4, headers=None):
+        self.cluster, self.headers = cluster, headers or {}
+        self.answers = []
+        self.stopping = threading.Event()
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=self._send, args=(entries[n % len(entries)], n))
+                        for n in range(callers)]
+        for thread in self.threads:
+            thread.start()
+
+    def _send(self, entry, number):
+        sent = 0
+        while not self.stopping.is_set():
+            sent += 1
+            body = f"caller-{number}-request-{sent}".encode()
+            answer = self.cluster.request(entry, body, headers=self.headers)
+            with self.lock:
+                self.answers.append((body, answer))
+            if answer.failure is not None:
+                entry = self._other(entry)
+
+    def _other(self, entry):
+        """What the balancer does for a caller whose entry is gone."""
+        alive = [n for n, e in self.cluster.entries.items() if e.child.poll() is None]
+        return alive[(alive.index(entry) + 1) % len(alive)] if entry in alive else alive[0]
+
+    def count(self):
+        with self.lock:
+            return len(self.answers)
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        return self.answers
+
+
+Verdict = collections.namedtuple("Verdict", "answered not_run unknown unanswered lost doubled partial false_not_run")
+
+
+def judge(answers, runs):
+    """Compares what callers were told with what the targets ran, by request id."""
+    counts = collections.Counter()
+    lost = partial = false_not_run = 0
+    for body, answer in answers:
+        if answer.failure is not None:
+            counts["unanswered"] += 1
+            continue
+        counts[answer.outcome] += 1
+        ran = runs.get(answer.request_id, 0)
+        if answer.outcome == "answered":
+            lost += ran == 0
+            partial += body not in answer.body or answer.request_id.encode() not in answer.body
+        if answer.outcome == "not-run":
+            false_not_run += ran != 0
+    doubled = sum(1 for count in runs.values() if count > 1)
+    return Verdict(counts["answered"], counts["not-run"], counts["unknown"], counts["unanswered"],
+                   lost, doubled, partial, false_not_run)
