--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/connection/operator_router.hpp"
 #include "plantaindoor/process/caller_path.hpp"
 #include "plantaindoor/process/claim_store.hpp"
+#include "plantaindoor/process/claim_sweeper.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/rotating_targets.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
@@ -48,6 +49,7 @@
           m_log(loop, m_table, log_options()),
           m_targets(m_log),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
+          m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
           m_router(m_options.operator_token),
           m_caller_server(loop, caller_server_options()),
@@ -64,7 +66,11 @@
         });
     }
 
-    void start() { m_log.start(); }
+    void start()
+    {
+        m_log.start();
+        m_sweeper.start();
+    }
 
     void end(event_loop::action on_ended)
     {
@@ -210,6 +216,7 @@
     version::table_change_log m_log;
     rotating_targets m_targets;
     claim_store m_claims;
+    claim_sweeper m_sweeper;
     caller_path m_callers;
     connection::operator_router m_router;
     connection::http_server m_caller_server;
