process: Choose targets by the dispatcher in the daemon

Replaces the choice in turn. Versions and the platform's list feed it; live entries and peers' reports have their calls, for membership and the exchange to use.

Weight 0.1 with a clip of 10 finds a target ten times slower with three answers still.

--- /dev/null
+++ b/bench/slot_sharing.hpp
@@ -0,0 +1,398 @@
+// One pool's entries, targets and callers in virtual time, driven by one list of events, to compare
+// ways of sharing slots with the real decisions.
+#pragma once
+
+#include "fakes/uniform_fleet.hpp"
+#include "plantaindoor/request/dispatcher.hpp"
+#include "plantaindoor/request/slot_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::bench {
+
+struct arrival {
+    nanoseconds at{};
+    std::size_t entry = 0;
+    nanoseconds work{};
+};
+
+struct workload_options {
+    std::size_t entries = 7;
+    /// Mean busy slots that the arrivals ask for.
+    double busy_slots = 60;
+    milliseconds mean_work{50};
+    seconds length{60};
+    std::uint64_t seed = 5;
+};
+
+/// Arrivals whose distribution over entries shifts every two seconds, with bursts at one entry.
+inline std::vector<arrival> make_workload(const workload_options& options)
+{
+    std::mt19937_64 random(options.seed);
+    const double rate =
+        options.busy_slots / std::chrono::duration<double>(options.mean_work).count();
+    std::exponential_distribution<double> gap(rate);
+    std::exponential_distribution<double> work(1.0);
+    std::vector<arrival> result;
+    std::vector<double> weights(options.entries, 1.0);
+    double next_shift = 0;
+    double at = gap(random);
+    while (at < static_cast<double>(options.length.count())) {
+        if (at >= next_shift) {
+            next_shift += 2;
+            for (double& weight : weights) {
+                weight = std::exp(0.7 * std::normal_distribution<double>()(random));
+            }
+        }
+        std::discrete_distribution<std::size_t> entry(weights.begin(), weights.end());
+        const double duration =
+            work(random) * std::chrono::duration<double>(options.mean_work).count();
+        result.push_back(
+            {.at = std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(at)),
+             .entry = entry(random),
+             .work =
+                 std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(duration))});
+        at += gap(random);
+    }
+    return result;
+}
+
+enum class fault { none, freeze, peers_cut, death };
+
+struct trial_options {
+    std::size_t entries = 7;
+    std::size_t targets = 10;
+    milliseconds report_period{200};
+    milliseconds allowed{1000};
+    nanoseconds one_way = milliseconds{1};
+    /// Strikes in the middle third of the trial: entry 0 freezes or dies, or no report arrives.
+    fault strike = fault::none;
+    seconds length{60};
+};
+
+struct trial_result {
+    std::size_t requests = 0;
+    std::size_t in_time = 0;
+    std::size_t refused_by_targets = 0;
+    std::size_t refused_by_entries = 0;
+    std::size_t most_at_one_target = 0;
+    double p50_wait_ms = 0;
+    double p99_wait_ms = 0;
+    double messages_per_second = 0;
+    double bytes_per_entry_second = 0;
+
+    [[nodiscard]] double goodput() const
+    {
+        return requests == 0 ? 1 : static_cast<double>(in_time) / static_cast<double>(requests);
+    }
+};
+
+using make_shares = std::unique_ptr<request::slot_shares> (*)(const request::share_options&);
+
+/// Runs the workload through one dispatcher for each entry. Targets refuse beyond their slots.
+class slot_trial {
+public:
+    slot_trial(const trial_options& options, make_shares make) : m_options(options)
+    {
+        const auto fleet = fakes::uniform_fleet({.instances_per_pool = options.targets});
+        std::vector<entry_id> ids;
+        for (std::size_t i = 0; i < options.entries; ++i) {
+            ids.emplace_back(fakes::numbered("e", i));
+        }
+        for (std::size_t i = 0; i < options.entries; ++i) {
+            const request::dispatcher_options own{
+                .self = ids[i],
+                .zone = availability_zone_id(fakes::numbered("z", i % 3)),
+                .seed = i + 1};
+            m_entries.push_back({});
+            m_entries[i].id = ids[i];
+            m_entries[i].dispatcher = std::make_unique<request::dispatcher>(
+                own, make({.self = ids[i], .report_lifetime = milliseconds{2000}}));
+            m_entries[i].dispatcher->set_entries(ids, time_point{});
+            m_entries[i].dispatcher->update(fleet, time_point{});
+            at(options.report_period * (i + 1) / options.entries, [this, i] { report(i); });
+        }
+    }
+
+    trial_result run(const std::vector<arrival>& workload)
+    {
+        schedule_fault();
+        for (const arrival& each : workload) {
+            at(each.at, [this, &each] { arrive(each); });
+        }
+        const nanoseconds end = m_options.length + seconds{3};
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const event next = m_events.top();
+            m_events.pop();
+            m_now = next.at;
+            next.run();
+        }
+        return summary(workload.size());
+    }
+
+private:
+    struct event {
+        nanoseconds at{};
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        bool operator<(const event& other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+    struct waiting_request {
+        nanoseconds arrived{};
+        nanoseconds work{};
+        request::tried_targets tried;
+    };
+    struct entry_state {
+        entry_id id;
+        std::unique_ptr<request::dispatcher> dispatcher;
+        std::map<request::ticket_id, waiting_request> requests;
+        std::vector<std::function<void()>> frozen_events;
+        bool frozen = false;
+        bool dead = false;
+        std::uint64_t sequence = 0;
+        nanoseconds timer = nanoseconds::max();
+    };
+
+    void at(nanoseconds when, std::function<void()> run)
+    {
+        m_events.push({when, ++m_order, std::move(run)});
+    }
+
+    [[nodiscard]] time_point now() const { return time_point{} + m_now; }
+
+    /// Runs now, or once the entry is no longer frozen.
+    void on_entry(std::size_t index, std::function<void()> run)
+    {
+        entry_state& entry = m_entries[index];
+        if (entry.frozen) {
+            entry.frozen_events.push_back(std::move(run));
+        }
+        else if (!entry.dead) {
+            run();
+        }
+    }
+
+    void schedule_fault()
+    {
+        const nanoseconds begin = m_options.length / 3;
+        const nanoseconds end = 2 * begin;
+        if (m_options.strike == fault::freeze) {
+            at(begin, [this] { m_entries[0].frozen = true; });
+            at(end, [this] { thaw(); });
+        }
+        if (m_options.strike == fault::peers_cut) {
+            at(begin, [this] { m_cut = true; });
+            at(end, [this] { m_cut = false; });
+        }
+        if (m_options.strike == fault::death) {
+            at(begin, [this] { m_entries[0].dead = true; });
+            // Its registration's lease runs out later.
+            at(begin + seconds{5}, [this] { forget_first(); });
+        }
+    }
+
+    void thaw()
+    {
+        m_entries[0].frozen = false;
+        const auto held = std::exchange(m_entries[0].frozen_events, {});
+        for (const auto& each : held) {
+            each();
+        }
+    }
+
+    void forget_first()
+    {
+        std::vector<entry_id> live;
+        for (std::size_t i = 1; i < m_entries.size(); ++i) {
+            live.push_back(m_entries[i].id);
+        }
+        for (std::size_t i = 1; i < m_entries.size(); ++i) {
+            m_entries[i].dispatcher->set_entries(live, now());
+            advance(i);
+        }
+    }
+
+    void arrive(const arrival& each)
+    {
+        // The platform's balancer avoids an entry that doesn't answer.
+        const bool skip = m_entries[each.entry].dead || m_entries[each.entry].frozen;
+        const std::size_t index = skip ? 1 + each.entry % (m_entries.size() - 1) : each.entry;
+        submit(index, {.arrived = m_now, .work = each.work});
+    }
+
+    void submit(std::size_t index, waiting_request request)
+    {
+        entry_state& entry = m_entries[index];
+        const request::caller_request asked{.service = service_id("s0"),
+                                            .team = team_id("team"),
+                                            .arrived = time_point{} + request.arrived,
+                                            .deadline =
+                                                time_point{} + request.arrived + m_options.allowed};
+        try {
+            const auto ticket = entry.dispatcher->submit(asked, request.tried, now());
+            entry.requests.emplace(ticket, std::move(request));
+        }
+        catch (const request::refusal&) {
+            ++m_refused_by_entries;
+        }
+        advance(index);
+    }
+
+    void advance(std::size_t index)
+    {
+        entry_state& entry = m_entries[index];
+        for (auto& action : entry.dispatcher->advance(now())) {
+            if (const auto* grant = std::get_if<request::target_grant>(&action)) {
+                send(index, *grant);
+            }
+            else {
+                entry.requests.erase(std::get<request::ticket_refusal>(action).ticket);
+                ++m_refused_by_entries;
+            }
+        }
+        set_timer(index);
+    }
+
+    void set_timer(std::size_t index)
+    {
+        entry_state& entry = m_entries[index];
+        const time_point next = entry.dispatcher->next_advance();
+        if (next == time_point::max()) {
+            return;
+        }
+        const nanoseconds when = std::max(next.time_since_epoch(), m_now + milliseconds{1});
+        if (entry.timer > m_now && entry.timer <= when) {
+            return;
+        }
+        entry.timer = when;
+        at(when, [this, index, when] {
+            if (m_entries[index].timer == when) {
+                m_entries[index].timer = nanoseconds::max();
+                on_entry(index, [this, index] { advance(index); });
+            }
+        });
+    }
+
+    void send(std::size_t index, const request::target_grant& grant)
+    {
+        at(m_now + m_options.one_way, [this, index, grant] { start(index, grant); });
+    }
+
+    void start(std::size_t index, const request::target_grant& grant)
+    {
+        std::size_t& busy = m_busy[grant.target];
+        if (busy >= 8) {
+            ++m_refused_by_targets;
+            at(m_now + m_options.one_way, [this, index, grant] {
+                on_entry(index, [this, index, grant] { refused(index, grant); });
+            });
+            return;
+        }
+        ++busy;
+        m_most = std::max(m_most, busy);
+        const waiting_request& request = m_entries[index].requests.at(grant.ticket);
+        m_waits.push_back(m_now - request.arrived);
+        at(m_now + request.work, [this, index, grant] {
+            --m_busy[grant.target];
+            at(m_now + m_options.one_way, [this, index, grant] {
+                on_entry(index, [this, index, grant] { finished(index, grant); });
+            });
+        });
+    }
+
+    void refused(std::size_t index, const request::target_grant& grant)
+    {
+        entry_state& entry = m_entries[index];
+        entry.dispatcher->release(grant.ticket, request::attempt_result::refused, now());
+        waiting_request again = std::move(entry.requests.at(grant.ticket));
+        entry.requests.erase(grant.ticket);
+        again.tried.instances = {grant.target};
+        submit(index, std::move(again));
+    }
+
+    void finished(std::size_t index, const request::target_grant& grant)
+    {
+        entry_state& entry = m_entries[index];
+        entry.dispatcher->release(grant.ticket, request::attempt_result::answered, now());
+        const auto request = entry.requests.find(grant.ticket);
+        m_in_time += m_now - request->second.arrived <= m_options.allowed ? 1 : 0;
+        entry.requests.erase(request);
+        advance(index);
+    }
+
+    void report(std::size_t index)
+    {
+        on_entry(index, [this, index] {
+            entry_state& entry = m_entries[index];
+            const request::demand_report report{.entry = entry.id,
+                                                .incarnation = 1,
+                                                .sequence = ++entry.sequence,
+                                                .services = entry.dispatcher->report_demand(now())};
+            for (std::size_t peer = 0; peer < m_entries.size() && !m_cut; ++peer) {
+                if (peer == index) {
+                    continue;
+                }
+                ++m_messages;
+                at(m_now + m_options.one_way, [this, peer, report] {
+                    on_entry(peer, [this, peer, report] {
+                        m_entries[peer].dispatcher->hear(report, now());
+                        advance(peer);
+                    });
+                });
+            }
+        });
+        if (m_now + m_options.report_period < m_options.length) {
+            at(m_now + m_options.report_period, [this, index] { report(index); });
+        }
+    }
+
+    [[nodiscard]] double wait_at(double part)
+    {
+        if (m_waits.empty()) {
+            return 0;
+        }
+        std::ranges::sort(m_waits);
+        const auto place = static_cast<std::size_t>(part * double(m_waits.size() - 1));
+        return std::chrono::duration<double, std::milli>(m_waits[place]).count();
+    }
+
+    [[nodiscard]] trial_result summary(std::size_t requests)
+    {
+        const double length = static_cast<double>(m_options.length.count());
+        return {.requests = requests,
+                .in_time = m_in_time,
+                .refused_by_targets = m_refused_by_targets,
+                .refused_by_entries = m_refused_by_entries,
+                .most_at_one_target = m_most,
+                .p50_wait_ms = wait_at(0.5),
+                .p99_wait_ms = wait_at(0.99),
+                .messages_per_second = static_cast<double>(m_messages) / length};
+    }
+
+    trial_options m_options;
+    std::vector<entry_state> m_entries;
+    std::priority_queue<event> m_events;
+    std::map<instance_id, std::size_t> m_busy;
+    std::vector<nanoseconds> m_waits;
+    nanoseconds m_now{0};
+    std::uint64_t m_order = 0;
+    std::size_t m_in_time = 0;
+    std::size_t m_refused_by_targets = 0;
+    std::size_t m_refused_by_entries = 0;
+    std::size_t m_messages = 0;
+    std::size_t m_most = 0;
+    bool m_cut = false;
+};
+
+} // namespace plantaindoor::bench
--- /dev/null
+++ b/bench/slots_bench.cpp
@@ -0,0 +1,125 @@
+// Compares ways of sharing the targets' slots among entries on the same list of events.
+#include "slot_sharing.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+
+using namespace plantaindoor;
+using namespace plantaindoor::bench;
+
+namespace {
+
+struct strategy {
+    const char* name;
+    make_shares make;
+};
+
+constexpr std::array<strategy, 4> strategies{{
+    {"fixed", request::make_fixed_shares},
+    {"demand", request::make_demand_shares},
+    {"optimistic", request::make_optimistic_shares},
+    {"borrowing", request::make_borrowing_shares},
+}};
+
+constexpr double wanted_goodput = 0.999;
+
+struct size_row {
+    const char* name;
+    std::size_t entries;
+    std::size_t targets;
+    double busy_slots;
+};
+
+trial_result run(const strategy& way, const size_row& size, const std::vector<arrival>& workload,
+                 trial_options options = {})
+{
+    options.entries = size.entries;
+    options.targets = size.targets;
+    slot_trial trial(options, way.make);
+    return trial.run(workload);
+}
+
+/// The fewest spare slots, in whole targets, with which the goodput is as wanted.
+std::size_t spare_slots(const strategy& way, size_row size, const std::vector<arrival>& workload)
+{
+    const auto busy = static_cast<std::size_t>(size.busy_slots);
+    size.targets = busy / 8 + 1;
+    while (size.targets * 8 < 3 * busy && run(way, size, workload).goodput() < wanted_goodput) {
+        ++size.targets;
+    }
+    return size.targets * 8 - busy;
+}
+
+nlohmann::json row(const char* size, const char* way, const char* what, const trial_result& result)
+{
+    return {{"size", size},
+            {"way", way},
+            {"fault", what},
+            {"goodput", result.goodput()},
+            {"refused_by_targets", result.refused_by_targets},
+            {"refused_by_entries", result.refused_by_entries},
+            {"p50_wait_ms", result.p50_wait_ms},
+            {"p99_wait_ms", result.p99_wait_ms},
+            {"most_at_one_target", result.most_at_one_target},
+            {"messages_per_second", result.messages_per_second}};
+}
+
+void print(const nlohmann::json& each)
+{
+    fmt::print("{:8} {:11} {:10} {:8.4f} {:8} {:8} {:8.2f} {:8.2f} {:8.0f}\n",
+               each["size"].get<std::string>(), each["way"].get<std::string>(),
+               each["fault"].get<std::string>(), each["goodput"].get<double>(),
+               each["refused_by_targets"].get<std::size_t>(),
+               each["refused_by_entries"].get<std::size_t>(), each["p50_wait_ms"].get<double>(),
+               each["p99_wait_ms"].get<double>(), each["messages_per_second"].get<double>());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options usage("slots_bench", "Compares ways of sharing slots among entries.");
+    usage.add_options()("json", "Print JSON.")("seconds", "Virtual length of a trial.",
+                                               cxxopts::value<int>()->default_value("30"));
+    const auto arguments = usage.parse(argc, argv);
+    const seconds length{arguments["seconds"].as<int>()};
+    const std::array<size_row, 2> sizes{{{"today", 7, 10, 60}, {"target", 20, 28, 168}}};
+    nlohmann::json all = nlohmann::json::array();
+    if (arguments.count("json") == 0) {
+        fmt::print("{:8} {:11} {:10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "size", "way", "fault",
+                   "goodput", "by tgt", "by entry", "p50 ms", "p99 ms", "msg/s");
+    }
+    const auto show = [&](nlohmann::json each) {
+        if (arguments.count("json") == 0) {
+            print(each);
+        }
+        all.push_back(std::move(each));
+    };
+    for (const size_row& size : sizes) {
+        const auto workload = make_workload(
+            {.entries = size.entries, .busy_slots = size.busy_slots, .length = length});
+        for (const strategy& way : strategies) {
+            const std::array<std::pair<const char*, fault>, 4> faults{
+                {{"none", fault::none},
+                 {"freeze", fault::freeze},
+                 {"peers-cut", fault::peers_cut},
+                 {"death", fault::death}}};
+            for (const auto& [name, strike] : faults) {
+                show(row(size.name, way.name, name,
+                         run(way, size, workload, {.strike = strike, .length = length})));
+            }
+            const std::size_t spare = spare_slots(way, size, workload);
+            fmt::print(stderr, "{} {}: {} spare slots for goodput {}\n", size.name, way.name, spare,
+                       wanted_goodput);
+            all.push_back({{"size", size.name}, {"way", way.name}, {"spare_slots", spare}});
+        }
+    }
+    if (arguments.count("json") > 0) {
+        fmt::print("{}\n", all.dump(2));
+    }
+    return 0;
+}
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -7,8 +7,8 @@
 #include "plantaindoor/process/caller_path.hpp"
 #include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/claim_sweeper.hpp"
+#include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/operator_api.hpp"
-#include "plantaindoor/process/rotating_targets.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
@@ -47,7 +47,8 @@
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
           m_log(loop, m_table, log_options()),
-          m_targets(m_log),
+          m_instances(m_client, platform()),
+          m_targets(loop, m_log, m_instances, target_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
@@ -69,6 +70,7 @@
     void start()
     {
         m_log.start();
+        m_targets.start();
         m_sweeper.start();
     }
 
@@ -104,6 +106,12 @@
                 .snapshots = &m_objects};
     }
 
+    [[nodiscard]] dispatched_targets_options target_options() const
+    {
+        return {.decisions = {
+                    .self = m_options.id, .zone = m_options.zone, .seed = m_options.incarnation}};
+    }
+
     caller_path_options caller_options()
     {
         return {.loop = m_loop,
@@ -214,7 +222,8 @@
     connection::http_table m_table;
     connection::http_objects m_objects;
     version::table_change_log m_log;
-    rotating_targets m_targets;
+    connection::http_instances m_instances;
+    dispatched_targets m_targets;
     claim_store m_claims;
     claim_sweeper m_sweeper;
     caller_path m_callers;
--- a/packages/request/include/plantaindoor/request/target_health.hpp
+++ b/packages/request/include/plantaindoor/request/target_health.hpp
@@ -12,8 +12,8 @@
 class usual_duration {
 public:
     void add(nanoseconds sample);
-    /// Zero until the first sample.
-    [[nodiscard]] nanoseconds value() const { return m_value; }
+    /// How many times longer than usual a duration is; 1 until the first sample.
+    [[nodiscard]] double times_usual(nanoseconds duration) const;
 
 private:
     nanoseconds m_value{0};
--- a/packages/request/include/plantaindoor/request/target_pool.hpp
+++ b/packages/request/include/plantaindoor/request/target_pool.hpp
@@ -44,6 +44,8 @@
     /// Failing or slow, but needed for a service's budget.
     bool suspect = false;
     bool ejected = false;
+    /// Ejected for being slow, so that a probe puts its request at little risk.
+    bool ejected_slow = false;
     bool probing = false;
     std::uint32_t share = 0;
     std::uint32_t in_progress = 0;
--- a/packages/request/src/router.cpp
+++ b/packages/request/src/router.cpp
@@ -123,7 +123,8 @@
             continue;
         }
         const auto& [due, target] = *pool.probes().begin();
-        const bool allowed = query.idempotent || now - due >= m_options.probe_patience;
+        const bool allowed = query.idempotent || m_targets[target].ejected_slow ||
+                             now - due >= m_options.probe_patience;
         if (due <= now && allowed && !excludes(*query.tried, m_targets[target])) {
             return target;
         }
@@ -193,9 +194,8 @@
     const auto routes = m_services.find(service);
     if (result == attempt_result::answered && routes != m_services.end()) {
         usual_duration& usual = routes->second.usual;
+        slowness = usual.times_usual(duration);
         usual.add(duration);
-        slowness =
-            static_cast<double>(duration.count()) / static_cast<double>(usual.value().count());
     }
     if (result == attempt_result::refused) {
         m_shares->refused(target.id, now);
@@ -258,8 +258,10 @@
 void router::eject(target_index index, time_point now)
 {
     const std::uint64_t jitter = next_random() % 256;
+    const bool slow = m_targets[index].health.condition() == target_condition::slow;
     change(index, [&](target_state& target) {
         target.ejected = true;
+        target.ejected_slow = slow;
         target.suspect = false;
         ++target.ejections;
         const milliseconds time = ejection_time(m_options.ejection, target.ejections);
--- a/packages/request/src/target_health.cpp
+++ b/packages/request/src/target_health.cpp
@@ -6,14 +6,17 @@
 
 namespace {
 
-/// Weights of the newest attempt: three bad ones in a row pass the thresholds.
+/// Weight of the newest result: three failures in a row pass the threshold.
 constexpr double newest_result_weight = 0.3;
-constexpr double newest_duration_weight = 0.2;
 constexpr double failing_threshold = 0.6;
-/// A target this many times slower than usual is slow.
+/// Weight of the newest duration: durations that differ exponentially pass the threshold about once
+/// in 10^7 answers, and a target ten times slower than usual passes it with three.
+constexpr double newest_duration_weight = 0.1;
 constexpr double slow_threshold = 3;
 /// A single attempt counts as no slower than this.
-constexpr double most_slowness = 6;
+constexpr double most_slowness = 10;
+/// A single duration moves the usual one no more than one this many times longer.
+constexpr int longest_over_usual = 4;
 
 } // namespace
 
@@ -23,11 +26,19 @@
         m_value = sample;
         return;
     }
-    const nanoseconds clipped = std::min(sample, m_value * 2);
+    const nanoseconds clipped = std::min(sample, m_value * longest_over_usual);
     m_value += (clipped - m_value) / 16;
     m_value = std::max(m_value, nanoseconds{1});
 }
 
+double usual_duration::times_usual(nanoseconds duration) const
+{
+    if (m_value == nanoseconds{0}) {
+        return 1;
+    }
+    return static_cast<double>(duration.count()) / static_cast<double>(m_value.count());
+}
+
 bool is_failure(attempt_result result)
 {
     return result == attempt_result::failed || result == attempt_result::unreachable ||
--- a/stand_ins/fakes/uniform_fleet.hpp
+++ b/stand_ins/fakes/uniform_fleet.hpp
@@ -3,10 +3,13 @@
 
 #include "plantaindoor/version/fleet.hpp"
 
+#include <fmt/format.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace plantaindoor::fakes {
 
@@ -22,9 +25,9 @@
 };
 
 /// "p" and 7 make "p7".
-inline std::string numbered(std::string prefix, std::size_t number)
+inline std::string numbered(std::string_view prefix, std::size_t number)
 {
-    return prefix.append(std::to_string(number));
+    return fmt::format("{}{}", prefix, number);
 }
 
 /// Pools p0, p1, ... with instances p0-w00, ...; service s0 uses p0 and so on; one team "team".
@@ -40,8 +43,8 @@
         fleet->services[service] = {
             .id = service, .team = team_id("team"), .pools = {pool}, .budget = options.budget};
         for (std::size_t i = 0; i < options.instances_per_pool; ++i) {
-            const instance_id id(numbered(pool.str() + (i < 10 ? "-w0" : "-w"), i));
-            const rack_id rack(numbered(pool.str() + "-r", i / options.instances_per_rack));
+            const instance_id id(fmt::format("{}-w{:02}", pool.str(), i));
+            const rack_id rack(fmt::format("{}-r{}", pool.str(), i / options.instances_per_rack));
             fleet->instances[id] = {.id = id,
                                     .pool = pool,
                                     .zone = availability_zone_id(numbered("z", i % options.zones)),
