settings: Read and check an entry's YAML file

Every key is one typed constant, read through one layer that gathers faults, so that all of them are reported at once with file, line, path, value and what was expected; unknown and repeated keys are faults too. Without an operator token the operators' listener has to be on loopback.

Ruled out: YAML-cpp's own conversions (they accept 0x10, 1e6 and "yes") and its operator[] (it throws on nodes that are not maps); scalars are converted from their text instead.

--- /dev/null
+++ b/packages/process/include/plantaindoor/process/settings.hpp
@@ -0,0 +1,143 @@
+// What a process learns from its settings file. docs/SETTINGS.md describes every key.
+#pragma once
+
+#include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/error.hpp"
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantaindoor::process {
+
+/// A numeric address and a port. Port 0 of a listener is chosen by the system.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    /// True for 127.0.0.0/8 and ::1.
+    [[nodiscard]] bool loopback() const;
+    /// "10.0.0.1:80", or "[::1]:80".
+    [[nodiscard]] std::string str() const;
+
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+/// Parses "10.0.0.1:80" or "[::1]:80"; nothing for anything else, names of hosts included.
+[[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
+
+enum class log_format { human, json };
+enum class log_level { debug, info, warning, error };
+
+struct listen_settings {
+    endpoint callers;
+    endpoint operators;
+    endpoint peers;
+};
+
+struct limit_settings {
+    std::size_t body_bytes = 0;
+    std::size_t answer_bytes = 0;
+    std::size_t queue_requests = 0;
+    std::size_t queue_bytes = 0;
+};
+
+struct timing_settings {
+    milliseconds lease{0};
+    milliseconds renew{0};
+    milliseconds head_poll{0};
+    milliseconds list_poll{0};
+    /// The most by which the platform's instance list may be behind the truth.
+    milliseconds list_lag{0};
+    milliseconds drain_timeout{0};
+};
+
+struct log_settings {
+    log_format format = log_format::human;
+    log_level level = log_level::info;
+};
+
+struct trace_settings {
+    /// Spans kept for /traces.
+    std::size_t ring = 0;
+    /// Empty: no file is written.
+    std::filesystem::path file;
+};
+
+struct settings {
+    std::string cluster;
+    entry_id entry;
+    availability_zone_id availability_zone;
+    std::string region;
+    listen_settings listen;
+    /// Empty: the operators' listener is on loopback and asks for no token.
+    std::filesystem::path operator_token_file;
+    endpoint platform;
+    std::vector<endpoint> peers;
+    limit_settings limits;
+    timing_settings timings;
+    log_settings logs;
+    trace_settings traces;
+};
+
+/// One thing that is wrong with a settings file.
+struct settings_fault {
+    std::string file;
+    /// From 1; 0 where the fault is not at one line.
+    std::size_t line = 0;
+    /// Path of the key, for example "listen.callers".
+    std::string path;
+    /// The value as written; empty for an absent key.
+    std::string value;
+    std::string expected;
+
+    friend bool operator==(const settings_fault&, const settings_fault&) = default;
+};
+
+/// The file can't be used; lists every fault that it has.
+class settings_error : public error {
+public:
+    explicit settings_error(std::vector<settings_fault> faults);
+
+    [[nodiscard]] const std::vector<settings_fault>& faults() const noexcept { return m_faults; }
+
+private:
+    std::vector<settings_fault> m_faults;
+};
+
+/// Reads settings from YAML text; `file` only names it in faults. Throws settings_error and nothing
+/// else, whatever the text. Thread-safe.
+[[nodiscard]] settings parse_settings(std::string_view text, const std::string& file);
+/// Reads a file, and checks that the token file can be read. Throws settings_error. Thread-safe.
+[[nodiscard]] settings load_settings(const std::filesystem::path& file);
+
+} // namespace plantaindoor::process
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<process::log_format> {
+    static constexpr std::array<enum_name<process::log_format>, 2> table{{
+        {process::log_format::human, "human"},
+        {process::log_format::json, "json"},
+    }};
+};
+
+template<>
+struct enum_names<process::log_level> {
+    static constexpr std::array<enum_name<process::log_level>, 4> table{{
+        {process::log_level::debug, "debug"},
+        {process::log_level::info, "info"},
+        {process::log_level::warning, "warning"},
+        {process::log_level::error, "error"},
+    }};
+};
+
+} // namespace plantaindoor
--- a/packages/process/src/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace plantaindoor::process {
-}
--- /dev/null
+++ b/packages/process/src/settings.cpp
@@ -0,0 +1,231 @@
+#include "plantaindoor/process/settings.hpp"
+
+#include "settings_reader.hpp"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace plantaindoor::process {
+
+namespace {
+
+constexpr std::uint64_t kib = 1024;
+constexpr std::uint64_t mib = 1024 * kib;
+constexpr std::uint64_t gib = 1024 * mib;
+constexpr std::uint64_t day_ms = 86'400'000;
+
+const setting<std::string> cluster_setting{.path = "cluster"};
+const setting<entry_id> entry_setting{.path = "entry"};
+const setting<availability_zone_id> zone_setting{.path = "availability_zone"};
+const setting<std::string> region_setting{.path = "region"};
+const setting<endpoint> callers_setting{.path = "listen.callers"};
+const setting<endpoint> operators_setting{.path = "listen.operators"};
+const setting<endpoint> peers_listen_setting{.path = "listen.peers"};
+const setting<std::filesystem::path> token_file_setting{.path = "operator_token_file",
+                                                        .fallback = std::filesystem::path()};
+const setting<endpoint> platform_setting{.path = "platform.address", .least = 1};
+const setting<endpoint> peers_setting{.path = "peers", .least = 1};
+const setting<std::uint64_t> body_bytes_setting{
+    .path = "limits.body_bytes", .fallback = mib, .least = kib, .most = gib};
+const setting<std::uint64_t> answer_bytes_setting{
+    .path = "limits.answer_bytes", .fallback = 4 * mib, .least = kib, .most = gib};
+const setting<std::uint64_t> queue_requests_setting{
+    .path = "limits.queue_requests", .fallback = 1000, .least = 1, .most = 1'000'000};
+const setting<std::uint64_t> queue_bytes_setting{
+    .path = "limits.queue_bytes", .fallback = 16 * mib, .least = kib, .most = gib};
+const setting<milliseconds> lease_setting{
+    .path = "timings.lease_ms", .fallback = milliseconds(6000), .least = 100, .most = day_ms};
+const setting<milliseconds> renew_setting{
+    .path = "timings.renew_ms", .fallback = milliseconds(1500), .least = 10, .most = day_ms};
+const setting<milliseconds> head_poll_setting{
+    .path = "timings.head_poll_ms", .fallback = milliseconds(500), .least = 10, .most = day_ms};
+const setting<milliseconds> list_poll_setting{
+    .path = "timings.list_poll_ms", .fallback = milliseconds(1000), .least = 10, .most = day_ms};
+const setting<milliseconds> list_lag_setting{
+    .path = "timings.list_lag_ms", .fallback = milliseconds(30000), .least = 0, .most = day_ms};
+const setting<milliseconds> drain_timeout_setting{.path = "timings.drain_timeout_ms",
+                                                  .fallback = milliseconds(60000),
+                                                  .least = 100,
+                                                  .most = day_ms};
+const setting<log_format> format_setting{.path = "logs.format", .fallback = log_format::human};
+const setting<log_level> level_setting{.path = "logs.level", .fallback = log_level::info};
+const setting<std::uint64_t> ring_setting{
+    .path = "traces.ring", .fallback = 2000, .least = 1, .most = 1'000'000};
+const setting<std::filesystem::path> trace_file_setting{.path = "traces.file",
+                                                        .fallback = std::filesystem::path()};
+
+settings read_all(settings_reader& in)
+{
+    return {.cluster = in.get(cluster_setting),
+            .entry = in.get(entry_setting),
+            .availability_zone = in.get(zone_setting),
+            .region = in.get(region_setting),
+            .listen = {.callers = in.get(callers_setting),
+                       .operators = in.get(operators_setting),
+                       .peers = in.get(peers_listen_setting)},
+            .operator_token_file = in.get(token_file_setting),
+            .platform = in.get(platform_setting),
+            .peers = in.get_list(peers_setting),
+            .limits = {.body_bytes = in.get(body_bytes_setting),
+                       .answer_bytes = in.get(answer_bytes_setting),
+                       .queue_requests = in.get(queue_requests_setting),
+                       .queue_bytes = in.get(queue_bytes_setting)},
+            .timings = {.lease = in.get(lease_setting),
+                        .renew = in.get(renew_setting),
+                        .head_poll = in.get(head_poll_setting),
+                        .list_poll = in.get(list_poll_setting),
+                        .list_lag = in.get(list_lag_setting),
+                        .drain_timeout = in.get(drain_timeout_setting)},
+            .logs = {.format = in.get(format_setting), .level = in.get(level_setting)},
+            .traces = {.ring = in.get(ring_setting), .file = in.get(trace_file_setting)}};
+}
+
+void check_listeners(settings_reader& in, const settings& read)
+{
+    std::set<std::string> used;
+    const auto check = [&](const setting<endpoint>& where, const endpoint& value) {
+        if (value.port != 0 && !used.insert(value.str()).second) {
+            in.fault(where.path, value.str(), "another port than the other listeners");
+        }
+    };
+    check(callers_setting, read.listen.callers);
+    check(operators_setting, read.listen.operators);
+    check(peers_listen_setting, read.listen.peers);
+    const endpoint& operators = read.listen.operators;
+    if (read.operator_token_file.empty() && !operators.address.empty() && !operators.loopback()) {
+        in.fault(operators_setting.path, operators.str(),
+                 "a loopback address, as no operator_token_file is set");
+    }
+}
+
+void check_timings(settings_reader& in, const timing_settings& read)
+{
+    if (read.renew * 2 > read.lease) {
+        in.fault(renew_setting.path, std::to_string(read.renew.count()),
+                 "at most half of timings.lease_ms");
+    }
+}
+
+std::string message_of(const settings_fault& fault)
+{
+    const std::string line = fault.line > 0 ? fmt::format(":{}", fault.line) : "";
+    const std::string value = fault.value.empty() ? "missing" : fmt::format("\"{}\"", fault.value);
+    return fmt::format("{}{}: {}: {}; expected {}", fault.file, line, fault.path, value,
+                       fault.expected);
+}
+
+std::string message_of(const std::vector<settings_fault>& faults)
+{
+    std::string all;
+    for (const settings_fault& each : faults) {
+        all += all.empty() ? "" : "\n";
+        all += message_of(each);
+    }
+    return all;
+}
+
+std::vector<error_field> fields_of(const std::vector<settings_fault>& faults)
+{
+    std::vector<error_field> all;
+    all.reserve(faults.size());
+    for (const settings_fault& each : faults) {
+        all.push_back({each.path, message_of(each)});
+    }
+    return all;
+}
+
+YAML::Node parse_yaml(std::string_view text, const std::string& file)
+{
+    try {
+        return YAML::Load(std::string(text));
+    }
+    catch (const YAML::Exception& failure) {
+        const int line = failure.mark.line;
+        throw settings_error({{.file = file,
+                               .line = line < 0 ? 0 : static_cast<std::size_t>(line) + 1,
+                               .value = failure.msg,
+                               .expected = "YAML"}});
+    }
+}
+
+} // namespace
+
+bool endpoint::loopback() const
+{
+    return address.starts_with("127.") || address == "::1";
+}
+
+std::string endpoint::str() const
+{
+    const bool bracketed = address.find(':') != std::string::npos;
+    std::string text = bracketed ? "[" : "";
+    text += address;
+    text += bracketed ? "]:" : ":";
+    return text + std::to_string(port);
+}
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.starts_with('[') && host.ends_with(']');
+    if (bracketed) {
+        host = host.substr(1, host.size() - 2);
+    }
+    endpoint value{.address = std::string(host)};
+    in6_addr binary{};
+    if (value.address.find('\0') != std::string::npos ||
+        inet_pton(bracketed ? AF_INET6 : AF_INET, value.address.c_str(), &binary) != 1) {
+        return std::nullopt;
+    }
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, value.port);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+settings_error::settings_error(std::vector<settings_fault> faults)
+    : error("settings-error", message_of(faults), fields_of(faults)), m_faults(std::move(faults))
+{
+}
+
+settings parse_settings(std::string_view text, const std::string& file)
+{
+    settings_reader in(parse_yaml(text, file), file);
+    settings read = read_all(in);
+    check_listeners(in, read);
+    check_timings(in, read.timings);
+    in.check_keys();
+    if (!in.faults().empty()) {
+        throw settings_error(in.faults());
+    }
+    return read;
+}
+
+settings load_settings(const std::filesystem::path& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    if (!in) {
+        throw settings_error({{.file = file.string(), .expected = "a file that can be read"}});
+    }
+    settings read = parse_settings(text, file.string());
+    const std::filesystem::path& token = read.operator_token_file;
+    if (!token.empty() && !std::ifstream(token)) {
+        throw settings_error({{.file = file.string(),
+                               .path = std::string(token_file_setting.path),
+                               .value = token.string(),
+                               .expected = "a file that can be read"}});
+    }
+    return read;
+}
+
+} // namespace plantaindoor::process
--- /dev/null
+++ b/packages/process/tests/settings_test.cpp
@@ -0,0 +1,163 @@
+#include "plantaindoor/common/scope_guard.hpp"
+#include "plantaindoor/process/settings.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string_view>
+#include <unistd.h>
+
+using namespace plantaindoor;
+using namespace plantaindoor::process;
+
+namespace {
+
+using namespace std::string_view_literals;
+
+constexpr auto yaml_signs = "ab:-[]{}&*!|>'\"%@`#?, \n\t\0\x80"sv;
+
+std::filesystem::path example_file()
+{
+    return std::filesystem::path(__FILE__).parent_path() / "../../../config/plantaindoord.yaml";
+}
+
+std::string example_text()
+{
+    std::ifstream in(example_file());
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+std::vector<settings_fault> faults_of(const std::string& text)
+{
+    try {
+        (void)parse_settings(text, "f.yaml");
+        return {};
+    }
+    catch (const settings_error& failure) {
+        return failure.faults();
+    }
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("the example file is read", "[settings]")
+{
+    const settings read = load_settings(example_file());
+    CHECK(read.entry == entry_id("e1"));
+    CHECK(read.listen.callers == endpoint{"127.0.0.1", 8080});
+    CHECK(read.timings.renew == milliseconds(1500));
+    CHECK(read.limits.queue_bytes == 16777216);
+    CHECK(read.traces.file.empty());
+}
+
+TEST_CASE("a short file takes the defaults", "[settings]")
+{
+    const settings read = parse_settings("{cluster: c, entry: e, availability_zone: a, region: r, "
+                                         "listen: {callers: '10.0.0.1:0', operators: '[::1]:0', "
+                                         "peers: '10.0.0.1:0'}, platform: {address: '10.0.0.9:1'}}",
+                                         "f.yaml");
+    CHECK(read.timings.lease == milliseconds(6000));
+    CHECK(read.logs.format == log_format::human);
+    CHECK(read.listen.operators.loopback());
+}
+
+TEST_CASE("all faults are reported at once, each with its place", "[settings]")
+{
+    const std::string text = "cluster: c\n"
+                             "entry: 'e 1'\n"
+                             "availability_zone: a\n"
+                             "listen:\n"
+                             "  callers: localhost:80\n"
+                             "  operators: 10.0.0.1:81\n"
+                             "  peers: 10.0.0.1:81\n"
+                             "platform: {address: '10.0.0.1:0'}\n"
+                             "peers: [10.0.0.2:1, nonsense]\n"
+                             "limits: 5\n"
+                             "timings: {lease_ms: 1000, renew_ms: 600, lease_ms: 1s}\n"
+                             "logs: {level: loud}\n"
+                             "colour: red\n";
+    const auto name = "a name of 1 to 64 letters, digits, '-', '_' or '.'";
+    const auto address = [](const std::string& least) {
+        return "a numeric address and a port from " + least + " to 65535, as in 10.0.0.1:8080";
+    };
+    const std::vector<settings_fault> expected{
+        {"f.yaml", 2, "entry", "e 1", name},
+        {"f.yaml", 0, "region", "", name},
+        {"f.yaml", 5, "listen.callers", "localhost:80", address("0")},
+        {"f.yaml", 8, "platform.address", "10.0.0.1:0", address("1")},
+        {"f.yaml", 9, "peers[1]", "nonsense", address("1")},
+        {"f.yaml", 12, "logs.level", "loud", "debug|info|warning|error"},
+        {"f.yaml", 7, "listen.peers", "10.0.0.1:81", "another port than the other listeners"},
+        {"f.yaml", 6, "listen.operators", "10.0.0.1:81",
+         "a loopback address, as no operator_token_file is set"},
+        {"f.yaml", 11, "timings.renew_ms", "600", "at most half of timings.lease_ms"},
+        {"f.yaml", 10, "limits", "5", "a map"},
+        {"f.yaml", 11, "timings.lease_ms", "lease_ms", "the key once only"},
+        {"f.yaml", 13, "colour", "colour", "no such key"},
+    };
+    const auto faults = faults_of(text);
+    REQUIRE(faults.size() == expected.size());
+    for (std::size_t i = 0; i < expected.size(); ++i) {
+        INFO(expected[i].path << " but " << faults[i].path << " line " << faults[i].line << " \""
+                              << faults[i].value << "\" " << faults[i].expected);
+        CHECK(faults[i] == expected[i]);
+    }
+}
+
+TEST_CASE("a file or token that can't be read is a settings fault", "[settings]")
+{
+    CHECK_THROWS_AS(load_settings("/nonexistent/settings.yaml"), settings_error);
+    const auto file = std::filesystem::temp_directory_path() /
+                      ("settings_test." + std::to_string(getpid()) + ".yaml");
+    const scope_guard cleanup([&] { std::filesystem::remove(file); });
+    const std::string text =
+        replaced(example_text(), "platform:", "operator_token_file: /nonexistent/token\nplatform:");
+    std::ofstream(file) << replaced(text, "127.0.0.1:8081", "10.0.0.1:8081");
+    CHECK_THROWS_WITH(load_settings(file), Catch::Contains("operator_token_file") &&
+                                               !Catch::Contains("listen.operators"));
+}
+
+TEST_CASE("numbers outside their bounds are faults", "[settings]")
+{
+    const auto value = GENERATE("-1", "0", "1e6", "99999999999999999999", "''", "0x10", "[]", "~");
+    const auto faults = faults_of(
+        replaced(example_text(), "queue_requests: 1000", std::string("queue_requests: ") + value));
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].path == "limits.queue_requests");
+}
+
+TEST_CASE("damaged text gives settings or a settings error, nothing else", "[settings]")
+{
+    const std::string example = example_text();
+    const auto only_typed_errors = [](const std::string& text) {
+        try {
+            (void)parse_settings(text, "f.yaml");
+        }
+        catch (const settings_error& failure) {
+            RC_ASSERT(!failure.faults().empty());
+        }
+    };
+    REQUIRE(rc::check("random bytes", [&](const std::string& text) { only_typed_errors(text); }));
+    REQUIRE(rc::check("YAML's own signs", [&] {
+        only_typed_errors(
+            *rc::gen::container<std::string>(rc::gen::elementOf(std::string(yaml_signs))));
+    }));
+    REQUIRE(rc::check("the example with some bytes changed", [&] {
+        std::string text = example;
+        const auto edits = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < edits; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+            text[at] = *rc::gen::arbitrary<char>();
+        }
+        only_typed_errors(text);
+    }));
+}
