--- a/bench/slot_sharing.hpp
+++ b/bench/slot_sharing.hpp
@@ -22,6 +22,7 @@
     nanoseconds at{};
     std::size_t entry = 0;
     nanoseconds work{};
+    version::priority priority = version::priority::interactive;
 };
 
 struct workload_options {
@@ -59,7 +60,9 @@
             {.at = std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(at)),
              .entry = entry(random),
              .work =
-                 std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(duration))});
+                 std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(duration)),
+             .priority = result.size() % 10 == 0 ? version::priority::urgent
+                                                 : version::priority::background});
         at += gap(random);
     }
     return result;
@@ -75,19 +78,21 @@
     nanoseconds one_way = milliseconds{1};
     /// Strikes in the middle third of the trial: entry 0 freezes or dies, or no report arrives.
     fault strike = fault::none;
+    /// Whether targets let requests beyond their slots wait instead of refusing them.
+    bool targets_queue = false;
     seconds length{60};
 };
 
 struct trial_result {
     std::size_t requests = 0;
     std::size_t in_time = 0;
-    std::size_t refused_by_targets = 0;
+    /// Requests that met a target whose slots were all in use.
+    std::size_t beyond_slots = 0;
     std::size_t refused_by_entries = 0;
-    std::size_t most_at_one_target = 0;
     double p50_wait_ms = 0;
     double p99_wait_ms = 0;
+    double p99_urgent_wait_ms = 0;
     double messages_per_second = 0;
-    double bytes_per_entry_second = 0;
 
     [[nodiscard]] double goodput() const
     {
@@ -151,8 +156,13 @@
     struct waiting_request {
         nanoseconds arrived{};
         nanoseconds work{};
+        version::priority priority = version::priority::interactive;
         request::tried_targets tried;
     };
+    struct target_queue {
+        std::size_t busy = 0;
+        std::queue<std::pair<std::size_t, request::target_grant>> waiting;
+    };
     struct entry_state {
         entry_id id;
         std::unique_ptr<request::dispatcher> dispatcher;
@@ -228,7 +238,7 @@
         // The platform's balancer avoids an entry that doesn't answer.
         const bool skip = m_entries[each.entry].dead || m_entries[each.entry].frozen;
         const std::size_t index = skip ? 1 + each.entry % (m_entries.size() - 1) : each.entry;
-        submit(index, {.arrived = m_now, .work = each.work});
+        submit(index, {.arrived = m_now, .work = each.work, .priority = each.priority});
     }
 
     void submit(std::size_t index, waiting_request request)
@@ -236,6 +246,7 @@
         entry_state& entry = m_entries[index];
         const request::caller_request asked{.service = service_id("s0"),
                                             .team = team_id("team"),
+                                            .priority = request.priority,
                                             .arrived = time_point{} + request.arrived,
                                             .deadline =
                                                 time_point{} + request.arrived + m_options.allowed};
@@ -291,23 +302,46 @@
 
     void start(std::size_t index, const request::target_grant& grant)
     {
-        std::size_t& busy = m_busy[grant.target];
-        if (busy >= 8) {
-            ++m_refused_by_targets;
-            at(m_now + m_options.one_way, [this, index, grant] {
-                on_entry(index, [this, index, grant] { refused(index, grant); });
-            });
+        target_queue& target = m_targets[grant.target];
+        if (target.busy < slots_of_target) {
+            run(index, grant);
+            return;
+        }
+        if (m_options.targets_queue) {
+            ++m_beyond_slots;
+            target.waiting.emplace(index, grant);
             return;
         }
-        ++busy;
-        m_most = std::max(m_most, busy);
+        ++m_beyond_slots;
+        at(m_now + m_options.one_way, [this, index, grant] {
+            on_entry(index, [this, index, grant] { refused(index, grant); });
+        });
+    }
+
+    void run(std::size_t index, const request::target_grant& grant)
+    {
+        target_queue& target = m_targets[grant.target];
+        ++target.busy;
         const waiting_request& request = m_entries[index].requests.at(grant.ticket);
-        m_waits.push_back(m_now - request.arrived);
-        at(m_now + request.work, [this, index, grant] {
-            --m_busy[grant.target];
-            at(m_now + m_options.one_way, [this, index, grant] {
-                on_entry(index, [this, index, grant] { finished(index, grant); });
-            });
+        const nanoseconds wait = m_now - request.arrived;
+        m_waits.push_back(wait);
+        if (request.priority == version::priority::urgent) {
+            m_urgent_waits.push_back(wait);
+        }
+        at(m_now + request.work, [this, index, grant] { end(index, grant); });
+    }
+
+    void end(std::size_t index, const request::target_grant& grant)
+    {
+        target_queue& target = m_targets[grant.target];
+        --target.busy;
+        if (!target.waiting.empty()) {
+            const auto [next, next_grant] = target.waiting.front();
+            target.waiting.pop();
+            run(next, next_grant);
+        }
+        at(m_now + m_options.one_way, [this, index, grant] {
+            on_entry(index, [this, index, grant] { finished(index, grant); });
         });
     }
 
@@ -357,14 +391,14 @@
         }
     }
 
-    [[nodiscard]] double wait_at(double part)
+    [[nodiscard]] static double wait_at(std::vector<nanoseconds> waits, double part)
     {
-        if (m_waits.empty()) {
+        if (waits.empty()) {
             return 0;
         }
-        std::ranges::sort(m_waits);
-        const auto place = static_cast<std::size_t>(part * double(m_waits.size() - 1));
-        return std::chrono::duration<double, std::milli>(m_waits[place]).count();
+        std::ranges::sort(waits);
+        const auto place = static_cast<std::size_t>(part * static_cast<double>(waits.size() - 1));
+        return std::chrono::duration<double, std::milli>(waits[place]).count();
     }
 
     [[nodiscard]] trial_result summary(std::size_t requests)
@@ -372,26 +406,28 @@
         const double length = static_cast<double>(m_options.length.count());
         return {.requests = requests,
                 .in_time = m_in_time,
-                .refused_by_targets = m_refused_by_targets,
+                .beyond_slots = m_beyond_slots,
                 .refused_by_entries = m_refused_by_entries,
-                .most_at_one_target = m_most,
-                .p50_wait_ms = wait_at(0.5),
-                .p99_wait_ms = wait_at(0.99),
+                .p50_wait_ms = wait_at(m_waits, 0.5),
+                .p99_wait_ms = wait_at(m_waits, 0.99),
+                .p99_urgent_wait_ms = wait_at(m_urgent_waits, 0.99),
                 .messages_per_second = static_cast<double>(m_messages) / length};
     }
 
+    static constexpr std::size_t slots_of_target = 8;
+
     trial_options m_options;
     std::vector<entry_state> m_entries;
     std::priority_queue<event> m_events;
-    std::map<instance_id, std::size_t> m_busy;
+    std::map<instance_id, target_queue> m_targets;
     std::vector<nanoseconds> m_waits;
+    std::vector<nanoseconds> m_urgent_waits;
     nanoseconds m_now{0};
     std::uint64_t m_order = 0;
     std::size_t m_in_time = 0;
-    std::size_t m_refused_by_targets = 0;
+    std::size_t m_beyond_slots = 0;
     std::size_t m_refused_by_entries = 0;
     std::size_t m_messages = 0;
-    std::size_t m_most = 0;
     bool m_cut = false;
 };
 
--- a/bench/slots_bench.cpp
+++ b/bench/slots_bench.cpp
@@ -27,6 +27,22 @@
 
 constexpr double wanted_goodput = 0.999;
 
+struct trial_row {
+    const char* name;
+    trial_options options;
+    bool overload = false;
+};
+
+const std::array<trial_row, 7> trials{{
+    {"none", {}},
+    {"freeze", {.strike = fault::freeze}},
+    {"peers-cut", {.strike = fault::peers_cut}},
+    {"death", {.strike = fault::death}},
+    {"overload", {}, true},
+    {"queueing", {.targets_queue = true}},
+    {"q-overload", {.targets_queue = true}, true},
+}};
+
 struct size_row {
     const char* name;
     std::size_t entries;
@@ -60,22 +76,23 @@
             {"way", way},
             {"fault", what},
             {"goodput", result.goodput()},
-            {"refused_by_targets", result.refused_by_targets},
+            {"beyond_slots", result.beyond_slots},
             {"refused_by_entries", result.refused_by_entries},
             {"p50_wait_ms", result.p50_wait_ms},
             {"p99_wait_ms", result.p99_wait_ms},
-            {"most_at_one_target", result.most_at_one_target},
+            {"p99_urgent_wait_ms", result.p99_urgent_wait_ms},
             {"messages_per_second", result.messages_per_second}};
 }
 
 void print(const nlohmann::json& each)
 {
-    fmt::print("{:8} {:11} {:10} {:8.4f} {:8} {:8} {:8.2f} {:8.2f} {:8.0f}\n",
+    fmt::print("{:7} {:11} {:10} {:8.4f} {:8} {:8} {:8.2f} {:8.2f} {:8.2f} {:8.0f}\n",
                each["size"].get<std::string>(), each["way"].get<std::string>(),
                each["fault"].get<std::string>(), each["goodput"].get<double>(),
-               each["refused_by_targets"].get<std::size_t>(),
+               each["beyond_slots"].get<std::size_t>(),
                each["refused_by_entries"].get<std::size_t>(), each["p50_wait_ms"].get<double>(),
-               each["p99_wait_ms"].get<double>(), each["messages_per_second"].get<double>());
+               each["p99_wait_ms"].get<double>(), each["p99_urgent_wait_ms"].get<double>(),
+               each["messages_per_second"].get<double>());
 }
 
 } // namespace
@@ -90,8 +107,9 @@
     const std::array<size_row, 2> sizes{{{"today", 7, 10, 60}, {"target", 20, 28, 168}}};
     nlohmann::json all = nlohmann::json::array();
     if (arguments.count("json") == 0) {
-        fmt::print("{:8} {:11} {:10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "size", "way", "fault",
-                   "goodput", "by tgt", "by entry", "p50 ms", "p99 ms", "msg/s");
+        fmt::print("{:7} {:11} {:10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "size", "way",
+                   "trial", "goodput", "beyond", "refused", "p50 ms", "p99 ms", "urgent99",
+                   "msg/s");
     }
     const auto show = [&](nlohmann::json each) {
         if (arguments.count("json") == 0) {
@@ -102,15 +120,14 @@
     for (const size_row& size : sizes) {
         const auto workload = make_workload(
             {.entries = size.entries, .busy_slots = size.busy_slots, .length = length});
+        const auto overload = make_workload(
+            {.entries = size.entries, .busy_slots = 3 * size.busy_slots, .length = length});
         for (const strategy& way : strategies) {
-            const std::array<std::pair<const char*, fault>, 4> faults{
-                {{"none", fault::none},
-                 {"freeze", fault::freeze},
-                 {"peers-cut", fault::peers_cut},
-                 {"death", fault::death}}};
-            for (const auto& [name, strike] : faults) {
-                show(row(size.name, way.name, name,
-                         run(way, size, workload, {.strike = strike, .length = length})));
+            for (const trial_row& each : trials) {
+                trial_options options = each.options;
+                options.length = length;
+                show(row(size.name, way.name, each.name,
+                         run(way, size, each.overload ? overload : workload, options)));
             }
             const std::size_t spare = spare_slots(way, size, workload);
             fmt::print(stderr, "{} {}: {} spare slots for goodput {}\n", size.name, way.name, spare,
--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -83,7 +83,7 @@
 /// at next_advance().
 class dispatcher {
 public:
-    /// Shares slots by demand.
+    /// Shares slots by demand, with borrowing.
     explicit dispatcher(dispatcher_options options);
     /// Shares slots by the given strategy.
     dispatcher(const dispatcher_options& options, std::unique_ptr<slot_shares> shares);
