--- a/packages/request/include/plantaindoor/request/slot_shares.hpp
+++ b/packages/request/include/plantaindoor/request/slot_shares.hpp
@@ -84,7 +84,8 @@
 /// Any slot of any target; a target that refuses is used less until it has taken some again.
 [[nodiscard]] std::unique_ptr<slot_shares> make_optimistic_shares(const share_options& options);
 
-/// Parts by demand, and beyond them one slot of each target until it refuses.
+/// Parts by demand, and beyond them one slot of each target until it refuses, while the demand that
+/// is known of isn't far beyond the pool's slots.
 [[nodiscard]] std::unique_ptr<slot_shares> make_borrowing_shares(const share_options& options);
 
 } // namespace plantaindoor::request
--- a/packages/request/src/slot_shares.cpp
+++ b/packages/request/src/slot_shares.cpp
@@ -12,6 +12,8 @@
 
 /// The least that an entry keeps, as a part of an equal one.
 constexpr double least_part = 0.1;
+/// Known demand beyond this many times the slots leaves nothing to borrow.
+constexpr double overload = 2;
 /// How long a target that refused for want of a slot isn't asked beyond what it then held.
 constexpr milliseconds refusal_memory{200};
 
@@ -268,40 +270,59 @@
     }
     [[nodiscard]] std::uint32_t limit(const slot_place& place) const override
     {
-        const auto range = m_ranges.find(place.pool);
-        return range == m_ranges.end() ? 0 : slots_in_range(range->second, place);
+        const auto share = m_shares.find(place.pool);
+        return share == m_shares.end() ? 0 : slots_in_range(share->second.range, place);
+    }
+
+protected:
+    /// Whether the demand that is known of is far beyond the pool's slots.
+    [[nodiscard]] bool overloaded(const pool_id& pool) const
+    {
+        const auto share = m_shares.find(pool);
+        return share != m_shares.end() && share->second.overloaded;
     }
 
 private:
+    struct pool_share {
+        slot_range range;
+        bool overloaded = false;
+
+        friend bool operator==(const pool_share&, const pool_share&) = default;
+    };
+
     void recompute(time_point now)
     {
         m_stale = false;
         m_known = m_book.known(m_ring, now);
-        std::unordered_map<pool_id, slot_range> next;
+        std::unordered_map<pool_id, pool_share> next;
         for (const auto& [pool, offer] : m_offers) {
-            next.emplace(pool, range_in(pool, offer, now));
+            next.emplace(pool, share_in(pool, offer, now));
         }
-        m_changed = m_changed || next != m_ranges;
-        m_ranges = std::move(next);
+        m_changed = m_changed || next != m_shares;
+        m_shares = std::move(next);
     }
 
-    [[nodiscard]] slot_range range_in(const pool_id& pool, const pool_offer& offer,
+    [[nodiscard]] pool_share share_in(const pool_id& pool, const pool_offer& offer,
                                       time_point now) const
     {
         const auto positions = offer.positions();
         const double equal = static_cast<double>(positions) / static_cast<double>(m_ring.size());
         std::vector<double> demand;
+        double known = 0;
         for (const entry_id& entry : m_ring.entries()) {
-            demand.push_back(m_book.demand(entry, pool, now).value_or(equal));
+            const auto reported = m_book.demand(entry, pool, now);
+            known += reported.value_or(0);
+            demand.push_back(reported.value_or(equal));
         }
-        return range_of(split_slots(positions, demand), m_ring.own_index());
+        return {.range = range_of(split_slots(positions, demand), m_ring.own_index()),
+                .overloaded = known > overload * static_cast<double>(offer.slots)};
     }
 
     entry_id m_self;
     entry_ring m_ring;
     demand_book m_book;
     std::unordered_map<pool_id, pool_offer> m_offers;
-    std::unordered_map<pool_id, slot_range> m_ranges;
+    std::unordered_map<pool_id, pool_share> m_shares;
     std::vector<bool> m_known;
     std::uint64_t m_own_sequence = 0;
     bool m_stale = false;
@@ -389,7 +410,8 @@
     [[nodiscard]] std::uint32_t limit(const slot_place& place) const override
     {
         const std::uint32_t own = demand_shares::limit(place);
-        const bool may_borrow = own < place.slots && !m_refusals.contains(place.target);
+        const bool may_borrow =
+            own < place.slots && !overloaded(place.pool) && !m_refusals.contains(place.target);
         return own + (may_borrow ? 1U : 0U);
     }
 
