--- a/packages/request/src/slot_shares.cpp
+++ b/packages/request/src/slot_shares.cpp
@@ -464,7 +464,6 @@
         parts.push_back(end - given);
         given = end;
     }
-    parts.back() += total - given;
     return parts;
 }
 
--- a/packages/request/tests/admission_test.cpp
+++ b/packages/request/tests/admission_test.cpp
@@ -72,7 +72,7 @@
                                         .starvation_limit = milliseconds{300}};
         admission subject(options);
         naive::admission plain(options);
-        const version::fleet fleet = fleet_with_quota(9, 40);
+        const version::fleet fleet = fleet_with_quota(9, 12);
         subject.update(fleet);
         plain.update(fleet);
         time_point now{};
--- a/packages/request/tests/naive_router.hpp
+++ b/packages/request/tests/naive_router.hpp
@@ -68,8 +68,9 @@
             const bool asked = query.idempotent || condition(each) == target_condition::slow ||
                                now >= each.probe_due + patience;
             return each.plan.state == version::instance_state::admitted &&
-                   !m_leaving->contains(id) && !each.probing && each.probe_due <= now && asked &&
-                   !tried_instance(id, query) && !tried_rack(each, query);
+                   !m_leaving->contains(id) && !probing_in(each.plan.pool) &&
+                   each.probe_due <= now && asked && !tried_instance(id, query) &&
+                   !tried_rack(each, query);
         }
         const std::vector<instance_id> best = healthy_choices(query);
         if (!best.empty()) {
@@ -220,6 +221,16 @@
                std::ranges::count(found->second.pools, each.plan.pool) > 0;
     }
 
+    /// An ejected target that may come back is being probed.
+    bool probing_in(const pool_id& pool) const
+    {
+        return std::ranges::any_of(targets, [&](const auto& item) {
+            return item.second.plan.pool == pool && item.second.probing &&
+                   item.second.plan.state == version::instance_state::admitted &&
+                   !m_leaving->contains(item.first);
+        });
+    }
+
     std::size_t healthy_in(const pool_id& pool) const
     {
         return std::ranges::count_if(targets, [&](const auto& item) {
