connection: Never send on a kept connection that isn't clean

The client now peeks at a kept connection right before the first byte leaves, and begins anew on a fresh one, in the time that is left, if anything waits. Ruled out: CURLINFO_ACTIVESOCKET inside of the hook (not set yet, tried), and fresh connections for everything.

An idempotent request now keeps half of its time for later attempts only if the rest is three times the service's usual answer: a service whose answers took more than half of the deadline would have failed every time.

--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/connection/http_client.hpp"
 
+#include "kept_sockets.hpp"
 #include "plantaindoor/common/error.hpp"
 
 #include <charconv>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 namespace plantaindoor::connection {
 
@@ -52,6 +54,12 @@
     bool overflow = false;
     bool resend_refused = false;
     bool rejected = false;
+    /// The kept connection was not clean, so nothing was sent on it.
+    bool unclean = false;
+    /// The socket that was opened for this call, if none was kept.
+    curl_socket_t opened = CURL_SOCKET_BAD;
+    kept_sockets* sockets = nullptr;
+    time_point started{};
 
     /// Asks the observer, if there is one; false ends the transfer.
     template<class Question>
@@ -130,16 +138,45 @@
     return line.size();
 }
 
+curl_socket_t on_open(void* to, curlsocktype /*purpose*/, curl_sockaddr* address)
+{
+    auto& current = *static_cast<transfer*>(to);
+    current.opened = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    return current.opened;
+}
+
+/// libcurl calls it for a kept connection long after its first call has ended.
+int on_close(void* sockets, curl_socket_t descriptor)
+{
+    static_cast<kept_sockets*>(sockets)->close(descriptor);
+    return 0;
+}
+
+/// Whether the connection of this call is one that was kept and isn't clean any more.
+bool is_unclean(transfer& current, connection_ends ends)
+{
+    if (current.opened == CURL_SOCKET_BAD) {
+        return current.sockets->has_unasked_bytes(ends);
+    }
+    current.sockets->add(current.opened, std::move(ends));
+    return false;
+}
+
 /// Runs when a connection stands and before the first byte of the request. libcurl would send a
 /// request again by itself when a kept connection turns out to be closed; a second run is refused.
-int on_before_send(void* to, char* /*remote*/, char* /*local*/, int /*remote_port*/,
-                   int /*local_port*/)
+int on_before_send(void* to, char* remote, char* /*local*/, int remote_port, int local_port)
 {
     auto& current = *static_cast<transfer*>(to);
     if (current.result.sent) {
         current.resend_refused = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (is_unclean(
+            current,
+            {.remote_address = remote, .remote_port = remote_port, .local_port = local_port})) {
+        current.unclean = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (!current.observed([](call_observer& observer) { return observer.may_send(); })) {
         return CURL_PREREQFUNC_ABORT;
     }
@@ -225,6 +262,8 @@
         current->id = call_id{++m_last_call};
         current->call = std::move(call);
         current->done = std::move(done);
+        current->started = m_loop.now();
+        current->sockets = &m_sockets;
         current->easy = take_handle();
         prepare(*current);
         const call_id id = current->id;
@@ -296,7 +335,7 @@
         std::vector<std::unique_ptr<transfer>> finished;
         int left = 0;
         while (CURLMsg* const message = curl_multi_info_read(m_multi.get(), &left)) {
-            if (message->msg == CURLMSG_DONE) {
+            if (message->msg == CURLMSG_DONE && !start_anew(message->easy_handle)) {
                 finished.push_back(take_finished(message->easy_handle, message->data.result));
             }
         }
@@ -305,11 +344,33 @@
         }
     }
 
-    std::unique_ptr<transfer> take_finished(CURL* easy, CURLcode code)
+    static transfer& transfer_of(CURL* easy)
     {
         void* pointer = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &pointer);
-        const auto found = m_transfers.find(static_cast<transfer*>(pointer)->id);
+        return *static_cast<transfer*>(pointer);
+    }
+
+    /// A call that met an unclean connection begins again on a new one, in the time that is left.
+    bool start_anew(CURL* easy)
+    {
+        transfer& current = transfer_of(easy);
+        const auto left =
+            std::chrono::floor<milliseconds>(current.started + current.call.timeout - m_loop.now());
+        if (!current.unclean || left <= milliseconds(0)) {
+            return false;
+        }
+        current.unclean = false;
+        curl_multi_remove_handle(m_multi.get(), easy);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+        curl_multi_add_handle(m_multi.get(), easy);
+        return true;
+    }
+
+    std::unique_ptr<transfer> take_finished(CURL* easy, CURLcode code)
+    {
+        const auto found = m_transfers.find(transfer_of(easy).id);
         auto current = std::move(found->second);
         m_transfers.erase(found);
         current->result.fault = fault_of(code, *current);
@@ -359,6 +420,10 @@
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &on_before_send);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &current);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &on_open);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &current);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &on_close);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, current.sockets);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.own_connection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
@@ -383,6 +448,7 @@
     }
 
     event_loop& m_loop;
+    kept_sockets m_sockets;
     std::unique_ptr<CURLM, multi_deleter> m_multi;
     std::unordered_map<call_id, std::unique_ptr<transfer>> m_transfers;
     std::vector<easy_ptr> m_idle;
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/target_source.hpp"
 #include "plantaindoor/request/answer_check.hpp"
+#include "plantaindoor/request/answer_time.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
 #include "plantaindoor/request/retry_budget.hpp"
 #include "plantaindoor/version/change_log.hpp"
@@ -76,12 +77,18 @@
     void replay(const active_ptr& current, request::recorded_answer recorded);
     void finish(const active_ptr& current, connection::http_response answer);
 
-    request::retry_budget& budget_of(const service_id& service);
+    /// What the attempts at one service have shown.
+    struct service_record {
+        request::retry_budget retries;
+        request::answer_time answers;
+    };
+
+    service_record& record_of(const service_id& service);
 
     caller_path_options m_options;
     std::uint64_t m_last_request = 0;
     std::unordered_set<active_ptr> m_active;
-    std::unordered_map<service_id, request::retry_budget> m_budgets;
+    std::unordered_map<service_id, service_record> m_services;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -93,6 +93,7 @@
     /// The attempt in progress, or the last one.
     request::target_grant grant;
     std::unique_ptr<target_call> call;
+    time_point sent_at{};
     http_response response;
 };
 
@@ -125,9 +126,14 @@
     return request_id(m_options.id_prefix + "-" + std::to_string(++m_last_request));
 }
 
-request::retry_budget& caller_path::budget_of(const service_id& service)
+caller_path::service_record& caller_path::record_of(const service_id& service)
 {
-    return m_budgets.try_emplace(service, m_options.retries).first->second;
+    const auto found = m_services.find(service);
+    if (found != m_services.end()) {
+        return found->second;
+    }
+    service_record fresh{.retries = request::retry_budget(m_options.retries)};
+    return m_services.emplace(service, fresh).first->second;
 }
 
 void caller_path::admit(const active_ptr& current)
@@ -184,12 +190,14 @@
 void caller_path::begin(const active_ptr& current)
 {
     const request::caller_request& subject = current->subject;
+    service_record& record = record_of(subject.service);
     current->tracker.emplace(
         request::attempt_subject{.idempotent = subject.idempotent,
                                  .claimed = current->claim != request::claim_ticket::none,
                                  .deadline = subject.deadline,
+                                 .usual_answer = record.answers.mean(),
                                  .refusal_statuses = std::move(current->refusal_statuses)},
-        m_options.attempts, budget_of(subject.service));
+        m_options.attempts, record.retries);
     act(current, current->tracker->start(m_options.loop.now()));
 }
 
@@ -249,6 +257,7 @@
 {
     ++current->marks.attempts;
     const time_point now = m_options.loop.now();
+    current->sent_at = now;
     const auto left = std::chrono::floor<milliseconds>(current->subject.deadline - now);
     // The request owns the call.
     const std::weak_ptr<active_request> weak = current;
@@ -282,6 +291,9 @@
     const auto ended = std::move(current->call);
     if (result.verdict != answer_verdict::whole) {
         const attempt_failure failure = failure_of(result);
+        if (failure == attempt_failure::timed_out) {
+            record_of(current->subject.service).answers.add(now - current->sent_at);
+        }
         m_options.targets.release(current->grant, health_of(failure));
         act(current, current->tracker->failed(failure, now));
         return;
@@ -294,6 +306,9 @@
                                               : status >= first_server_failure
                                                   ? attempt_result::failed
                                                   : attempt_result::answered);
+    if (!refused) {
+        record_of(current->subject.service).answers.add(now - current->sent_at);
+    }
     act(current, action);
 }
 
--- a/packages/request/include/plantaindoor/request/attempt_tracker.hpp
+++ b/packages/request/include/plantaindoor/request/attempt_tracker.hpp
@@ -23,8 +23,9 @@
     /// Longest wait for a connection to one target; a failure to connect proves not-run.
     milliseconds connect_timeout{500};
     /// An idempotent request that may be tried again leaves this share of its time to later
-    /// attempts, in percent.
+    /// attempts, in percent, if the rest is this many times the usual answer's.
     std::uint32_t later_share_percent = 50;
+    std::uint32_t usual_answers_in_attempt = 3;
     /// A further attempt needs at least this much time before the deadline.
     milliseconds shortest_attempt{5};
     /// Told to callers whose request found no target.
@@ -37,6 +38,8 @@
     /// The request's end is recorded under an idempotency key, so it goes on when its caller left.
     bool claimed = false;
     time_point deadline{};
+    /// The service's mean, from answer_time.
+    nanoseconds usual_answer{0};
     /// Statuses by which the targets declare that they refused before starting.
     std::vector<std::uint16_t> refusal_statuses;
 };
@@ -116,6 +119,7 @@
     enum class state { fresh, choosing, connecting, sent, finished };
 
     [[nodiscard]] bool open() const;
+    [[nodiscard]] nanoseconds time_of_attempt(nanoseconds left) const;
     [[nodiscard]] bool retry_allowed(time_point now) const;
     attempt_action choose();
     attempt_action try_again(std::string_view reason, time_point now);
--- a/packages/request/src/attempt_tracker.cpp
+++ b/packages/request/src/attempt_tracker.cpp
@@ -79,6 +79,14 @@
     return now < m_subject.deadline ? choose() : give_up("deadline");
 }
 
+nanoseconds attempt_tracker::time_of_attempt(nanoseconds left) const
+{
+    const bool last = !m_subject.idempotent || m_tried.size() >= m_options.max_attempts;
+    const nanoseconds part = left * (100 - m_options.later_share_percent) / 100;
+    const nanoseconds needed = m_subject.usual_answer * m_options.usual_answers_in_attempt;
+    return last || part < needed ? left : part;
+}
+
 attempt_action attempt_tracker::target_chosen(tried_target target, time_point now)
 {
     if (m_state != state::choosing) {
@@ -89,9 +97,7 @@
     }
     m_tried.push_back(std::move(target));
     m_state = state::connecting;
-    const nanoseconds left = m_subject.deadline - now;
-    const bool leave_time = m_subject.idempotent && m_tried.size() < m_options.max_attempts;
-    const nanoseconds own = leave_time ? left * (100 - m_options.later_share_percent) / 100 : left;
+    const nanoseconds own = time_of_attempt(m_subject.deadline - now);
     return {.step = attempt_step::send,
             .connect_by = now + std::min<nanoseconds>(m_options.connect_timeout, own),
             .answer_by = now + own};
--- a/packages/request/tests/attempt_tracker_test.cpp
+++ b/packages/request/tests/attempt_tracker_test.cpp
@@ -1,3 +1,4 @@
+#include "plantaindoor/request/answer_time.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
 
 #include "naive_attempts.hpp"
@@ -195,6 +196,12 @@
     CHECK(repeatable.target_chosen(target(2), begin + milliseconds(100)).answer_by ==
           begin + milliseconds(1000));
 
+    auto slow_service = subject_of(true);
+    slow_service.usual_answer = milliseconds(200);
+    attempt_tracker patient(slow_service, {}, budget);
+    patient.start(begin);
+    CHECK(patient.target_chosen(target(1), begin).answer_by == begin + milliseconds(1000));
+
     attempt_tracker once(subject_of(false), {}, budget);
     once.start(begin);
     const auto send = once.target_chosen(target(1), begin);
@@ -215,3 +222,16 @@
     CHECK(budget.try_take());
     CHECK_FALSE(budget.try_take());
 }
+
+TEST_CASE("attempts that run out of time make the service count as slow", "[attempts]")
+{
+    answer_time time;
+    for (int answer = 0; answer < 100; ++answer) {
+        time.add(milliseconds(100));
+    }
+    CHECK(time.mean() > milliseconds(99));
+    for (int timeout = 0; timeout < 5; ++timeout) {
+        time.add(milliseconds(1000));
+    }
+    CHECK(time.mean() * 3 > milliseconds(1000));
+}
--- /dev/null
+++ b/tests/process/answers_test.py
@@ -0,0 +1,142 @@
+"""Answers that are not whole, not in time or not the caller's own, with a target that counts runs."""
+import threading
+import time
+import unittest
+
+import raw_target
+from harness import wait_for
+from raw_target import RawCluster, RawTarget, well
+
+BROKEN = [raw_target.short, raw_target.cut_chunk, raw_target.no_last_chunk, raw_target.reset,
+          raw_target.close_silently, raw_target.reset_in_body, raw_target.undelimited,
+          raw_target.two_lengths, raw_target.length_and_chunks, raw_target.foreign,
+          raw_target.never_ending, raw_target.declared_too_long, raw_target.not_http]
+DEADLINE = {"Plantaindoor-Deadline-Ms": "10000"}
+KEPT = {"Plantaindoor-Idempotent": "yes", **DEADLINE}
+
+
+class AnswersTest(unittest.TestCase):
+    def test_broken_answer_is_told_as_unknown_and_runs_once(self):
+        target = RawTarget()
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for behave in BROKEN:
+                with self.subTest(behave.__name__):
+                    target.behave = behave
+                    broken = cluster.request("e1", b"an order", headers=DEADLINE)
+                    self.assertEqual((broken.status, broken.outcome), (502, "unknown"), broken.body)
+                    self.assertEqual(broken.json()["type"], "lost-answer")
+                    self.assertEqual(target.runs[broken.request_id], 1)
+                    target.behave = well
+                    good = cluster.request("e1", behave.__name__.encode(), headers=DEADLINE)
+                    self.assertEqual(good.outcome, "answered")
+                    self.assertEqual(good.body.decode(), f"{good.request_id} {behave.__name__}")
+
+    def test_broken_answer_of_idempotent_request_is_tried_elsewhere(self):
+        targets = [RawTarget(), RawTarget()]
+        with RawCluster(targets) as cluster:
+            cluster.serve()
+            for behave in BROKEN:
+                with self.subTest(behave.__name__):
+                    targets[0].behave = behave
+                    for number in range(4):
+                        body = f"{behave.__name__} {number}"
+                        answer = cluster.request("e1", body.encode(), headers=KEPT)
+                        self.assertEqual(answer.outcome, "answered")
+                        self.assertEqual(answer.body.decode(), f"{answer.request_id} {body}")
+                        self.assertLessEqual(targets[0].runs[answer.request_id], 1)
+
+    def test_slow_answers_meet_their_outcome(self):
+        target = RawTarget()
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for behave in (raw_target.trickle, raw_target.stall):
+                with self.subTest(behave.__name__):
+                    target.behave = behave
+                    started = time.monotonic()
+                    answer = cluster.request("e1", headers=DEADLINE)
+                    self.assertEqual(answer.outcome, "unknown")
+                    self.assertLess(time.monotonic() - started, 10, "judged before the deadline")
+                    self.assertEqual(target.runs[answer.request_id], 1)
+
+    def test_late_answer_is_thrown_away_with_its_connection(self):
+        late = threading.Event()
+
+        def answer_late(request):
+            late.wait()
+            request.answer(b"late")
+            return True
+
+        target = RawTarget(answer_late)
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for idempotent in ("no", "yes"):
+                with self.subTest(idempotent=idempotent):
+                    late.clear()
+                    target.behave = answer_late
+                    headers = {"Plantaindoor-Deadline-Ms": "300",
+                               "Plantaindoor-Idempotent": idempotent}
+                    lost = cluster.request("e1", headers=headers)
+                    self.assertEqual(lost.outcome, "unknown")
+                    self.assertEqual(lost.json()["type"], "lost-answer")
+                    late.set()
+                    target.behave = well
+                    for number in range(20):
+                        body = str(number).encode()
+                        good = cluster.request("e1", body, headers=KEPT)
+                        self.assertEqual(good.body, good.request_id.encode() + b" " + body)
+
+    def test_unasked_answer_on_a_kept_connection_meets_nobody(self):
+        def answer_twice(request):
+            request.answer()
+            request.send(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nunasked")
+            return True
+
+        targets = [RawTarget(answer_twice), RawTarget(answer_twice)]
+        with RawCluster(targets) as cluster:
+            cluster.serve()
+            for number in range(40):
+                body = str(number).encode()
+                answer = cluster.request("e1", body, headers=KEPT)
+                if answer.outcome == "answered":
+                    self.assertEqual(answer.body, answer.request_id.encode() + b" " + body)
+
+    def test_kept_connection_that_closes_does_not_run_a_request_twice_at_one_target(self):
+        target = RawTarget()
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for number in range(10):
+                target.behave = well
+                cluster.request("e1", headers=KEPT)
+                target.behave = raw_target.close_silently
+                lost = cluster.request("e1", str(number).encode(), headers=KEPT)
+                self.assertEqual(lost.outcome, "unknown")
+                self.assertEqual(target.runs[lost.request_id], 1)
+
+    def test_target_that_refuses_is_no_run_and_the_next_one_is_asked(self):
+        def refuse(request):
+            request.answer(b"busy", status="503 Service Unavailable")
+            return True
+
+        targets = [RawTarget(refuse), RawTarget()]
+        with RawCluster(targets) as cluster:
+            cluster.serve()
+            for number in range(4):
+                answer = cluster.request("e1", str(number).encode())
+                self.assertEqual(answer.outcome, "answered")
+            targets[1].behave = refuse
+            refused = cluster.request("e1")
+            self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+            self.assertIn("retry-after", refused.headers)
+
+    def test_target_that_is_gone_is_no_run(self):
+        target = RawTarget()
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            target.close()
+            wait_for("connections refused", lambda: cluster.request("e1").outcome == "not-run")
+            self.assertEqual(target.total(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
