--- a/apps/plantainctl/api_client.cpp
+++ b/apps/plantainctl/api_client.cpp
@@ -45,8 +45,8 @@
         if (result.fault == connection::transport_fault::none) {
             return std::move(result.response);
         }
-        tried += fmt::format("{}{} ({})", tried.empty() ? "" : ", ", entry.str(),
-                             name_of(result.fault));
+        tried +=
+            fmt::format("{}{} ({})", tried.empty() ? "" : ", ", entry.str(), name_of(result.fault));
         if (result.sent && method != "GET") {
             break;
         }
--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -24,6 +24,8 @@
 public:
     dispatched_targets(event_loop& loop, version::change_log& log, instance_list& list,
                        const dispatched_targets_options& options);
+    dispatched_targets(const dispatched_targets&) = delete;
+    dispatched_targets& operator=(const dispatched_targets&) = delete;
     ~dispatched_targets() override;
 
     /// Begins to follow the log and the platform's list.
--- a/packages/process/src/wave_planner.cpp
+++ b/packages/process/src/wave_planner.cpp
@@ -450,7 +450,8 @@
         if (parallel == 0) {
             continue;
         }
-        const double rounds = double((waiting + parallel - 1) / parallel);
+        const std::uint32_t whole_rounds = (waiting + parallel - 1) / parallel;
+        const double rounds = whole_rounds;
         const double cost = weights.roll_out * rounds + weights.moves * 2 * loans +
                             weights.buffer * parallel * rounds;
         if (cost < least) {
--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -84,7 +84,7 @@
 class dispatcher {
 public:
     /// Shares slots by demand.
-    explicit dispatcher(dispatcher_options options);
+    explicit dispatcher(const dispatcher_options& options);
     /// Shares slots by the given strategy.
     dispatcher(const dispatcher_options& options, std::unique_ptr<slot_shares> shares);
     dispatcher(const dispatcher&) = delete;
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -345,7 +345,7 @@
     return next;
 }
 
-dispatcher::dispatcher(dispatcher_options options)
+dispatcher::dispatcher(const dispatcher_options& options)
     : dispatcher(options, make_demand_shares(
                               {.self = options.self, .report_lifetime = options.report_lifetime}))
 {
