--- a/packages/process/include/plantaindoor/process/duty_lease.hpp
+++ b/packages/process/include/plantaindoor/process/duty_lease.hpp
@@ -66,12 +66,13 @@
                  time_point asked, time_point now);
     /// The renewal, when it is due. At most one may be under way.
     [[nodiscard]] std::optional<request> renewal(time_point now) const;
-    /// Duties to try to take now; each of them only once until the next scan.
+    /// Duties to try to take now, and rows of long gone holders to delete; to be sent once after
+    /// each scan.
     [[nodiscard]] std::vector<request> acquisitions(time_point now) const;
     /// Gives back every duty held.
     [[nodiscard]] std::vector<request> releases() const;
-    /// Takes in a renewal's outcome. `sent` is when it was sent.
-    void on_renewed(transact_outcome outcome, time_point sent);
+    /// Takes in a renewal's outcome. `sent` is when it was sent, `now` when it was answered.
+    void on_renewed(transact_outcome outcome, time_point sent, time_point now);
 
     /// Whether this entry may act for the pool.
     [[nodiscard]] bool holds(const pool_id& pool, time_point now) const;
@@ -101,6 +102,7 @@
     void observe_holders(const std::vector<table_row>& rows, time_point now);
     void observe_duties(const std::vector<table_row>& rows, const std::set<pool_id>& pools,
                         time_point now);
+    void add_clean_up(std::vector<request>& wanted, time_point now) const;
     [[nodiscard]] bool lapsed(const std::string& holder, time_point now) const;
     [[nodiscard]] std::set<std::string> live_holders(time_point now) const;
     [[nodiscard]] bool own_lease_valid(time_point now) const;
--- a/packages/process/src/duty_lease.cpp
+++ b/packages/process/src/duty_lease.cpp
@@ -7,6 +7,13 @@
 
 namespace plantaindoor::process {
 
+namespace {
+
+/// A row that was not renewed for so many terms, and that no duty names, is deleted.
+constexpr int forgotten_terms = 20;
+
+} // namespace
+
 std::string encode(const duty_row& row)
 {
     return std::to_string(row.epoch) + " " + row.holder;
@@ -135,9 +142,24 @@
              .value = encode(duty_row{.holder = m_own_key, .epoch = duty.row.epoch + 1})});
         wanted.push_back(std::move(taking));
     }
+    add_clean_up(wanted, now);
     return wanted;
 }
 
+void duty_leases::add_clean_up(std::vector<request>& wanted, time_point now) const
+{
+    for (const auto& [holder, seen] : m_holders) {
+        const bool named = std::any_of(m_duties.begin(), m_duties.end(), [&](const auto& item) {
+            return item.second.row.holder == holder;
+        });
+        if (!named && now - seen.since >= m_options.term * forgotten_terms) {
+            wanted.push_back(
+                {.transaction = {.conditions = {{.key = holder, .version = seen.version}},
+                                 .writes = {{.key = holder}}}});
+        }
+    }
+}
+
 std::vector<duty_leases::request> duty_leases::releases() const
 {
     std::vector<request> all;
@@ -155,17 +177,17 @@
     return all;
 }
 
-void duty_leases::on_renewed(transact_outcome outcome, time_point sent)
+void duty_leases::on_renewed(transact_outcome outcome, time_point sent, time_point now)
 {
     if (outcome != transact_outcome::applied) {
         return;
     }
-    const bool had_lapsed = !own_lease_valid(sent);
+    const bool had_lapsed = !own_lease_valid(now);
     m_renewed = sent;
     if (had_lapsed) {
-        // Another entry may have taken duties meanwhile.
+        // Another entry may have taken duties before this renewal was applied.
         m_scanned = false;
-        m_scan_needed = sent;
+        m_scan_needed = now;
     }
 }
 
