--- a/packages/process/tests/membership_proof_test.cpp
+++ b/packages/process/tests/membership_proof_test.cpp
@@ -532,7 +532,9 @@
         GENERATE(starting{.restart = true}, starting{.new_machine = true},
                  starting{.restart = true, .new_machine = true, .predecessor_dead = true});
     explorer all(may_start, {});
-    CHECK(joined(all.broken_run()) == "");
+    const std::string run = joined(all.broken_run());
+    INFO(run);
+    CHECK(run.empty());
 }
 
 TEST_CASE("each rule is needed: without it a stop cuts off a request", "[membership]")
