--- a/apps/plantaindoord/main.cpp
+++ b/apps/plantaindoord/main.cpp
@@ -53,6 +53,7 @@
     options.body_limit_bytes = settings.limits.body_bytes;
     options.answer_limit_bytes = settings.limits.answer_bytes;
     options.head_poll = settings.timings.head_poll;
+    options.list_lag = settings.timings.list_lag;
     return options;
 }
 
@@ -65,7 +66,8 @@
     }
     entry.start();
     std::cout << "callers " << entry.callers_endpoint().str() << "\noperators "
-              << entry.operators_endpoint().str() << std::endl;
+              << entry.operators_endpoint().str() << "\npeers " << entry.peers_endpoint().str()
+              << std::endl;
     loop.run();
     return exit_ended;
 }
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -41,6 +41,9 @@
     milliseconds claim_wait{500};
     /// Why no new work is taken; empty while it is.
     std::function<std::string()> not_serving_reason;
+    /// Whether the version in force here is known to be current; asked before each send, since the
+    /// process may have been paused after it took the request.
+    std::function<bool()> is_current = [] { return true; };
 };
 
 /// Owns the requests in progress. Loop thread only; what the options refer to must outlive it.
--- a/packages/process/include/plantaindoor/process/entry.hpp
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -29,6 +29,8 @@
     std::size_t answer_limit_bytes = 8U << 20U;
     milliseconds platform_timeout{2000};
     milliseconds head_poll{500};
+    /// The most by which the platform's instance list may be behind the truth.
+    milliseconds list_lag{30000};
     /// From the moment of being told to end until no new request is taken.
     milliseconds leave_delay{2000};
 };
@@ -50,6 +52,7 @@
 
     [[nodiscard]] connection::endpoint callers_endpoint() const;
     [[nodiscard]] connection::endpoint operators_endpoint() const;
+    [[nodiscard]] connection::endpoint peers_endpoint() const;
 
 private:
     class parts;
--- a/packages/process/include/plantaindoor/process/membership.hpp
+++ b/packages/process/include/plantaindoor/process/membership.hpp
@@ -99,6 +99,9 @@
 public:
     membership(membership_options options, time_point started);
 
+    /// Where peers reach this entry, once its listener is open.
+    void listen_at(std::string address, std::uint16_t port);
+
     /// The version in force here. `urgent` when it plans an instance out, so that the confirmation
     /// must not wait for the next renewal.
     void on_applied(version::version_number version, bool urgent);
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -276,7 +276,8 @@
                             .may_send =
                                 [this, weak] {
                                     const auto held = weak.lock();
-                                    return held && held->tracker->may_send(m_options.loop.now());
+                                    return held && m_options.is_current() &&
+                                           held->tracker->may_send(m_options.loop.now());
                                 }},
         [this, weak](target_call_result result) {
             if (const auto held = weak.lock()) {
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -8,11 +8,15 @@
 #include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/claim_sweeper.hpp"
 #include "plantaindoor/process/dispatched_targets.hpp"
+#include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
+#include "plantaindoor/process/peer_group.hpp"
+#include "plantaindoor/process/registrar.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
 
+#include <set>
 #include <utility>
 
 namespace plantaindoor::process {
@@ -49,6 +53,9 @@
           m_log(loop, m_table, log_options()),
           m_instances(m_client, platform()),
           m_targets(loop, m_log, m_instances, target_options()),
+          m_members(member_options(), loop.now()),
+          m_peers(loop, m_log, m_members, peer_options()),
+          m_registrar(loop, m_table, m_instances, m_log, m_members, registrar_options_here()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
@@ -72,6 +79,9 @@
         m_log.start();
         m_targets.start();
         m_sweeper.start();
+        m_members.listen_at(m_options.peers.address, m_peers.port());
+        m_peers.start();
+        m_registrar.start();
     }
 
     void end(event_loop::action on_ended)
@@ -85,6 +95,7 @@
 
     [[nodiscard]] std::uint16_t callers_port() const { return m_caller_server.port(); }
     [[nodiscard]] std::uint16_t operators_port() const { return m_operator_server.port(); }
+    [[nodiscard]] std::uint16_t peers_port() const { return m_peers.port(); }
     [[nodiscard]] const entry_options& options() const { return m_options; }
 
 private:
@@ -112,6 +123,49 @@
                     .self = m_options.id, .zone = m_options.zone, .seed = m_options.incarnation}};
     }
 
+    [[nodiscard]] membership_options member_options() const
+    {
+        return {.self = m_options.id,
+                .incarnation = m_options.incarnation,
+                .zone = m_options.zone,
+                .list_lag = m_options.list_lag};
+    }
+
+    peer_group_options peer_options()
+    {
+        return {.cluster = m_options.cluster,
+                .self = m_options.id,
+                .incarnation = m_options.incarnation,
+                .zone = m_options.zone,
+                .listen = m_options.peers,
+                .known_peers = m_options.known_peers,
+                .policy = {.seed = m_options.incarnation},
+                .demand = [this] { return m_targets.report_demand(); },
+                .on_demand = [this](const auto& report) { m_targets.hear(report); }};
+    }
+
+    registrar_options registrar_options_here()
+    {
+        return {.self = m_options.id,
+                .incarnation = m_options.incarnation,
+                .retirement = {.list_lag = m_options.list_lag},
+                .busy_targets = [this] { return m_targets.busy_targets(); },
+                .on_rows = [this](const auto& rows) { take_registered(rows); }};
+    }
+
+    void take_registered(const std::vector<version::registration>& rows)
+    {
+        m_peers.set_registered(rows);
+        std::set<entry_id> live;
+        for (const version::registration& each : rows) {
+            if (each.lease_until >= m_loop.wall_now()) {
+                live.insert(each.entry);
+            }
+        }
+        live.insert(m_options.id);
+        m_targets.set_entries({live.begin(), live.end()});
+    }
+
     caller_path_options caller_options()
     {
         return {.loop = m_loop,
@@ -122,7 +176,8 @@
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
                 .answers = {.max_bytes = m_options.answer_limit_bytes},
-                .not_serving_reason = [this] { return not_serving_reason(); }};
+                .not_serving_reason = [this] { return not_serving_reason(); },
+                .is_current = [this] { return may_serve() == serving_state::serving; }};
     }
 
     connection::http_server_options caller_server_options()
@@ -166,9 +221,12 @@
         if (m_left) {
             return "ending";
         }
-        return m_log.current_as_of() ? "" : "the log of versions has not been read";
+        const serving_state state = may_serve();
+        return state == serving_state::serving ? "" : std::string(name_of(state));
     }
 
+    [[nodiscard]] serving_state may_serve() const { return m_members.may_serve(m_loop.now()); }
+
     /// Empty while the balancer may send callers here.
     [[nodiscard]] std::string not_ready_reason() const
     {
@@ -224,6 +282,9 @@
     version::table_change_log m_log;
     connection::http_instances m_instances;
     dispatched_targets m_targets;
+    membership m_members;
+    peer_group m_peers;
+    registrar m_registrar;
     claim_store m_claims;
     claim_sweeper m_sweeper;
     caller_path m_callers;
@@ -262,4 +323,9 @@
     return {m_parts->options().operators.address, m_parts->operators_port()};
 }
 
+connection::endpoint entry::peers_endpoint() const
+{
+    return {m_parts->options().peers.address, m_parts->peers_port()};
+}
+
 } // namespace plantaindoor::process
--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+void membership::listen_at(std::string address, std::uint16_t port)
+{
+    m_options.peer_address = std::move(address);
+    m_options.peer_port = port;
+}
+
 void membership::on_applied(version::version_number version, bool urgent)
 {
     m_applied = std::max(m_applied, version);
--- a/packages/version/include/plantaindoor/version/table_change_log.hpp
+++ b/packages/version/include/plantaindoor/version/table_change_log.hpp
@@ -56,6 +56,8 @@
 
     /// Takes records that a peer sent, and the version that it has in force.
     void receive(std::vector<log_record> records, version_number in_force);
+    /// Takes a whole version that a peer sent.
+    void receive(fleet whole);
     /// Reads the head now, beside the regular polls; for an entry that must know whether it is
     /// current.
     void poll_now();
--- a/packages/version/src/table_change_log.cpp
+++ b/packages/version/src/table_change_log.cpp
@@ -138,6 +138,13 @@
     fetch_missing();
 }
 
+void table_change_log::receive(fleet whole)
+{
+    if (m_follower.on_snapshot(std::move(whole))) {
+        publish();
+    }
+}
+
 void table_change_log::fetch_missing()
 {
     const std::optional<log_fetch> fetch = m_follower.wanted();
--- /dev/null
+++ b/tests/process/outage_test.py
@@ -0,0 +1,91 @@
+"""The platform goes away: what was accepted is in force everywhere, and nobody serves on a guess."""
+import signal
+import time
+import unittest
+
+from harness import Cluster, call, wait_for
+
+IN_FORCE_S = 4
+
+
+def ready(cluster, entry):
+    return call(cluster.callers_at(entry), "GET", "/ready").status == 200
+
+
+def wait_ready(cluster, entries):
+    for entry in entries:
+        wait_for(f"{entry} ready", lambda e=entry: ready(cluster, e))
+
+
+def drained(fleet, name):
+    """The fleet without the instance; an operator's change."""
+    return {**fleet, "instances": [i for i in fleet["instances"] if i["id"] != name]}
+
+
+class OutageTest(unittest.TestCase):
+    def cluster(self):
+        return Cluster(targets=2, entries=3, entry_settings={"timings": {"list_lag_ms": 3000}})
+
+    def test_accepted_change_reaches_all_without_the_platform(self):
+        for accepting in ("e1", "e2", "e3"):
+            with self.cluster() as cluster:
+                cluster.wait_version(cluster.apply())
+                wait_ready(cluster, cluster.entries)
+                fleet = cluster.fleet()
+                fleet["teams"].append({"id": "late"})
+                version = cluster.apply(fleet, accepting)
+                cluster.platform.end(signal.SIGKILL)
+                accepted = time.monotonic()
+                cluster.wait_version(version)
+                self.assertLess(time.monotonic() - accepted, IN_FORCE_S)
+                time.sleep(IN_FORCE_S)
+                for entry in cluster.entries:
+                    self.assertTrue(ready(cluster, entry), entry)
+                    self.assertEqual(cluster.request(entry, b"words", headers={
+                        "Plantaindoor-Idempotent": "true"}).outcome, "answered")
+
+    def test_entry_started_in_the_outage_catches_up_from_peers_or_is_not_ready(self):
+        with self.cluster() as cluster:
+            version = cluster.apply()
+            cluster.wait_version(version)
+            wait_ready(cluster, cluster.entries)
+            fleet = cluster.fleet()
+            fleet["teams"].append({"id": "late"})
+            version = cluster.apply(fleet)
+            cluster.platform.end(signal.SIGKILL)
+            cluster.list_instance = lambda *_, **__: None
+            started = time.monotonic()
+            cluster.start_entry("e4", "b")
+            while not ready(cluster, "e4"):
+                self.assertLess(time.monotonic() - started, 30)
+                refused = cluster.request("e4", b"words")
+                self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+                time.sleep(0.1)
+            self.assertGreater(time.monotonic() - started, 3)
+            self.assertEqual(cluster.status("e4")["version"], version)
+            for entry in ("e1", "e2", "e3"):
+                cluster.entries[entry].send_signal(signal.SIGSTOP)
+            wait_for("e4 not ready alone", lambda: not ready(cluster, "e4"))
+
+    def test_frozen_entry_takes_no_work_after_the_thaw_until_it_is_current(self):
+        with self.cluster() as cluster:
+            cluster.wait_version(cluster.apply())
+            wait_ready(cluster, cluster.entries)
+            cluster.entries["e2"].send_signal(signal.SIGSTOP)
+            time.sleep(IN_FORCE_S)
+            fleet = cluster.fleet()
+            version = cluster.apply(drained(fleet, "w2"), "e1")
+            cluster.platform.end(signal.SIGKILL)
+            for entry in ("e1", "e3"):
+                cluster.entries[entry].send_signal(signal.SIGSTOP)
+            cluster.entries["e2"].send_signal(signal.SIGCONT)
+            refused = cluster.request("e2", b"words")
+            self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+            for entry in ("e1", "e3"):
+                cluster.entries[entry].send_signal(signal.SIGCONT)
+            wait_ready(cluster, ["e2"])
+            self.assertEqual(cluster.status("e2")["version"], version)
+
+
+if __name__ == "__main__":
+    unittest.main()
