--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/target_source.hpp"
 #include "plantaindoor/request/answer_check.hpp"
+#include "plantaindoor/request/answer_time.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
 #include "plantaindoor/request/retry_budget.hpp"
 #include "plantaindoor/version/change_log.hpp"
@@ -36,10 +37,13 @@
     request::answer_limits answers;
     request::attempt_options attempts;
     request::retry_budget_options retries;
-    /// Longest wait for a claim; less where the deadline is nearer.
-    milliseconds claim_wait{1000};
+    /// Longest wait for a claim, and never more than half of the request's time.
+    milliseconds claim_wait{500};
     /// Why no new work is taken; empty while it is.
     std::function<std::string()> not_serving_reason;
+    /// Whether the version in force here is known to be current; asked before each send, since the
+    /// process may have been paused after it took the request.
+    std::function<bool()> is_current = [] { return true; };
 };
 
 /// Owns the requests in progress. Loop thread only; what the options refer to must outlive it.
@@ -76,12 +80,18 @@
     void replay(const active_ptr& current, request::recorded_answer recorded);
     void finish(const active_ptr& current, connection::http_response answer);
 
-    request::retry_budget& budget_of(const service_id& service);
+    /// What the attempts at one service have shown.
+    struct service_record {
+        request::retry_budget retries;
+        request::answer_time answers;
+    };
+
+    service_record& record_of(const service_id& service);
 
     caller_path_options m_options;
     std::uint64_t m_last_request = 0;
     std::unordered_set<active_ptr> m_active;
-    std::unordered_map<service_id, request::retry_budget> m_budgets;
+    std::unordered_map<service_id, service_record> m_services;
 };
 
 } // namespace plantaindoor::process
