request: Try an idle service's only request until its deadline

Cause: after a pause of an entry (or one long request) the learned duration exceeded every deadline. The one request admitted to learn better was refused again before it got a slot, so the entry refused the service for good. The new dispatcher case failed before the change and passes after; the naive admission states the rule too.

--- a/bench/slot_sharing.hpp
+++ b/bench/slot_sharing.hpp
@@ -120,7 +120,7 @@
             m_entries.push_back({});
             m_entries[i].id = ids[i];
             m_entries[i].dispatcher = std::make_unique<request::dispatcher>(
-                own, make({.self = ids[i], .report_lifetime = milliseconds{2000}}));
+                own, make({.self = ids[i], .report_lifetime = milliseconds{3000}}));
             m_entries[i].dispatcher->set_entries(ids, time_point{});
             m_entries[i].dispatcher->update(fleet, time_point{});
             at(options.report_period * (i + 1) / options.entries, [this, i] { report(i); });
--- a/bench/slots_bench.cpp
+++ b/bench/slots_bench.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 struct strategy {
-    const char* name;
-    make_shares make;
+    const char* name = nullptr;
+    make_shares make = nullptr;
 };
 
 constexpr std::array<strategy, 4> strategies{{
@@ -28,13 +28,14 @@
 constexpr double wanted_goodput = 0.999;
 
 struct trial_row {
-    const char* name;
+    const char* name = nullptr;
     trial_options options;
     bool overload = false;
 };
 
-const std::array<trial_row, 7> trials{{
+const std::array<trial_row, 8> trials{{
     {"none", {}},
+    {"report-1s", {.report_period = milliseconds{1000}}},
     {"freeze", {.strike = fault::freeze}},
     {"peers-cut", {.strike = fault::peers_cut}},
     {"death", {.strike = fault::death}},
@@ -44,7 +45,7 @@
 }};
 
 struct size_row {
-    const char* name;
+    const char* name = nullptr;
     std::size_t entries;
     std::size_t targets;
     double busy_slots;
--- a/packages/request/include/plantaindoor/request/admission.hpp
+++ b/packages/request/include/plantaindoor/request/admission.hpp
@@ -131,6 +131,9 @@
         time_point refilled{};
     };
 
+    /// Whether nothing of the service is at a target, and so many requests wait. A single request
+    /// of such a service is always tried, or a service that was slow would stay refused.
+    [[nodiscard]] static bool is_idle(const service_queue& queue, std::size_t waiting);
     void check_team(const caller_request& request, time_point now);
     void check_deadline(const caller_request& request, const service_queue& queue,
                         const service_capacity& capacity, time_point now) const;
--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -71,7 +71,7 @@
     /// A class that waited this long without a grant gets the next one.
     milliseconds starvation_limit{5000};
     /// Demand reports older than this are not relied on.
-    milliseconds report_lifetime{2000};
+    milliseconds report_lifetime{3000};
 };
 
 class slot_shares;
--- a/packages/request/src/admission.cpp
+++ b/packages/request/src/admission.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
-#include <string>
 
 namespace plantaindoor::request {
 
@@ -23,11 +22,6 @@
     return std::clamp(rounded, shortest_retry_after, longest_retry_after);
 }
 
-std::string in_milliseconds(nanoseconds value)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 std::size_t count_through(const std::array<std::set<ticket_id>, priority_count>& queues,
                           std::size_t level)
 {
@@ -40,39 +34,6 @@
 
 } // namespace
 
-deadline_refusal::deadline_refusal(const service_id& service, nanoseconds expected,
-                                   nanoseconds allowed, milliseconds retry_after)
-    : refusal("deadline-unreachable",
-              "service \"" + service.str() + "\" would need " + in_milliseconds(expected) +
-                  " ms, the deadline leaves " + in_milliseconds(allowed) + " ms",
-              {{"service", service.str()},
-               {"expected_ms", in_milliseconds(expected)},
-               {"allowed_ms", in_milliseconds(allowed)}},
-              {.status = 503, .retry_after = retry_after})
-{
-}
-
-queue_full_refusal::queue_full_refusal(const service_id& service, std::string_view limit,
-                                       milliseconds retry_after)
-    : refusal("queue-full",
-              "service \"" + service.str() + "\" has no room to wait: limit of " +
-                  std::string(limit),
-              {{"service", service.str()}, {"limit", std::string(limit)}},
-              {.status = 503, .retry_after = retry_after})
-{
-}
-
-quota_refusal::quota_refusal(const team_id& team, std::string_view quota, std::uint32_t limit,
-                             milliseconds retry_after)
-    : refusal(
-          "quota-exceeded",
-          "team \"" + team.str() + "\" has reached " + std::string(quota) + " of " +
-              std::to_string(limit) + " at this entry",
-          {{"team", team.str()}, {"quota", std::string(quota)}, {"limit", std::to_string(limit)}},
-          {.status = 429, .retry_after = retry_after})
-{
-}
-
 nanoseconds expected_wait(std::size_t ahead, const service_capacity& capacity,
                           nanoseconds mean_service_time)
 {
@@ -147,12 +108,16 @@
     }
 }
 
+bool admission::is_idle(const service_queue& queue, std::size_t waiting)
+{
+    return queue.granted == 0 && queue.by_deadline.size() == waiting;
+}
+
 void admission::check_deadline(const caller_request& request, const service_queue& queue,
                                const service_capacity& capacity, time_point now) const
 {
     const nanoseconds allowed = request.deadline - now;
-    const bool idle = queue.granted == 0 && queue.by_deadline.empty();
-    if (idle && allowed > nanoseconds{0}) {
+    if (is_idle(queue, 0) && allowed > nanoseconds{0}) {
         // The only way to learn that a service that was slow no longer is.
         return;
     }
@@ -279,6 +244,9 @@
                                                                        as_retry_after(excess))});
         finished(ticket, std::nullopt);
     };
+    if (is_idle(queue, 1) && queue.by_deadline.begin()->first > now) {
+        return refusals;
+    }
     const nanoseconds mean = queue.learned.mean();
     while (!queue.by_deadline.empty() && queue.by_deadline.begin()->first < now + mean) {
         refuse(queue.by_deadline.begin()->second, mean);
@@ -429,8 +397,9 @@
     time_point next = time_point::max();
     for (const service_id& service : m_waiting) {
         const service_queue& queue = m_services.at(service);
-        const time_point latest_start = queue.by_deadline.begin()->first - queue.learned.mean();
-        next = std::min(next, latest_start + nanoseconds{1});
+        const time_point deadline = queue.by_deadline.begin()->first;
+        const nanoseconds needed = is_idle(queue, 1) ? nanoseconds{0} : queue.learned.mean();
+        next = std::min(next, deadline - needed + nanoseconds{1});
     }
     return next;
 }
--- a/packages/request/tests/dispatcher_test.cpp
+++ b/packages/request/tests/dispatcher_test.cpp
@@ -140,6 +140,27 @@
           std::vector<std::string>{"deadline-unreachable"});
 }
 
+TEST_CASE("a service that was slow is tried with one request at a time", "[dispatcher]")
+{
+    single_slot one;
+    const tried_targets none;
+    auto last = one.subject.submit(ask(priority::interactive, one.now), none, one.now);
+    one.only_grant();
+    one.now += seconds{9};
+    one.subject.release(last, attempt_result::answered, one.now);
+    for (int i = 0; i < 60; ++i) {
+        last = one.subject.submit(ask(priority::interactive, one.now, seconds{1}), none, one.now);
+        CHECK(one.only_grant().ticket == last);
+        one.now += milliseconds{10};
+        one.subject.release(last, attempt_result::answered, one.now);
+    }
+    // Fast again: requests may wait for one another.
+    one.subject.submit(ask(priority::interactive, one.now, seconds{1}), none, one.now);
+    one.only_grant();
+    CHECK_NOTHROW(
+        one.subject.submit(ask(priority::interactive, one.now, seconds{1}), none, one.now));
+}
+
 TEST_CASE("a retry goes to another target and rack, or is refused", "[dispatcher]")
 {
     dispatcher subject({.self = entry_id("e0")});
--- a/packages/request/tests/naive_admission.hpp
+++ b/packages/request/tests/naive_admission.hpp
@@ -44,6 +44,17 @@
     {
         std::vector<ticket_refusal> refused;
         const nanoseconds mean = learned(service).mean();
+        std::vector<item> of_service;
+        for (const item& each : m_all) {
+            if (each.request.service == service) {
+                of_service.push_back(each);
+            }
+        }
+        // The only request of a service is tried until its deadline.
+        if (of_service.size() == 1 && !of_service[0].granted &&
+            of_service[0].request.deadline > now) {
+            return refused;
+        }
         while (true) {
             const item* earliest = nullptr;
             for (const item& each : m_all) {
