--- a/packages/process/tests/duty_world.cpp
+++ b/packages/process/tests/duty_world.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t entry_count = 3;
 constexpr milliseconds reboot_time{3000};
 constexpr milliseconds list_lag{2000};
+/// How old the list is that the platform gives, and in which steps it changes.
+constexpr milliseconds list_age{1500};
+constexpr milliseconds list_step{100};
 
 std::string numbered(const char* prefix, std::size_t number)
 {
@@ -221,6 +224,7 @@
                                .value = encode(version::log_head{.version = 1})},
                               {.key = version::log_record_key(1),
                                .value = encode(version::log_record{"first", step})}}});
+    note_list();
     for (std::size_t i = 0; i < entry_count; ++i) {
         entries.push_back(
             std::make_unique<world_entry>(*this, numbered("e", i), options.seed * 10 + i));
@@ -300,6 +304,20 @@
 }
 
 std::vector<listed_instance> world::listed() const
+{
+    return m_lists.empty() ? std::vector<listed_instance>{} : m_lists.front();
+}
+
+void world::note_list()
+{
+    loop.call_after(list_step, [this] { note_list(); });
+    m_lists.push_back(listed_now());
+    if (list_step * m_lists.size() > list_age) {
+        m_lists.pop_front();
+    }
+}
+
+std::vector<listed_instance> world::listed_now() const
 {
     std::vector<listed_instance> list;
     for (const auto& [id, each] : newest.instances) {
--- a/packages/process/tests/duty_world.hpp
+++ b/packages/process/tests/duty_world.hpp
@@ -158,6 +158,7 @@
     bool table_down = false;
 
     void start_reboot(const instance_id& id, const operation_guard& guard);
+    /// The platform's list as it was a while ago.
     [[nodiscard]] std::vector<listed_instance> listed() const;
     void violated(std::string what) { violations.push_back(std::move(what)); }
     /// Judges every version accepted since the last call.
@@ -170,7 +171,11 @@
     void propose(std::function<std::vector<version::change>(const version::fleet&)> changes);
     world_entry& any_live();
 
+    [[nodiscard]] std::vector<listed_instance> listed_now() const;
+    void note_list();
+
     std::size_t m_operations = 0;
+    std::deque<std::vector<listed_instance>> m_lists;
 };
 
 } // namespace plantaindoor::process::testing
