--- a/apps/plantainctl/commands.cpp
+++ b/apps/plantainctl/commands.cpp
@@ -154,6 +154,12 @@
     return show(call.api.call("POST", instance_target(call, "lend"), body.dump()), call.flags);
 }
 
+exit_code return_loan(const context& call)
+{
+    return show(call.api.call("POST", instance_target(call, "return"), reason_body(call)),
+                call.flags);
+}
+
 exit_code wave_start(const context& call)
 {
     const json body{{"id", call.arguments[0]},
@@ -238,15 +244,17 @@
     return exit_code::done;
 }
 
-constexpr std::array<command, 20> commands{{
+constexpr std::array<command, 21> commands{{
     {"apply", "-f FILE [--dry-run]", 0, &apply, "make the fleet match a file"},
     {"get", "KIND", 1, &get,
-     "list teams|pools|services|instances|waves|rules|entries|jobs, or print the fleet file"},
+     "list teams|pools|services|instances|waves|budgets|rules|entries|jobs, or print the fleet "
+     "file"},
     {"status", "", 0, &status, "show the entry that answers"},
     {"drain", "INSTANCE", 1, &drain, "plan an instance out, within every budget"},
     {"undrain", "INSTANCE", 1, &undrain, "admit an instance again"},
     {"move", "INSTANCE --to POOL", 1, &move, "drain an instance and move it to a pool"},
     {"lend", "INSTANCE --to POOL [--minutes N]", 1, &lend, "lend an instance for a term"},
+    {"return", "INSTANCE", 1, &return_loan, "return a lent instance to its pool"},
     {"wave start", "WAVE --pools A,B [--max-parallel N]", 1, &wave_start,
      "maintain every instance of the pools"},
     {"wave pause", "WAVE", 1, &wave_verb<verb_pause>, "take out no further instance"},
--- a/apps/plantainctl/output.cpp
+++ b/apps/plantainctl/output.cpp
@@ -22,6 +22,8 @@
         {"pools", {"id", "reserve", "lends"}},
         {"services", {"id", "team", "pools", "budget", "default_priority", "idempotent"}},
         {"instances", {"id", "pool", "zone", "rack", "address", "port", "state", "outage_wave"}},
+        {"budgets",
+         {"service", "instances", "admitted", "out", "budget", "largest_domain", "spare"}},
         {"waves", {"id", "state", "pools", "done", "total", "reason"}},
         {"rules", {"id", "text"}},
         {"entries", {"id", "zone", "version", "peers", "busy"}},
--- /dev/null
+++ b/packages/process/include/plantaindoor/process/append_answer.hpp
@@ -0,0 +1,18 @@
+// Answers an operator whose change was appended to the log, or was not.
+#pragma once
+
+#include "plantaindoor/connection/operator_router.hpp"
+#include "plantaindoor/version/change_log.hpp"
+
+#include <functional>
+#include <string>
+
+namespace plantaindoor::process {
+
+/// Answers with `body` after an accepted append, with the typed refusal after a refused one, and
+/// with table_unavailable_error where nothing is known to be kept. Loop thread only.
+void respond_appended(const connection::operator_responder& respond,
+                      const version::append_result& result,
+                      const std::function<std::string()>& body);
+
+} // namespace plantaindoor::process
--- /dev/null
+++ b/packages/process/src/append_answer.cpp
@@ -0,0 +1,21 @@
+#include "plantaindoor/process/append_answer.hpp"
+
+namespace plantaindoor::process {
+
+void respond_appended(const connection::operator_responder& respond,
+                      const version::append_result& result,
+                      const std::function<std::string()>& body)
+{
+    switch (result.outcome) {
+    case version::append_outcome::accepted:
+        respond.json(body());
+        break;
+    case version::append_outcome::refused:
+        respond.fail(result.refusal);
+        break;
+    default:
+        respond.fail(connection::table_unavailable_error(std::string(name_of(result.outcome))));
+    }
+}
+
+} // namespace plantaindoor::process
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -8,9 +8,12 @@
 #include "plantaindoor/process/claim_store.hpp"
 #include "plantaindoor/process/claim_sweeper.hpp"
 #include "plantaindoor/process/dispatched_targets.hpp"
+#include "plantaindoor/process/duty_runner.hpp"
+#include "plantaindoor/process/fleet_verbs.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/peer_group.hpp"
+#include "plantaindoor/process/recent_journal.hpp"
 #include "plantaindoor/process/registrar.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
@@ -32,6 +35,9 @@
 constexpr milliseconds flush_time{200};
 /// Longest wait for the table after the last answer.
 constexpr milliseconds settle_time{5000};
+/// Longest pause between a duty holder's readings of the platform's list. An unregistered entry
+/// serves only when it must have been in the list for that long, so that every holder has seen it.
+constexpr milliseconds longest_reading_gap{10000};
 
 http_response plain(std::uint16_t status, std::string text)
 {
@@ -56,6 +62,7 @@
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
           m_registrar(loop, m_table, m_instances, m_log, m_members, registrar_options_here()),
+          m_duties(duty_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
@@ -66,6 +73,11 @@
         add_operator_routes({.router = m_router, .log = m_log, .rows = m_table, .status = [this] {
                                  return status();
                              }});
+        add_fleet_verbs({.router = m_router,
+                         .log = m_log,
+                         .time = loop,
+                         .duties = m_duties,
+                         .journal = m_journal});
         m_router.add_open("GET", "/health", [](const auto&, const auto& respond) {
             respond.respond(plain(200, "healthy"));
         });
@@ -82,6 +94,7 @@
         m_members.listen_at(m_options.peers.address, m_peers.port());
         m_peers.start();
         m_registrar.start();
+        m_duties.start();
     }
 
     void end(event_loop::action on_ended)
@@ -128,7 +141,7 @@
         return {.self = m_options.id,
                 .incarnation = m_options.incarnation,
                 .zone = m_options.zone,
-                .list_lag = m_options.list_lag};
+                .list_lag = m_options.list_lag + longest_reading_gap};
     }
 
     peer_group_options peer_options()
@@ -153,6 +166,20 @@
                 .on_rows = [this](const auto& rows) { take_registered(rows); }};
     }
 
+    duty_runner_options duty_options()
+    {
+        return {
+            .loop = m_loop,
+            .rows = m_table,
+            .log = m_log,
+            .list = m_instances,
+            .control = m_instances,
+            .journal = m_journal,
+            .self = m_options.id,
+            .incarnation = m_options.incarnation,
+            .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap}};
+    }
+
     void take_registered(const std::vector<version::registration>& rows)
     {
         m_peers.set_registered(rows);
@@ -251,6 +278,7 @@
     void leave()
     {
         m_left = true;
+        m_duties.stop();
         m_caller_server.stop_listening();
         m_settle_until = m_loop.now() + settle_time;
         check_ended();
@@ -285,6 +313,8 @@
     membership m_members;
     peer_group m_peers;
     registrar m_registrar;
+    recent_journal m_journal;
+    duty_runner m_duties;
     claim_store m_claims;
     claim_sweeper m_sweeper;
     caller_path m_callers;
--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/process/operator_api.hpp"
 
+#include "plantaindoor/process/append_answer.hpp"
 #include "plantaindoor/version/codec.hpp"
 #include "plantaindoor/version/fleet_document.hpp"
 #include "plantaindoor/version/registration.hpp"
@@ -26,26 +27,15 @@
 };
 
 /// Verbs whose subsystem is not in this entry yet.
-constexpr std::array<verb_route, 15> missing_verbs{{
-    {"POST", "/v1/instances/{}/drain", "drain"},
-    {"POST", "/v1/instances/{}/undrain", "undrain"},
-    {"POST", "/v1/instances/{}/move", "move"},
-    {"POST", "/v1/instances/{}/lend", "lend"},
-    {"POST", "/v1/waves", "wave start"},
-    {"POST", "/v1/waves/{}/pause", "wave pause"},
-    {"POST", "/v1/waves/{}/resume", "wave resume"},
-    {"POST", "/v1/waves/{}/abort", "wave abort"},
-    {"GET", "/v1/waves/{}", "wave watch"},
+constexpr std::array<verb_route, 5> missing_verbs{{
     {"POST", "/v1/rules/check", "rules check"},
     {"POST", "/v1/rules/explain", "rules explain"},
     {"GET", "/v1/jobs", "get jobs"},
     {"POST", "/v1/jobs", "job submit"},
     {"POST", "/v1/jobs/{}/cancel", "job cancel"},
-    {"GET", "/v1/journal", "journal"},
 }};
 
-constexpr std::array<const char*, 6> kinds{"teams",     "pools", "services",
-                                           "instances", "waves", "rules"};
+constexpr std::array<const char*, 5> kinds{"teams", "pools", "services", "instances", "rules"};
 
 void add_missing_verbs(connection::operator_router& router)
 {
@@ -145,21 +135,6 @@
         .dump();
 }
 
-void respond_appended(const operator_responder& respond, const version::append_result& result,
-                      const std::function<std::string()>& body)
-{
-    switch (result.outcome) {
-    case version::append_outcome::accepted:
-        respond.json(body());
-        break;
-    case version::append_outcome::refused:
-        respond.fail(result.refusal);
-        break;
-    default:
-        respond.fail(table_unavailable_error(std::string(name_of(result.outcome))));
-    }
-}
-
 void apply_document(version::change_log& log, const operator_request& request,
                     const operator_responder& respond)
 {
