--- /dev/null
+++ b/tests/process/wave_test.py
@@ -0,0 +1,82 @@
+"""A maintenance wave in real processes: every instance is rebooted, and no caller is harmed."""
+import json
+import signal
+import time
+import unittest
+
+from harness import Cluster, Load, call, judge, wait_for
+
+LONGEST_WAVE_S = 180
+FROZEN_S = 20
+
+
+def post(cluster, entry, path, body):
+    return call(cluster.operators_at(entry), "POST", path, json.dumps(body))
+
+
+def wave_of(cluster, entry):
+    answer = call(cluster.operators_at(entry), "GET", "/v1/waves/m1", timeout_s=5)
+    return answer.json() if answer.status == 200 else {}
+
+
+class WaveTest(unittest.TestCase):
+    def fleet_cluster(self):
+        return Cluster(targets=6, entries=3, service_ms=20,
+                       service={"budget": {"minimum": 4}, "longest_request_ms": 2000},
+                       entry_settings={"timings": {"list_lag_ms": 1000}})
+
+    def run_wave(self, cluster, disturb):
+        load = Load(cluster, ["e1", "e3"], callers=4)
+        started = post(cluster, "e1", "/v1/waves", {"id": "m1", "pools": ["checks"]})
+        self.assertEqual(started.status, 200, started.body)
+        wait_for("an instance out", lambda: wave_of(cluster, "e1").get("out", 0) > 0)
+        disturb()
+        wait_for("wave finished", lambda: wave_of(cluster, "e1").get("state") == "finished",
+                 LONGEST_WAVE_S)
+        verdict = judge(load.stop(), cluster.runs())
+        self.assertEqual(verdict[4:], (0, 0, 0, 0), verdict)
+        self.assertEqual(cluster.cut(), 0)
+        items = call(cluster.operators_at("e1"), "GET", "/v1/instances").json()["items"]
+        self.assertEqual({(i["state"], i["last_wave"]) for i in items}, {("admitted", "m1")})
+
+    def test_wave_maintains_every_instance_under_load(self):
+        with self.fleet_cluster() as cluster:
+            cluster.wait_version(cluster.apply())
+            self.run_wave(cluster, lambda: None)
+
+    def test_wave_goes_on_when_an_entry_is_killed_and_another_frozen(self):
+        with self.fleet_cluster() as cluster:
+            cluster.wait_version(cluster.apply())
+
+            def disturb():
+                cluster.entries["e2"].end(signal.SIGKILL)
+                cluster.list_instance("e2", "entry", state="gone")
+                cluster.entries["e3"].send_signal(signal.SIGSTOP)
+                self.assert_wave_holds(cluster)
+                cluster.entries["e3"].send_signal(signal.SIGCONT)
+
+            self.run_wave(cluster, disturb)
+
+    def assert_wave_holds(self, cluster):
+        """Whatever was stopped by now may come back; nothing else may while an entry is frozen."""
+        done = wave_of(cluster, "e1").get("done", 0)
+        end = time.monotonic() + FROZEN_S
+        while time.monotonic() < end:
+            self.assertLessEqual(wave_of(cluster, "e1").get("done", 0), done + 2)
+
+    def test_drain_that_breaks_the_budget_is_refused_with_figures(self):
+        with self.fleet_cluster() as cluster:
+            cluster.wait_version(cluster.apply())
+            for number, status in ((1, 200), (2, 200), (3, 409)):
+                answer = wait_for("lists read", lambda n=number: self.drain(cluster, n))
+                self.assertEqual(answer.status, status, answer.body)
+            self.assertEqual((answer.json()["type"], answer.json()["service"]),
+                             ("breaks-budget", "spell"))
+
+    @staticmethod
+    def drain(cluster, number):
+        return post(cluster, "e1", f"/v1/instances/w{number}/drain", {"reason": "test"})
+
+
+if __name__ == "__main__":
+    unittest.main()
