--- a/packages/process/src/wave_planner.cpp
+++ b/packages/process/src/wave_planner.cpp
@@ -60,6 +60,7 @@
     std::uint32_t waiting_count = 0;
     std::uint32_t out = 0;
     std::uint32_t arriving = 0;
+    std::uint32_t lent = 0;
     bool blocked = false;
 
     [[nodiscard]] double urgency() const
@@ -77,7 +78,7 @@
 public:
     planning(const wave_planner::options& how, const fleet& whole, const ledger& books,
              const wave& subject)
-        : m_options(how), m_fleet(whole), m_books(books), m_wave(subject)
+        : m_options(how), m_fleet(whole), m_books(books), m_trial(books), m_wave(subject)
     {
     }
 
@@ -150,6 +151,7 @@
     {
         wave_progress& seen = m_plan.progress;
         ++seen.instances;
+        load.lent += each.lent ? 1 : 0;
         if (each.last_wave == m_wave.id) {
             ++seen.done;
         }
@@ -260,14 +262,13 @@
 
     void take_instances()
     {
-        ledger trial = m_books;
         std::uint32_t out = m_plan.progress.out;
         while (m_wave.max_parallel == 0 || out < m_wave.max_parallel) {
             pool_load* next = most_urgent();
             if (next == nullptr) {
                 return;
             }
-            if (take_one(*next, trial)) {
+            if (take_one(*next)) {
                 ++out;
             }
             else {
@@ -288,7 +289,7 @@
         return best;
     }
 
-    bool take_one(pool_load& load, ledger& trial)
+    bool take_one(pool_load& load)
     {
         const auto domain = domain_to_open(load);
         if (!domain) {
@@ -296,10 +297,10 @@
         }
         std::vector<const instance*>& waiting = load.waiting.at(*domain);
         const instance& chosen = *waiting.back();
-        if (!trial.may_take_out(chosen)) {
+        if (!m_trial.may_take_out(chosen)) {
             return false;
         }
-        trial.take_out(chosen);
+        m_trial.take_out(chosen);
         waiting.pop_back();
         --load.waiting_count;
         ++load.out;
@@ -338,9 +339,8 @@
 
     void propose_loans()
     {
-        ledger trial = m_books;
         for (auto& [id, load] : m_pools) {
-            const std::int64_t spare = trial.spare_of(id).value_or(0);
+            const std::int64_t spare = m_trial.spare_of(id).value_or(0);
             const bool held = load.out == 0 && load.waiting_count > 0;
             if (held) {
                 m_plan.held.push_back(id);
@@ -351,31 +351,24 @@
                                                static_cast<std::uint32_t>(spare) + load.out,
                                                m_options.max_loans_per_pool, m_options.weights);
             wanted = std::min(wanted, m_options.max_loans_per_pool);
-            for (std::uint32_t n = load.arriving + lent_to(id); n < wanted; ++n) {
-                if (!propose_loan(load, trial)) {
+            for (std::uint32_t n = load.arriving + load.lent; n < wanted; ++n) {
+                if (!propose_loan(load)) {
                     break;
                 }
             }
         }
     }
 
-    std::uint32_t lent_to(const pool_id& id) const
-    {
-        return static_cast<std::uint32_t>(std::count_if(
-            m_fleet.instances.begin(), m_fleet.instances.end(),
-            [&](const auto& item) { return item.second.pool == id && item.second.lent; }));
-    }
-
-    bool propose_loan(const pool_load& to, ledger& trial)
+    bool propose_loan(const pool_load& to)
     {
         const instance* best = nullptr;
         std::int64_t best_spare = 0;
         for (const auto& [id, each] : m_fleet.instances) {
-            if (!may_lend(each, to, trial)) {
+            if (!may_lend(each, to)) {
                 continue;
             }
             const std::int64_t spare =
-                trial.spare_of(each.pool).value_or(std::numeric_limits<std::int32_t>::max());
+                m_trial.spare_of(each.pool).value_or(std::numeric_limits<std::int32_t>::max());
             if (best == nullptr || spare > best_spare) {
                 best = &each;
                 best_spare = spare;
@@ -384,24 +377,26 @@
         if (best == nullptr) {
             return false;
         }
-        trial.take_out(*best);
+        m_trial.take_out(*best);
         m_promised[best->pool] += 1;
         m_promised_ids.insert(best->id);
         m_plan.loans.push_back({.id = best->id, .to = to.id});
         return true;
     }
 
-    bool may_lend(const instance& each, const pool_load& to, const ledger& trial)
+    bool may_lend(const instance& each, const pool_load& to)
     {
         const auto lender = m_fleet.pools.find(each.pool);
         const bool able = each.pool != to.id && lender != m_fleet.pools.end() &&
                           lender->second.lends && !each.lent && m_books.healthy(each) &&
-                          !m_promised_ids.contains(each.id) && trial.may_take_out(each);
-        // A pool with instances of its own to maintain keeps one to spare for them.
+                          !m_promised_ids.contains(each.id) && m_trial.may_take_out(each);
+        // A pool with instances of its own to maintain lends only where nothing else goes on, and
+        // then keeps one to spare for them.
         const auto own = m_pools.find(each.pool);
         const bool busy = own != m_pools.end() && own->second.waiting_count > 0;
         const std::int64_t kept = busy ? 2 : 1;
-        return able && trial.spare_of(each.pool).value_or(kept) >= kept &&
+        return able && (!busy || to.out == 0) &&
+               m_trial.spare_of(each.pool).value_or(kept) >= kept &&
                admitted_in(each.pool) > lender->second.reserve + m_promised[each.pool];
     }
 
@@ -418,6 +413,8 @@
     const wave_planner::options& m_options;
     const fleet& m_fleet;
     const ledger& m_books;
+    /// The books with all that is planned so far.
+    ledger m_trial;
     const wave& m_wave;
     wave_plan m_plan;
     std::map<service_id, service_load> m_services;
@@ -450,8 +447,10 @@
         if (parallel == 0) {
             continue;
         }
-        const std::uint32_t whole_rounds = (waiting + parallel - 1) / parallel;
-        const double rounds = whole_rounds;
+        // A loan arrives a round late.
+        const std::uint32_t first = loans == 0 ? 0 : std::min(spare, waiting);
+        const double rounds =
+            (loans == 0 ? 0 : 1) + double((waiting - first + parallel - 1) / parallel);
         const double cost = weights.roll_out * rounds + weights.moves * 2 * loans +
                             weights.buffer * parallel * rounds;
         if (cost < least) {
