version: Keep outages and moves through an applied fleet file

Cause: put_instance gave every edited instance a new state_version, and the file's instance lost the move that its drain prepares and its boot count. A file applied during a reboot would have admitted the instance at once, and started its reboot anew under another operation id.

--- a/packages/version/src/delta.cpp
+++ b/packages/version/src/delta.cpp
@@ -38,7 +38,11 @@
     void operator()(const put_instance& c)
     {
         instance value = c.value;
-        value.state_version = m_version;
+        const auto present = m_fleet.instances.find(value.id);
+        const bool same_outage = present != m_fleet.instances.end() &&
+                                 present->second.state == value.state &&
+                                 present->second.pool == value.pool;
+        value.state_version = same_outage ? present->second.state_version : m_version;
         m_fleet.instances.insert_or_assign(value.id, std::move(value));
     }
     void operator()(const put_wave& c) { m_fleet.waves.insert_or_assign(c.value.id, c.value); }
--- a/packages/version/src/fleet_document.cpp
+++ b/packages/version/src/fleet_document.cpp
@@ -207,6 +207,8 @@
     wanted.last_wave = present.last_wave;
     wanted.maintained = present.maintained;
     wanted.lent = present.lent;
+    wanted.moving = present.moving;
+    wanted.boots_before = present.boots_before;
     return wanted;
 }
 
--- a/packages/version/tests/planned_changes_test.cpp
+++ b/packages/version/tests/planned_changes_test.cpp
@@ -1,4 +1,5 @@
 #include "plantaindoor/version/codec.hpp"
+#include "plantaindoor/version/fleet_document.hpp"
 #include "plantaindoor/version/planned_changes.hpp"
 
 #include <catch2/catch.hpp>
@@ -146,3 +147,34 @@
     accept(whole, plan_wave_state(whole, id, wave_state::aborted, "fire"));
     CHECK_THROWS_AS(plan_wave_state(whole, id, wave_state::running, ""), wave_over_error);
 }
+
+TEST_CASE("a fleet file applied meanwhile leaves outages and moves as they are", "[plan]")
+{
+    fleet whole = two_pools();
+    whole.teams = {{team_id("t"), {.id = team_id("t")}}};
+    for (auto& [id, each] : whole.services) {
+        each.team = team_id("t");
+    }
+    for (auto& [id, each] : whole.instances) {
+        each.address = "127.0.0.1";
+        each.port = 1;
+        each.zone = availability_zone_id("a");
+        each.rack = rack_id("r");
+    }
+    const instance_id rebooted("checks1");
+    const instance_id moved("essays1");
+    accept(whole, plan_drain(whole, rebooted, {.wave = wave_id("m")}));
+    accept(whole, plan_end_of_drain(whole, outage_of(whole, rebooted), 7));
+    accept(whole, plan_move(whole, {.id = moved, .to = checks}));
+    const fleet before = whole;
+    fleet edited = whole;
+    edited.instances.at(rebooted).slots = 9;
+    edited.instances.at(moved).slots = 9;
+    accept(whole,
+           changes_to_match(whole, parse_fleet_document(to_fleet_document(edited), "f.yaml")));
+    for (const instance_id& id : {rebooted, moved}) {
+        instance expected = before.instances.at(id);
+        expected.slots = 9;
+        CHECK(whole.instances.at(id) == expected);
+    }
+}
