tests: Judge every broken answer at two targets

Cause: with one target only, a wrongly allowed retry had nowhere to go, and the test of broken answers passed with that mutation.

--- a/tests/process/answers_test.py
+++ b/tests/process/answers_test.py
@@ -17,17 +17,17 @@
 
 class AnswersTest(unittest.TestCase):
     def test_broken_answer_is_told_as_unknown_and_runs_once(self):
-        target = RawTarget()
-        with RawCluster([target]) as cluster:
+        targets = [RawTarget(), RawTarget()]
+        with RawCluster(targets) as cluster:
             cluster.serve()
             for behave in BROKEN:
                 with self.subTest(behave.__name__):
-                    target.behave = behave
+                    targets[0].behave = targets[1].behave = behave
                     broken = cluster.request("e1", b"an order", headers=DEADLINE)
                     self.assertEqual((broken.status, broken.outcome), (502, "unknown"), broken.body)
                     self.assertEqual(broken.json()["type"], "lost-answer")
-                    self.assertEqual(target.runs[broken.request_id], 1)
-                    target.behave = well
+                    self.assertEqual(cluster.runs_of_ids()[broken.request_id], 1)
+                    targets[0].behave = targets[1].behave = well
                     good = cluster.request("e1", behave.__name__.encode(), headers=DEADLINE)
                     self.assertEqual(good.outcome, "answered")
                     self.assertEqual(good.body.decode(), f"{good.request_id} {behave.__name__}")
