tests: Wait until entries are ready before judging them

Cause: since entries register before they serve, answers_test and claims_test met entries that were still starting.

--- a/tests/process/raw_target.py
+++ b/tests/process/raw_target.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from harness import Cluster
+from harness import Cluster, call, wait_for
 
 ENDLESS_PART = b"x" * 1024
 
@@ -193,7 +193,8 @@
 
     def serve(self):
         self.wait_version(self.apply())
-        return self
+        for name in self.entries:
+            wait_for(f"{name} ready", lambda n=name: call(self.callers_at(n), "GET", "/ready").status == 200)
 
     def runs_of_ids(self):
         return sum((target.runs for target in self.raw), collections.Counter())
