--- a/packages/process/include/plantaindoor/process/peer_group.hpp
+++ b/packages/process/include/plantaindoor/process/peer_group.hpp
@@ -1,5 +1,5 @@
-// Keeps this entry level with its peers: exchanges versions, demand and signs of life with them, and
-// tells membership whom it hears.
+// Keeps this entry level with its peers: exchanges versions, demand and signs of life with them,
+// and tells membership whom it hears.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
--- a/packages/request/include/plantaindoor/request/claim_queue.hpp
+++ b/packages/request/include/plantaindoor/request/claim_queue.hpp
@@ -43,6 +43,8 @@
     std::array<std::set<claim_ticket>, priorities> m_claims;
     std::set<claim_ticket> m_ends;
     time_point m_ends_since{};
+    /// An odd row of room goes to claims and ends in turn.
+    bool m_odd_row_for_ends = false;
 };
 
 } // namespace plantaindoor::request
--- a/packages/request/src/claim_queue.cpp
+++ b/packages/request/src/claim_queue.cpp
@@ -46,8 +46,10 @@
 std::vector<claim_ticket> claim_queue::take(std::size_t room, time_point now)
 {
     std::vector<claim_ticket> taken;
-    const std::size_t for_ends =
-        std::min(ends(), std::max(room / 2, room - std::min(room, claims())));
+    m_odd_row_for_ends = !m_odd_row_for_ends;
+    const std::size_t half = (room + (m_odd_row_for_ends ? 1 : 0)) / 2;
+    const std::size_t left_by_claims = room - std::min(room, claims());
+    const std::size_t for_ends = std::min(ends(), std::max(half, left_by_claims));
     const std::size_t for_claims = room - for_ends;
     for (auto& claims : m_claims) {
         move_oldest(claims, for_claims - taken.size(), taken);
