--- a/packages/process/tests/duty_world.cpp
+++ b/packages/process/tests/duty_world.cpp
@@ -312,7 +312,7 @@
 {
     loop.call_after(list_step, [this] { note_list(); });
     m_lists.push_back(listed_now());
-    if (m_lists.size() > list_age / list_step) {
+    if (list_step * m_lists.size() > list_age) {
         m_lists.pop_front();
     }
 }
