tests: Wait until entries are ready before sending, and let a loop run again

Cause: an entry now serves only once it is registered, and the path tests sent before that (503 not-serving, 3 failures). A second run() of one loop returned at once, since stop() was never taken back (peer_channel_test, 3 failed assertions). Ruled out: retrying refused requests in the harness; that would hide refusals that must not happen. Result: path_test 4 of 4, the peers' tests 13 assertions pass.

--- a/packages/process/include/plantaindoor/process/reactor_loop.hpp
+++ b/packages/process/include/plantaindoor/process/reactor_loop.hpp
@@ -24,7 +24,8 @@
     void cancel(timer_id timer) override;
     void post(action on_loop) override;
 
-    /// Runs until stop(). Must be called on the thread that makes all other calls.
+    /// Runs until stop(); may be called again. Must be called on the thread that makes all other
+    /// calls.
     void run();
     /// Makes run() return soon. Thread-safe.
     void stop();
--- a/packages/process/src/reactor_loop.cpp
+++ b/packages/process/src/reactor_loop.cpp
@@ -211,7 +211,7 @@
 
     void run()
     {
-        while (!m_stopping) {
+        while (!m_stopping.exchange(false)) {
             ACE_Time_Value wait = time_to_wait();
             m_reactor.handle_events(wait);
             m_removed.clear();
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -215,9 +215,13 @@
         return answer.json() if answer.status == 200 else None
 
     def wait_version(self, version, entries=None):
+        """Waits until the entries have the version in force and are ready."""
         for name in entries or self.entries:
-            wait_for(f"{name} at version {version}",
-                     lambda n=name: (self.status(n) or {}).get("version", -1) >= version)
+            wait_for(f"{name} ready at version {version}", lambda n=name: self.serves(n, version))
+
+    def serves(self, entry, version):
+        status = self.status(entry)
+        return status is not None and status["ready"] and status["version"] >= version
 
     def request(self, entry, body=b"", path="/spell/check", headers=None, timeout_s=30):
         return call(self.callers_at(entry), "POST", path, body, headers, timeout_s)
