--- a/packages/process/include/plantaindoor/process/operator_api.hpp
+++ b/packages/process/include/plantaindoor/process/operator_api.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/connection/operator_router.hpp"
+#include "plantaindoor/request/claim_batcher.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
 #include <functional>
@@ -20,6 +21,8 @@
     /// Empty: ready.
     std::string not_ready_reason;
     std::size_t requests_in_progress = 0;
+    request::claim_counts claims;
+    std::size_t claims_unsettled = 0;
 };
 
 struct operator_api_options {
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -245,7 +245,9 @@
                 .zone = m_options.zone,
                 .incarnation = m_options.incarnation,
                 .not_ready_reason = not_ready_reason(),
-                .requests_in_progress = m_callers.in_progress()};
+                .requests_in_progress = m_callers.in_progress(),
+                .claims = m_claims.counts(),
+                .claims_unsettled = m_claims.unsettled()};
     }
 
     void leave()
--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -77,6 +77,14 @@
         });
 }
 
+json claims_json(const entry_status& now)
+{
+    return {{"granted", now.claims.granted},           {"replayed", now.claims.replayed},
+            {"refused", now.claims.refused},           {"recorded", now.claims.recorded},
+            {"forgotten", now.claims.forgotten},       {"unsettled", now.claims_unsettled},
+            {"transactions", now.claims.transactions}, {"rows", now.claims.rows}};
+}
+
 void add_status(const operator_api_options& options)
 {
     options.router.add("GET", "/v1/status",
@@ -91,6 +99,7 @@
                                              {"reason", now.not_ready_reason},
                                              {"version", fleet->version},
                                              {"requests_in_progress", now.requests_in_progress},
+                                             {"claims", claims_json(now)},
                                              {"pools", fleet->pools.size()},
                                              {"services", fleet->services.size()},
                                              {"instances", fleet->instances.size()}}
--- a/tests/process/claims_test.py
+++ b/tests/process/claims_test.py
@@ -98,6 +98,8 @@
             self.assertEqual((other.status, other.outcome), (422, "not-run"))
             self.assertEqual(other.json()["type"], "key-reused")
             self.assertEqual(cluster.runs_of_bodies(), {ORDER: 1})
+            self.assertEqual(cluster.status("e1")["claims"]["recorded"], 1)
+            self.assertGreaterEqual(cluster.status("e2")["claims"]["replayed"], 1)
 
     @staticmethod
     def replayed(cluster, entry, body):
