--- a/packages/process/src/duty_lease.cpp
+++ b/packages/process/src/duty_lease.cpp
@@ -148,7 +148,8 @@
 
 void duty_leases::add_clean_up(std::vector<request>& wanted, time_point now) const
 {
-    for (const auto& [holder, seen] : m_holders) {
+    for (const auto& [key, seen] : m_holders) {
+        const std::string& holder = key;
         const bool named = std::any_of(m_duties.begin(), m_duties.end(), [&](const auto& item) {
             return item.second.row.holder == holder;
         });
--- a/packages/process/src/duty_runner.cpp
+++ b/packages/process/src/duty_runner.cpp
@@ -8,7 +8,6 @@
 namespace plantaindoor::process {
 
 using version::fleet;
-using version::instance;
 using version::wave;
 using version::wave_state;
 
--- a/packages/process/src/pool_duty.cpp
+++ b/packages/process/src/pool_duty.cpp
@@ -282,8 +282,9 @@
     const journal_entry model = entry_for(view, "drain-ended", {});
     append("drained", [ends, model](const fleet& newest, auto& notes) {
         std::vector<change> changes;
-        for (const auto& [drain, boots] : ends) {
-            if (try_plan(changes, [&] { return plan_end_of_drain(newest, drain, boots); })) {
+        for (const auto& each : ends) {
+            const outage& drain = each.first;
+            if (try_plan(changes, [&] { return plan_end_of_drain(newest, drain, each.second); })) {
                 notes.push_back(model);
                 notes.back().facts.push_back({"instance", drain.id.str()});
             }
@@ -333,8 +334,9 @@
                 ++failed[wave];
             }
         }
-        for (const auto& [wave, count] : failed) {
-            const std::uint32_t all = count + failed_in(newest, wave);
+        for (const auto& item : failed) {
+            const wave_id& wave = item.first;
+            const std::uint32_t all = item.second + failed_in(newest, wave);
             const auto found_wave = newest.waves.find(wave);
             const bool running =
                 found_wave != newest.waves.end() && found_wave->second.state == wave_state::running;
--- a/packages/process/src/wave_planner.cpp
+++ b/packages/process/src/wave_planner.cpp
@@ -49,7 +49,7 @@
     {
         return static_cast<std::uint32_t>(std::max<std::int64_t>(1, spare + out));
     }
-    [[nodiscard]] double rounds() const { return double(waiting) / capacity(); }
+    [[nodiscard]] double rounds() const { return static_cast<double>(waiting) / capacity(); }
 };
 
 /// One pool's instances that are still to be taken, by domain, those of one rack together.
@@ -449,8 +449,8 @@
         }
         // A loan arrives a round late.
         const std::uint32_t first = loans == 0 ? 0 : std::min(spare, waiting);
-        const double rounds =
-            (loans == 0 ? 0 : 1) + double((waiting - first + parallel - 1) / parallel);
+        const std::uint32_t rounds =
+            (loans == 0 ? 0 : 1) + (waiting - first + parallel - 1) / parallel;
         const double cost = weights.roll_out * rounds + weights.moves * 2 * loans +
                             weights.buffer * parallel * rounds;
         if (cost < least) {
