--- a/packages/process/tests/duty_world.cpp
+++ b/packages/process/tests/duty_world.cpp
@@ -262,6 +262,7 @@
     while (loop.now() < end) {
         loop.run_for(milliseconds(100));
         check_versions();
+        check_holders();
         const auto wave = newest.waves.find(wave_id("m"));
         if (wave != newest.waves.end() && wave->second.state == version::wave_state::finished) {
             return true;
@@ -333,6 +334,19 @@
     return list;
 }
 
+void world::check_holders()
+{
+    std::set<pool_id> held;
+    for (const auto& each : entries) {
+        for (const pool_id& pool :
+             each->loop.dead() ? std::vector<pool_id>{} : each->duties->held()) {
+            if (!held.insert(pool).second) {
+                violated("two entries hold the duty of " + pool.str());
+            }
+        }
+    }
+}
+
 void world::check_versions()
 {
     for (;;) {
--- a/packages/process/tests/duty_world.hpp
+++ b/packages/process/tests/duty_world.hpp
@@ -172,6 +172,8 @@
     world_entry& any_live();
 
     [[nodiscard]] std::vector<listed_instance> listed_now() const;
+    /// No two processes may believe to hold a duty at once, also not a frozen one.
+    void check_holders();
     void note_list();
 
     std::size_t m_operations = 0;
