--- a/packages/connection/include/plantaindoor/connection/exchange_policy.hpp
+++ b/packages/connection/include/plantaindoor/connection/exchange_policy.hpp
@@ -17,9 +17,11 @@
 
 struct exchange_policy_options {
     std::uint64_t seed = 0;
-    /// Time between two periodic rounds, and most peers asked in each.
+    /// Time between two periodic rounds.
     milliseconds period{1000};
-    std::size_t fan_out = 6;
+    /// Up to so many peers, each round asks all of them; of more, only some.
+    std::size_t full_mesh = 7;
+    std::size_t fan_out = 2;
     /// Most pushes of a version under way at once.
     std::size_t push_fan_out = 6;
     /// Pushes that met peers which already had the version, after which no more are begun.
@@ -48,6 +50,8 @@
     /// The version that the peer was last known to have; nothing before its first reply.
     [[nodiscard]] std::optional<version::version_number> known_version(const endpoint& peer) const;
     [[nodiscard]] std::size_t peers() const noexcept { return m_peers.size(); }
+    /// Whether each round asks every peer.
+    [[nodiscard]] bool asks_all() const noexcept { return m_peers.size() <= m_options.full_mesh; }
 
 private:
     struct peer_state {
--- a/packages/connection/src/exchange_policy.cpp
+++ b/packages/connection/src/exchange_policy.cpp
@@ -37,7 +37,8 @@
     }
     if (!m_last_round || now - *m_last_round >= m_options.period) {
         m_last_round = now;
-        const auto round = begin(candidates(now, false), m_options.fan_out, false);
+        const std::size_t most = asks_all() ? m_peers.size() : m_options.fan_out;
+        const auto round = begin(candidates(now, false), most, false);
         due.insert(due.end(), round.begin(), round.end());
     }
     return due;
--- a/packages/connection/src/peer_channel.cpp
+++ b/packages/connection/src/peer_channel.cpp
@@ -231,12 +231,12 @@
         const std::lock_guard held(m_calls->lock);
         auto found = m_calls->sent.extract(id);
         if (!m_calls->closed) {
-            m_loop.post([this, alive = m_alive, call = found.mapped(),
-                         outcome = outcome_of(status)] {
-                if (*alive) {
-                    report_sent(*call, outcome);
-                }
-            });
+            m_loop.post(
+                [this, alive = m_alive, call = found.mapped(), outcome = outcome_of(status)] {
+                    if (*alive) {
+                        report_sent(*call, outcome);
+                    }
+                });
         }
         m_calls->all_ended.notify_all();
     }
--- a/packages/process/include/plantaindoor/process/peer_group.hpp
+++ b/packages/process/include/plantaindoor/process/peer_group.hpp
@@ -1,5 +1,5 @@
-// Keeps this entry level with its peers: exchanges versions, demand and signs of life with them, and
-// tells membership whom it hears.
+// Keeps this entry level with its peers: exchanges versions, demand and signs of life with them,
+// and tells membership whom it hears.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
@@ -33,7 +33,7 @@
     /// Bounds of one message.
     std::size_t max_records = 100;
     std::size_t max_heard = 40;
-    std::size_t max_reports = 16;
+    std::size_t max_reports = 6;
     /// A whole version is sent to the same peer no more often than this.
     milliseconds snapshot_period{10000};
     /// This entry's demand, and where to bring the peers'.
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -164,6 +164,7 @@
         }
         live.insert(m_options.id);
         m_targets.set_entries({live.begin(), live.end()});
+        m_log.share_polling(live.size());
     }
 
     caller_path_options caller_options()
--- a/packages/process/src/peer_group.cpp
+++ b/packages/process/src/peer_group.cpp
@@ -64,13 +64,12 @@
 
 void peer_group::start()
 {
-    m_log.subscribe(
-        [this, alive = std::weak_ptr<bool>(m_alive)](const version::fleet_ptr& newest) {
-            if (!alive.expired()) {
-                m_policy.on_version(newest->version);
-                begin_due();
-            }
-        });
+    m_log.subscribe([this, alive = std::weak_ptr<bool>(m_alive)](const version::fleet_ptr& newest) {
+        if (!alive.expired()) {
+            m_policy.on_version(newest->version);
+            begin_due();
+        }
+    });
     m_policy.on_version(m_log.current()->version);
     tick();
 }
@@ -118,11 +117,11 @@
         add_versions(message, *known, peer.str());
     }
     add_reports(message);
-    m_channel.exchange(peer, message,
-                       [this, peer, asked = m_loop.now()](exchange_outcome outcome,
-                                                          const peer_message& answered) {
-                           on_answer(peer, asked, outcome, answered);
-                       });
+    m_channel.exchange(
+        peer, message,
+        [this, peer, asked = m_loop.now()](exchange_outcome outcome, const peer_message& answered) {
+            on_answer(peer, asked, outcome, answered);
+        });
 }
 
 void peer_group::on_answer(const endpoint& peer, time_point asked, exchange_outcome outcome,
@@ -217,8 +216,7 @@
         message.records.push_back(version::encode(each));
     }
     time_point& sent = m_snapshots_sent[receiver_name];
-    const bool rested =
-        sent == time_point{} || m_loop.now() - sent >= m_options.snapshot_period;
+    const bool rested = sent == time_point{} || m_loop.now() - sent >= m_options.snapshot_period;
     if (message.records.empty() && rested) {
         sent = m_loop.now();
         message.snapshot = version::encode(*current);
@@ -232,7 +230,7 @@
                               .sequence = ++m_sequence,
                               .zone = m_options.zone,
                               .services = m_options.demand()});
-    if (m_policy.peers() <= m_options.policy.fan_out) {
+    if (m_policy.asks_all()) {
         return;
     }
     std::vector<const heard_report*> fresh;
--- a/packages/process/src/registrar.cpp
+++ b/packages/process/src/registrar.cpp
@@ -70,8 +70,7 @@
 
 void registrar::start()
 {
-    m_log.subscribe(
-        while_alive([this](const version::fleet_ptr& newest) { follow_log(newest); }));
+    m_log.subscribe(while_alive([this](const version::fleet_ptr& newest) { follow_log(newest); }));
     follow_log(m_log.current());
     tick();
     scan();
@@ -117,8 +116,7 @@
     if (!read_once || !m_members.write_due(m_loop.now())) {
         return;
     }
-    registration_write write =
-        m_members.begin_write(m_loop.now(), m_loop.wall_now(), busy());
+    registration_write write = m_members.begin_write(m_loop.now(), m_loop.wall_now(), busy());
     if (!write.first && m_row) {
         renew(write);
     }
@@ -159,8 +157,8 @@
         return;
     }
     const row_version head_row = head == nullptr ? absent_row : head->version;
-    send(write, {.conditions = {{std::string(version::log_head_key), head_row},
-                                {m_key, absent_row}}});
+    send(write,
+         {.conditions = {{std::string(version::log_head_key), head_row}, {m_key, absent_row}}});
 }
 
 void registrar::renew(const registration_write& write)
@@ -171,9 +169,8 @@
 void registrar::send(const registration_write& write, table_transaction step)
 {
     step.writes.push_back({m_key, version::encode(write.row)});
-    m_table.transact(std::move(step), while_alive([this](const transact_result& result) {
-                         on_transacted(result);
-                     }));
+    m_table.transact(std::move(step),
+                     while_alive([this](const transact_result& result) { on_transacted(result); }));
 }
 
 void registrar::on_transacted(const transact_result& result)
@@ -195,8 +192,7 @@
 {
     m_loop.cancel(m_scan_timer);
     const milliseconds shared = scan_share * (m_members.others() + 1);
-    m_scan_timer =
-        m_loop.call_after(std::max(m_options.scan_period, shared), [this] { scan(); });
+    m_scan_timer = m_loop.call_after(std::max(m_options.scan_period, shared), [this] { scan(); });
     m_table.scan({.prefix = std::string(version::registration_prefix)},
                  while_alive([this](const read_result& rows) {
                      if (rows) {
--- a/packages/process/tests/duty_world.cpp
+++ b/packages/process/tests/duty_world.cpp
@@ -312,7 +312,7 @@
 {
     loop.call_after(list_step, [this] { note_list(); });
     m_lists.push_back(listed_now());
-    if (m_lists.size() > list_age / list_step) {
+    if (m_lists.size() > static_cast<std::size_t>(list_age / list_step)) {
         m_lists.pop_front();
     }
 }
--- a/packages/process/tests/peer_channel_test.cpp
+++ b/packages/process/tests/peer_channel_test.cpp
@@ -4,12 +4,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
 #include <memory>
-#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
-
-#include <arpa/inet.h>
+#include <utility>
+#include <vector>
 
 using namespace plantaindoor;
 using namespace plantaindoor::connection;
@@ -30,17 +30,28 @@
             }};
 }
 
-/// Makes one exchange and runs the loop until it has ended.
-std::pair<exchange_outcome, peer_message> exchange(process::reactor_loop& loop, peer_channel& from,
-                                                   const endpoint& to, const peer_message& message)
+struct exchange_result {
+    exchange_outcome outcome = exchange_outcome::unreachable;
+    peer_message answer;
+};
+
+/// Makes the exchanges and runs the loop until all have ended.
+std::vector<exchange_result> exchanges(process::reactor_loop& loop, peer_channel& from,
+                                       const std::vector<std::pair<endpoint, peer_message>>& wanted)
 {
-    std::optional<std::pair<exchange_outcome, peer_message>> result;
-    from.exchange(to, message, [&](exchange_outcome outcome, const peer_message& answer) {
-        result.emplace(outcome, answer);
-        loop.stop();
-    });
+    std::vector<exchange_result> results(wanted.size());
+    std::size_t left = wanted.size();
+    for (std::size_t each = 0; each < wanted.size(); ++each) {
+        from.exchange(wanted[each].first, wanted[each].second,
+                      [&, each](exchange_outcome outcome, const peer_message& answer) {
+                          results[each] = {outcome, answer};
+                          if (--left == 0) {
+                              loop.stop();
+                          }
+                      });
+    }
     loop.run();
-    return result.value();
+    return results;
 }
 
 /// A peer that accepts connections and never says anything, like a frozen process.
@@ -73,11 +84,11 @@
     process::reactor_loop loop;
     peer_channel a(loop, named("a"));
     peer_channel b(loop, named("b"));
-    const auto [outcome, answer] =
-        exchange(loop, a, {"127.0.0.1", b.port()}, {.entry = entry_id("a"), .version = 41});
-    CHECK(outcome == exchange_outcome::answered);
-    CHECK(answer.entry == entry_id("b"));
-    CHECK(answer.version == 42);
+    const auto results =
+        exchanges(loop, a, {{{"127.0.0.1", b.port()}, {.entry = entry_id("a"), .version = 41}}});
+    CHECK(results[0].outcome == exchange_outcome::answered);
+    CHECK(results[0].answer.entry == entry_id("b"));
+    CHECK(results[0].answer.version == 42);
     CHECK(a.bytes_sent() == b.bytes_received());
 }
 
@@ -87,12 +98,15 @@
     peer_channel a(loop, named("a"));
     peer_channel other(loop, named("b", "another"));
     const peer_message message{.entry = entry_id("a"), .incarnation = 7};
-    CHECK(exchange(loop, a, {"127.0.0.1", other.port()}, message).first ==
-          exchange_outcome::wrong_cluster);
-    CHECK(exchange(loop, a, {"127.0.0.1", a.port()}, message).first == exchange_outcome::self);
     peer_message doubled = message;
     doubled.incarnation = 8;
-    CHECK(exchange(loop, a, {"127.0.0.1", a.port()}, doubled).first == exchange_outcome::answered);
+    const auto results = exchanges(loop, a,
+                                   {{{"127.0.0.1", other.port()}, message},
+                                    {{"127.0.0.1", a.port()}, message},
+                                    {{"127.0.0.1", a.port()}, doubled}});
+    CHECK(results[0].outcome == exchange_outcome::wrong_cluster);
+    CHECK(results[1].outcome == exchange_outcome::self);
+    CHECK(results[2].outcome == exchange_outcome::answered);
 }
 
 TEST_CASE("an exchange with a frozen or absent peer ends within its timeout", "[peers]")
@@ -102,8 +116,9 @@
     options.timeout = short_timeout;
     peer_channel a(loop, std::move(options));
     const silent_listener frozen;
-    CHECK(exchange(loop, a, frozen.at(), {}).first == exchange_outcome::unreachable);
-    CHECK(exchange(loop, a, {"127.0.0.1", 1}, {}).first == exchange_outcome::unreachable);
+    for (const auto& each : exchanges(loop, a, {{frozen.at(), {}}, {{"127.0.0.1", 1}, {}}})) {
+        CHECK(each.outcome == exchange_outcome::unreachable);
+    }
 }
 
 TEST_CASE("a channel can end while exchanges are under way in both directions", "[peers]")
--- a/packages/version/include/plantaindoor/version/table_change_log.hpp
+++ b/packages/version/include/plantaindoor/version/table_change_log.hpp
@@ -27,6 +27,8 @@
     std::uint64_t seed = 0;
     /// Time from one reading of the head to the next.
     milliseconds poll_period{500};
+    /// Most readings of the head a second by all entries together, see share_polling().
+    std::size_t max_polls_per_second = 100;
     /// Tries of one append, each after a lost race or without an answer.
     std::size_t max_attempts = 12;
     milliseconds first_retry{10};
@@ -54,6 +56,9 @@
     void append(append_request request, append_callback done) override;
     void subscribe(version_callback on_version) override;
 
+    /// Bounds the readings of the head by all entries together: with so many entries each polls
+    /// less often, and hears of new versions from its peers.
+    void share_polling(std::size_t entries);
     /// Takes records that a peer sent, and the version that it has in force.
     void receive(std::vector<log_record> records, version_number in_force);
     /// Takes a whole version that a peer sent.
@@ -122,6 +127,7 @@
     event_loop& m_loop;
     table& m_table;
     table_change_log_options m_options;
+    nanoseconds m_poll_period;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::minstd_rand m_random;
 
--- a/packages/version/src/table_change_log.cpp
+++ b/packages/version/src/table_change_log.cpp
@@ -45,6 +45,7 @@
     : m_loop(loop),
       m_table(rows),
       m_options(std::move(options)),
+      m_poll_period(m_options.poll_period),
       m_random(static_cast<std::minstd_rand::result_type>(m_options.seed)),
       m_follower(m_options.follower)
 {
@@ -83,7 +84,13 @@
 void table_change_log::poll()
 {
     poll_now();
-    m_poll_timer = m_loop.call_after(m_options.poll_period, [this] { poll(); });
+    m_poll_timer = m_loop.call_after(m_poll_period, [this] { poll(); });
+}
+
+void table_change_log::share_polling(std::size_t entries)
+{
+    const nanoseconds shared = nanoseconds(seconds(entries)) / m_options.max_polls_per_second;
+    m_poll_period = std::max<nanoseconds>(m_options.poll_period, shared);
 }
 
 void table_change_log::poll_now()
