rules: Compile when-then rules once per version and check them when applied

Cause: fleet.rules was kept as text that nothing read, so a rule with a fault was accepted and did nothing. A file with faulty rules is refused with every fault and its line.

--- a/packages/version/include/plantaindoor/version/fleet_document.hpp
+++ b/packages/version/include/plantaindoor/version/fleet_document.hpp
@@ -77,6 +77,10 @@
 /// Reads a fleet file. Throws document_error with every fault. Thread-safe.
 [[nodiscard]] fleet_document parse_fleet_document(const std::string& text, const std::string& file);
 
+/// Reads the rules of a fleet file, or of a file with nothing but rules; the names in the latter
+/// are not checked. Throws document_error with every fault. Thread-safe.
+[[nodiscard]] std::vector<rule> parse_rules(const std::string& text, const std::string& file);
+
 /// The changes that make the fleet match the document; empty when it does already. Throws
 /// stale_edit_error, pool_change_error, budget_too_large_error or instance_in_use_error.
 /// Thread-safe.
--- a/packages/version/src/fleet_document.cpp
+++ b/packages/version/src/fleet_document.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/version/fleet_document.hpp"
 
+#include "plantaindoor/version/rule_set.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -153,17 +155,29 @@
     return items;
 }
 
-/// Rules are kept as written; the rules' own compiler checks what is inside.
-std::vector<rule> read_rules(document_reader& in)
+template<class Item>
+std::set<std::string> names_of(const std::vector<Item>& items)
 {
-    std::vector<rule> rules;
+    std::set<std::string> names;
+    for (const Item& item : items) {
+        names.insert(item.id.str());
+    }
+    return names;
+}
+
+/// Rules are kept as written once the rules' own compiler finds no fault.
+std::vector<rule> read_rules(document_reader& in, const std::string& file, const rule_names* names,
+                             std::vector<document_fault>& faults)
+{
+    std::vector<rule_source> sources;
     for (const document_node& node : in.list("rules")) {
-        const document_node* const id = node.find("rule");
-        if (id == nullptr || id->kind != document_kind::scalar || id->text.empty()) {
-            in.fault_at("rules", "a name under \"rule\" for each");
-            continue;
-        }
-        rules.push_back({.id = rule_id(id->text), .text = to_flow_text(node)});
+        const std::string path = "rules[" + std::to_string(sources.size()) + "]";
+        sources.push_back({.node = &node, .path = path, .file = file});
+    }
+    const rule_set compiled(sources, {.names = names}, faults);
+    std::vector<rule> rules;
+    for (const compiled_rule& each : compiled.rules()) {
+        rules.push_back({.id = each.id, .text = each.text});
     }
     note_repeats(in, "rules", rules);
     return rules;
@@ -370,7 +384,10 @@
     wanted.pools = read_items(in, "pools", &read_pool);
     wanted.services = read_items(in, "services", &read_service);
     wanted.instances = read_items(in, "instances", &read_instance);
-    wanted.rules = read_rules(in);
+    const rule_names names{.pools = names_of(wanted.pools),
+                           .services = names_of(wanted.services),
+                           .instances = names_of(wanted.instances)};
+    wanted.rules = read_rules(in, file, &names, faults);
     in.finish();
     if (!faults.empty()) {
         throw document_error(std::move(faults));
@@ -378,6 +395,22 @@
     return wanted;
 }
 
+std::vector<rule> parse_rules(const std::string& text, const std::string& file)
+{
+    const document_node root = parse_document(text, file);
+    const bool only_rules = root.members.size() == 1 && root.find("rules") != nullptr;
+    if (!only_rules) {
+        return parse_fleet_document(text, file).rules;
+    }
+    std::vector<document_fault> faults;
+    document_reader in(root, "", file, faults);
+    std::vector<rule> rules = read_rules(in, file, nullptr, faults);
+    if (!faults.empty()) {
+        throw document_error(std::move(faults));
+    }
+    return rules;
+}
+
 std::vector<change> changes_to_match(const fleet& present, const fleet_document& wanted)
 {
     std::vector<change> changes;
