process: Count a target as busy while it may run a request that was given up

Cause: an attempt that timed out or broke freed its target at once, so this entry's registration said that it had no request there; the barrier could let the reboot cut off what the target still ran. Ruled out: keeping the slot as well; the target refuses beyond its slots, which is proven not-run.

--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/request/dispatcher.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,7 @@
                               const request::tried_targets& tried, callback done) override;
     void cancel(request::ticket_id ticket) override;
     void release(const request::target_grant& grant, request::attempt_result result) override;
+    void may_still_run(const instance_id& target, time_point until) override;
     [[nodiscard]] std::vector<instance_id> busy_targets() const override;
 
     /// Replaces the live entries, from their registrations.
@@ -59,6 +61,8 @@
     milliseconds m_list_period;
     request::dispatcher m_dispatcher;
     std::unordered_map<request::ticket_id, callback> m_waiting;
+    /// When the last request that was given up at a target must have ended there.
+    std::map<instance_id, time_point> m_may_still_run;
     bool m_carrying_out = false;
     timer_id m_timer = timer_id::none;
     timer_id m_list_timer = timer_id::none;
--- a/packages/process/include/plantaindoor/process/target_source.hpp
+++ b/packages/process/include/plantaindoor/process/target_source.hpp
@@ -37,6 +37,9 @@
     virtual void cancel(request::ticket_id ticket) = 0;
     /// Ends a granted attempt.
     virtual void release(const request::target_grant& grant, request::attempt_result result) = 0;
+    /// Notes that a target may go on with a request whose attempt has ended here; until then it
+    /// counts among the busy ones.
+    virtual void may_still_run(const instance_id& target, time_point until) = 0;
     /// Targets at which a request may be in progress, in order of id.
     [[nodiscard]] virtual std::vector<instance_id> busy_targets() const = 0;
 };
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -94,6 +94,8 @@
     request::target_grant grant;
     std::unique_ptr<target_call> call;
     time_point sent_at{};
+    /// Longest time for which a target may run the request.
+    milliseconds longest_run{0};
     http_response response;
 };
 
@@ -145,7 +147,9 @@
     const auto fleet = m_options.log.current();
     current->subject = read_caller_request(current->from, *fleet,
                                            {.id = current->marks.id, .at = m_options.loop.now()});
-    current->refusal_statuses = fleet->services.at(current->subject.service).refusal_statuses;
+    const version::service& service = fleet->services.at(current->subject.service);
+    current->refusal_statuses = service.refusal_statuses;
+    current->longest_run = service.longest_request;
     const bool keyed = !current->subject.idempotent && !current->subject.idempotency_key.empty();
     if (keyed) {
         claim(current);
@@ -295,6 +299,10 @@
         if (failure == attempt_failure::timed_out) {
             record_of(current->subject.service).answers.add(now - current->sent_at);
         }
+        if (result.fault != transport_fault::connect_failed) {
+            m_options.targets.may_still_run(current->grant.target,
+                                            current->sent_at + current->longest_run);
+        }
         m_options.targets.release(current->grant, health_of(failure));
         act(current, current->tracker->failed(failure, now));
         return;
--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -87,9 +87,24 @@
     carry_out();
 }
 
+void dispatched_targets::may_still_run(const instance_id& target, time_point until)
+{
+    std::erase_if(m_may_still_run,
+                  [now = m_loop.now()](const auto& each) { return each.second <= now; });
+    time_point& last = m_may_still_run[target];
+    last = std::max(last, until);
+}
+
 std::vector<instance_id> dispatched_targets::busy_targets() const
 {
-    return m_dispatcher.busy_targets();
+    const auto granted = m_dispatcher.busy_targets();
+    std::set<instance_id> busy(granted.begin(), granted.end());
+    for (const auto& [target, until] : m_may_still_run) {
+        if (until > m_loop.now()) {
+            busy.insert(target);
+        }
+    }
+    return {busy.begin(), busy.end()};
 }
 
 void dispatched_targets::set_entries(std::vector<entry_id> live)
--- a/tests/process/wave_test.py
+++ b/tests/process/wave_test.py
@@ -57,6 +57,22 @@
 
             self.run_wave(cluster, disturb)
 
+    def test_request_that_was_given_up_is_not_cut_by_a_reboot(self):
+        service = {"budget": {"minimum": 1}, "longest_request_ms": 45000}
+        with Cluster(targets=2, entries=2, service=service,
+                     entry_settings={"timings": {"list_lag_ms": 1000}}) as cluster:
+            cluster.wait_version(cluster.apply())
+            for name in cluster.targets:
+                cluster.fault_target(name, service_ms=40000)
+            given_up = cluster.request("e1", headers={"Plantaindoor-Deadline-Ms": "300"})
+            self.assertEqual((given_up.status, given_up.outcome), (504, "unknown"))
+            started = post(cluster, "e1", "/v1/waves", {"id": "m1", "pools": ["checks"]})
+            self.assertEqual(started.status, 200, started.body)
+            wait_for("wave finished", lambda: wave_of(cluster, "e1").get("state") == "finished",
+                     LONGEST_WAVE_S)
+            self.assertEqual(cluster.runs()[given_up.request_id], 1)
+            self.assertEqual(cluster.cut(), 0)
+
     def assert_wave_holds(self, cluster):
         """Whatever was stopped by now may come back; nothing else may while an entry is frozen."""
         done = wave_of(cluster, "e1").get("done", 0)
