--- a/packages/process/src/peer_group.cpp
+++ b/packages/process/src/peer_group.cpp
@@ -230,7 +230,7 @@
                               .sequence = ++m_sequence,
                               .zone = m_options.zone,
                               .services = m_options.demand()});
-    if (m_policy.peers() <= m_options.policy.fan_out) {
+    if (m_policy.asks_all()) {
         return;
     }
     std::vector<const heard_report*> fresh;
