process: Keep a span for each hop, count requests, and log what changes

Cause: tracer, metrics and logs stood in their library and nothing in the daemon used them. Ruled out: spans made by each adapter; the HTTP client makes one for each call, so targets and the platform share one place, and the header traceparent is always that of the call's own span.

--- a/apps/plantaindoord/main.cpp
+++ b/apps/plantaindoord/main.cpp
@@ -1,6 +1,7 @@
 // The entry's program: reads settings, runs one entry until it is told to end.
 #include "plantaindoor/common/error.hpp"
 #include "plantaindoor/process/entry.hpp"
+#include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/reactor_loop.hpp"
 #include "plantaindoor/process/settings.hpp"
 
@@ -54,11 +55,14 @@
     options.answer_limit_bytes = settings.limits.answer_bytes;
     options.head_poll = settings.timings.head_poll;
     options.list_lag = settings.timings.list_lag;
+    options.trace_ring = settings.traces.ring;
+    options.trace_file = settings.traces.file;
     return options;
 }
 
 int run(const process::settings& settings)
 {
+    const process::log_output logs({.format = settings.logs.format, .level = settings.logs.level});
     process::reactor_loop loop;
     process::entry entry(loop, entry_options_of(settings));
     for (const int signal : {SIGTERM, SIGINT}) {
--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include "plantaindoor/common/enum_names.hpp"
 #include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/tracing.hpp"
 #include "plantaindoor/connection/endpoint.hpp"
 #include "plantaindoor/connection/http_message.hpp"
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace plantaindoor::connection {
 
@@ -55,6 +57,10 @@
     bool own_connection = false;
     /// May be null.
     std::shared_ptr<call_observer> observer;
+    /// Name of the call's span; a literal.
+    std::string_view hop = "entry -> platform";
+    /// The span that the call is part of; nothing begins a trace of its own.
+    std::optional<trace_context> parent;
 };
 
 struct http_result {
@@ -72,8 +78,9 @@
 public:
     using callback = std::function<void(http_result)>;
 
-    /// The loop must outlive the client.
-    explicit http_client(event_loop& loop);
+    /// The loop must outlive the client, and so must the tracer, which may be null. With a tracer
+    /// each call is a span, and its context is sent in the header "traceparent".
+    explicit http_client(event_loop& loop, tracer* spans = nullptr);
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     /// Ends every call without calling back.
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "kept_sockets.hpp"
 #include "plantaindoor/common/error.hpp"
+#include "plantaindoor/common/traceparent.hpp"
 
 #include <charconv>
 #include <string>
@@ -51,6 +52,7 @@
     http_call call;
     http_client::callback done;
     http_result result;
+    span hop;
     bool overflow = false;
     bool resend_refused = false;
     bool rejected = false;
@@ -228,7 +230,8 @@
 
 class http_client::implementation {
 public:
-    explicit implementation(event_loop& loop) : m_loop(loop), m_multi(curl_multi_init())
+    implementation(event_loop& loop, tracer* spans)
+        : m_loop(loop), m_tracer(spans), m_multi(curl_multi_init())
     {
         if (m_multi == nullptr) {
             throw curl_error("curl_multi_init");
@@ -265,6 +268,7 @@
         current->started = m_loop.now();
         current->sockets = &m_sockets;
         current->easy = take_handle();
+        begin_span(*current);
         prepare(*current);
         const call_id id = current->id;
         CURL* const easy = current->easy.get();
@@ -374,6 +378,11 @@
         auto current = std::move(found->second);
         m_transfers.erase(found);
         current->result.fault = fault_of(code, *current);
+        current->hop.set("fault", std::string(name_of(current->result.fault)));
+        if (current->result.fault == transport_fault::none) {
+            current->hop.set("status", std::to_string(current->result.response.status));
+        }
+        current->hop.end();
         curl_multi_remove_handle(m_multi.get(), easy);
         if (m_idle.size() < kept_handles) {
             m_idle.push_back(std::move(current->easy));
@@ -447,7 +456,20 @@
         }
     }
 
+    void begin_span(transfer& current) const
+    {
+        if (m_tracer == nullptr) {
+            return;
+        }
+        http_call& call = current.call;
+        current.hop =
+            call.parent ? m_tracer->start(call.hop, *call.parent) : m_tracer->start(call.hop);
+        current.hop.set("to", call.to.str());
+        call.request.headers.push_back({"traceparent", format_traceparent(current.hop.context())});
+    }
+
     event_loop& m_loop;
+    tracer* m_tracer;
     kept_sockets m_sockets;
     std::unique_ptr<CURLM, multi_deleter> m_multi;
     std::unordered_map<call_id, std::unique_ptr<transfer>> m_transfers;
@@ -456,8 +478,8 @@
     timer_id m_timer = timer_id::none;
 };
 
-http_client::http_client(event_loop& loop)
-    : m_implementation(std::make_unique<implementation>(loop))
+http_client::http_client(event_loop& loop, tracer* spans)
+    : m_implementation(std::make_unique<implementation>(loop, spans))
 {
 }
 
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -3,9 +3,11 @@
 
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/tracing.hpp"
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/http_server.hpp"
 #include "plantaindoor/process/claim_store.hpp"
+#include "plantaindoor/process/request_metrics.hpp"
 #include "plantaindoor/process/target_source.hpp"
 #include "plantaindoor/request/answer_check.hpp"
 #include "plantaindoor/request/answer_time.hpp"
@@ -31,6 +33,8 @@
     version::change_log& log;
     target_source& targets;
     claim_store& claims;
+    tracer& spans;
+    request_metrics& metrics;
     /// Prefix of request ids, unique for each start of a process.
     std::string id_prefix;
     std::size_t body_limit_bytes = 1U << 20U;
@@ -66,6 +70,7 @@
     using active_ptr = std::shared_ptr<active_request>;
 
     request_id next_id();
+    [[nodiscard]] span begin_span(const connection::http_headers& headers) const;
     void admit(const active_ptr& current);
     void claim(const active_ptr& current);
     void on_verdict(const active_ptr& current, request::claim_verdict verdict);
--- a/packages/process/include/plantaindoor/process/entry.hpp
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
     milliseconds head_poll{500};
     /// The most by which the platform's instance list may be behind the truth.
     milliseconds list_lag{30000};
+    /// Spans kept for /traces, and the file that they are appended to; empty: none.
+    std::size_t trace_ring = 2000;
+    std::filesystem::path trace_file;
     /// From the moment of being told to end until no new request is taken.
     milliseconds leave_delay{2000};
 };
--- a/packages/process/include/plantaindoor/process/peer_group.hpp
+++ b/packages/process/include/plantaindoor/process/peer_group.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/tracing.hpp"
 #include "plantaindoor/connection/exchange_policy.hpp"
 #include "plantaindoor/connection/peer_channel.hpp"
 #include "plantaindoor/process/membership.hpp"
@@ -39,6 +40,8 @@
     /// This entry's demand, and where to bring the peers'.
     std::function<std::vector<request::service_demand>()> demand;
     std::function<void(const request::demand_report&)> on_demand;
+    /// Keeps a span for each exchange that this entry begins; may be null.
+    tracer* spans = nullptr;
 };
 
 /// Loop thread only; loop, log and membership must outlive it.
--- a/packages/process/include/plantaindoor/process/target_call.hpp
+++ b/packages/process/include/plantaindoor/process/target_call.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace plantaindoor::process {
@@ -18,6 +19,8 @@
     time_point connect_by{};
     time_point answer_by{};
     bool own_connection = false;
+    /// The caller's span.
+    std::optional<trace_context> parent;
     request::answer_expectation expected;
     /// Asked before the first byte of the request leaves; false keeps it back.
     std::function<bool()> may_send;
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/process/caller_path.hpp"
 
+#include "plantaindoor/common/traceparent.hpp"
 #include "plantaindoor/connection/caller_headers.hpp"
 #include "plantaindoor/process/target_call.hpp"
 #include "plantaindoor/request/caller_request.hpp"
@@ -8,10 +9,13 @@
 
 #include <algorithm>
 #include <optional>
+#include <string_view>
 #include <utility>
+#include <variant>
 
 namespace plantaindoor::process {
 
+using connection::find_header;
 using connection::http_header;
 using connection::http_request;
 using connection::http_response;
@@ -87,6 +91,8 @@
     request::caller_request subject;
     connection::http_responder respond;
     connection::answer_marks marks;
+    time_point arrived{};
+    span hop;
     request::claim_ticket claim = request::claim_ticket::none;
     std::vector<std::uint16_t> refusal_statuses;
     std::optional<request::attempt_tracker> tracker;
@@ -108,6 +114,8 @@
     current->marks.id = next_id();
     current->respond = std::move(respond);
     current->from = std::move(from);
+    current->arrived = m_options.loop.now();
+    current->hop = begin_span(current->from.headers);
     m_active.insert(current);
     try {
         admit(current);
@@ -123,6 +131,19 @@
                           {.id = next_id()});
 }
 
+span caller_path::begin_span(const connection::http_headers& headers) const
+{
+    constexpr std::string_view hop = "caller -> entry";
+    const std::string* const text = find_header(headers, connection::traceparent_header);
+    if (text != nullptr) {
+        const auto parsed = parse_traceparent(*text);
+        if (const auto* const parent = std::get_if<trace_context>(&parsed)) {
+            return m_options.spans.start(hop, *parent);
+        }
+    }
+    return m_options.spans.start(hop);
+}
+
 request_id caller_path::next_id()
 {
     return request_id(m_options.id_prefix + "-" + std::to_string(++m_last_request));
@@ -273,6 +294,7 @@
                             .connect_by = times.connect_by,
                             .answer_by = times.answer_by,
                             .own_connection = !current->subject.idempotent,
+                            .parent = current->hop.context(),
                             .expected = {.request_id = current->marks.id.str(),
                                          .head_only = current->from.method == "HEAD",
                                          .deadline = times.answer_by,
@@ -336,6 +358,7 @@
     if (current->claim != request::claim_ticket::none) {
         m_options.claims.finish(current->claim, {.state = claim_state_of(why.told())});
     }
+    current->marks.told = why.told();
     finish(current, refusal_answer(why, current->marks));
 }
 
@@ -353,6 +376,13 @@
 
 void caller_path::finish(const active_ptr& current, http_response answer)
 {
+    current->hop.set("request", current->marks.id.str());
+    current->hop.set("outcome", std::string(name_of(current->marks.told)));
+    current->hop.end();
+    m_options.metrics.record({.priority = current->subject.priority,
+                              .told = current->marks.told,
+                              .attempts = current->marks.attempts,
+                              .duration = m_options.loop.now() - current->arrived});
     current->respond(std::move(answer));
     m_active.erase(current);
 }
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/process/entry.hpp"
 
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/common/tracing.hpp"
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/http_platform.hpp"
 #include "plantaindoor/connection/http_server.hpp"
@@ -10,15 +12,18 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/peer_group.hpp"
 #include "plantaindoor/process/recent_journal.hpp"
 #include "plantaindoor/process/registrar.hpp"
+#include "plantaindoor/process/request_metrics.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
 
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -30,7 +35,11 @@
 
 namespace {
 
+constexpr log_part entry_log("entry");
+constexpr log_part version_log("version");
+
 constexpr milliseconds end_check_period{20};
+constexpr milliseconds readiness_period{200};
 /// Time for the last answers to leave the sockets.
 constexpr milliseconds flush_time{200};
 /// Longest wait for the table after the last answer.
@@ -53,7 +62,12 @@
     parts(event_loop& loop, entry_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_client(loop),
+          m_tracer(loop, trace_options()),
+          m_request_metrics(m_metrics),
+          m_in_progress(m_metrics.gauge(
+              {.name = "requests_in_progress", .help = "Requests not yet answered."})),
+          m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
+          m_client(loop, &m_tracer),
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
           m_log(loop, m_table, log_options()),
@@ -78,6 +92,11 @@
                          .time = loop,
                          .duties = m_duties,
                          .journal = m_journal});
+        m_router.add("GET", "/metrics", [this](const auto&, const auto& respond) {
+            respond.respond(plain(200, metrics_text()));
+        });
+        m_router.add("GET", "/traces",
+                     [this](const auto&, const auto& respond) { respond.json(m_tracer.json()); });
         m_router.add_open("GET", "/health", [](const auto&, const auto& respond) {
             respond.respond(plain(200, "healthy"));
         });
@@ -88,6 +107,10 @@
 
     void start()
     {
+        m_log.subscribe([](const version::fleet_ptr& fleet) {
+            version_log.info(fmt::format("version {} is in force", fleet->version));
+        });
+        watch_readiness();
         m_log.start();
         m_targets.start();
         m_sweeper.start();
@@ -102,6 +125,8 @@
         if (m_on_ended) {
             return;
         }
+        entry_log.info(
+            fmt::format("told to end, {} requests in progress", m_callers.in_progress()));
         m_on_ended = std::move(on_ended);
         m_loop.call_after(m_options.leave_delay, [this] { leave(); });
     }
@@ -122,6 +147,32 @@
         return fmt::format("{}-{:x}", m_options.id.str(), m_options.incarnation);
     }
 
+    [[nodiscard]] tracer_options trace_options() const
+    {
+        return {.ring = m_options.trace_ring,
+                .file = m_options.trace_file,
+                .seed = m_options.incarnation};
+    }
+
+    std::string metrics_text()
+    {
+        m_in_progress.set(static_cast<double>(m_callers.in_progress()));
+        m_version.set(static_cast<double>(m_log.current()->version));
+        m_metrics.advance(m_loop.now());
+        return m_metrics.text();
+    }
+
+    /// Logs each change of readiness.
+    void watch_readiness()
+    {
+        std::string reason = not_ready_reason();
+        if (m_logged_reason != reason) {
+            entry_log.info(reason.empty() ? "ready" : "not ready: " + reason);
+            m_logged_reason = std::move(reason);
+        }
+        m_loop.call_after(readiness_period, [this] { watch_readiness(); });
+    }
+
     version::table_change_log_options log_options()
     {
         return {.author_id = run_name(),
@@ -154,7 +205,8 @@
                 .known_peers = m_options.known_peers,
                 .policy = {.seed = m_options.incarnation},
                 .demand = [this] { return m_targets.report_demand(); },
-                .on_demand = [this](const auto& report) { m_targets.hear(report); }};
+                .on_demand = [this](const auto& report) { m_targets.hear(report); },
+                .spans = &m_tracer};
     }
 
     registrar_options registrar_options_here()
@@ -201,6 +253,8 @@
                 .log = m_log,
                 .targets = m_targets,
                 .claims = m_claims,
+                .spans = m_tracer,
+                .metrics = m_request_metrics,
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
                 .answers = {.max_bytes = m_options.answer_limit_bytes},
@@ -307,6 +361,11 @@
 
     event_loop& m_loop;
     entry_options m_options;
+    tracer m_tracer;
+    metrics_registry m_metrics;
+    request_metrics m_request_metrics;
+    metric_gauge& m_in_progress;
+    metric_gauge& m_version;
     connection::http_client m_client;
     connection::http_table m_table;
     connection::http_objects m_objects;
@@ -325,6 +384,7 @@
     connection::http_server m_caller_server;
     connection::http_server m_operator_server;
     event_loop::action m_on_ended;
+    std::optional<std::string> m_logged_reason;
     bool m_left = false;
     time_point m_settle_until{};
 };
--- a/packages/process/src/peer_group.cpp
+++ b/packages/process/src/peer_group.cpp
@@ -117,11 +117,16 @@
         add_versions(message, *known, peer.str());
     }
     add_reports(message);
-    m_channel.exchange(
-        peer, message,
-        [this, peer, asked = m_loop.now()](exchange_outcome outcome, const peer_message& answered) {
-            on_answer(peer, asked, outcome, answered);
-        });
+    const auto hop = std::make_shared<span>(
+        m_options.spans == nullptr ? span() : m_options.spans->start("entry -> peer"));
+    hop->set("to", peer.str());
+    m_channel.exchange(peer, message,
+                       [this, peer, hop, asked = m_loop.now()](exchange_outcome outcome,
+                                                               const peer_message& answered) {
+                           hop->set("outcome", std::string(name_of(outcome)));
+                           hop->end();
+                           on_answer(peer, asked, outcome, answered);
+                       });
 }
 
 void peer_group::on_answer(const endpoint& peer, time_point asked, exchange_outcome outcome,
--- a/packages/process/src/target_call.cpp
+++ b/packages/process/src/target_call.cpp
@@ -105,7 +105,9 @@
                              .connect_timeout = until(options.connect_by, now),
                              .answer_limit_bytes = limit,
                              .own_connection = options.own_connection,
-                             .observer = m_watch},
+                             .observer = m_watch,
+                             .hop = "entry -> target",
+                             .parent = options.parent},
                             [this](connection::http_result result) { finish(std::move(result)); });
     schedule_tick();
 }
