--- /dev/null
+++ b/tests/process/routing_test.py
@@ -0,0 +1,65 @@
+"""Admission and routing of running entries: classes under overload, bad targets, leaving targets."""
+import collections
+import unittest
+
+from harness import Cluster, Load, call, wait_for
+
+
+def statuses(answers):
+    return collections.Counter(answer.status for _, answer in answers)
+
+
+class RoutingTest(unittest.TestCase):
+    def test_target_that_fails_everything_is_soon_left_alone(self):
+        with Cluster(targets=4, entries=1) as cluster:
+            cluster.wait_version(cluster.apply())
+            cluster.fault_target("w1", mode="fail-all")
+            load = Load(cluster, ["e1"], callers=8)
+            wait_for("600 answers", lambda: load.count() > 600)
+            failed = statuses(load.stop())[500]
+            # Three find it out; as many may be under way meanwhile as the target has slots.
+            self.assertGreaterEqual(failed, 3)
+            self.assertLessEqual(failed, 11)
+
+    def test_leaving_target_gets_no_new_requests(self):
+        with Cluster(targets=3, entries=1) as cluster:
+            cluster.wait_version(cluster.apply())
+            load = Load(cluster, ["e1"], callers=8)
+            wait_for("some answers", lambda: load.count() > 100)
+            cluster.list_instance("w1", "target", state="leaving", address=cluster.target_at("w1"))
+
+            def runs():
+                found = call(cluster.target_at("w1"), "GET", "/admin/runs").json()["runs"]
+                return sum(found.values())
+
+            before = 0
+            while runs() != before:
+                before = runs()
+                seen = load.count()
+                wait_for("more answers", lambda: load.count() > seen + 300)
+            seen = load.count()
+            wait_for("many more answers", lambda: load.count() > seen + 1000)
+            self.assertGreater(before, 0)
+            self.assertEqual(runs(), before)
+            answers = load.stop()
+            self.assertEqual(statuses(answers), {200: len(answers)})
+
+    def test_urgent_requests_are_served_under_overload(self):
+        with Cluster(targets=1, entries=1, service_ms=50) as cluster:
+            cluster.wait_version(cluster.apply())
+            background = Load(cluster, ["e1"], callers=40, headers={
+                "Plantaindoor-Priority": "background", "Plantaindoor-Deadline-Ms": "150"})
+            wait_for("overload", lambda: statuses(background.answers)[503] > 100)
+            urgent = Load(cluster, ["e1"], callers=4, headers={
+                "Plantaindoor-Priority": "urgent", "Plantaindoor-Deadline-Ms": "500"})
+            wait_for("urgent answers", lambda: urgent.count() > 100)
+            answers = urgent.stop()
+            others = background.stop()
+            self.assertEqual(statuses(answers), {200: len(answers)})
+            refused = [answer for _, answer in others if answer.status == 503]
+            self.assertTrue(all("retry-after" in answer.headers for answer in refused))
+            self.assertTrue(all(answer.outcome == "not-run" for answer in refused))
+
+
+if __name__ == "__main__":
+    unittest.main()
