--- a/bench/in_force_bench.cpp
+++ b/bench/in_force_bench.cpp
@@ -359,10 +359,11 @@
                        {"reads_per_second", found.reads_per_second}});
         if (!as_json) {
             std::cout << fmt::format("{:<28} {:>7} {:>8.0f} {:>8.0f} {:>8.0f} {:>6} {:>10.1f} "
-                                     "{:>11.0f} {:>9.0f}\n",
+                                     "{:>12.0f} {:>12.0f} {:>9.0f}\n",
                                      each.name, each.entries, found.p50_ms, found.p99_ms,
                                      found.max_ms, found.not_reached, found.messages_per_second,
-                                     found.bytes_per_second, found.reads_per_second)
+                                     found.bytes_per_second, found.idle_bytes_per_second,
+                                     found.reads_per_second)
                       << std::flush;
         }
     }
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -124,6 +124,7 @@
                 self.start_target(f"w{number + 1}")
             for number in range(self.entry_count):
                 self.start_entry(f"e{number + 1}", self.zones[number % len(self.zones)])
+            self.wait_ready()
         except BaseException:
             self.__exit__(None, None, None)
             raise
@@ -219,6 +220,14 @@
             wait_for(f"{name} at version {version}",
                      lambda n=name: (self.status(n) or {}).get("version", -1) >= version)
 
+    def ready(self, entry):
+        return call(self.callers_at(entry), "GET", "/ready").status == 200
+
+    def wait_ready(self, entries=None):
+        """What the balancer waits for before it sends callers to an entry."""
+        for name in entries or self.entries:
+            wait_for(f"{name} ready", lambda n=name: self.ready(n))
+
     def request(self, entry, body=b"", path="/spell/check", headers=None, timeout_s=30):
         return call(self.callers_at(entry), "POST", path, body, headers, timeout_s)
 
--- a/tests/process/outage_test.py
+++ b/tests/process/outage_test.py
@@ -3,20 +3,11 @@
 import time
 import unittest
 
-from harness import Cluster, call, wait_for
+from harness import Cluster, wait_for
 
 IN_FORCE_S = 4
 
 
-def ready(cluster, entry):
-    return call(cluster.callers_at(entry), "GET", "/ready").status == 200
-
-
-def wait_ready(cluster, entries):
-    for entry in entries:
-        wait_for(f"{entry} ready", lambda e=entry: ready(cluster, e))
-
-
 class OutageTest(unittest.TestCase):
     def cluster(self):
         return Cluster(targets=2, entries=3, entry_settings={"timings": {"list_lag_ms": 3000}})
@@ -25,7 +16,7 @@
         for accepting in ("e1", "e2", "e3"):
             with self.cluster() as cluster:
                 cluster.wait_version(cluster.apply())
-                wait_ready(cluster, cluster.entries)
+                cluster.wait_ready()
                 fleet = cluster.fleet()
                 fleet["teams"].append({"id": "late"})
                 version = cluster.apply(fleet, accepting)
@@ -35,7 +26,7 @@
                 self.assertLess(time.monotonic() - accepted, IN_FORCE_S)
                 time.sleep(IN_FORCE_S)
                 for entry in cluster.entries:
-                    self.assertTrue(ready(cluster, entry), entry)
+                    self.assertTrue(cluster.ready(entry), entry)
                     answer = cluster.request(entry, b"words")
                     self.assertEqual(answer.outcome, "answered", answer.body)
 
@@ -43,7 +34,7 @@
         with self.cluster() as cluster:
             version = cluster.apply()
             cluster.wait_version(version)
-            wait_ready(cluster, cluster.entries)
+            cluster.wait_ready()
             fleet = cluster.fleet()
             fleet["teams"].append({"id": "late"})
             version = cluster.apply(fleet)
@@ -51,7 +42,7 @@
             cluster.list_instance = lambda *_, **__: None
             started = time.monotonic()
             cluster.start_entry("e4", "b")
-            while not ready(cluster, "e4"):
+            while not cluster.ready("e4"):
                 self.assertLess(time.monotonic() - started, 30)
                 refused = cluster.request("e4", b"words")
                 self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
@@ -60,12 +51,12 @@
             self.assertEqual(cluster.status("e4")["version"], version)
             for entry in ("e1", "e2", "e3"):
                 cluster.entries[entry].send_signal(signal.SIGSTOP)
-            wait_for("e4 not ready alone", lambda: not ready(cluster, "e4"))
+            wait_for("e4 not ready alone", lambda: not cluster.ready("e4"))
 
     def test_frozen_entry_takes_no_work_after_the_thaw_until_it_is_current(self):
         with self.cluster() as cluster:
             cluster.wait_version(cluster.apply())
-            wait_ready(cluster, cluster.entries)
+            cluster.wait_ready()
             cluster.entries["e2"].send_signal(signal.SIGSTOP)
             time.sleep(IN_FORCE_S)
             fleet = cluster.fleet()
@@ -79,7 +70,7 @@
             self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
             for entry in ("e1", "e3"):
                 cluster.entries[entry].send_signal(signal.SIGCONT)
-            wait_ready(cluster, ["e2"])
+            cluster.wait_ready(["e2"])
             self.assertEqual(cluster.status("e2")["version"], version)
 
 
