--- a/packages/process/include/plantaindoor/process/duty_runner.hpp
+++ b/packages/process/include/plantaindoor/process/duty_runner.hpp
@@ -34,10 +34,16 @@
     pool_duty::timing times;
     confirmation_set::options entries;
     milliseconds lease_term{6000};
+    /// Duties beside the pools', taken and kept in the same way, and run by others.
+    std::function<std::set<pool_id>(const version::fleet&)> other_duties;
     /// Checkpoints an instance's tasks and then calls back; empty where there are none.
     std::function<void(const version::outage&, std::function<void()>)> checkpoint;
 };
 
+/// Instances of the fleet that the platform's list lacks as live. Thread-safe.
+[[nodiscard]] version::lost_instances lost_of(const version::fleet& whole,
+                                              const std::vector<listed_instance>& listed);
+
 /// Everything in the options must outlive it. Loop thread only.
 class duty_runner {
 public:
@@ -57,6 +63,14 @@
     [[nodiscard]] wave_plan plan_of(const wave_id& id) const;
     /// Instances that the platform's newest list lacks as live.
     [[nodiscard]] const version::lost_instances& lost() const { return *m_lost; }
+    /// The same, or nothing where no recent list is known here.
+    [[nodiscard]] std::optional<version::lost_instances> known_lost() const;
+    /// Whether the table answered the last reading of the leases.
+    [[nodiscard]] bool table_answers() const noexcept { return m_table_answers; }
+    /// The condition that every write for the duty must carry; nothing where it is not held.
+    [[nodiscard]] std::optional<row_condition> guard_of(const pool_id& duty) const;
+    /// Forgets a duty whose guard failed, until the leases are read again.
+    void drop(const pool_id& duty);
     /// The entries that the instance's drain waits for here; empty where it is not this entry's.
     [[nodiscard]] std::vector<awaited_entry> awaited(const instance_id& id) const;
 
@@ -99,6 +113,8 @@
     std::map<pool_id, std::vector<const version::instance*>> m_members;
     std::map<wave_id, wave_plan> m_plans;
     timer_id m_timer = timer_id::none;
+    std::optional<time_point> m_list_read;
+    bool m_table_answers = true;
     bool m_renewing = false;
     bool m_stopped = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/packages/process/include/plantaindoor/process/fleet_verbs.hpp
+++ b/packages/process/include/plantaindoor/process/fleet_verbs.hpp
@@ -4,7 +4,7 @@
 
 #include "plantaindoor/connection/operator_router.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
-#include "plantaindoor/process/recent_journal.hpp"
+#include "plantaindoor/process/table_journal.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
 namespace plantaindoor::process {
@@ -14,7 +14,7 @@
     version::change_log& log;
     const time_source& time;
     const duty_runner& duties;
-    const recent_journal& journal;
+    table_journal& journal;
 };
 
 /// Adds the routes; what the options refer to must outlive the router. Loop thread only.
--- a/packages/process/src/duty_runner.cpp
+++ b/packages/process/src/duty_runner.cpp
@@ -33,6 +33,18 @@
     return entries;
 }
 
+bool needs_plan(const fleet& whole, const wave& subject)
+{
+    if (subject.state == wave_state::running || subject.state == wave_state::paused) {
+        return true;
+    }
+    return subject.state == wave_state::aborted &&
+           std::any_of(whole.instances.begin(), whole.instances.end(),
+                       [&](const auto& item) { return item.second.outage_wave == subject.id; });
+}
+
+} // namespace
+
 version::lost_instances lost_of(const fleet& whole, const std::vector<listed_instance>& listed)
 {
     std::set<std::string> live;
@@ -50,18 +62,6 @@
     return lost;
 }
 
-bool needs_plan(const fleet& whole, const wave& subject)
-{
-    if (subject.state == wave_state::running || subject.state == wave_state::paused) {
-        return true;
-    }
-    return subject.state == wave_state::aborted &&
-           std::any_of(whole.instances.begin(), whole.instances.end(),
-                       [&](const auto& item) { return item.second.outage_wave == subject.id; });
-}
-
-} // namespace
-
 duty_runner::duty_runner(duty_runner_options how)
     : m_options(std::move(how)),
       m_planner(m_options.waves),
@@ -116,6 +116,26 @@
     return m_planner.plan(*whole, version::ledger(*whole, *m_lost), found->second);
 }
 
+std::optional<row_condition> duty_runner::guard_of(const pool_id& duty) const
+{
+    if (!m_leases.holds(duty, m_options.loop.now())) {
+        return std::nullopt;
+    }
+    return m_leases.guard(duty);
+}
+
+void duty_runner::drop(const pool_id& duty)
+{
+    m_leases.drop(duty);
+}
+
+std::optional<version::lost_instances> duty_runner::known_lost() const
+{
+    const bool fresh =
+        m_list_read && m_options.loop.now() - *m_list_read <= m_options.entries.longest_gap;
+    return fresh ? std::optional(*m_lost) : std::nullopt;
+}
+
 std::vector<awaited_entry> duty_runner::awaited(const instance_id& id) const
 {
     const auto found = m_fleet->instances.find(id);
@@ -158,6 +178,7 @@
 
 void duty_runner::on_leases(const read_result& rows, time_point asked)
 {
+    m_table_answers = rows.has_value();
     if (!rows || m_stopped) {
         finish_cycle();
         return;
@@ -208,6 +229,7 @@
                           const std::optional<std::vector<listed_instance>>& listed)
 {
     if (listed && !m_stopped) {
+        m_list_read = m_options.loop.now();
         m_entries.observe({.rows = std::move(rows), .listed = *listed}, m_options.loop.now());
         m_lost =
             std::make_shared<version::lost_instances>(lost_of(*m_options.log.current(), *listed));
@@ -221,7 +243,9 @@
     index_fleet();
     refresh_plans();
     for (const pool_id& pool : m_leases.held(m_options.loop.now())) {
-        step(pool);
+        if (m_fleet->pools.contains(pool)) {
+            step(pool);
+        }
     }
 }
 
@@ -336,8 +360,12 @@
 
 std::set<pool_id> duty_runner::pools() const
 {
+    const version::fleet_ptr whole = m_options.log.current();
     std::set<pool_id> all;
-    for (const auto& [id, each] : m_options.log.current()->pools) {
+    if (m_options.other_duties) {
+        all = m_options.other_duties(*whole);
+    }
+    for (const auto& [id, each] : whole->pools) {
         all.insert(id);
     }
     return all;
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -13,8 +13,10 @@
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/peer_group.hpp"
-#include "plantaindoor/process/recent_journal.hpp"
 #include "plantaindoor/process/registrar.hpp"
+#include "plantaindoor/process/rule_runner.hpp"
+#include "plantaindoor/process/rule_verbs.hpp"
+#include "plantaindoor/process/table_journal.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
@@ -62,7 +64,12 @@
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
           m_registrar(loop, m_table, m_instances, m_log, m_members, registrar_options_here()),
+          m_journal({.loop = loop,
+                     .rows = m_table,
+                     .self = m_options.id,
+                     .incarnation = m_options.incarnation}),
           m_duties(duty_options()),
+          m_rules(rule_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
@@ -78,6 +85,13 @@
                          .time = loop,
                          .duties = m_duties,
                          .journal = m_journal});
+        add_rule_verbs({.router = m_router,
+                        .log = m_log,
+                        .list = m_instances,
+                        .time = loop,
+                        .duties = m_duties,
+                        .runner = m_rules,
+                        .journal = m_journal});
         m_router.add_open("GET", "/health", [](const auto&, const auto& respond) {
             respond.respond(plain(200, "healthy"));
         });
@@ -94,7 +108,9 @@
         m_members.listen_at(m_options.peers.address, m_peers.port());
         m_peers.start();
         m_registrar.start();
+        m_journal.start();
         m_duties.start();
+        m_rules.start();
     }
 
     void end(event_loop::action on_ended)
@@ -177,7 +193,20 @@
             .journal = m_journal,
             .self = m_options.id,
             .incarnation = m_options.incarnation,
-            .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap}};
+            .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
+            .other_duties = &duties_of_rules};
+    }
+
+    rule_runner_options rule_options()
+    {
+        return {.loop = m_loop,
+                .log = m_log,
+                .journal = m_journal,
+                .self = m_options.id,
+                .guard = [this] { return m_duties.guard_of(rules_duty()); },
+                .drop_guard = [this] { m_duties.drop(rules_duty()); },
+                .lost = [this] { return m_duties.known_lost(); },
+                .table_down = [this] { return !m_duties.table_answers(); }};
     }
 
     void take_registered(const std::vector<version::registration>& rows)
@@ -313,8 +342,9 @@
     membership m_members;
     peer_group m_peers;
     registrar m_registrar;
-    recent_journal m_journal;
+    table_journal m_journal;
     duty_runner m_duties;
+    rule_runner m_rules;
     claim_store m_claims;
     claim_sweeper m_sweeper;
     caller_path m_callers;
--- a/packages/process/src/fleet_verbs.cpp
+++ b/packages/process/src/fleet_verbs.cpp
@@ -3,6 +3,7 @@
 #include "plantaindoor/process/append_answer.hpp"
 #include "plantaindoor/version/planned_changes.hpp"
 
+#include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -22,6 +23,7 @@
 
 constexpr std::int64_t longest_loan_minutes = std::int64_t{60} * 24 * 30;
 constexpr std::size_t default_journal_limit = 100;
+constexpr std::size_t most_journal_limit = 10000;
 
 /// One operator's call as a verb sees it.
 struct verb_call {
@@ -254,18 +256,21 @@
         });
 }
 
+std::string printed(wall_time when)
+{
+    const auto whole = std::chrono::floor<seconds>(when);
+    return fmt::format("{:%FT%T}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(whole)),
+                       (when - whole).count());
+}
+
 json journal_json(const journal_entry& entry)
 {
     json facts = json::array();
     for (const journal_fact& each : entry.facts) {
         facts.push_back({{"name", each.name}, {"value", each.value}});
     }
-    return {{"when_ms", entry.when.time_since_epoch().count()},
-            {"actor", entry.actor.str()},
-            {"part", entry.part},
-            {"action", entry.action},
-            {"version", entry.version},
-            {"rule", entry.rule.str()},
+    return {{"when", printed(entry.when)}, {"actor", entry.actor.str()}, {"part", entry.part},
+            {"action", entry.action},      {"version", entry.version},   {"rule", entry.rule.str()},
             {"facts", std::move(facts)}};
 }
 
@@ -276,7 +281,7 @@
     if (!text.empty()) {
         std::from_chars(text.data(), text.data() + text.size(), limit);
     }
-    return limit;
+    return std::min(limit, most_journal_limit);
 }
 
 void add_journal_read(const fleet_verbs_options& options)
@@ -284,13 +289,15 @@
     options.router.add(
         "GET", "/v1/journal",
         [options](const operator_request& request, const operator_responder& respond) {
-            const auto& entries = options.journal.entries();
-            const std::size_t limit = std::min(journal_limit(request), entries.size());
-            json items = json::array();
-            for (std::size_t at = entries.size() - limit; at < entries.size(); ++at) {
-                items.push_back(journal_json(entries[at]));
-            }
-            respond.json(json{{"items", std::move(items)}}.dump());
+            const auto show = [respond](const journal_reading& reading) {
+                json items = json::array();
+                for (const journal_entry& each : reading.entries) {
+                    items.push_back(journal_json(each));
+                }
+                respond.json(
+                    json{{"items", std::move(items)}, {"complete", reading.complete}}.dump());
+            };
+            options.journal.read_newest(journal_limit(request), show);
         });
 }
 
--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "plantaindoor/version/codec.hpp"
 #include "plantaindoor/version/fleet_document.hpp"
 #include "plantaindoor/version/registration.hpp"
+#include "plantaindoor/version/rule_set.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -27,9 +28,7 @@
 };
 
 /// Verbs whose subsystem is not in this entry yet.
-constexpr std::array<verb_route, 5> missing_verbs{{
-    {"POST", "/v1/rules/check", "rules check"},
-    {"POST", "/v1/rules/explain", "rules explain"},
+constexpr std::array<verb_route, 3> missing_verbs{{
     {"GET", "/v1/jobs", "get jobs"},
     {"POST", "/v1/jobs", "job submit"},
     {"POST", "/v1/jobs/{}/cancel", "job cancel"},
@@ -125,13 +124,20 @@
 }
 
 std::string applied_body(const version::fleet& before, const std::vector<version::change>& changes,
-                         version::version_number after)
+                         version::version_number after, const std::vector<version::rule>& rules)
 {
     json lines = json::array();
     for (const version::change& each : changes) {
         lines.push_back(version::describe(each));
     }
-    return json{{"before", before.version}, {"version", after}, {"changes", std::move(lines)}}
+    json warnings = json::array();
+    for (const version::rule_warning& each : version::rule_set(rules).warnings()) {
+        warnings.push_back(to_string(each));
+    }
+    return json{{"before", before.version},
+                {"version", after},
+                {"changes", std::move(lines)},
+                {"warnings", std::move(warnings)}}
         .dump();
 }
 
@@ -142,8 +148,8 @@
         version::parse_fleet_document(request.body, request.query_or("file", "fleet.yaml")));
     if (request.query_or("dry_run", "false") == "true") {
         const auto fleet = log.current();
-        respond.json(
-            applied_body(*fleet, version::changes_to_match(*fleet, *wanted), fleet->version));
+        respond.json(applied_body(*fleet, version::changes_to_match(*fleet, *wanted),
+                                  fleet->version, wanted->rules));
         return;
     }
     auto last = std::make_shared<std::pair<version::fleet, std::vector<version::change>>>();
@@ -155,9 +161,10 @@
                         last->second = version::changes_to_match(newest, *wanted);
                         return last->second;
                     }},
-               [respond, last](const version::append_result& result) {
+               [respond, last, wanted](const version::append_result& result) {
                    respond_appended(respond, result, [&] {
-                       return applied_body(last->first, last->second, result.version);
+                       return applied_body(last->first, last->second, result.version,
+                                           wanted->rules);
                    });
                });
 }
--- a/packages/version/include/plantaindoor/version/rule_facts.hpp
+++ b/packages/version/include/plantaindoor/version/rule_facts.hpp
@@ -56,8 +56,8 @@
     wall_time now{};
 };
 
-/// The facts at one moment. A zone or rack is lost when each of its instances has failed, or is
-/// missing from the platform's list without being planned out. Thread-safe.
+/// The facts at one moment. A zone or rack is lost when none of its instances is listed as live, and
+/// not all of them were stopped by a plan. Thread-safe.
 [[nodiscard]] rule_facts gather_facts(const fact_sources& sources);
 
 } // namespace plantaindoor::version
--- a/packages/version/src/rule_facts.cpp
+++ b/packages/version/src/rule_facts.cpp
@@ -20,12 +20,23 @@
     }
 };
 
-bool lost_unplanned(const instance& subject, const lost_instances& lost)
-{
-    const bool planned_out =
-        subject.state == instance_state::draining || subject.state == instance_state::stopped;
-    return subject.state == instance_state::failed || (!planned_out && lost.contains(subject.id));
-}
+/// What is left of a rack or zone.
+struct domain {
+    std::uint32_t present = 0;
+    /// Neither there nor stopped by a plan.
+    std::uint32_t missing = 0;
+
+    void count(const instance& subject, const lost_instances& lost)
+    {
+        const bool listed = !lost.contains(subject.id);
+        if (subject.state != instance_state::failed && listed) {
+            ++present;
+        }
+        else if (subject.state != instance_state::stopped) {
+            ++missing;
+        }
+    }
+};
 
 std::uint32_t hour_of(wall_time now)
 {
@@ -34,11 +45,11 @@
         std::chrono::duration_cast<std::chrono::hours>(since_midnight).count());
 }
 
-/// Domains of which no instance is left.
-double lost_domains(const std::map<std::string, share>& domains)
+double lost_domains(const std::map<std::string, domain>& domains)
 {
-    return static_cast<double>(
-        std::ranges::count_if(domains, [](const auto& item) { return item.second.healthy == 0; }));
+    return static_cast<double>(std::ranges::count_if(domains, [](const auto& item) {
+        return item.second.present == 0 && item.second.missing != 0;
+    }));
 }
 
 double percent(const share& of)
@@ -48,12 +59,11 @@
 
 void add_losses(const fact_sources& from, rule_facts& facts)
 {
-    std::map<std::string, share> zones;
-    std::map<std::string, share> racks;
+    std::map<std::string, domain> zones;
+    std::map<std::string, domain> racks;
     for (const auto& [id, each] : from.whole.instances) {
-        const bool present = !lost_unplanned(each, *from.lost);
-        zones[each.zone.str()].count(present);
-        racks[each.zone.str() + "/" + each.rack.str()].count(present);
+        zones[each.zone.str()].count(each, *from.lost);
+        racks[each.zone.str() + "/" + each.rack.str()].count(each, *from.lost);
     }
     facts[{rule_fact::lost_zones, ""}] = lost_domains(zones);
     facts[{rule_fact::lost_racks, ""}] = lost_domains(racks);
--- a/packages/version/src/rule_warnings.cpp
+++ b/packages/version/src/rule_warnings.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 /// Pairs of rules with more combinations than this are not judged.
-constexpr std::size_t max_combinations = 50'000;
+constexpr std::size_t max_combinations = 20'000;
+/// Combinations tried for one set of rules; pairs beyond are not judged, so that no file takes
+/// long.
+constexpr std::size_t max_tried = 100'000;
 constexpr double least_step = 1e-6;
 
 using fact_values = std::vector<std::optional<double>>;
@@ -123,23 +126,55 @@
     std::vector<std::size_t> m_at;
 };
 
-pair_findings judge(const rule_set& rules, const compiled_rule& earlier, const compiled_rule& later)
-{
-    pair_findings found;
-    combination_counter counter(rules, earlier, later);
-    if (counter.too_many()) {
-        return {.judged = false};
-    }
-    do {
-        const fact_values& facts = counter.facts();
-        const bool late = rules.evaluate(later, facts) == truth::yes;
-        const bool early = rules.evaluate(earlier, facts) == truth::yes;
-        found.later_holds |= late;
-        found.both_hold |= late && early;
-        found.later_alone |= late && !early;
-    } while (counter.next());
-    return found;
-}
+/// Judges the pairs of one set of rules, as far as the bound on combinations allows.
+class pair_judge {
+public:
+    explicit pair_judge(const rule_set& rules) : m_rules(rules) {}
+
+    /// Stops early once the later rule was seen to hold alone; then `both_hold` is only looked for
+    /// if it is `wanted`.
+    pair_findings judge(const compiled_rule& earlier, const compiled_rule& later, bool wanted)
+    {
+        pair_findings found;
+        combination_counter counter(m_rules, earlier, later);
+        if (counter.too_many()) {
+            return {.judged = false};
+        }
+        do {
+            if (++m_tried > max_tried) {
+                return {.judged = false};
+            }
+            const fact_values& facts = counter.facts();
+            if (m_rules.evaluate(later, facts) != truth::yes) {
+                continue;
+            }
+            const bool early = m_rules.evaluate(earlier, facts) == truth::yes;
+            found.later_holds = true;
+            found.both_hold |= early;
+            found.later_alone |= !early;
+        } while (!(found.later_alone && (found.both_hold || !wanted)) && counter.next());
+        return found;
+    }
+
+    /// Whether no combination satisfies the rule; false where that was not found out.
+    bool never_holds(const compiled_rule& rule)
+    {
+        combination_counter counter(m_rules, rule, rule);
+        if (counter.too_many()) {
+            return false;
+        }
+        do {
+            if (++m_tried > max_tried || m_rules.evaluate(rule, counter.facts()) == truth::yes) {
+                return false;
+            }
+        } while (counter.next());
+        return true;
+    }
+
+private:
+    const rule_set& m_rules;
+    std::size_t m_tried = 0;
+};
 
 bool same_waves(const rule_action& one, const rule_action& other)
 {
@@ -179,17 +214,18 @@
     return earlier.for_time <= later.for_time && earlier.clear_time >= later.clear_time;
 }
 
-std::optional<rule_warning> warning_of(const rule_set& rules, const compiled_rule& earlier,
+std::optional<rule_warning> warning_of(pair_judge& pairs, const compiled_rule& earlier,
                                        const compiled_rule& later)
 {
-    const pair_findings found = judge(rules, earlier, later);
+    const bool opposite = contradict(earlier.then, later.then);
+    const pair_findings found = pairs.judge(earlier, later, opposite);
     if (!found.judged || !found.later_holds) {
         return std::nullopt;
     }
     if (!found.later_alone && as_prompt(earlier, later)) {
         return rule_warning{later.id, rule_flaw::unreachable, earlier.id};
     }
-    if (found.both_hold && contradict(earlier.then, later.then)) {
+    if (found.both_hold && opposite) {
         return rule_warning{later.id, rule_flaw::conflict, earlier.id};
     }
     return std::nullopt;
@@ -200,14 +236,14 @@
 std::vector<rule_warning> rule_set::warnings() const
 {
     std::vector<rule_warning> all;
+    pair_judge pairs(*this);
     for (std::size_t late = 0; late < m_rules.size(); ++late) {
-        const pair_findings alone = judge(*this, m_rules[late], m_rules[late]);
-        if (alone.judged && !alone.later_holds) {
+        if (pairs.never_holds(m_rules[late])) {
             all.push_back({m_rules[late].id, rule_flaw::never_holds, {}});
             continue;
         }
         for (std::size_t early = 0; early < late; ++early) {
-            if (const auto found = warning_of(*this, m_rules[early], m_rules[late])) {
+            if (const auto found = warning_of(pairs, m_rules[early], m_rules[late])) {
                 all.push_back(*found);
             }
         }
