--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -220,6 +220,7 @@
         }
         live.insert(m_options.id);
         m_targets.set_entries({live.begin(), live.end()});
+        m_log.share_polling(live.size());
     }
 
     caller_path_options caller_options()
@@ -301,7 +302,9 @@
                 .zone = m_options.zone,
                 .incarnation = m_options.incarnation,
                 .not_ready_reason = not_ready_reason(),
-                .requests_in_progress = m_callers.in_progress()};
+                .requests_in_progress = m_callers.in_progress(),
+                .claims = m_claims.counts(),
+                .claims_unsettled = m_claims.unsettled()};
     }
 
     void leave()
