--- a/packages/process/include/plantaindoor/process/table_journal.hpp
+++ b/packages/process/include/plantaindoor/process/table_journal.hpp
@@ -53,6 +53,8 @@
     using reading_callback = std::function<void(journal_reading)>;
 
     explicit table_journal(table_journal_options how);
+    table_journal(const table_journal&) = delete;
+    table_journal& operator=(const table_journal&) = delete;
     ~table_journal() override;
 
     /// Begins to delete what is too old. Precondition: called once.
--- a/packages/process/src/rule_verbs.cpp
+++ b/packages/process/src/rule_verbs.cpp
@@ -168,10 +168,11 @@
         const auto bound = rules.bind(facts);
         json out{{"version", whole->version}, {"facts", facts_json(facts)}, {"matched", ""}};
         out["rules"] = json::array();
+        bool matched = false;
         for (const compiled_rule& each : rules.rules()) {
             out["rules"].push_back(rule_json(rules, each, bound));
-            const bool first = out["matched"] == "";
-            if (first && rules.evaluate(each, bound) == truth::yes) {
+            if (!matched && rules.evaluate(each, bound) == truth::yes) {
+                matched = true;
                 out["matched"] = each.id.str();
                 out["action"] = to_string(each.then);
                 out["would_do"] =
