--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,236 @@
+// What a fleet costs an entry as it grows: memory, a change, a snapshot, and the registration rows.
+#include "plantaindoor/version/codec.hpp"
+#include "plantaindoor/version/delta.hpp"
+#include "plantaindoor/version/registration.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+using namespace plantaindoor;
+using namespace plantaindoor::version;
+
+namespace {
+
+constexpr std::size_t instances_per_rack = 4;
+constexpr std::size_t zones = 3;
+constexpr std::size_t maintained_at_once = 60;
+
+struct fleet_size {
+    std::size_t instances;
+    std::size_t pools;
+    std::size_t teams;
+};
+
+constexpr fleet_size sizes[] = {{50, 61, 230}, {500, 61, 230}, {1700, 61, 230}};
+constexpr std::size_t entry_counts[] = {7, 60, 300};
+
+template<class Id>
+Id numbered(const char* prefix, std::size_t number)
+{
+    return Id(fmt::format("{}{:05}", prefix, number));
+}
+
+/// One service for each team, over one pool.
+fleet fleet_of(const fleet_size& size)
+{
+    fleet whole{.version = 1};
+    for (std::size_t n = 0; n < size.pools; ++n) {
+        const auto id = numbered<pool_id>("pool-", n);
+        whole.pools[id] = {.id = id};
+    }
+    for (std::size_t n = 0; n < size.teams; ++n) {
+        const auto owner = numbered<team_id>("team-", n);
+        const auto id = numbered<service_id>("service-", n);
+        whole.teams[owner] = {.id = owner};
+        whole.services[id] = {.id = id,
+                              .team = owner,
+                              .pools = {numbered<pool_id>("pool-", n % size.pools)},
+                              .refusal_statuses = {503}};
+    }
+    for (std::size_t n = 0; n < size.instances; ++n) {
+        const auto id = numbered<instance_id>("worker-", n);
+        const std::size_t rack = n / instances_per_rack;
+        whole.instances[id] = {.id = id,
+                               .pool = numbered<pool_id>("pool-", n % size.pools),
+                               .zone = numbered<availability_zone_id>("zone-", rack % zones),
+                               .rack = numbered<rack_id>("rack-", rack),
+                               .address = "10.100.200.30",
+                               .port = 8080,
+                               .processors = 64,
+                               .memory_mb = 262144,
+                               .accelerators = 2};
+    }
+    return whole;
+}
+
+/// Bytes that the allocator has given out.
+std::size_t bytes_in_use()
+{
+    return mallinfo2().uordblks;
+}
+
+/// Processor time of one call, the least of several rounds.
+template<class Action>
+double processor_us(int rounds, Action run)
+{
+    double least = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const std::clock_t begin = std::clock();
+        int calls = 0;
+        while (std::clock() - begin < CLOCKS_PER_SEC / 50) {
+            run();
+            ++calls;
+        }
+        const double taken = 1e6 * static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+        const double each = taken / calls;
+        least = round == 0 ? each : std::min(least, each);
+    }
+    return least;
+}
+
+struct fleet_figures {
+    std::size_t instances = 0;
+    std::size_t memory_bytes = 0;
+    std::size_t snapshot_bytes = 0;
+    std::size_t delta_bytes = 0;
+    double apply_us = 0;
+    double encode_delta_us = 0;
+    double decode_delta_us = 0;
+    double encode_snapshot_us = 0;
+    double decode_snapshot_us = 0;
+};
+
+fleet_figures measured(const fleet_size& size)
+{
+    constexpr int rounds = 5;
+    const std::size_t before = bytes_in_use();
+    const fleet whole = fleet_of(size);
+    fleet_figures found{.instances = size.instances, .memory_bytes = bytes_in_use() - before};
+    const delta drain{.version = 2,
+                      .author = "operator:ann",
+                      .reason = "replace the power supply",
+                      .changes = {set_instance_state{.id = numbered<instance_id>("worker-", 7),
+                                                     .state = instance_state::draining}}};
+    const std::string snapshot = encode(whole);
+    const std::string step = encode(drain);
+    found.snapshot_bytes = snapshot.size();
+    found.delta_bytes = step.size();
+    found.apply_us = processor_us(rounds, [&] { return applied(whole, drain); });
+    found.encode_delta_us = processor_us(rounds, [&] { return encode(drain); });
+    found.decode_delta_us = processor_us(rounds, [&] { return decode_delta(step); });
+    found.encode_snapshot_us = processor_us(rounds, [&] { return encode(whole); });
+    found.decode_snapshot_us = processor_us(rounds, [&] { return decode_fleet(snapshot); });
+    return found;
+}
+
+struct registration_figures {
+    std::size_t entries = 0;
+    std::size_t scan_bytes = 0;
+    double decode_scan_us = 0;
+};
+
+/// Every entry is busy at all instances that a wave has taken out.
+registration_figures registrations(std::size_t entries)
+{
+    std::vector<std::string> rows;
+    registration_figures found{.entries = entries};
+    for (std::size_t n = 0; n < entries; ++n) {
+        registration row{.entry = numbered<entry_id>("entry-", n),
+                         .incarnation = 0x123456789abcdef0,
+                         .zone = numbered<availability_zone_id>("zone-", n % zones),
+                         .peer_address = "10.100.200.30",
+                         .peer_port = 9000,
+                         .applied = 400000,
+                         .lease_until = wall_time(seconds(1764800000))};
+        for (std::size_t busy = 0; busy < maintained_at_once; ++busy) {
+            row.busy.push_back(numbered<instance_id>("worker-", busy));
+        }
+        rows.push_back(encode(row));
+        found.scan_bytes += rows.back().size();
+    }
+    found.decode_scan_us = processor_us(3, [&] {
+        for (const std::string& each : rows) {
+            static_cast<void>(decode_registration(each));
+        }
+    });
+    return found;
+}
+
+nlohmann::json to_json(const fleet_figures& each)
+{
+    return {{"instances", each.instances},
+            {"memory_bytes", each.memory_bytes},
+            {"snapshot_bytes", each.snapshot_bytes},
+            {"delta_bytes", each.delta_bytes},
+            {"apply_us", each.apply_us},
+            {"encode_delta_us", each.encode_delta_us},
+            {"decode_delta_us", each.decode_delta_us},
+            {"encode_snapshot_us", each.encode_snapshot_us},
+            {"decode_snapshot_us", each.decode_snapshot_us}};
+}
+
+void print_json(const std::vector<fleet_figures>& fleets,
+                const std::vector<registration_figures>& rows)
+{
+    nlohmann::json out;
+    for (const fleet_figures& each : fleets) {
+        out["fleets"].push_back(to_json(each));
+    }
+    for (const registration_figures& each : rows) {
+        out["registrations"].push_back({{"entries", each.entries},
+                                        {"scan_bytes", each.scan_bytes},
+                                        {"decode_scan_us", each.decode_scan_us}});
+    }
+    std::cout << out.dump(2) << '\n';
+}
+
+void print_table(const std::vector<fleet_figures>& fleets,
+                 const std::vector<registration_figures>& rows)
+{
+    fmt::print("{:>9}{:>10}{:>12}{:>8}{:>10}{:>12}{:>12}{:>14}{:>14}\n", "instances", "memory B",
+               "snapshot B", "delta B", "apply us", "enc delta", "dec delta", "enc snapshot",
+               "dec snapshot");
+    for (const fleet_figures& each : fleets) {
+        fmt::print("{:>9}{:>10}{:>12}{:>8}{:>10.1f}{:>12.2f}{:>12.2f}{:>14.0f}{:>14.0f}\n",
+                   each.instances, each.memory_bytes, each.snapshot_bytes, each.delta_bytes,
+                   each.apply_us, each.encode_delta_us, each.decode_delta_us,
+                   each.encode_snapshot_us, each.decode_snapshot_us);
+    }
+    for (const registration_figures& each : rows) {
+        fmt::print("registrations of {} entries: {} bytes a scan, decoded in {:.0f} us\n",
+                   each.entries, each.scan_bytes, each.decode_scan_us);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("fleet_bench", "Fleets, changes, snapshots and registration rows");
+    options.add_options()("json", "print JSON");
+    const bool json_wanted = options.parse(argc, argv).count("json") > 0;
+    std::vector<fleet_figures> fleets;
+    for (const fleet_size& each : sizes) {
+        fleets.push_back(measured(each));
+    }
+    std::vector<registration_figures> rows;
+    for (const std::size_t each : entry_counts) {
+        rows.push_back(registrations(each));
+    }
+    if (json_wanted) {
+        print_json(fleets, rows);
+    }
+    else {
+        print_table(fleets, rows);
+    }
+    return 0;
+}
