version: Refuse foreign values out of range, and text the log can't hold

Cause: the JSON library converts numbers silently, so a row with port 65536, -1 or 1.5 was read as another port, null or an object as an empty list, and 1e300 as an integer (undefined). Text that is not UTF-8 (an operator's name or reason, a zone in a fleet file) made the encoder throw inside of the append, out of the event loop: one request could end the entry. Ruled out: replacing bad bytes when encoding, since the accepting entry's fleet and the log's would then differ. The request alone is refused (invalid-value); the rest of its group goes on.

--- a/packages/version/include/plantaindoor/version/codec.hpp
+++ b/packages/version/include/plantaindoor/version/codec.hpp
@@ -18,7 +18,8 @@
     }
 };
 
-/// All encoders and decoders are thread-safe. Decoders throw decode_error and nothing else.
+/// All encoders and decoders are thread-safe. Decoders throw decode_error and nothing else;
+/// encoders throw invalid_value_error where a text is not UTF-8.
 [[nodiscard]] std::string encode(const delta& step);
 [[nodiscard]] std::string encode(const fleet& whole);
 [[nodiscard]] delta decode_delta(std::string_view bytes);
--- a/packages/version/src/append_group.cpp
+++ b/packages/version/src/append_group.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/version/append_group.hpp"
 
+#include "plantaindoor/version/codec.hpp"
+
 #include <algorithm>
 #include <memory>
 
@@ -36,6 +38,14 @@
     all += all.empty() ? text : separator + text;
 }
 
+/// Throws invalid_value_error for what the log can't hold, so that one request can't fail its
+/// group.
+void check_encodable(const append_request& request, const std::vector<change>& changes)
+{
+    static_cast<void>(
+        encode(delta{.author = request.author, .reason = request.reason, .changes = changes}));
+}
+
 /// Collects the proposals that fit, judging each against the state that the others lead to.
 class folder {
 public:
@@ -64,6 +74,7 @@
 
     void join(const append_request& request, const std::vector<change>& changes)
     {
+        check_encodable(request, changes);
         delta whole = m_folded.step;
         whole.changes.insert(whole.changes.end(), changes.begin(), changes.end());
         m_trial = applied(m_base, whole);
--- a/packages/version/src/codec.cpp
+++ b/packages/version/src/codec.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/version/codec.hpp"
 
+#include "json_fields.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -48,9 +50,12 @@
     return when.time_since_epoch().count();
 }
 
-wall_time wall_from(const json& in, const char* name)
+/// Rows written before boots were counted have none.
+std::uint64_t boots_from(const json& in)
 {
-    return wall_time(milliseconds(in.at(name).get<std::int64_t>()));
+    return in.contains("boots_before")
+               ? number_from<std::uint64_t>(in.at("boots_before"), "boots_before")
+               : 0;
 }
 
 } // namespace
@@ -63,7 +68,7 @@
 void from_json(const json& in, loan& value)
 {
     in.at("home").get_to(value.home);
-    value.until = wall_from(in, "until");
+    value.until = wall_at(in, "until");
 }
 
 void to_json(json& out, const planned_move& value)
@@ -116,18 +121,18 @@
     in.at("zone").get_to(value.zone);
     in.at("rack").get_to(value.rack);
     in.at("address").get_to(value.address);
-    in.at("port").get_to(value.port);
-    in.at("slots").get_to(value.slots);
-    in.at("connections").get_to(value.connections);
-    in.at("processors").get_to(value.processors);
-    in.at("memory_mb").get_to(value.memory_mb);
-    in.at("accelerators").get_to(value.accelerators);
+    number_at(in, "port", value.port);
+    number_at(in, "slots", value.slots);
+    number_at(in, "connections", value.connections);
+    number_at(in, "processors", value.processors);
+    number_at(in, "memory_mb", value.memory_mb);
+    number_at(in, "accelerators", value.accelerators);
     value.state = enum_from<instance_state>(in, "state");
-    in.at("state_version").get_to(value.state_version);
+    number_at(in, "state_version", value.state_version);
     in.at("outage_wave").get_to(value.outage_wave);
     in.at("last_wave").get_to(value.last_wave);
-    value.maintained = wall_from(in, "maintained");
-    value.boots_before = in.value("boots_before", std::uint64_t{0});
+    value.maintained = wall_at(in, "maintained");
+    value.boots_before = boots_from(in);
     if (in.contains("lent")) {
         value.lent = in.at("lent").get<loan>();
     }
@@ -146,7 +151,7 @@
 void from_json(const json& in, availability_budget& value)
 {
     value.unit = enum_from<budget_unit>(in, "unit");
-    in.at("minimum").get_to(value.minimum);
+    number_at(in, "minimum", value.minimum);
     value.survive = enum_from<failure_domain>(in, "survive");
 }
 
@@ -171,9 +176,11 @@
     in.at("budget").get_to(value.budget);
     value.default_priority = enum_from<priority>(in, "default_priority");
     in.at("idempotent").get_to(value.idempotent);
-    value.default_deadline = milliseconds(in.at("default_deadline_ms").get<std::int64_t>());
-    value.longest_request = milliseconds(in.at("longest_request_ms").get<std::int64_t>());
-    in.at("refusal_statuses").get_to(value.refusal_statuses);
+    value.default_deadline = duration_at(in, "default_deadline_ms");
+    value.longest_request = duration_at(in, "longest_request_ms");
+    for (const json& each : list_at(in, "refusal_statuses")) {
+        value.refusal_statuses.push_back(number_from<std::uint16_t>(each, "refusal_statuses"));
+    }
 }
 
 void to_json(json& out, const pool& value)
@@ -184,7 +191,7 @@
 void from_json(const json& in, pool& value)
 {
     in.at("id").get_to(value.id);
-    in.at("reserve").get_to(value.reserve);
+    number_at(in, "reserve", value.reserve);
     in.at("lends").get_to(value.lends);
 }
 
@@ -200,10 +207,10 @@
 void from_json(const json& in, team& value)
 {
     in.at("id").get_to(value.id);
-    in.at("max_in_progress").get_to(value.max_in_progress);
-    in.at("max_requests_per_second").get_to(value.max_requests_per_second);
-    in.at("max_job_processors").get_to(value.max_job_processors);
-    in.at("max_job_accelerators").get_to(value.max_job_accelerators);
+    number_at(in, "max_in_progress", value.max_in_progress);
+    number_at(in, "max_requests_per_second", value.max_requests_per_second);
+    number_at(in, "max_job_processors", value.max_job_processors);
+    number_at(in, "max_job_accelerators", value.max_job_accelerators);
 }
 
 void to_json(json& out, const wave& value)
@@ -221,9 +228,9 @@
     in.at("id").get_to(value.id);
     in.at("pools").get_to(value.pools);
     value.state = enum_from<wave_state>(in, "state");
-    in.at("max_parallel").get_to(value.max_parallel);
+    number_at(in, "max_parallel", value.max_parallel);
     in.at("reason").get_to(value.reason);
-    value.started = wall_from(in, "started");
+    value.started = wall_at(in, "started");
 }
 
 void to_json(json& out, const rule& value)
@@ -268,12 +275,12 @@
     set_instance_state value{.id = in.at("id").get<instance_id>(),
                              .state = enum_from<instance_state>(in, "state"),
                              .wave = in.at("wave").get<wave_id>(),
-                             .boots_before = in.value("boots_before", std::uint64_t{0})};
+                             .boots_before = boots_from(in)};
     if (in.contains("moving")) {
         value.moving = in.at("moving").get<planned_move>();
     }
     if (in.contains("maintained")) {
-        value.maintained = wall_from(in, "maintained");
+        value.maintained = wall_at(in, "maintained");
     }
     return value;
 }
@@ -387,6 +394,17 @@
     }
 }
 
+/// Throws invalid_value_error where a text is not UTF-8.
+std::string dumped(const json& value)
+{
+    try {
+        return value.dump();
+    }
+    catch (const json::type_error& failure) {
+        throw invalid_value_error("text", failure.what(), "UTF-8");
+    }
+}
+
 /// Turns the JSON library's failures into the one type that decoders may throw.
 template<class Decode>
 auto decoded(std::string_view bytes, Decode decode)
@@ -407,35 +425,33 @@
     for (const change& each : step.changes) {
         changes.push_back(std::visit(change_encoder{}, each));
     }
-    return json{{"version", step.version},
-                {"author", step.author},
-                {"reason", step.reason},
-                {"accepted", millis(step.accepted)},
-                {"changes", std::move(changes)}}
-        .dump();
+    return dumped({{"version", step.version},
+                   {"author", step.author},
+                   {"reason", step.reason},
+                   {"accepted", millis(step.accepted)},
+                   {"changes", std::move(changes)}});
 }
 
 std::string encode(const fleet& whole)
 {
-    return json{{"version", whole.version},
-                {"teams", values_of(whole.teams)},
-                {"pools", values_of(whole.pools)},
-                {"services", values_of(whole.services)},
-                {"instances", values_of(whole.instances)},
-                {"waves", values_of(whole.waves)},
-                {"rules", whole.rules}}
-        .dump();
+    return dumped({{"version", whole.version},
+                   {"teams", values_of(whole.teams)},
+                   {"pools", values_of(whole.pools)},
+                   {"services", values_of(whole.services)},
+                   {"instances", values_of(whole.instances)},
+                   {"waves", values_of(whole.waves)},
+                   {"rules", whole.rules}});
 }
 
 delta decode_delta(std::string_view bytes)
 {
     return decoded(bytes, [](const json& in) {
         delta step;
-        in.at("version").get_to(step.version);
+        number_at(in, "version", step.version);
         in.at("author").get_to(step.author);
         in.at("reason").get_to(step.reason);
-        step.accepted = wall_from(in, "accepted");
-        for (const json& each : in.at("changes")) {
+        step.accepted = wall_at(in, "accepted");
+        for (const json& each : list_at(in, "changes")) {
             step.changes.push_back(decode_change(each));
         }
         return step;
@@ -446,12 +462,12 @@
 {
     return decoded(bytes, [](const json& in) {
         fleet whole;
-        in.at("version").get_to(whole.version);
-        values_into(in.at("teams"), whole.teams);
-        values_into(in.at("pools"), whole.pools);
-        values_into(in.at("services"), whole.services);
-        values_into(in.at("instances"), whole.instances);
-        values_into(in.at("waves"), whole.waves);
+        number_at(in, "version", whole.version);
+        values_into(list_at(in, "teams"), whole.teams);
+        values_into(list_at(in, "pools"), whole.pools);
+        values_into(list_at(in, "services"), whole.services);
+        values_into(list_at(in, "instances"), whole.instances);
+        values_into(list_at(in, "waves"), whole.waves);
         in.at("rules").get_to(whole.rules);
         return whole;
     });
--- a/packages/version/src/log_rows.cpp
+++ b/packages/version/src/log_rows.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/version/log_rows.hpp"
 
+#include "json_fields.hpp"
 #include "plantaindoor/version/codec.hpp"
 
 #include <fmt/format.h>
@@ -34,9 +35,9 @@
 {
     try {
         const json in = json::parse(bytes);
-        return {.version = in.at("version").get<version_number>(),
-                .snapshot = in.at("snapshot").get<version_number>(),
-                .oldest = in.at("oldest").get<version_number>()};
+        return {.version = number_from<version_number>(in.at("version"), "version"),
+                .snapshot = number_from<version_number>(in.at("snapshot"), "snapshot"),
+                .oldest = number_from<version_number>(in.at("oldest"), "oldest")};
     }
     catch (const json::exception& failure) {
         throw decode_error(failure.what());
--- a/packages/version/src/registration.cpp
+++ b/packages/version/src/registration.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/version/registration.hpp"
 
+#include "json_fields.hpp"
 #include "plantaindoor/version/codec.hpp"
 
 #include <nlohmann/json.hpp>
@@ -33,14 +34,14 @@
     try {
         const json in = json::parse(bytes);
         registration row{.entry = entry_id(in.at("entry").get<std::string>()),
-                         .incarnation = in.at("incarnation").get<std::uint64_t>(),
+                         .incarnation =
+                             number_from<std::uint64_t>(in.at("incarnation"), "incarnation"),
                          .zone = availability_zone_id(in.at("zone").get<std::string>()),
                          .peer_address = in.at("peer_address").get<std::string>(),
-                         .peer_port = in.at("peer_port").get<std::uint16_t>(),
-                         .applied = in.at("applied").get<version_number>(),
-                         .lease_until =
-                             wall_time(milliseconds(in.at("lease_until").get<std::int64_t>()))};
-        for (const json& each : in.at("busy")) {
+                         .peer_port = number_from<std::uint16_t>(in.at("peer_port"), "peer_port"),
+                         .applied = number_from<version_number>(in.at("applied"), "applied"),
+                         .lease_until = wall_at(in, "lease_until")};
+        for (const json& each : list_at(in, "busy")) {
             row.busy.emplace_back(each.get<std::string>());
         }
         return row;
