process: Refuse operators' bodies that are nested too deeply or of another type

Cause: a verb's body is copied, which recurses into it: 400,000 nested lists ended the entry (SIGSEGV). A reason that is not a text was answered by 500 with the JSON library's message. Failed first: fleet_verbs_test, 3 of its 3 cases (SIGSEGV; 500; json type_error out of the loop). After: all 3 pass, with odd types and random bytes over all nine verbs.

--- a/packages/process/src/fleet_verbs.cpp
+++ b/packages/process/src/fleet_verbs.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::int64_t longest_loan_minutes = std::int64_t{60} * 24 * 30;
 constexpr std::size_t default_journal_limit = 100;
+constexpr int deepest_body = 8;
 
 /// One operator's call as a verb sees it.
 struct verb_call {
@@ -33,12 +34,22 @@
 
 using propose_function = std::vector<change> (*)(const fleet&, const verb_call&);
 
+/// Refuses a body that is nested too deeply: copies of JSON recurse into it.
+bool check_depth(int depth, json::parse_event_t /*event*/, json& /*parsed*/)
+{
+    if (depth > deepest_body) {
+        throw invalid_value_error("body", "deeper nesting",
+                                  "at most " + std::to_string(deepest_body) + " levels");
+    }
+    return true;
+}
+
 json body_of(const operator_request& request)
 {
     if (request.body.empty()) {
         return json::object();
     }
-    json body = json::parse(request.body, nullptr, false);
+    json body = json::parse(request.body, &check_depth, false);
     if (!body.is_object()) {
         throw invalid_value_error("body", request.body, "a JSON object");
     }
@@ -54,6 +65,11 @@
     return found->get<std::string>();
 }
 
+std::string reason_of(const json& body)
+{
+    return body.contains("reason") ? text_of(body, "reason") : std::string();
+}
+
 std::int64_t number_of(const json& body, const char* name, std::int64_t most)
 {
     const auto found = body.find(name);
@@ -125,8 +141,7 @@
 template<version::wave_state State>
 std::vector<change> set_wave_state(const fleet& newest, const verb_call& call)
 {
-    return plan_wave_state(newest, wave_id(call.subject), State,
-                           call.body.value("reason", std::string()));
+    return plan_wave_state(newest, wave_id(call.subject), State, reason_of(call.body));
 }
 
 struct verb_route {
@@ -155,7 +170,7 @@
                          .now = options.time.wall_now()};
     options.log.append(
         {.author = request.author,
-         .reason = call.body.value("reason", std::string()),
+         .reason = reason_of(call.body),
          .propose = [call, propose](const fleet& newest) { return propose(newest, call); }},
         [respond](const version::append_result& result) {
             respond_appended(respond, result, [&] {
