--- a/packages/process/src/fleet_verbs.cpp
+++ b/packages/process/src/fleet_verbs.cpp
@@ -260,7 +260,7 @@
     for (const journal_fact& each : entry.facts) {
         facts.push_back({{"name", each.name}, {"value", each.value}});
     }
-    return {{"when_ms", entry.when.time_since_epoch().count()},
+    return {{"when", entry.when.time_since_epoch().count()},
             {"actor", entry.actor.str()},
             {"part", entry.part},
             {"action", entry.action},
