--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/process/entry.hpp"
 
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/common/tracing.hpp"
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/http_platform.hpp"
 #include "plantaindoor/connection/http_server.hpp"
@@ -10,15 +12,20 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/peer_group.hpp"
-#include "plantaindoor/process/recent_journal.hpp"
 #include "plantaindoor/process/registrar.hpp"
+#include "plantaindoor/process/request_metrics.hpp"
+#include "plantaindoor/process/rule_runner.hpp"
+#include "plantaindoor/process/rule_verbs.hpp"
+#include "plantaindoor/process/table_journal.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
 #include <fmt/format.h>
 
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -30,7 +37,11 @@
 
 namespace {
 
+constexpr log_part entry_log("entry");
+constexpr log_part version_log("version");
+
 constexpr milliseconds end_check_period{20};
+constexpr milliseconds readiness_period{200};
 /// Time for the last answers to leave the sockets.
 constexpr milliseconds flush_time{200};
 /// Longest wait for the table after the last answer.
@@ -53,7 +64,12 @@
     parts(event_loop& loop, entry_options options)
         : m_loop(loop),
           m_options(std::move(options)),
-          m_client(loop),
+          m_tracer(loop, trace_options()),
+          m_request_metrics(m_metrics),
+          m_in_progress(m_metrics.gauge(
+              {.name = "requests_in_progress", .help = "Requests not yet answered."})),
+          m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
+          m_client(loop, &m_tracer),
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
           m_log(loop, m_table, log_options()),
@@ -62,7 +78,12 @@
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
           m_registrar(loop, m_table, m_instances, m_log, m_members, registrar_options_here()),
+          m_journal({.loop = loop,
+                     .rows = m_table,
+                     .self = m_options.id,
+                     .incarnation = m_options.incarnation}),
           m_duties(duty_options()),
+          m_rules(rule_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
           m_callers(caller_options()),
@@ -78,6 +99,18 @@
                          .time = loop,
                          .duties = m_duties,
                          .journal = m_journal});
+        add_rule_verbs({.router = m_router,
+                        .log = m_log,
+                        .list = m_instances,
+                        .time = loop,
+                        .duties = m_duties,
+                        .runner = m_rules,
+                        .journal = m_journal});
+        m_router.add("GET", "/metrics", [this](const auto&, const auto& respond) {
+            respond.respond(plain(200, metrics_text()));
+        });
+        m_router.add("GET", "/traces",
+                     [this](const auto&, const auto& respond) { respond.json(m_tracer.json()); });
         m_router.add_open("GET", "/health", [](const auto&, const auto& respond) {
             respond.respond(plain(200, "healthy"));
         });
@@ -88,13 +121,19 @@
 
     void start()
     {
+        m_log.subscribe([](const version::fleet_ptr& fleet) {
+            version_log.info(fmt::format("version {} is in force", fleet->version));
+        });
+        watch_readiness();
         m_log.start();
         m_targets.start();
         m_sweeper.start();
         m_members.listen_at(m_options.peers.address, m_peers.port());
         m_peers.start();
         m_registrar.start();
+        m_journal.start();
         m_duties.start();
+        m_rules.start();
     }
 
     void end(event_loop::action on_ended)
@@ -102,6 +141,8 @@
         if (m_on_ended) {
             return;
         }
+        entry_log.info(
+            fmt::format("told to end, {} requests in progress", m_callers.in_progress()));
         m_on_ended = std::move(on_ended);
         m_loop.call_after(m_options.leave_delay, [this] { leave(); });
     }
@@ -122,6 +163,32 @@
         return fmt::format("{}-{:x}", m_options.id.str(), m_options.incarnation);
     }
 
+    [[nodiscard]] tracer_options trace_options() const
+    {
+        return {.ring = m_options.trace_ring,
+                .file = m_options.trace_file,
+                .seed = m_options.incarnation};
+    }
+
+    std::string metrics_text()
+    {
+        m_in_progress.set(static_cast<double>(m_callers.in_progress()));
+        m_version.set(static_cast<double>(m_log.current()->version));
+        m_metrics.advance(m_loop.now());
+        return m_metrics.text();
+    }
+
+    /// Logs each change of readiness.
+    void watch_readiness()
+    {
+        std::string reason = not_ready_reason();
+        if (m_logged_reason != reason) {
+            entry_log.info(reason.empty() ? "ready" : "not ready: " + reason);
+            m_logged_reason = std::move(reason);
+        }
+        m_loop.call_after(readiness_period, [this] { watch_readiness(); });
+    }
+
     version::table_change_log_options log_options()
     {
         return {.author_id = run_name(),
@@ -154,7 +221,8 @@
                 .known_peers = m_options.known_peers,
                 .policy = {.seed = m_options.incarnation},
                 .demand = [this] { return m_targets.report_demand(); },
-                .on_demand = [this](const auto& report) { m_targets.hear(report); }};
+                .on_demand = [this](const auto& report) { m_targets.hear(report); },
+                .spans = &m_tracer};
     }
 
     registrar_options registrar_options_here()
@@ -177,7 +245,20 @@
             .journal = m_journal,
             .self = m_options.id,
             .incarnation = m_options.incarnation,
-            .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap}};
+            .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
+            .other_duties = &duties_of_rules};
+    }
+
+    rule_runner_options rule_options()
+    {
+        return {.loop = m_loop,
+                .log = m_log,
+                .journal = m_journal,
+                .self = m_options.id,
+                .guard = [this] { return m_duties.guard_of(rules_duty()); },
+                .drop_guard = [this] { m_duties.drop(rules_duty()); },
+                .lost = [this] { return m_duties.known_lost(); },
+                .table_down = [this] { return !m_duties.table_answers(); }};
     }
 
     void take_registered(const std::vector<version::registration>& rows)
@@ -191,6 +272,7 @@
         }
         live.insert(m_options.id);
         m_targets.set_entries({live.begin(), live.end()});
+        m_log.share_polling(live.size());
     }
 
     caller_path_options caller_options()
@@ -200,6 +282,8 @@
                 .log = m_log,
                 .targets = m_targets,
                 .claims = m_claims,
+                .spans = m_tracer,
+                .metrics = m_request_metrics,
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
                 .answers = {.max_bytes = m_options.answer_limit_bytes},
@@ -272,7 +356,9 @@
                 .zone = m_options.zone,
                 .incarnation = m_options.incarnation,
                 .not_ready_reason = not_ready_reason(),
-                .requests_in_progress = m_callers.in_progress()};
+                .requests_in_progress = m_callers.in_progress(),
+                .claims = m_claims.counts(),
+                .claims_unsettled = m_claims.unsettled()};
     }
 
     void leave()
@@ -304,6 +390,11 @@
 
     event_loop& m_loop;
     entry_options m_options;
+    tracer m_tracer;
+    metrics_registry m_metrics;
+    request_metrics m_request_metrics;
+    metric_gauge& m_in_progress;
+    metric_gauge& m_version;
     connection::http_client m_client;
     connection::http_table m_table;
     connection::http_objects m_objects;
@@ -313,8 +404,9 @@
     membership m_members;
     peer_group m_peers;
     registrar m_registrar;
-    recent_journal m_journal;
+    table_journal m_journal;
     duty_runner m_duties;
+    rule_runner m_rules;
     claim_store m_claims;
     claim_sweeper m_sweeper;
     caller_path m_callers;
@@ -322,6 +414,7 @@
     connection::http_server m_caller_server;
     connection::http_server m_operator_server;
     event_loop::action m_on_ended;
+    std::optional<std::string> m_logged_reason;
     bool m_left = false;
     time_point m_settle_until{};
 };
