--- a/packages/process/tests/duty_runner_test.cpp
+++ b/packages/process/tests/duty_runner_test.cpp
@@ -26,7 +26,8 @@
     const bool finished = all.run_wave(longest_wave);
     INFO("fault " << static_cast<int>(fault) << " at step " << at);
     CHECK(finished);
-    CHECK(all.violations == std::vector<std::string>{});
+    CAPTURE(all.violations);
+    CHECK(all.violations.empty());
     for (const auto& [id, each] : all.newest.instances) {
         CHECK(all.boots[id] == 1);
         CHECK(each.last_wave == wave_id("m"));
@@ -71,7 +72,8 @@
         world all(how);
         finished += all.run_wave(longest_wave) ? 1 : 0;
         INFO("seed " << seed);
-        CHECK(all.violations == std::vector<std::string>{});
+        CAPTURE(all.violations);
+        CHECK(all.violations.empty());
         for (const auto& [id, boots] : all.boots) {
             CHECK(boots <= 1);
         }
