wave: Make every entry renew again once a new incarnation is seen

Cause: renewals were counted from the first reading at which all had confirmed. An incarnation that appears later could have caught up from a process that died meanwhile, with the others' two renewals already counted (found by reasoning over the membership proof; no broken run was shown). Ruled out: counting on for entries that were there before; their writes precede the newcomer's.

--- a/cmake/plantaindoor.cmake
+++ b/cmake/plantaindoor.cmake
@@ -27,7 +27,8 @@
 target_compile_definitions(plantaindoor_flags INTERFACE BOOST_LOG_DYN_LINK)
 if(PLANTAINDOOR_SANITIZE)
     target_compile_options(plantaindoor_flags INTERFACE -fsanitize=address,undefined
-        -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+        -fno-sanitize-recover=undefined -fno-omit-frame-pointer
+        -O1) # The enumerations take minutes without.
     target_link_options(plantaindoor_flags INTERFACE -fsanitize=address,undefined)
 endif()
 
--- a/packages/process/include/plantaindoor/process/drain_barrier.hpp
+++ b/packages/process/include/plantaindoor/process/drain_barrier.hpp
@@ -141,6 +141,7 @@
 private:
     using member_key = std::pair<entry_id, std::uint64_t>;
 
+    void note_confirmations(const std::vector<const confirmation_member*>& members);
     [[nodiscard]] bool confirmed(const confirmation_member& subject) const;
     [[nodiscard]] std::optional<awaited_reason> reason_to_wait(const confirmation_member& subject,
                                                                time_point now) const;
--- a/packages/process/src/drain_barrier.cpp
+++ b/packages/process/src/drain_barrier.cpp
@@ -179,11 +179,11 @@
     if (!all_confirmed) {
         m_writes_at_confirmation.clear();
     }
+    if (all_confirmed) {
+        note_confirmations(members);
+    }
     m_awaited.clear();
     for (const confirmation_member* each : members) {
-        if (all_confirmed) {
-            m_writes_at_confirmation.try_emplace({each->entry, *each->incarnation}, each->writes);
-        }
         const bool holds_back = all_confirmed || !confirmed(*each);
         if (const auto reason = reason_to_wait(*each, now); reason && holds_back) {
             m_awaited.push_back({.entry = each->entry, .reason = *reason});
@@ -193,6 +193,23 @@
                entries.has_settled(m_options.longest_request, now);
 }
 
+void drain_barrier::note_confirmations(const std::vector<const confirmation_member*>& members)
+{
+    const auto key_of = [](const confirmation_member* each) {
+        return member_key{each->entry, *each->incarnation};
+    };
+    // What the others wrote before a new incarnation was seen says nothing of what it did
+    // meanwhile.
+    if (std::any_of(members.begin(), members.end(), [&](const confirmation_member* each) {
+            return !m_writes_at_confirmation.contains(key_of(each));
+        })) {
+        m_writes_at_confirmation.clear();
+    }
+    for (const confirmation_member* each : members) {
+        m_writes_at_confirmation.try_emplace(key_of(each), each->writes);
+    }
+}
+
 bool drain_barrier::confirmed(const confirmation_member& subject) const
 {
     const auto& busy = subject.row.busy;
--- a/packages/process/src/registrar.cpp
+++ b/packages/process/src/registrar.cpp
@@ -92,6 +92,11 @@
         return planned_out(each.second) && each.second.state_version > m_followed;
     });
     m_followed = newest->version;
+    milliseconds longest = m_options.retirement.longest_request;
+    for (const auto& [id, service] : newest->services) {
+        longest = std::max(longest, service.longest_request);
+    }
+    m_retirement.set_longest_request(longest);
     m_members.on_applied(newest->version, urgent);
 }
 
--- a/packages/process/tests/drain_barrier_test.cpp
+++ b/packages/process/tests/drain_barrier_test.cpp
@@ -67,6 +67,19 @@
     CHECK(h.readings_until_passed(2, 10) == 3);
 }
 
+TEST_CASE("a new incarnation makes every entry renew again", "[drain-barrier]")
+{
+    holder h;
+    h.read(2);
+    h.read(2);
+    h.rows.push_back({.row = {.entry = entry_id("c"), .incarnation = 3}});
+    h.listed.push_back({.id = "c", .role = listed_role::entry});
+    h.read(2);
+    for (const confirmation_member& each : h.entries.members()) {
+        CHECK(h.barrier.renewals(each) == 0);
+    }
+}
+
 TEST_CASE("a frozen entry is waited for until the platform drops it", "[drain-barrier]")
 {
     holder h;
--- a/packages/version/include/plantaindoor/version/registration_set.hpp
+++ b/packages/version/include/plantaindoor/version/registration_set.hpp
@@ -81,6 +81,8 @@
     /// on condition that they are unchanged.
     std::vector<registration_row> on_reading(std::span<const registration_row> rows,
                                              const std::set<entry_id>& listed, time_point now);
+    /// Sets the longest time that a target may still run what a dead entry sent.
+    void set_longest_request(milliseconds longest) { m_options.longest_request = longest; }
     /// Takes a gap without readings: what happened meanwhile is unknown.
     void on_gap() { m_suspects.clear(); }
 
