process: Read the platform's list once for all parts, at a pace its size allows

Ruled out: answering from an older reading; the barrier needs the list to be read after the rows. Every caller gets a reading begun after its call, at most each 250 ms and at most 12 kB/s, but at least each 6 s, below the 10 s that a duty's holder may pause. Leases no longer wait for readings. Bytes in a running entry at 1,700 lines: not measured.

--- a/packages/process/include/plantaindoor/process/duty_runner.hpp
+++ b/packages/process/include/plantaindoor/process/duty_runner.hpp
@@ -116,6 +116,7 @@
     std::optional<time_point> m_list_read;
     bool m_table_answers = true;
     bool m_renewing = false;
+    bool m_reading = false;
     bool m_stopped = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/packages/process/src/duty_runner.cpp
+++ b/packages/process/src/duty_runner.cpp
@@ -193,7 +193,11 @@
         finish_cycle();
         return;
     }
-    scan_entries();
+    // Readings of entries may take longer than leases last, so leases don't wait for them.
+    if (!m_reading) {
+        scan_entries();
+    }
+    finish_cycle();
 }
 
 void duty_runner::send(const std::vector<duty_leases::request>& requests)
@@ -206,6 +210,7 @@
 
 void duty_runner::scan_entries()
 {
+    m_reading = true;
     m_options.rows.scan({.prefix = std::string(version::registration_prefix), .limit = max_rows},
                         while_alive([this](const read_result& rows) { on_entries(rows); }));
 }
@@ -214,7 +219,7 @@
 {
     auto entries = rows ? decode_entries(*rows) : std::nullopt;
     if (!entries) {
-        finish_cycle();
+        m_reading = false;
         return;
     }
     // The list is asked for only now: a reading counts if the list is the later half.
@@ -227,6 +232,7 @@
 void duty_runner::on_list(std::vector<registered_entry> rows,
                           const std::optional<std::vector<listed_instance>>& listed)
 {
+    m_reading = false;
     if (listed && !m_stopped) {
         m_list_read = m_options.loop.now();
         m_entries.observe({.rows = std::move(rows), .listed = *listed}, m_options.loop.now());
@@ -234,7 +240,6 @@
             std::make_shared<version::lost_instances>(lost_of(*m_options.log.current(), *listed));
         run_duties();
     }
-    finish_cycle();
 }
 
 void duty_runner::run_duties()
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -15,6 +15,7 @@
 #include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
+#include "plantaindoor/process/paced_instance_list.hpp"
 #include "plantaindoor/process/peer_group.hpp"
 #include "plantaindoor/process/registrar.hpp"
 #include "plantaindoor/process/request_metrics.hpp"
@@ -74,10 +75,11 @@
           m_objects(m_client, platform()),
           m_log(loop, m_table, log_options()),
           m_instances(m_client, platform()),
-          m_targets(loop, m_log, m_instances, target_options()),
+          m_list(loop, m_instances),
+          m_targets(loop, m_log, m_list, target_options()),
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
-          m_registrar(loop, m_table, m_instances, m_log, m_members, registrar_options_here()),
+          m_registrar(loop, m_table, m_list, m_log, m_members, registrar_options_here()),
           m_journal({.loop = loop,
                      .rows = m_table,
                      .self = m_options.id,
@@ -101,7 +103,7 @@
                          .journal = m_journal});
         add_rule_verbs({.router = m_router,
                         .log = m_log,
-                        .list = m_instances,
+                        .list = m_list,
                         .time = loop,
                         .duties = m_duties,
                         .runner = m_rules,
@@ -400,6 +402,7 @@
     connection::http_objects m_objects;
     version::table_change_log m_log;
     connection::http_instances m_instances;
+    paced_instance_list m_list;
     dispatched_targets m_targets;
     membership m_members;
     peer_group m_peers;
--- /dev/null
+++ b/packages/process/src/paced_instance_list.cpp
@@ -0,0 +1,70 @@
+#include "plantaindoor/process/paced_instance_list.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::process {
+
+paced_instance_list::paced_instance_list(event_loop& loop, instance_list& inner,
+                                         paced_instance_list_options options)
+    : m_loop(loop), m_inner(inner), m_options(options)
+{
+}
+
+paced_instance_list::~paced_instance_list()
+{
+    m_loop.cancel(m_timer);
+}
+
+void paced_instance_list::list(list_callback done)
+{
+    m_waiting.push_back(std::move(done));
+    start_when_due();
+}
+
+void paced_instance_list::start_when_due()
+{
+    if (m_reading || m_waiting.empty() || m_timer != timer_id::none) {
+        return;
+    }
+    const nanoseconds wait = m_next - m_loop.now();
+    if (wait <= nanoseconds(0)) {
+        start();
+        return;
+    }
+    m_timer = m_loop.call_after(wait, [this] {
+        m_timer = timer_id::none;
+        start();
+    });
+}
+
+void paced_instance_list::start()
+{
+    m_reading = true;
+    m_started = m_loop.now();
+    m_inner.list([this, callers = std::exchange(m_waiting, {}),
+                  alive = std::weak_ptr(m_alive)](const reading& listed) {
+        if (!alive.expired()) {
+            deliver(callers, listed);
+        }
+    });
+}
+
+void paced_instance_list::deliver(const std::vector<list_callback>& callers, const reading& listed)
+{
+    m_reading = false;
+    m_next = m_started + period_after(listed ? listed->size() : 0);
+    for (const list_callback& each : callers) {
+        each(listed);
+    }
+    start_when_due();
+}
+
+milliseconds paced_instance_list::period_after(std::size_t lines) const
+{
+    const std::size_t bytes = lines * m_options.bytes_per_line;
+    const milliseconds wanted(bytes * 1000 / m_options.bytes_per_second);
+    return std::clamp(wanted, m_options.least_period, m_options.most_period);
+}
+
+} // namespace plantaindoor::process
