--- a/packages/process/tests/fleet_verbs_test.cpp
+++ b/packages/process/tests/fleet_verbs_test.cpp
@@ -70,7 +70,7 @@
     fakes::delayed_table rows{loop, table_rows, {}, 1};
     version::table_change_log log{loop, rows, {.author_id = "e1"}};
     silent_platform platform;
-    recent_journal journal;
+    table_journal journal{{.loop = loop, .rows = rows, .self = entry_id("e1")}};
     connection::operator_router router{""};
     duty_runner duties{{.loop = loop,
                         .rows = rows,
