request: Share the pace of claims among the live entries

Cause: each entry wrote up to 30 transactions a second, whatever their number: 1,800 at 60 entries, where the platform takes several hundred (worked out in docs/CAPACITY.md). Ruled out: a smaller constant; seven entries need theirs. Result: 210 a second for all, at most 30 for one; the new case fails when the pace is not applied, and passes with it; request_test [claims] 11 cases pass.

--- a/packages/process/include/plantaindoor/process/claim_store.hpp
+++ b/packages/process/include/plantaindoor/process/claim_store.hpp
@@ -28,6 +28,9 @@
     /// Records how a granted claim's request ended.
     void finish(request::claim_ticket ticket, request::claim_end end);
 
+    /// See claim_batcher::share_rate().
+    void share_rate(std::size_t entries) { m_batcher.share_rate(entries); }
+
     /// Claims and ends that are not settled in the table yet.
     [[nodiscard]] std::size_t unsettled() const { return m_batcher.unsettled(); }
     [[nodiscard]] const request::claim_counts& counts() const { return m_batcher.counts(); }
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -273,6 +273,7 @@
             }
         }
         live.insert(m_options.id);
+        m_claims.share_rate(live.size());
         m_targets.set_entries({live.begin(), live.end()});
         m_log.share_polling(live.size());
     }
--- a/packages/request/include/plantaindoor/request/claim_batcher.hpp
+++ b/packages/request/include/plantaindoor/request/claim_batcher.hpp
@@ -33,9 +33,10 @@
     /// Rows in one transaction or read.
     std::size_t max_group = 100;
     std::size_t max_in_flight = 4;
-    /// This entry's part of what the platform writes; seven entries use 210 of its several hundred
-    /// transactions a second at the most.
+    /// Most transactions of this entry.
     double transactions_per_second = 30;
+    /// Most transactions of all entries together, of the several hundred that the platform writes.
+    double shared_transactions_per_second = 210;
     double transaction_burst = 5;
     /// For a platform that counts each row of a transaction.
     double rows_per_second = 3000;
@@ -120,6 +121,8 @@
     /// The reply to a read that step() asked for.
     void read_back(std::uint64_t id, const read_result& result, moment now);
     [[nodiscard]] claim_actions step(moment now);
+    /// Takes the number of live entries, which share the rate of all. Precondition: at least 1.
+    void share_rate(std::size_t entries);
 
     [[nodiscard]] const claim_counts& counts() const { return m_counts; }
     /// Claims without a verdict, granted claims, and ends without a record.
@@ -183,6 +186,8 @@
     [[nodiscard]] std::optional<time_point> next_wake(moment now) const;
 
     claim_options m_options;
+    /// Transactions a second that this entry may write now.
+    double m_pace;
     write_rate m_transaction_rate;
     write_rate m_row_rate;
     table_health m_health;
--- a/packages/request/include/plantaindoor/request/write_rate.hpp
+++ b/packages/request/include/plantaindoor/request/write_rate.hpp
@@ -24,6 +24,9 @@
         return m_tokens;
     }
 
+    /// Changes the rate; what has gathered stays.
+    void set_per_second(double per_second) { m_per_second = per_second; }
+
     /// Precondition: available() was at least `tokens`.
     void take(double tokens) { m_tokens -= tokens; }
 
--- a/packages/request/src/claim_batcher.cpp
+++ b/packages/request/src/claim_batcher.cpp
@@ -23,12 +23,20 @@
 
 claim_batcher::claim_batcher(claim_options options)
     : m_options(std::move(options)),
+      m_pace(m_options.transactions_per_second),
       m_transaction_rate(m_options.transactions_per_second, m_options.transaction_burst),
       m_row_rate(m_options.rows_per_second, static_cast<double>(2 * m_options.max_group)),
       m_health(m_options.health)
 {
 }
 
+void claim_batcher::share_rate(std::size_t entries)
+{
+    m_pace = std::min(m_options.transactions_per_second,
+                      m_options.shared_transactions_per_second / static_cast<double>(entries));
+    m_transaction_rate.set_per_second(m_pace);
+}
+
 claim_ticket claim_batcher::add(claim_request request, moment now)
 {
     const claim_ticket ticket{++m_last_ticket};
@@ -86,8 +94,7 @@
 milliseconds claim_batcher::wait_for(version::priority priority) const
 {
     const double rows =
-        std::min(m_options.rows_per_second,
-                 m_options.transactions_per_second * static_cast<double>(m_options.max_group));
+        std::min(m_options.rows_per_second, m_pace * static_cast<double>(m_options.max_group));
     const double ahead =
         static_cast<double>(m_queue.claims_down_to(priority) * claim_shares_of_rate);
     return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(ahead / rows));
--- a/packages/request/tests/claim_batcher_test.cpp
+++ b/packages/request/tests/claim_batcher_test.cpp
@@ -365,3 +365,29 @@
     CHECK(type_of(world.requests[third]) == "key-in-progress");
     CHECK(violation(world).empty());
 }
+
+TEST_CASE("all entries together keep to the rate that they share", "[claims]")
+{
+    constexpr std::size_t entries = 60;
+    constexpr int run_seconds = 10;
+    claim_batcher batcher({});
+    batcher.share_rate(entries);
+    std::size_t transactions = 0;
+    for (int number = 0; number < run_seconds * 100; ++number) {
+        const moment now{.steady = time_point(milliseconds(10 * number)),
+                         .wall = wall_time(milliseconds(10 * number))};
+        batcher.add({.row_key = numbered('k', number),
+                     .give_up_at = now.steady + seconds(1),
+                     .ends_by = now.wall + seconds(2)},
+                    now);
+        for (const claim_transaction& each : batcher.step(now).transactions) {
+            ++transactions;
+            batcher.transacted(each.id, {.outcome = transact_outcome::applied}, now);
+        }
+    }
+    const claim_options options;
+    const double shared = options.shared_transactions_per_second * run_seconds;
+    CHECK(static_cast<double>(transactions * entries) <=
+          shared + options.transaction_burst * static_cast<double>(entries));
+    CHECK(transactions > 0);
+}
