--- a/apps/plantaindoord/main.cpp
+++ b/apps/plantaindoord/main.cpp
@@ -55,6 +55,12 @@
     options.answer_limit_bytes = settings.limits.answer_bytes;
     options.head_poll = settings.timings.head_poll;
     options.list_lag = settings.timings.list_lag;
+    options.list_poll = settings.timings.list_poll;
+    options.lease = settings.timings.lease;
+    options.renew = settings.timings.renew;
+    options.drain_timeout = settings.timings.drain_timeout;
+    options.queue_requests = settings.limits.queue_requests;
+    options.queue_bytes = settings.limits.queue_bytes;
     options.trace_ring = settings.traces.ring;
     options.trace_file = settings.traces.file;
     return options;
--- a/packages/process/include/plantaindoor/process/entry.hpp
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -32,6 +32,15 @@
     milliseconds head_poll{500};
     /// The most by which the platform's instance list may be behind the truth.
     milliseconds list_lag{30000};
+    /// Requests that wait for a slot, and the bytes of their bodies.
+    std::size_t queue_requests = 1000;
+    std::size_t queue_bytes = 16U << 20U;
+    /// Term of the duties' leases, and the time from one renewal to the next.
+    milliseconds lease{6000};
+    milliseconds renew{1000};
+    milliseconds list_poll{1000};
+    /// From leaving until the process ends even if requests are still in progress.
+    milliseconds drain_timeout{60000};
     /// Spans kept for /traces, and the file that they are appended to; empty: none.
     std::size_t trace_ring = 2000;
     std::filesystem::path trace_file;
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -201,8 +201,12 @@
 
     [[nodiscard]] dispatched_targets_options target_options() const
     {
-        return {.decisions = {
-                    .self = m_options.id, .zone = m_options.zone, .seed = m_options.incarnation}};
+        return {.decisions = {.self = m_options.id,
+                              .zone = m_options.zone,
+                              .seed = m_options.incarnation,
+                              .max_waiting = m_options.queue_requests,
+                              .max_waiting_bytes = m_options.queue_bytes},
+                .list_period = m_options.list_poll};
     }
 
     [[nodiscard]] membership_options member_options() const
@@ -242,12 +246,14 @@
             .loop = m_loop,
             .rows = m_table,
             .log = m_log,
-            .list = m_instances,
+            .list = m_list,
             .control = m_instances,
             .journal = m_journal,
             .self = m_options.id,
             .incarnation = m_options.incarnation,
+            .interval = m_options.renew,
             .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
+            .lease_term = m_options.lease,
             .other_duties = &duties_of_rules};
     }
 
@@ -370,6 +376,7 @@
         m_duties.stop();
         m_caller_server.stop_listening();
         m_settle_until = m_loop.now() + settle_time;
+        m_leave_until = m_loop.now() + m_options.drain_timeout;
         check_ended();
     }
 
@@ -381,7 +388,8 @@
 
     void check_ended()
     {
-        if (m_callers.in_progress() != 0 || m_caller_server.in_progress() != 0) {
+        const bool busy = m_callers.in_progress() != 0 || m_caller_server.in_progress() != 0;
+        if (busy && m_loop.now() < m_leave_until) {
             m_settle_until = m_loop.now() + settle_time;
         }
         else if (settled()) {
@@ -421,6 +429,7 @@
     std::optional<std::string> m_logged_reason;
     bool m_left = false;
     time_point m_settle_until{};
+    time_point m_leave_until{};
 };
 
 entry::entry(event_loop& loop, entry_options options)
--- a/packages/process/src/settings.cpp
+++ b/packages/process/src/settings.cpp
@@ -41,7 +41,7 @@
 const setting<milliseconds> lease_setting{
     .path = "timings.lease_ms", .fallback = milliseconds(6000), .least = 100, .most = day_ms};
 const setting<milliseconds> renew_setting{
-    .path = "timings.renew_ms", .fallback = milliseconds(1500), .least = 10, .most = day_ms};
+    .path = "timings.renew_ms", .fallback = milliseconds(1000), .least = 10, .most = day_ms};
 const setting<milliseconds> head_poll_setting{
     .path = "timings.head_poll_ms", .fallback = milliseconds(500), .least = 10, .most = day_ms};
 const setting<milliseconds> list_poll_setting{
