--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -28,9 +28,10 @@
 };
 
 /// Verbs whose subsystem is not in this entry yet.
-constexpr std::array<verb_route, 3> missing_verbs{{
+constexpr std::array<verb_route, 4> missing_verbs{{
     {"GET", "/v1/jobs", "get jobs"},
     {"POST", "/v1/jobs", "job submit"},
+    {"GET", "/v1/jobs/{}", "job get"},
     {"POST", "/v1/jobs/{}/cancel", "job cancel"},
 }};
 
