connection: Clear half as much memory after each request

Cause: callgrind over 3,000 non-idempotent requests shows memset as the largest single function (17% of 865.1 M instructions): libmicrohttpd clears a connection's 32 KiB after each request. Ruled out: libcurl's and the reactor's parts, each spread over many functions.

--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Holds a request's head and one piece of its body. libmicrohttpd clears all of it after each
+/// request, so its default of 32 KiB costs twice the time.
+constexpr std::size_t connection_memory_bytes = 16U << 10U;
 /// Past this multiple of the limit a body is no longer read to its end.
 constexpr std::size_t discard_factor = 4;
 
@@ -88,8 +91,9 @@
             MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | family, 0, nullptr, nullptr, &on_access,
             this, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, &on_completed, this,
             MHD_OPTION_URI_LOG_CALLBACK, &on_uri, this, MHD_OPTION_CONNECTION_LIMIT,
-            m_options.connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
-            static_cast<unsigned>(m_options.idle_timeout.count()), MHD_OPTION_END));
+            m_options.connection_limit, MHD_OPTION_CONNECTION_MEMORY_LIMIT, connection_memory_bytes,
+            MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(m_options.idle_timeout.count()),
+            MHD_OPTION_END));
         if (m_daemon == nullptr) {
             throw listen_error(m_options.listen);
         }
