process: Let one row type, one decoder and one list of warnings serve

Cause: a reading of the whole change. The drain barrier had a twin of version::registration_row and of registration_rows(); apply and rules check each made the lines of warnings; apply carried an empty fleet for one number; request_for_target took a trace header that the HTTP client now adds; the request's time of arrival was read from the clock twice. Ruled out: removing renewal_watch and unconfirmed, which only tests use; their tests stay. Result: behaviour as before; tests change a member's name only and keep their assertions.

--- a/packages/connection/include/plantaindoor/connection/caller_headers.hpp
+++ b/packages/connection/include/plantaindoor/connection/caller_headers.hpp
@@ -50,8 +50,8 @@
 [[nodiscard]] http_response refusal_answer(const request::refusal& why, answer_marks marks);
 
 /// The request as the target gets it: without the hop's own headers, with the id and the time left.
-/// Thread-safe.
+/// The HTTP client adds the trace's header. Thread-safe.
 [[nodiscard]] http_request request_for_target(const http_request& from, const request_id& id,
-                                              milliseconds left, const std::string& traceparent);
+                                              milliseconds left);
 
 } // namespace plantaindoor::connection
--- a/packages/connection/src/caller_headers.cpp
+++ b/packages/connection/src/caller_headers.cpp
@@ -145,8 +145,7 @@
     return answer;
 }
 
-http_request request_for_target(const http_request& from, const request_id& id, milliseconds left,
-                                const std::string& traceparent)
+http_request request_for_target(const http_request& from, const request_id& id, milliseconds left)
 {
     http_request out{.method = from.method, .target = from.target, .body = from.body};
     const auto replaced = [](std::string_view name) {
@@ -158,9 +157,6 @@
                          [&](const http_header& header) { return !replaced(header.name); });
     out.headers.push_back({std::string(request_id_header), id.str()});
     out.headers.push_back({std::string(deadline_header), std::to_string(left.count())});
-    if (!traceparent.empty()) {
-        out.headers.push_back({std::string(traceparent_header), traceparent});
-    }
     return out;
 }
 
--- a/packages/process/include/plantaindoor/process/append_answer.hpp
+++ b/packages/process/include/plantaindoor/process/append_answer.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace plantaindoor::process {
 
@@ -15,4 +16,7 @@
                       const version::append_result& result,
                       const std::function<std::string()>& body);
 
+/// What the rules' compiler warns of, one line each, as an operator is told. Thread-safe.
+[[nodiscard]] std::vector<std::string> warning_lines(const std::vector<version::rule>& rules);
+
 } // namespace plantaindoor::process
--- a/packages/process/include/plantaindoor/process/drain_barrier.hpp
+++ b/packages/process/include/plantaindoor/process/drain_barrier.hpp
@@ -8,7 +8,7 @@
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/version/planned_changes.hpp"
-#include "plantaindoor/version/registration.hpp"
+#include "plantaindoor/version/registration_set.hpp"
 
 #include <array>
 #include <cstdint>
@@ -20,15 +20,9 @@
 
 namespace plantaindoor::process {
 
-/// A registration row with the version that the table gave it.
-struct registered_entry {
-    version::registration row;
-    row_version version = absent_row;
-};
-
 /// One reading of who may serve. The list must have been asked for after the scan was answered.
 struct membership_reading {
-    std::vector<registered_entry> rows;
+    std::vector<version::registration_row> rows;
     std::vector<listed_instance> listed;
 };
 
@@ -83,7 +77,7 @@
 
 private:
     void restart_after_gap(time_point now);
-    void observe_row(const registered_entry& seen, time_point now);
+    void observe_row(const version::registration_row& seen, time_point now);
     void observe_unregistered(const entry_id& entry, time_point now);
     void count_rivals(const std::set<std::pair<entry_id, std::uint64_t>>& written, time_point now);
     void observe_list(const std::set<entry_id>& listed, const std::set<entry_id>& unregistered,
--- a/packages/process/include/plantaindoor/process/duty_runner.hpp
+++ b/packages/process/include/plantaindoor/process/duty_runner.hpp
@@ -84,7 +84,7 @@
     void send(const std::vector<duty_leases::request>& requests);
     void scan_entries();
     void on_entries(const read_result& rows);
-    void on_list(std::vector<registered_entry> rows,
+    void on_list(std::vector<version::registration_row> rows,
                  const std::optional<std::vector<listed_instance>>& listed);
     void run_duties();
     void index_fleet();
--- a/packages/process/src/append_answer.cpp
+++ b/packages/process/src/append_answer.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/process/append_answer.hpp"
 
+#include "plantaindoor/version/rule_set.hpp"
+
 namespace plantaindoor::process {
 
 void respond_appended(const connection::operator_responder& respond,
@@ -18,4 +20,13 @@
     }
 }
 
+std::vector<std::string> warning_lines(const std::vector<version::rule>& rules)
+{
+    std::vector<std::string> lines;
+    for (const version::rule_warning& each : version::rule_set(rules).warnings()) {
+        lines.push_back(to_string(each));
+    }
+    return lines;
+}
+
 } // namespace plantaindoor::process
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -167,7 +167,7 @@
     }
     const auto fleet = m_options.log.current();
     current->subject = read_caller_request(current->from, *fleet,
-                                           {.id = current->marks.id, .at = m_options.loop.now()});
+                                           {.id = current->marks.id, .at = current->arrived});
     const version::service& service = fleet->services.at(current->subject.service);
     current->refusal_statuses = service.refusal_statuses;
     current->longest_run = service.longest_request;
@@ -289,8 +289,7 @@
     current->call = std::make_unique<target_call>(
         m_options.loop, m_options.client,
         target_call_options{.to = {.address = current->grant.address, .port = current->grant.port},
-                            .request =
-                                request_for_target(current->from, current->marks.id, left, ""),
+                            .request = request_for_target(current->from, current->marks.id, left),
                             .connect_by = times.connect_by,
                             .answer_by = times.answer_by,
                             .own_connection = !current->subject.idempotent,
--- a/packages/process/src/drain_barrier.cpp
+++ b/packages/process/src/drain_barrier.cpp
@@ -23,8 +23,8 @@
 
 std::set<entry_id> without_row(const membership_reading& reading, std::set<entry_id> listed)
 {
-    for (const registered_entry& each : reading.rows) {
-        listed.erase(each.row.entry);
+    for (const version::registration_row& each : reading.rows) {
+        listed.erase(each.value.entry);
     }
     return listed;
 }
@@ -38,10 +38,10 @@
     for (confirmation_member& each : m_members) {
         each.present = false;
     }
-    for (const registered_entry& each : reading.rows) {
-        const confirmation_member* known = find(each.row.entry, each.row.incarnation);
+    for (const version::registration_row& each : reading.rows) {
+        const confirmation_member* known = find(each.value.entry, each.value.incarnation);
         if (known == nullptr || known->version != each.version) {
-            written.emplace(each.row.entry, each.row.incarnation);
+            written.emplace(each.value.entry, each.value.incarnation);
         }
         observe_row(each, now);
     }
@@ -64,17 +64,17 @@
     m_last = now;
 }
 
-void confirmation_set::observe_row(const registered_entry& seen, time_point now)
+void confirmation_set::observe_row(const version::registration_row& seen, time_point now)
 {
-    confirmation_member* known = find(seen.row.entry, seen.row.incarnation);
+    confirmation_member* known = find(seen.value.entry, seen.value.incarnation);
     if (known == nullptr) {
         m_members.push_back(
-            {.entry = seen.row.entry, .incarnation = seen.row.incarnation, .first_seen = now});
+            {.entry = seen.value.entry, .incarnation = seen.value.incarnation, .first_seen = now});
         known = &m_members.back();
     }
     known->present = true;
     if (known->version != seen.version) {
-        known->row = seen.row;
+        known->row = seen.value;
         known->version = seen.version;
         ++known->writes;
         known->unlisted_since.reset();
--- a/packages/process/src/duty_runner.cpp
+++ b/packages/process/src/duty_runner.cpp
@@ -16,20 +16,16 @@
 /// Rows asked for in one reading, so that it is a consistent one.
 constexpr std::size_t max_rows = 10000;
 
-std::optional<std::vector<registered_entry>> decode_entries(const std::vector<table_row>& rows)
+std::optional<std::vector<version::registration_row>>
+decode_entries(const std::vector<table_row>& rows)
 {
-    std::vector<registered_entry> entries;
-    for (const table_row& row : rows) {
-        try {
-            entries.push_back(
-                {.row = version::decode_registration(row.value), .version = row.version});
-        }
-        catch (const version::decode_error&) {
-            // An entry that can't be read can't have confirmed.
-            return std::nullopt;
-        }
+    try {
+        return version::registration_rows(rows);
+    }
+    catch (const version::decode_error&) {
+        // An entry that can't be read can't have confirmed.
+        return std::nullopt;
     }
-    return entries;
 }
 
 bool needs_plan(const fleet& whole, const wave& subject)
@@ -229,7 +225,7 @@
     }));
 }
 
-void duty_runner::on_list(std::vector<registered_entry> rows,
+void duty_runner::on_list(std::vector<version::registration_row> rows,
                           const std::optional<std::vector<listed_instance>>& listed)
 {
     m_reading = false;
--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -4,7 +4,6 @@
 #include "plantaindoor/version/codec.hpp"
 #include "plantaindoor/version/fleet_document.hpp"
 #include "plantaindoor/version/registration.hpp"
-#include "plantaindoor/version/rule_set.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -133,21 +132,23 @@
               });
 }
 
-std::string applied_body(const version::fleet& before, const std::vector<version::change>& changes,
-                         version::version_number after, const std::vector<version::rule>& rules)
+/// What an apply changes, and against which version it was judged.
+struct judged_apply {
+    version::version_number before = 0;
+    std::vector<version::change> changes;
+};
+
+std::string applied_body(const judged_apply& judged, version::version_number after,
+                         const std::vector<version::rule>& rules)
 {
     json lines = json::array();
-    for (const version::change& each : changes) {
+    for (const version::change& each : judged.changes) {
         lines.push_back(version::describe(each));
     }
-    json warnings = json::array();
-    for (const version::rule_warning& each : version::rule_set(rules).warnings()) {
-        warnings.push_back(to_string(each));
-    }
-    return json{{"before", before.version},
+    return json{{"before", judged.before},
                 {"version", after},
                 {"changes", std::move(lines)},
-                {"warnings", std::move(warnings)}}
+                {"warnings", warning_lines(rules)}}
         .dump();
 }
 
@@ -158,23 +159,22 @@
         version::parse_fleet_document(request.body, request.query_or("file", "fleet.yaml")));
     if (request.query_or("dry_run", "false") == "true") {
         const auto fleet = log.current();
-        respond.json(applied_body(*fleet, version::changes_to_match(*fleet, *wanted),
+        respond.json(applied_body({fleet->version, version::changes_to_match(*fleet, *wanted)},
                                   fleet->version, wanted->rules));
         return;
     }
-    auto last = std::make_shared<std::pair<version::fleet, std::vector<version::change>>>();
+    auto last = std::make_shared<judged_apply>();
     log.append({.author = request.author,
                 .reason = request.query_or("reason", "apply"),
                 .propose =
                     [wanted, last](const version::fleet& newest) {
-                        last->first.version = newest.version;
-                        last->second = version::changes_to_match(newest, *wanted);
-                        return last->second;
+                        last->before = newest.version;
+                        last->changes = version::changes_to_match(newest, *wanted);
+                        return last->changes;
                     }},
                [respond, last, wanted](const version::append_result& result) {
                    respond_appended(respond, result, [&] {
-                       return applied_body(last->first, last->second, result.version,
-                                           wanted->rules);
+                       return applied_body(*last, result.version, wanted->rules);
                    });
                });
 }
--- a/packages/process/src/rule_verbs.cpp
+++ b/packages/process/src/rule_verbs.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/process/rule_verbs.hpp"
 
+#include "plantaindoor/process/append_answer.hpp"
 #include "plantaindoor/version/fleet_document.hpp"
 #include "plantaindoor/version/rule_actions.hpp"
 
@@ -24,20 +25,10 @@
 /// How many entries of the journal are searched for what the deciding rule did.
 constexpr std::size_t searched_entries = 1000;
 
-json lines_of(const std::vector<version::rule_warning>& warnings)
-{
-    json lines = json::array();
-    for (const version::rule_warning& each : warnings) {
-        lines.push_back(to_string(each));
-    }
-    return lines;
-}
-
 void check(const operator_request& request, const operator_responder& respond)
 {
     const auto rules = version::parse_rules(request.body, request.query_or("file", "fleet.yaml"));
-    respond.json(
-        json{{"rules", rules.size()}, {"warnings", lines_of(rule_set(rules).warnings())}}.dump());
+    respond.json(json{{"rules", rules.size()}, {"warnings", warning_lines(rules)}}.dump());
 }
 
 /// Given facts in YAML or JSON: {lost_zones: 1, pool_healthy: {checks: 60}, table_down: true}.
--- a/packages/process/tests/drain_barrier_enumeration_test.cpp
+++ b/packages/process/tests/drain_barrier_enumeration_test.cpp
@@ -123,12 +123,12 @@
             }
         }
         p.row_written = false;
-        reading.rows.push_back({.row = {.entry = entry_id(entry_of[i]),
-                                        .incarnation = i,
-                                        .applied = p.row_knows ? 1U : 0U},
+        reading.rows.push_back({.value = {.entry = entry_id(entry_of[i]),
+                                          .incarnation = i,
+                                          .applied = p.row_knows ? 1U : 0U},
                                 .version = version});
         if (p.row_busy) {
-            reading.rows.back().row.busy.push_back(target);
+            reading.rows.back().value.busy.push_back(target);
         }
     }
     return reading;
@@ -173,12 +173,12 @@
     }
     if (s.pending) {
         key += '|';
-        for (const registered_entry& each : s.pending->rows) {
-            key += static_cast<char>('0' + each.row.incarnation);
-            key += static_cast<char>('0' + each.row.applied + (each.row.busy.empty() ? 0 : 2));
-            const auto known =
-                std::find_if(s.entries.members().begin(), s.entries.members().end(),
-                             [&](const auto& m) { return m.incarnation == each.row.incarnation; });
+        for (const version::registration_row& each : s.pending->rows) {
+            key += static_cast<char>('0' + each.value.incarnation);
+            key += static_cast<char>('0' + each.value.applied + (each.value.busy.empty() ? 0 : 2));
+            const auto known = std::find_if(
+                s.entries.members().begin(), s.entries.members().end(),
+                [&](const auto& m) { return m.incarnation == each.value.incarnation; });
             const bool changed =
                 known == s.entries.members().end() || known->version != each.version;
             key += changed ? '+' : '=';
--- a/packages/process/tests/drain_barrier_test.cpp
+++ b/packages/process/tests/drain_barrier_test.cpp
@@ -19,9 +19,9 @@
     {
         now += milliseconds(500);
         membership_reading reading{.listed = listed};
-        for (registered_entry& each : rows) {
+        for (version::registration_row& each : rows) {
             each.version += 1;
-            each.row.applied = applied;
+            each.value.applied = applied;
         }
         reading.rows = rows;
         reading.rows.insert(reading.rows.end(), frozen.begin(), frozen.end());
@@ -40,9 +40,10 @@
         return most + 1;
     }
 
-    std::vector<registered_entry> rows{{.row = {.entry = entry_id("a"), .incarnation = 1}},
-                                       {.row = {.entry = entry_id("b"), .incarnation = 2}}};
-    std::vector<registered_entry> frozen;
+    std::vector<version::registration_row> rows{
+        {.value = {.entry = entry_id("a"), .incarnation = 1}},
+        {.value = {.entry = entry_id("b"), .incarnation = 2}}};
+    std::vector<version::registration_row> frozen;
     std::vector<listed_instance> listed{{.id = "a", .role = listed_role::entry},
                                         {.id = "b", .role = listed_role::entry},
                                         {.id = "w1", .role = listed_role::target}};
@@ -59,11 +60,11 @@
     holder h;
     CHECK(h.readings_until_passed(1, 10) == 11);
     CHECK(h.barrier.awaited().size() == 2);
-    h.rows.at(1).row.busy = {instance_id("w1")};
+    h.rows.at(1).value.busy = {instance_id("w1")};
     CHECK(h.readings_until_passed(2, 10) == 11);
     CHECK(h.barrier.awaited() ==
           std::vector<awaited_entry>{{entry_id("b"), awaited_reason::not_confirmed}});
-    h.rows.at(1).row.busy.clear();
+    h.rows.at(1).value.busy.clear();
     CHECK(h.readings_until_passed(2, 10) == 3);
 }
 
@@ -72,7 +73,7 @@
     holder h;
     h.read(2);
     h.read(2);
-    h.rows.push_back({.row = {.entry = entry_id("c"), .incarnation = 3}});
+    h.rows.push_back({.value = {.entry = entry_id("c"), .incarnation = 3}});
     h.listed.push_back({.id = "c", .role = listed_role::entry});
     h.read(2);
     for (const confirmation_member& each : h.entries.members()) {
@@ -108,7 +109,7 @@
     holder h;
     h.read(1);
     h.frozen = {h.rows.at(1)};
-    h.rows.at(1).row.incarnation = 3;
+    h.rows.at(1).value.incarnation = 3;
     h.read(2);
     CHECK_FALSE(h.barrier.passed());
     CHECK(h.readings_until_passed(2, 20) >= 2);
