process: Tell the request path of callers who leave and of the entry's stop

Cause: attempt_tracker had events for a caller who has gone and an entry that ends or stops; they were tested, and nothing called them. A request whose caller had left the queue was run for nobody, and an entry whose drain's time was over closed its connections without a word and left its claims as claimed.

The server now answers whether a request's sender has closed (a look at the socket; libmicrohttpd doesn't watch a suspended connection), and the path looks at the requests that wait every 250 ms. What was sent goes on to its end, with or without a key: only that tells when its slot is free and how its claim ended. Waiting ones leave the queue and give their key back. At the end of the drain's time every caller is told what is true, and the claims end so.

Dropped: entry_ending, since an entry that is told to end goes on with what it has accepted, and refusing what waits would turn each planned replacement into refusals; deadline_passed, since the deadline of a waiting request is admission's and that of a sent one is the call's; the step drop and the subject's claimed, since both kinds of request now end alike.

--- a/packages/connection/include/plantaindoor/connection/http_message.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +34,9 @@
     std::string target;
     http_headers headers;
     std::string body;
+    /// Whether the sender has closed its side of the connection, so that nobody may be left to
+    /// read the answer. Empty in requests of this process. On the server's loop thread only.
+    std::function<bool()> sender_gone;
 };
 
 struct http_response {
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/connection/http_server.hpp"
 
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 #include <optional>
@@ -10,6 +11,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace plantaindoor::connection {
@@ -78,6 +80,18 @@
     return MHD_queue_response(connection, answer.status, response.get());
 }
 
+/// libmicrohttpd doesn't watch a suspended connection, so its socket is looked at.
+bool is_closed_by_peer(MHD_Connection* connection)
+{
+    const auto* const info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr) {
+        return true;
+    }
+    char next = 0;
+    const auto read = ::recv(info->connect_fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return read == 0 || (read < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 } // namespace
 
 class http_server::implementation {
@@ -227,6 +241,10 @@
         }
         std::weak_ptr<exchange> held = current;
         std::weak_ptr<bool> alive = m_alive;
+        current->request.sender_gone = [held] {
+            const auto waiting = held.lock();
+            return !waiting || is_closed_by_peer(waiting->connection);
+        };
         m_options.on_request(std::move(current->request),
                              [this, held, alive](http_response response) {
                                  const auto running = alive.lock();
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -41,6 +41,8 @@
     request::answer_limits answers;
     request::attempt_options attempts;
     request::retry_budget_options retries;
+    /// How often requests that wait are looked at for callers who have gone.
+    milliseconds gone_check_period{250};
     /// Longest wait for a claim, and never more than half of the request's time.
     milliseconds claim_wait{500};
     /// Why no new work is taken; empty while it is.
@@ -60,6 +62,8 @@
 
     /// Takes a caller's request and answers it exactly once.
     void handle(connection::http_request request, connection::http_responder respond);
+    /// Tells every caller in progress at once what is true of the request: the entry stops now.
+    void stop();
     /// The answer to a body over the limit.
     [[nodiscard]] connection::http_response overflow_answer();
     /// Requests not yet answered.
@@ -75,6 +79,10 @@
     void claim(const active_ptr& current);
     void on_verdict(const active_ptr& current, request::claim_verdict verdict);
     void begin(const active_ptr& current);
+    void watch_callers();
+    void look_at_callers();
+    void stop_one(const active_ptr& current);
+    void abandon(const active_ptr& current);
     void act(const active_ptr& current, const request::attempt_action& action);
     void choose(const active_ptr& current);
     void on_offer(const active_ptr& current, target_offer offer);
@@ -95,6 +103,7 @@
 
     caller_path_options m_options;
     std::uint64_t m_last_request = 0;
+    timer_id m_caller_watch = timer_id::none;
     std::unordered_set<active_ptr> m_active;
     std::unordered_map<service_id, service_record> m_services;
 };
--- a/packages/process/include/plantaindoor/process/target_source.hpp
+++ b/packages/process/include/plantaindoor/process/target_source.hpp
@@ -33,7 +33,7 @@
     /// ticket is cancelled.
     virtual request::ticket_id submit(const request::caller_request& request,
                                       const request::tried_targets& tried, callback done) = 0;
-    /// Withdraws a ticket that was not answered yet.
+    /// Withdraws a ticket that was not answered yet; does nothing for another.
     virtual void cancel(request::ticket_id ticket) = 0;
     /// Ends a granted attempt.
     virtual void release(const request::target_grant& grant, request::attempt_result result) = 0;
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -94,8 +94,12 @@
     time_point arrived{};
     span hop;
     request::claim_ticket claim = request::claim_ticket::none;
+    bool caller_gone = false;
+    bool ended = false;
     std::vector<std::uint16_t> refusal_statuses;
     std::optional<request::attempt_tracker> tracker;
+    /// Where it waits, or waited, for a target.
+    request::ticket_id ticket = request::ticket_id::none;
     /// The attempt in progress, or the last one.
     request::target_grant grant;
     std::unique_ptr<target_call> call;
@@ -105,8 +109,15 @@
     http_response response;
 };
 
-caller_path::caller_path(caller_path_options options) : m_options(std::move(options)) {}
-caller_path::~caller_path() = default;
+caller_path::caller_path(caller_path_options options) : m_options(std::move(options))
+{
+    watch_callers();
+}
+
+caller_path::~caller_path()
+{
+    m_options.loop.cancel(m_caller_watch);
+}
 
 void caller_path::handle(http_request from, connection::http_responder respond)
 {
@@ -125,6 +136,51 @@
     }
 }
 
+void caller_path::watch_callers()
+{
+    m_caller_watch = m_options.loop.call_after(m_options.gone_check_period, [this] {
+        look_at_callers();
+        watch_callers();
+    });
+}
+
+/// A request that waits for a slot holds room in the queue, and would be run for nobody.
+void caller_path::look_at_callers()
+{
+    const time_point settled = m_options.loop.now() - m_options.gone_check_period;
+    std::vector<active_ptr> gone;
+    for (const active_ptr& each : m_active) {
+        if (!each->caller_gone && each->arrived <= settled && each->from.sender_gone &&
+            each->from.sender_gone()) {
+            gone.push_back(each);
+        }
+    }
+    for (const active_ptr& each : gone) {
+        each->caller_gone = true;
+        if (each->tracker) {
+            act(each, each->tracker->caller_gone());
+        }
+    }
+}
+
+void caller_path::stop()
+{
+    const std::vector<active_ptr> open(m_active.begin(), m_active.end());
+    for (const active_ptr& each : open) {
+        stop_one(each);
+    }
+}
+
+void caller_path::stop_one(const active_ptr& current)
+{
+    if (current->tracker) {
+        act(current, current->tracker->entry_stopped());
+    }
+    else {
+        refuse(current, request::not_serving_refusal("it is ending", retry_advice));
+    }
+}
+
 http_response caller_path::overflow_answer()
 {
     return refusal_answer(request::body_too_large_refusal(m_options.body_limit_bytes),
@@ -198,6 +254,13 @@
 
 void caller_path::on_verdict(const active_ptr& current, request::claim_verdict verdict)
 {
+    if (current->ended) {
+        // It was told not-run meanwhile.
+        if (verdict.decision == request::claim_decision::granted) {
+            m_options.claims.finish(verdict.ticket, {.state = request::claim_state::released});
+        }
+        return;
+    }
     switch (verdict.decision) {
     case request::claim_decision::granted:
         current->claim = verdict.ticket;
@@ -218,18 +281,18 @@
     service_record& record = record_of(subject.service);
     current->tracker.emplace(
         request::attempt_subject{.idempotent = subject.idempotent,
-                                 .claimed = current->claim != request::claim_ticket::none,
                                  .deadline = subject.deadline,
                                  .usual_answer = record.answers.mean(),
                                  .refusal_statuses = std::move(current->refusal_statuses)},
         m_options.attempts, record.retries);
-    act(current, current->tracker->start(m_options.loop.now()));
+    act(current, current->caller_gone ? current->tracker->caller_gone()
+                                      : current->tracker->start(m_options.loop.now()));
 }
 
 void caller_path::act(const active_ptr& current, const attempt_action& action)
 {
     if (action.close_connection) {
-        current->call.reset();
+        abandon(current);
     }
     switch (action.step) {
     case attempt_step::choose_target:
@@ -245,11 +308,24 @@
         refuse(current, *action.why);
         break;
     case attempt_step::wait:
-    case attempt_step::drop:
         break;
     }
 }
 
+/// Ends the attempt in progress, if there is one: one that has ended has given its slot back.
+void caller_path::abandon(const active_ptr& current)
+{
+    if (current->call == nullptr) {
+        return;
+    }
+    current->call.reset();
+    if (current->tracker->truth() == request::outcome::unknown) {
+        m_options.targets.may_still_run(current->grant.target,
+                                        current->sent_at + current->longest_run);
+    }
+    m_options.targets.release(current->grant, attempt_result::abandoned);
+}
+
 void caller_path::choose(const active_ptr& current)
 {
     request::tried_targets tried;
@@ -257,9 +333,10 @@
         tried.instances.push_back(each.instance);
         tried.racks.push_back(each.rack);
     }
-    m_options.targets.submit(current->subject, tried, [this, current](target_offer offer) {
-        on_offer(current, std::move(offer));
-    });
+    current->ticket =
+        m_options.targets.submit(current->subject, tried, [this, current](target_offer offer) {
+            on_offer(current, std::move(offer));
+        });
 }
 
 void caller_path::on_offer(const active_ptr& current, target_offer offer)
@@ -375,6 +452,9 @@
 
 void caller_path::finish(const active_ptr& current, http_response answer)
 {
+    current->ended = true;
+    // Nothing is left in the queue of a request that ended while it waited there.
+    m_options.targets.cancel(current->ticket);
     current->hop.set("request", current->marks.id.str());
     current->hop.set("outcome", std::string(name_of(current->marks.told)));
     current->hop.end();
--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -76,7 +76,9 @@
 
 void dispatched_targets::cancel(request::ticket_id ticket)
 {
-    m_waiting.erase(ticket);
+    if (m_waiting.erase(ticket) == 0) {
+        return;
+    }
     m_dispatcher.cancel(ticket);
     carry_out();
 }
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -388,6 +388,9 @@
 
     void check_ended()
     {
+        if (m_loop.now() >= m_leave_until) {
+            m_callers.stop();
+        }
         const bool busy = m_callers.in_progress() != 0 || m_caller_server.in_progress() != 0;
         if (busy && m_loop.now() < m_leave_until) {
             m_settle_until = m_loop.now() + settle_time;
--- a/packages/request/src/attempt_tracker.cpp
+++ b/packages/request/src/attempt_tracker.cpp
@@ -56,7 +56,7 @@
 
 bool attempt_tracker::retry_allowed(time_point now) const
 {
-    return !m_ending && now + m_options.shortest_attempt <= m_subject.deadline &&
+    return !m_caller_gone && now + m_options.shortest_attempt <= m_subject.deadline &&
            m_tried.size() < m_options.max_attempts && (m_subject.idempotent || !m_may_have_run);
 }
 
@@ -148,28 +148,21 @@
     return try_again("refused by the target", now);
 }
 
-attempt_action attempt_tracker::deadline_passed(time_point /*now*/)
-{
-    return m_state == state::finished ? attempt_action{} : give_up("deadline");
-}
-
 attempt_action attempt_tracker::caller_gone()
 {
-    if (m_state == state::finished || (m_subject.claimed && m_state == state::sent)) {
+    if (m_state == state::finished) {
         return {};
     }
-    const bool was_open = open();
-    m_may_have_run |= m_state == state::sent;
-    return finish({.step = attempt_step::drop, .close_connection = was_open});
+    m_caller_gone = true;
+    return m_state == state::sent ? attempt_action{} : give_up("the caller has gone");
 }
 
-attempt_action attempt_tracker::entry_ending(time_point /*now*/)
+attempt_action attempt_tracker::entry_stopped()
 {
-    m_ending = true;
-    if (m_state == state::finished || m_state == state::sent) {
+    if (m_state == state::finished) {
         return {};
     }
-    if (m_may_have_run) {
+    if (truth() == outcome::unknown) {
         return give_up("the entry is ending");
     }
     return finish(
@@ -178,9 +171,4 @@
          .why = std::make_shared<not_serving_refusal>("it is ending", m_options.retry_after)});
 }
 
-attempt_action attempt_tracker::entry_stopped()
-{
-    return m_state == state::finished ? attempt_action{} : give_up("the entry is ending");
-}
-
 } // namespace plantaindoor::request
