tests: Let the case of a leaving target notice an ignored list

Cause: the case polled the target's counts in a loop without a bound until they stood still once. Where the platform's list is ignored the loop went on until the counts stood still for another reason; with the list ignored one run had no end in 45 s, and another left the loop and failed after 33 s. An instance that stays away from the list is also taken out by a version after 180 s, which would have let it pass. That the loop left early because the growing counts slow the target down was not looked into.

Now the answers say which target gave them, the list has 20 s (it is read every second), and the version must be the one from before. At the end the target's own count of runs must equal its answers. Seen failing: the list ignored in dispatched_targets (a mutation), 3 runs of 3, after 20 s. Without the mutation the three cases pass.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -136,7 +136,8 @@
             process.end(signal.SIGKILL)
 
     def start_target(self, name):
-        process = Process(name, [BUILD / "stand_ins/target_stand_in", "--port", 0], 1, self.folder)
+        process = Process(name, [BUILD / "stand_ins/target_stand_in", "--port", 0, "--id", name],
+                          1, self.folder)
         self.targets[name] = process
         self.list_instance(name, "target", address=self.target_at(name))
         if self.service_ms:
--- a/tests/process/routing_test.py
+++ b/tests/process/routing_test.py
@@ -4,6 +4,9 @@
 
 from harness import Cluster, Load, call, wait_for
 
+# The list is read every second and lags by 200 ms; the rest is for a busy machine.
+LONGEST_LEAVE_S = 20
+
 
 def statuses(answers):
     return collections.Counter(answer.status for _, answer in answers)
@@ -23,26 +26,33 @@
 
     def test_leaving_target_gets_no_new_requests(self):
         with Cluster(targets=3, entries=1) as cluster:
-            cluster.wait_version(cluster.apply())
+            version = cluster.apply()
+            cluster.wait_version(version)
             load = Load(cluster, ["e1"], callers=8)
+            self.addCleanup(load.stop)
             wait_for("some answers", lambda: load.count() > 100)
             cluster.list_instance("w1", "target", state="leaving", address=cluster.target_at("w1"))
 
-            def runs():
-                found = call(cluster.target_at("w1"), "GET", "/admin/runs").json()["runs"]
-                return sum(found.values())
+            def answered_by_w1(first, last):
+                return sum(answer.json().get("target") == "w1" for _, answer in load.answers[first:last])
 
-            before = 0
-            while runs() != before:
-                before = runs()
+            def left_alone():
+                """Whether w1 gave none of the next 300 answers."""
                 seen = load.count()
                 wait_for("more answers", lambda: load.count() > seen + 300)
+                return answered_by_w1(seen, seen + 300) == 0
+
+            self.assertGreater(answered_by_w1(0, 100), 0)
+            wait_for("w1 to be left alone", left_alone, LONGEST_LEAVE_S)
             seen = load.count()
             wait_for("many more answers", lambda: load.count() > seen + 1000)
-            self.assertGreater(before, 0)
-            self.assertEqual(runs(), before)
+            self.assertEqual(answered_by_w1(seen, seen + 1000), 0)
+            # The list alone did it: an instance that stays away is also taken out by a version.
+            self.assertEqual(cluster.status("e1")["version"], version)
             answers = load.stop()
             self.assertEqual(statuses(answers), {200: len(answers)})
+            ran = call(cluster.target_at("w1"), "GET", "/admin/runs").json()["runs"]
+            self.assertEqual(sum(ran.values()), answered_by_w1(0, len(answers)))
 
     def test_urgent_requests_are_served_under_overload(self):
         with Cluster(targets=1, entries=1, service_ms=50) as cluster:
