request: Keep the slot of an attempt that ran out of time until its target has ended it

Cause: after a timeout the slot was freed although the target may still run the request, so a hung target was sent more than its slots.

The dispatcher can now hold a ticket: the target is judged at once (health, ejection, admission), and its slot stays taken until release. The call goes on without its caller until the late answer arrives, the target closes the connection, or the service's longest request has passed since the send; what arrives is thrown away with its connection. Probes of ejected targets need a free slot, and a full one no longer stands before the others that are due.

router::release is now end_attempt and free_slot; the naive router likewise, and the differential holds and frees in between. The dispatcher's property counts held slots by itself.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -86,7 +86,9 @@
     }
     return nanoseconds_each(decisions, [&](std::size_t i) {
         target_index& slot = running[i % running.size()];
-        subject.release(slot, service, attempt_result::answered, milliseconds{20}, time_point{});
+        subject.free_slot(slot);
+        subject.end_attempt(slot, service, attempt_result::answered, milliseconds{20},
+                            time_point{});
         slot = *subject.choose(query, time_point{});
     });
 }
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -25,6 +25,7 @@
 
 namespace plantaindoor::process {
 
+class target_call;
 struct target_call_result;
 
 struct caller_path_options {
@@ -83,6 +84,8 @@
     void look_at_callers();
     void stop_one(const active_ptr& current);
     void abandon(const active_ptr& current);
+    void give_back(const active_ptr& current, request::attempt_result result,
+                   std::unique_ptr<target_call> ended, bool still_running);
     void act(const active_ptr& current, const request::attempt_action& action);
     void choose(const active_ptr& current);
     void on_offer(const active_ptr& current, target_offer offer);
@@ -106,6 +109,8 @@
     timer_id m_caller_watch = timer_id::none;
     std::unordered_set<active_ptr> m_active;
     std::unordered_map<service_id, service_record> m_services;
+    /// Calls that were given up and whose targets may still run them.
+    std::unordered_map<request::ticket_id, std::unique_ptr<target_call>> m_given_up;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -35,6 +35,7 @@
     request::ticket_id submit(const request::caller_request& request,
                               const request::tried_targets& tried, callback done) override;
     void cancel(request::ticket_id ticket) override;
+    void hold(const request::target_grant& grant, request::attempt_result result) override;
     void release(const request::target_grant& grant, request::attempt_result result) override;
     void may_still_run(const instance_id& target, time_point until) override;
     [[nodiscard]] std::vector<instance_id> busy_targets() const override;
--- a/packages/process/include/plantaindoor/process/target_source.hpp
+++ b/packages/process/include/plantaindoor/process/target_source.hpp
@@ -35,7 +35,10 @@
                                       const request::tried_targets& tried, callback done) = 0;
     /// Withdraws a ticket that was not answered yet; does nothing for another.
     virtual void cancel(request::ticket_id ticket) = 0;
-    /// Ends a granted attempt.
+    /// Ends a granted attempt whose target may still run the request: the target is judged by it
+    /// now, and its slot stays taken until release().
+    virtual void hold(const request::target_grant& grant, request::attempt_result result) = 0;
+    /// Ends a granted attempt, or what was held of it.
     virtual void release(const request::target_grant& grant, request::attempt_result result) = 0;
     /// Notes that a target may go on with a request whose attempt has ended here; until then it
     /// counts among the busy ones.
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -369,6 +369,7 @@
                             .request = request_for_target(current->from, current->marks.id, left),
                             .connect_by = times.connect_by,
                             .answer_by = times.answer_by,
+                            .run_by = now + current->longest_run,
                             .own_connection = !current->subject.idempotent,
                             .parent = current->hop.context(),
                             .expected = {.request_id = current->marks.id.str(),
@@ -391,7 +392,7 @@
 void caller_path::on_result(const active_ptr& current, target_call_result result)
 {
     const time_point now = m_options.loop.now();
-    const auto ended = std::move(current->call);
+    auto ended = std::move(current->call);
     if (result.verdict != answer_verdict::whole) {
         const attempt_failure failure = failure_of(result);
         if (failure == attempt_failure::timed_out) {
@@ -401,7 +402,7 @@
             m_options.targets.may_still_run(current->grant.target,
                                             current->sent_at + current->longest_run);
         }
-        m_options.targets.release(current->grant, health_of(failure));
+        give_back(current, health_of(failure), std::move(ended), result.still_running);
         act(current, current->tracker->failed(failure, now));
         return;
     }
@@ -419,6 +420,24 @@
     act(current, action);
 }
 
+/// A target that may still run the request keeps its slot until it is seen to have ended it: with
+/// the slot free it would be sent more than it has slots.
+void caller_path::give_back(const active_ptr& current, attempt_result result,
+                            std::unique_ptr<target_call> ended, bool still_running)
+{
+    const request::target_grant& grant = current->grant;
+    if (!still_running) {
+        m_options.targets.release(grant, result);
+        return;
+    }
+    ended->on_idle([this, grant] {
+        const auto idle = m_given_up.extract(grant.ticket);
+        m_options.targets.release(grant, attempt_result::timed_out);
+    });
+    m_given_up.emplace(grant.ticket, std::move(ended));
+    m_options.targets.hold(grant, result);
+}
+
 void caller_path::answer(const active_ptr& current)
 {
     current->marks.told = request::outcome::answered;
--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -83,6 +83,12 @@
     carry_out();
 }
 
+void dispatched_targets::hold(const request::target_grant& grant, request::attempt_result result)
+{
+    m_dispatcher.hold(grant.ticket, result, m_loop.now());
+    carry_out();
+}
+
 void dispatched_targets::release(const request::target_grant& grant, request::attempt_result result)
 {
     m_dispatcher.release(grant.ticket, result, m_loop.now());
--- a/packages/process/src/target_call.cpp
+++ b/packages/process/src/target_call.cpp
@@ -67,7 +67,11 @@
     {
     }
 
-    bool may_send() override { return m_may_send(); }
+    bool may_send() override
+    {
+        m_sent = m_sent || m_may_send();
+        return m_sent;
+    }
 
     bool head(const http_response& head) override
     {
@@ -81,12 +85,15 @@
 
     answer_verdict end(bool clean) { return m_check.end(clean, m_loop.now()); }
     answer_verdict tick() { return m_check.tick(m_loop.now()); }
+    /// Whether the first byte was allowed to leave.
+    [[nodiscard]] bool sent() const { return m_sent; }
     [[nodiscard]] answer_verdict verdict() const { return m_check.verdict(); }
 
 private:
     const event_loop& m_loop;
     request::answer_check m_check;
     std::function<bool()> m_may_send;
+    bool m_sent = false;
 };
 
 target_call::target_call(event_loop& loop, connection::http_client& client,
@@ -94,6 +101,7 @@
     : m_loop(loop),
       m_client(client),
       m_done(std::move(done)),
+      m_answer_by(options.answer_by),
       m_watch(
           std::make_shared<watch>(loop, std::move(options.expected), std::move(options.may_send)))
 {
@@ -101,14 +109,14 @@
     const std::size_t limit = options.expected.limits.max_bytes;
     m_call = m_client.start({.to = std::move(options.to),
                              .request = std::move(options.request),
-                             .timeout = until(options.answer_by, now),
+                             .timeout = until(std::max(options.answer_by, options.run_by), now),
                              .connect_timeout = until(options.connect_by, now),
                              .answer_limit_bytes = limit,
                              .own_connection = options.own_connection,
                              .observer = m_watch,
                              .hop = "entry -> target",
                              .parent = options.parent},
-                            [this](connection::http_result result) { finish(std::move(result)); });
+                            [this](connection::http_result result) { end(std::move(result)); });
     schedule_tick();
 }
 
@@ -120,7 +128,8 @@
 
 void target_call::schedule_tick()
 {
-    m_tick = m_loop.call_after(tick_period, [this] { tick(); });
+    const nanoseconds left = std::max(nanoseconds(0), m_answer_by - m_loop.now());
+    m_tick = m_loop.call_after(std::min<nanoseconds>(tick_period, left), [this] { tick(); });
 }
 
 void target_call::tick()
@@ -129,8 +138,28 @@
         schedule_tick();
         return;
     }
+    m_tick = timer_id::none;
+    if (m_watch->verdict() == answer_verdict::late && m_watch->sent()) {
+        report({.verdict = answer_verdict::late,
+                .fault = transport_fault::timed_out,
+                .still_running = true});
+        return;
+    }
     m_client.cancel(m_call);
-    finish({.fault = transport_fault::rejected, .sent = true});
+    finish({.fault = m_watch->sent() ? transport_fault::rejected : transport_fault::connect_failed,
+            .sent = m_watch->sent()});
+}
+
+void target_call::end(connection::http_result result)
+{
+    if (m_done) {
+        finish(std::move(result));
+        return;
+    }
+    const idle_callback idle = std::move(m_idle);
+    if (idle) {
+        idle();
+    }
 }
 
 void target_call::finish(connection::http_result result)
@@ -143,8 +172,13 @@
     if (ended.verdict == answer_verdict::incomplete) {
         ended.verdict = m_watch->end(result.fault == transport_fault::none);
     }
-    const callback done = std::move(m_done);
-    done(std::move(ended));
+    report(std::move(ended));
+}
+
+void target_call::report(target_call_result result)
+{
+    const callback done = std::exchange(m_done, nullptr);
+    done(std::move(result));
 }
 
 } // namespace plantaindoor::process
--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -109,7 +109,12 @@
     ticket_id submit(const caller_request& request, const tried_targets& tried, time_point now);
     /// Ends a waiting ticket whose caller went away. Does nothing for an unknown ticket.
     void cancel(ticket_id ticket);
-    /// Ends a granted ticket and frees its slot. Does nothing for an unknown ticket.
+    /// Ends a granted ticket's attempt while its target may still run the request: the target is
+    /// judged by it now, and its slot stays taken until release(). Does nothing for an unknown
+    /// ticket.
+    void hold(ticket_id ticket, attempt_result result, time_point now);
+    /// Ends a granted ticket and frees its slot; the result of one that was held counts already.
+    /// Does nothing for an unknown ticket.
     void release(ticket_id ticket, attempt_result result, time_point now);
 
     /// Decides on what waits: grants and refusals, in the order to carry them out.
--- a/packages/request/include/plantaindoor/request/router.hpp
+++ b/packages/request/include/plantaindoor/request/router.hpp
@@ -52,9 +52,12 @@
 
     /// Takes a free slot for the request; no value when there is none for it now.
     [[nodiscard]] std::optional<target_index> choose(const route_query& query, time_point now);
-    /// Frees the slot. `duration` is how long it was held.
-    void release(target_index target, const service_id& service, attempt_result result,
-                 nanoseconds duration, time_point now);
+    /// Judges the target by an attempt's end; its slot stays taken. `duration` is how long the
+    /// attempt took.
+    void end_attempt(target_index target, const service_id& service, attempt_result result,
+                     nanoseconds duration, time_point now);
+    /// Frees the slot of an attempt that has ended.
+    void free_slot(target_index target);
 
     /// Whether a target that was not tried may take work, now or once a slot is free.
     [[nodiscard]] bool has_untried(const service_id& service, const tried_targets& tried) const;
@@ -95,6 +98,8 @@
     [[nodiscard]] std::uint32_t share_of(const target_state& target) const;
 
     [[nodiscard]] bool racks_matter(const service_routes& routes, const tried_targets& tried) const;
+    [[nodiscard]] bool may_probe(const target_state& target, const route_query& query,
+                                 nanoseconds overdue) const;
     [[nodiscard]] std::optional<target_index>
     due_probe(const service_routes& routes, const route_query& query, time_point now) const;
     [[nodiscard]] std::optional<target_index> pick_healthy(const target_pool& pool,
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -57,6 +57,7 @@
     std::vector<service_demand> report_demand(time_point now);
     ticket_id submit(const caller_request& request, const tried_targets& tried, time_point now);
     void cancel(ticket_id ticket);
+    void hold(ticket_id ticket, attempt_result result, time_point now);
     void release(ticket_id ticket, attempt_result result, time_point now);
     std::vector<dispatch_action> advance(time_point now);
     [[nodiscard]] time_point next_advance() const;
@@ -72,8 +73,12 @@
         service_id service;
         target_index target = 0;
         time_point since{};
+        /// The attempt has ended; only the slot is still taken.
+        bool held = false;
     };
 
+    void end_attempt(ticket_id ticket, const granted_ticket& granted, attempt_result result,
+                     time_point now);
     void wake(const service_id& service) { m_awake.insert(service); }
     void wake_all();
     void refuse(ticket_refusal refused);
@@ -193,6 +198,27 @@
     }
 }
 
+void dispatcher::state::end_attempt(ticket_id ticket, const granted_ticket& granted,
+                                    attempt_result result, time_point now)
+{
+    const nanoseconds duration = now - granted.since;
+    m_router.end_attempt(granted.target, granted.service, result, duration, now);
+    m_admission.finished(ticket, occupied_slot(result) ? std::optional(duration) : std::nullopt);
+}
+
+void dispatcher::state::hold(ticket_id ticket, attempt_result result, time_point now)
+{
+    const auto found = m_granted.find(ticket);
+    if (found == m_granted.end() || found->second.held) {
+        return;
+    }
+    found->second.held = true;
+    end_attempt(ticket, found->second, result, now);
+    for (const service_id& service : m_router.services_at(found->second.target)) {
+        wake(service);
+    }
+}
+
 void dispatcher::state::release(ticket_id ticket, attempt_result result, time_point now)
 {
     const auto found = m_granted.find(ticket);
@@ -201,9 +227,10 @@
     }
     const granted_ticket granted = std::move(found->second);
     m_granted.erase(found);
-    const nanoseconds duration = now - granted.since;
-    m_router.release(granted.target, granted.service, result, duration, now);
-    m_admission.finished(ticket, occupied_slot(result) ? std::optional(duration) : std::nullopt);
+    m_router.free_slot(granted.target);
+    if (!granted.held) {
+        end_attempt(ticket, granted, result, now);
+    }
     for (const service_id& service : m_router.services_at(granted.target)) {
         wake(service);
     }
@@ -394,6 +421,11 @@
     m_state->cancel(ticket);
 }
 
+void dispatcher::hold(ticket_id ticket, attempt_result result, time_point now)
+{
+    m_state->hold(ticket, result, now);
+}
+
 void dispatcher::release(ticket_id ticket, attempt_result result, time_point now)
 {
     m_state->release(ticket, result, now);
--- a/packages/request/src/router.cpp
+++ b/packages/request/src/router.cpp
@@ -110,19 +110,31 @@
     return found ? found : pick(pool, second, excluded);
 }
 
+bool router::may_probe(const target_state& target, const route_query& query,
+                       nanoseconds overdue) const
+{
+    // Requests that were given up may still fill it.
+    const bool has_room = target.in_progress < std::max(target.share, 1U);
+    const bool asked =
+        query.idempotent || target.ejected_slow || overdue >= m_options.probe_patience;
+    return has_room && asked && !excludes(*query.tried, target);
+}
+
 std::optional<target_index> router::due_probe(const service_routes& routes,
                                               const route_query& query, time_point now) const
 {
     for (const std::size_t index : routes.pools) {
         const target_pool& pool = m_pools[index];
-        if (pool.probes().empty() || pool.probing() > 0) {
+        if (pool.probing() > 0) {
             continue;
         }
-        const auto& [due, target] = *pool.probes().begin();
-        const bool allowed = query.idempotent || m_targets[target].ejected_slow ||
-                             now - due >= m_options.probe_patience;
-        if (due <= now && allowed && !excludes(*query.tried, m_targets[target])) {
-            return target;
+        for (const auto& [due, target] : pool.probes()) {
+            if (due > now) {
+                break;
+            }
+            if (may_probe(m_targets[target], query, now - due)) {
+                return target;
+            }
         }
     }
     return std::nullopt;
@@ -181,11 +193,16 @@
     return chosen;
 }
 
-void router::release(target_index index, const service_id& service, attempt_result result,
-                     nanoseconds duration, time_point now)
+void router::free_slot(target_index index)
 {
-    target_state& target = m_targets[index];
+    const target_state& target = m_targets[index];
     m_pools[target.pool].set_load(m_targets, index, target.share, target.in_progress - 1);
+}
+
+void router::end_attempt(target_index index, const service_id& service, attempt_result result,
+                         nanoseconds duration, time_point now)
+{
+    target_state& target = m_targets[index];
     double slowness = 1;
     const auto routes = m_services.find(service);
     if (result == attempt_result::answered && routes != m_services.end()) {
--- a/packages/request/tests/dispatcher_test.cpp
+++ b/packages/request/tests/dispatcher_test.cpp
@@ -161,6 +161,49 @@
         one.subject.submit(ask(priority::interactive, one.now, seconds{1}), none, one.now));
 }
 
+TEST_CASE("a slot stays taken while its target may still run what was given up", "[dispatcher]")
+{
+    single_slot one;
+    const tried_targets none;
+    const auto given_up = one.subject.submit(ask(priority::urgent, one.now), none, one.now);
+    one.only_grant();
+    one.subject.hold(given_up, attempt_result::timed_out, one.now);
+    const auto next = one.subject.submit(ask(priority::urgent, one.now), none, one.now);
+    CHECK(one.subject.advance(one.now).empty());
+    CHECK(one.subject.busy_targets() == std::vector{instance_id("p0-w00")});
+    one.now += milliseconds{10};
+    one.subject.release(given_up, attempt_result::timed_out, one.now);
+    CHECK(one.only_grant().ticket == next);
+}
+
+TEST_CASE("a target is judged when its attempt is given up, once", "[dispatcher]")
+{
+    dispatcher subject({.self = entry_id("e0")});
+    time_point now{};
+    subject.update(fakes::uniform_fleet({.instances_per_pool = 2, .slots = 4}), now);
+    const instance_id hung("p0-w00");
+    const tried_targets elsewhere{.instances = {instance_id("p0-w01")}};
+    std::vector<ticket_id> held;
+    for (int i = 0; i < 3; ++i) {
+        CHECK(subject.ejected_targets().empty());
+        held.push_back(subject.submit(ask(priority::urgent, now), elsewhere, now));
+        REQUIRE(grants(subject.advance(now)).size() == 1);
+        subject.hold(held.back(), attempt_result::timed_out, now);
+    }
+    CHECK(subject.ejected_targets() == std::vector{hung});
+    for (const ticket_id each : held) {
+        subject.release(each, attempt_result::timed_out, now);
+    }
+    // One probe ends the ejection, so the releases were not three more failures.
+    now += seconds{2};
+    auto probe_request = ask(priority::urgent, now);
+    probe_request.idempotent = true;
+    const auto probe = subject.submit(probe_request, {}, now);
+    CHECK(grants(subject.advance(now)).front().target == hung);
+    subject.release(probe, attempt_result::answered, now);
+    CHECK(subject.ejected_targets().empty());
+}
+
 TEST_CASE("a retry goes to another target and rack, or is refused", "[dispatcher]")
 {
     dispatcher subject({.self = entry_id("e0")});
@@ -188,10 +231,11 @@
         subject.update(fleet, now);
         std::set<ticket_id> waiting;
         std::map<ticket_id, instance_id> running;
+        std::map<ticket_id, instance_id> held;
         std::set<instance_id> leaving;
         for (const std::uint32_t step : steps) {
             now += milliseconds{(step >> 20U) % 50};
-            switch (step % 8) {
+            switch (step % 10) {
             case 0:
             case 1:
             case 2:
@@ -215,6 +259,18 @@
                     waiting.erase(waiting.begin());
                 }
                 break;
+            case 6:
+                if (!running.empty()) {
+                    subject.hold(running.begin()->first, attempt_result::timed_out, now);
+                    held.insert(running.extract(running.begin()));
+                }
+                break;
+            case 7:
+                if (!held.empty()) {
+                    subject.release(held.begin()->first, attempt_result::timed_out, now);
+                    held.erase(held.begin());
+                }
+                break;
             default:
                 if (!running.empty()) {
                     const auto result = static_cast<attempt_result>((step >> 8U) % 6);
@@ -227,6 +283,12 @@
                     RC_ASSERT(waiting.erase(grant->ticket) == 1U);
                     RC_ASSERT(!leaving.contains(grant->target));
                     running.emplace(grant->ticket, grant->target);
+                    const auto there = [grant](const auto& item) {
+                        return item.second == grant->target;
+                    };
+                    RC_ASSERT(std::ranges::count_if(running, there) +
+                                  std::ranges::count_if(held, there) <=
+                              2);
                     RC_ASSERT(subject.in_progress(grant->target) <= 2U);
                 }
                 else {
@@ -237,8 +299,12 @@
             for (const auto& [ticket, target] : running) {
                 busy.insert(target);
             }
+            for (const auto& [ticket, target] : held) {
+                busy.insert(target);
+            }
             RC_ASSERT(subject.busy_targets() == std::vector(busy.begin(), busy.end()));
         }
+        running.merge(held);
         // With all slots free again and time passing, nothing waits forever.
         for (const auto& [ticket, target] : running) {
             subject.release(ticket, attempt_result::answered, now);
--- a/packages/request/tests/naive_router.hpp
+++ b/packages/request/tests/naive_router.hpp
@@ -69,8 +69,8 @@
                                now >= each.probe_due + patience;
             return each.plan.state == version::instance_state::admitted &&
                    !m_leaving->contains(id) && !probing_in(each.plan.pool) &&
-                   each.probe_due <= now && asked && !tried_instance(id, query) &&
-                   !tried_rack(each, query);
+                   each.probe_due <= now && asked && each.in_progress < std::max(each.share, 1U) &&
+                   !tried_instance(id, query) && !tried_rack(each, query);
         }
         const std::vector<instance_id> best = healthy_choices(query);
         if (!best.empty()) {
@@ -105,15 +105,22 @@
         return result;
     }
 
+    void free_slot(const instance_id& id)
+    {
+        const auto found = targets.find(id);
+        if (found != targets.end()) {
+            --found->second.in_progress;
+        }
+    }
+
     /// Takes the end of an attempt; `due` is when the router would probe if it ejected the target.
-    void release(const instance_id& id, attempt done, time_point now, time_point due)
+    void end_attempt(const instance_id& id, attempt done, time_point now, time_point due)
     {
         const auto found = targets.find(id);
         if (found == targets.end()) {
             return;
         }
         target& each = found->second;
-        --each.in_progress;
         if (each.probing) {
             each.probing = false;
             const bool answered = done.result == attempt_result::answered;
--- a/packages/request/tests/router_test.cpp
+++ b/packages/request/tests/router_test.cpp
@@ -47,21 +47,29 @@
 
     void release(attempt_result result, nanoseconds duration)
     {
-        if (m_running.empty()) {
-            return;
+        if (!m_running.empty()) {
+            const running done = m_running.front();
+            end_attempt(result, duration);
+            free_slot(done);
         }
-        const running done = m_running.front();
-        m_running.pop_front();
-        double slowness = 1;
-        if (result == attempt_result::answered) {
-            slowness = m_usual[done.service].times_usual(duration);
-            m_usual[done.service].add(duration);
+    }
+
+    /// Ends an attempt and keeps its slot.
+    void hold(attempt_result result, nanoseconds duration)
+    {
+        if (!m_running.empty()) {
+            m_held.push_back(m_running.front());
+            end_attempt(result, duration);
         }
-        m_router.release(done.index, done.service, result, duration, m_now);
-        m_plain.release(done.target, {result, slowness}, m_now,
-                        m_router.target(done.index).probe_due);
     }
 
+    void free_held()
+    {
+        if (!m_held.empty()) {
+            free_slot(m_held.front());
+            m_held.pop_front();
+        }
+    }
     void set_state(std::size_t number, version::instance_state state)
     {
         auto item = m_fleet.instances.begin();
@@ -111,6 +119,26 @@
         version::version_number version = 0;
     };
 
+    void end_attempt(attempt_result result, nanoseconds duration)
+    {
+        const running done = m_running.front();
+        m_running.pop_front();
+        double slowness = 1;
+        if (result == attempt_result::answered) {
+            slowness = m_usual[done.service].times_usual(duration);
+            m_usual[done.service].add(duration);
+        }
+        m_router.end_attempt(done.index, done.service, result, duration, m_now);
+        m_plain.end_attempt(done.target, {result, slowness}, m_now,
+                            m_router.target(done.index).probe_due);
+    }
+
+    void free_slot(const running& done)
+    {
+        m_router.free_slot(done.index);
+        m_plain.free_slot(done.target);
+    }
+
     void update()
     {
         m_router.update(m_fleet, m_now);
@@ -125,6 +153,7 @@
     naive::router m_plain;
     version::fleet m_fleet;
     std::deque<running> m_running;
+    std::deque<running> m_held;
     std::map<service_id, usual_duration> m_usual;
     time_point m_now{};
 };
@@ -148,6 +177,13 @@
                                   : attempt_result::answered;
 }
 
+void release(router& subject, target_index target, const service_id& service, attempt_result result,
+             milliseconds duration, time_point now)
+{
+    subject.free_slot(target);
+    subject.end_attempt(target, service, result, duration, now);
+}
+
 router make_router(const version::fleet& fleet, std::uint64_t seed = 3)
 {
     router result({.zone = availability_zone_id("z0"), .seed = seed},
@@ -188,6 +224,13 @@
             case 2:
                 pair.toggle_leaving(step >> 8U);
                 break;
+            case 3:
+                pair.hold(result_of(step, (step >> 24U) % 2 == 0),
+                          milliseconds{1 + (step >> 11U) % 20});
+                break;
+            case 5:
+                pair.free_held();
+                break;
             default:
                 if (step % 2 == 0) {
                     pair.choose(query);
@@ -218,9 +261,9 @@
         REQUIRE(chosen);
         const bool is_bad = subject.target(*chosen).id == bad;
         sent_to_bad += is_bad ? 1 : 0;
-        subject.release(*chosen, query.service,
-                        is_bad ? attempt_result::failed : attempt_result::answered,
-                        is_bad ? milliseconds{1} : milliseconds{20}, now);
+        release(subject, *chosen, query.service,
+                is_bad ? attempt_result::failed : attempt_result::answered,
+                is_bad ? milliseconds{1} : milliseconds{20}, now);
         if (sent_to_bad == 3) {
             CHECK(subject.ejected_targets() == std::vector{bad});
         }
@@ -231,7 +274,7 @@
     const auto probe = subject.choose(query, now);
     REQUIRE(probe);
     CHECK(subject.target(*probe).id == bad);
-    subject.release(*probe, query.service, attempt_result::answered, milliseconds{20}, now);
+    release(subject, *probe, query.service, attempt_result::answered, milliseconds{20}, now);
     CHECK(subject.ejected_targets().empty());
 }
 
@@ -247,8 +290,8 @@
         const auto chosen = subject.choose(query, now);
         const bool is_slow = subject.target(*chosen).id == slow;
         sent_to_slow += is_slow ? 1 : 0;
-        subject.release(*chosen, query.service, attempt_result::answered,
-                        milliseconds{is_slow ? 200 : 20}, now);
+        release(subject, *chosen, query.service, attempt_result::answered,
+                milliseconds{is_slow ? 200 : 20}, now);
     }
     CHECK(subject.ejected_targets() == std::vector{slow});
     CHECK(sent_to_slow <= 4);
@@ -275,9 +318,9 @@
         running.pop_front();
         const bool lost = subject.target(done).zone == availability_zone_id("z1");
         failed += lost ? 1 : 0;
-        subject.release(done, query.service,
-                        lost ? attempt_result::unreachable : attempt_result::answered,
-                        milliseconds{20}, now);
+        release(subject, done, query.service,
+                lost ? attempt_result::unreachable : attempt_result::answered, milliseconds{20},
+                now);
     }
     // Three of the four may be ejected, the fourth is needed for the budget and is avoided.
     CHECK(subject.ejected_targets().size() == 3);
@@ -294,7 +337,7 @@
         now += milliseconds{1};
         const auto chosen = subject.choose(query, now);
         REQUIRE(chosen);
-        subject.release(*chosen, query.service, attempt_result::failed, milliseconds{1}, now);
+        release(subject, *chosen, query.service, attempt_result::failed, milliseconds{1}, now);
     }
     CHECK(subject.ejected_targets().size() == 6);
     CHECK(subject.capacity(query.service).slots == 6 * 8);
--- /dev/null
+++ b/tests/process/hung_target_test.py
@@ -0,0 +1,75 @@
+"""A target that hangs: it is never sent more than its slots, and is used again once it has ended."""
+import threading
+import unittest
+
+from harness import wait_for
+from raw_target import RawCluster, RawTarget
+
+SLOTS = 2
+SHORT = {"Plantaindoor-Deadline-Ms": "200"}
+
+
+class CountingGate:
+    """Answers when it is opened, and keeps the greatest number of requests run at once."""
+
+    def __init__(self):
+        self.open = threading.Event()
+        self.lock = threading.Lock()
+        self.running = self.most = 0
+
+    def __call__(self, request):
+        with self.lock:
+            self.running += 1
+            self.most = max(self.most, self.running)
+        self.open.wait()
+        with self.lock:
+            self.running -= 1
+        request.answer()
+        return True
+
+
+class FewSlots(RawCluster):
+    def fleet(self):
+        whole = super().fleet()
+        for instance in whole["instances"]:
+            instance["slots"] = SLOTS
+        return whole
+
+
+class HungTargetTest(unittest.TestCase):
+    def setUp(self):
+        self.gate = CountingGate()
+        self.addCleanup(self.gate.open.set)
+        self.target = RawTarget(self.gate)
+
+    def ask(self, cluster, idempotent):
+        return cluster.request("e1", headers={**SHORT, "Plantaindoor-Idempotent": idempotent})
+
+    def fill(self, cluster, idempotent):
+        """Requests that are given up, until each slot holds one, and some more."""
+        told = [self.ask(cluster, idempotent).outcome for _ in range(SLOTS + 4)]
+        self.assertEqual(told, ["unknown"] * SLOTS + ["not-run"] * 4)
+        self.assertEqual(self.target.total(), SLOTS)
+
+    def test_late_answers_free_the_slots(self):
+        for idempotent in ("no", "yes"):
+            with self.subTest(idempotent=idempotent):
+                self.setUp()
+                with FewSlots([self.target]) as cluster:
+                    cluster.serve()
+                    self.fill(cluster, idempotent)
+                    self.gate.open.set()
+                    wait_for("an answer", lambda: self.ask(cluster, idempotent).outcome == "answered")
+                    self.assertEqual(self.gate.most, SLOTS)
+
+    def test_target_that_never_ends_gets_its_slots_back_after_the_longest_request(self):
+        service = {"deadline_ms": 200, "longest_request_ms": 3000}
+        with FewSlots([self.target], service=service) as cluster:
+            cluster.serve()
+            self.fill(cluster, "no")
+            wait_for("another try", lambda: self.ask(cluster, "no").outcome == "unknown")
+            self.assertEqual(self.target.total(), SLOTS + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
