process: Keep the loop whole when a socket is closed under its watch

Every connect timeout did this; a thaw makes many of them. Now the watches live in an epoll set of the loop's own, the reactor watches that set; a watch has a number of its own, so a reused descriptor never meets an old action. Also: the harness keeps its callers when every entry has gone, a wave that doesn't finish is reported with what the entries say, and the settings tests find their file in any build folder.

--- a/packages/process/src/reactor_loop.cpp
+++ b/packages/process/src/reactor_loop.cpp
@@ -1,13 +1,12 @@
 #include "plantaindoor/process/reactor_loop.hpp"
 
-#include "plantaindoor/common/error.hpp"
+#include "descriptor_watches.hpp"
+#include "loop_error.hpp"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <cerrno>
 #include <csignal>
-#include <cstring>
 #include <map>
 #include <mutex>
 #include <unordered_map>
@@ -27,15 +26,6 @@
 
 namespace {
 
-/// The system refused something that the loop can't do without.
-class loop_error final : public error {
-public:
-    loop_error(const std::string& call, int code)
-        : error("event-loop", call + ": " + std::strerror(code), {{"call", call}})
-    {
-    }
-};
-
 constexpr milliseconds longest_wait{1000};
 
 /// The reactor refuses a table larger than the process's limit on descriptors.
@@ -49,49 +39,20 @@
     return std::min(limit.rlim_cur, most_handles);
 }
 
-ACE_Reactor_Mask mask_of(io_interest interest)
-{
-    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-    if (interest.readable) {
-        mask |= ACE_Event_Handler::READ_MASK;
-    }
-    if (interest.writable) {
-        mask |= ACE_Event_Handler::WRITE_MASK;
-    }
-    return mask;
-}
-
-/// Passes a descriptor's readiness on to its action.
-class descriptor_handler final : public ACE_Event_Handler {
+/// Passes the readiness of the watched descriptors' set on to it.
+class watches_handler final : public ACE_Event_Handler {
 public:
-    descriptor_handler(int descriptor, io_interest interest, event_loop::io_action on_ready)
-        : m_descriptor(descriptor), m_interest(interest), m_on_ready(std::move(on_ready))
-    {
-    }
+    explicit watches_handler(descriptor_watches& watches) : m_watches(watches) {}
 
-    ACE_HANDLE get_handle() const override { return m_descriptor; }
-    int handle_input(ACE_HANDLE /*unused*/) override { return ready({.readable = true}); }
-    int handle_output(ACE_HANDLE /*unused*/) override { return ready({.writable = true}); }
-
-    [[nodiscard]] io_interest interest() const { return m_interest; }
-    void replace(io_interest interest, event_loop::io_action on_ready)
+    ACE_HANDLE get_handle() const override { return m_watches.descriptor(); }
+    int handle_input(ACE_HANDLE /*unused*/) override
     {
-        m_interest = interest;
-        m_on_ready = std::move(on_ready);
-    }
-
-private:
-    int ready(io_interest events)
-    {
-        // A copy, since the action may replace or end this watch.
-        const auto on_ready = m_on_ready;
-        on_ready(events);
+        m_watches.run_ready();
         return 0;
     }
 
-    int m_descriptor;
-    io_interest m_interest;
-    event_loop::io_action m_on_ready;
+private:
+    descriptor_watches& m_watches;
 };
 
 /// Notes signals and wakes the loop; safe in a signal's context.
@@ -132,6 +93,9 @@
         if (!m_poll_reactor.initialized()) {
             throw loop_error("ACE_Dev_Poll_Reactor", errno);
         }
+        if (m_reactor.register_handler(&m_watches_handler, ACE_Event_Handler::READ_MASK) != 0) {
+            throw loop_error("register_handler", errno);
+        }
         watch(m_wake_descriptor, {.readable = true}, [this](io_interest) { drain_wake(); });
     }
 
@@ -140,10 +104,8 @@
 
     ~implementation()
     {
-        while (!m_handlers.empty()) {
-            unwatch(m_handlers.begin()->first);
-        }
-        m_removed.clear();
+        m_reactor.remove_handler(&m_watches_handler,
+                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         // The reactor's own destructor would still call the handlers of signals.
         for (auto& [signal, state] : m_signals) {
             m_reactor.remove_handler(signal, static_cast<ACE_Sig_Action*>(nullptr));
@@ -153,35 +115,10 @@
 
     void watch(int descriptor, io_interest interest, io_action on_ready)
     {
-        const auto found = m_handlers.find(descriptor);
-        if (found == m_handlers.end()) {
-            auto handler =
-                std::make_unique<descriptor_handler>(descriptor, interest, std::move(on_ready));
-            if (m_reactor.register_handler(handler.get(), mask_of(interest)) != 0) {
-                throw loop_error("register_handler", errno);
-            }
-            m_handlers.emplace(descriptor, std::move(handler));
-            return;
-        }
-        const io_interest before = found->second->interest();
-        found->second->replace(interest, std::move(on_ready));
-        if (before.readable != interest.readable || before.writable != interest.writable) {
-            m_reactor.mask_ops(found->second.get(), mask_of(interest), ACE_Reactor::SET_MASK);
-        }
+        m_watches.watch(descriptor, interest, std::move(on_ready));
     }
 
-    void unwatch(int descriptor)
-    {
-        const auto found = m_handlers.find(descriptor);
-        if (found == m_handlers.end()) {
-            return;
-        }
-        m_reactor.remove_handler(found->second.get(),
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-        // Kept until the end of this turn: the handler may be the one that is running.
-        m_removed.push_back(std::move(found->second));
-        m_handlers.erase(found);
-    }
+    void unwatch(int descriptor) { m_watches.unwatch(descriptor); }
 
     timer_id call_after(time_point when, action on_time)
     {
@@ -214,7 +151,6 @@
         while (!m_stopping.exchange(false)) {
             ACE_Time_Value wait = time_to_wait();
             m_reactor.handle_events(wait);
-            m_removed.clear();
             run_signals();
             run_posted();
             run_timers();
@@ -301,10 +237,10 @@
     }
 
     int m_wake_descriptor;
+    descriptor_watches m_watches;
+    watches_handler m_watches_handler{m_watches};
     ACE_Dev_Poll_Reactor m_poll_reactor;
     ACE_Reactor m_reactor;
-    std::unordered_map<int, std::unique_ptr<descriptor_handler>> m_handlers;
-    std::vector<std::unique_ptr<descriptor_handler>> m_removed;
     std::map<std::pair<time_point, timer_id>, action> m_timers;
     std::unordered_map<timer_id, time_point> m_timer_times;
     std::uint64_t m_last_timer = 0;
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -4,10 +4,19 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <csignal>
+#include <cstdint>
+#include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace plantaindoor;
 using namespace plantaindoor::connection;
 using plantaindoor::process::reactor_loop;
@@ -45,8 +54,66 @@
     }
 };
 
+/// Listens and never accepts: past its short queue, connections to it stay in progress.
+class full_listener {
+public:
+    full_listener()
+    {
+        ::bind(m_listener, address(), sizeof m_address);
+        ::listen(m_listener, 0);
+        socklen_t size = sizeof m_address;
+        ::getsockname(m_listener, address(), &size);
+        for (int& each : m_waiting) {
+            each = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect(each, address(), sizeof m_address);
+        }
+    }
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+    ~full_listener()
+    {
+        for (const int each : m_waiting) {
+            ::close(each);
+        }
+        ::close(m_listener);
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return ntohs(m_address.sin_port); }
+
+private:
+    sockaddr* address() { return reinterpret_cast<sockaddr*>(&m_address); }
+
+    sockaddr_in m_address{.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    int m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    std::array<int, 8> m_waiting{};
+};
+
 } // namespace
 
+TEST_CASE("calls that never connect leave the loop whole", "[http]")
+{
+    const full_listener listener;
+    loopback both;
+    const auto timed_out = [&](milliseconds timeout, milliseconds connect_timeout) {
+        std::optional<http_result> got;
+        both.client.start({.to = {.address = "127.0.0.1", .port = listener.port()},
+                           .request = {.method = "POST", .target = "/"},
+                           .timeout = timeout,
+                           .connect_timeout = connect_timeout},
+                          [&](http_result result) {
+                              got = std::move(result);
+                              both.loop.stop();
+                          });
+        both.loop.run();
+        return got->fault;
+    };
+    for (int round = 0; round < 3; ++round) {
+        CHECK(timed_out(milliseconds(5000), milliseconds(5)) == transport_fault::connect_failed);
+        CHECK(timed_out(milliseconds(5), milliseconds(5000)) == transport_fault::connect_failed);
+        CHECK(both.call({.method = "GET", .target = "/"}).response.status == 200);
+    }
+}
+
 TEST_CASE("a request and its answer pass whole", "[http]")
 {
     loopback both;
--- a/packages/process/tests/settings_test.cpp
+++ b/packages/process/tests/settings_test.cpp
@@ -22,7 +22,7 @@
 
 std::filesystem::path example_file()
 {
-    return std::filesystem::path(__FILE__).parent_path() / "../../../config/plantaindoord.yaml";
+    return PLANTAINDOOR_EXAMPLE_SETTINGS;
 }
 
 std::string example_text()
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -224,6 +224,19 @@
         status = self.status(entry)
         return status is not None and status["ready"] and status["version"] >= version
 
+    def report(self):
+        """What every entry says of the fleet; for a failed test's message."""
+        told = []
+        for name, entry in self.entries.items():
+            if entry.child.poll() is not None:
+                told.append(f"{name}: ended")
+                continue
+            for path in ("status", "waves", "instances", "entries", "journal"):
+                answer = call(self.operators_at(name), "GET", f"/v1/{path}", timeout_s=5)
+                text = answer.body.decode(errors="replace") or answer.failure
+                told.append(f"{name} {path}: {answer.status} {text}")
+        return "\n".join(told)
+
     def ready(self, entry):
         return call(self.callers_at(entry), "GET", "/ready").status == 200
 
@@ -263,6 +276,8 @@
     def _other(self, entry):
         """What the balancer does for a caller whose entry is gone."""
         alive = [n for n, e in self.cluster.entries.items() if e.child.poll() is None]
+        if not alive:
+            return entry
         return alive[(alive.index(entry) + 1) % len(alive)] if entry in alive else alive[0]
 
     def count(self):
--- a/tests/process/wave_test.py
+++ b/tests/process/wave_test.py
@@ -27,17 +27,25 @@
 
     def run_wave(self, cluster, disturb):
         load = Load(cluster, ["e1", "e3"], callers=4)
+        try:
+            self.finish_wave(cluster, disturb)
+        except AssertionError as failure:
+            raise AssertionError(f"{failure}\n{cluster.report()}") from failure
+        finally:
+            answers = load.stop()
+        verdict = judge(answers, cluster.runs())
+        self.assertEqual(verdict[4:], (0, 0, 0, 0), verdict)
+        self.assertEqual(cluster.cut(), 0)
+        items = call(cluster.operators_at("e1"), "GET", "/v1/instances").json()["items"]
+        self.assertEqual({(i["state"], i["last_wave"]) for i in items}, {("admitted", "m1")})
+
+    def finish_wave(self, cluster, disturb):
         started = post(cluster, "e1", "/v1/waves", {"id": "m1", "pools": ["checks"]})
         self.assertEqual(started.status, 200, started.body)
         wait_for("an instance out", lambda: wave_of(cluster, "e1").get("out", 0) > 0)
         disturb()
         wait_for("wave finished", lambda: wave_of(cluster, "e1").get("state") == "finished",
                  LONGEST_WAVE_S)
-        verdict = judge(load.stop(), cluster.runs())
-        self.assertEqual(verdict[4:], (0, 0, 0, 0), verdict)
-        self.assertEqual(cluster.cut(), 0)
-        items = call(cluster.operators_at("e1"), "GET", "/v1/instances").json()["items"]
-        self.assertEqual({(i["state"], i["last_wave"]) for i in items}, {("admitted", "m1")})
 
     def test_wave_maintains_every_instance_under_load(self):
         with self.fleet_cluster() as cluster:
