--- a/packages/process/src/descriptor_watches.cpp
+++ b/packages/process/src/descriptor_watches.cpp
@@ -2,19 +2,15 @@
 
 #include "loop_error.hpp"
 
-#include <array>
 #include <cerrno>
 #include <utility>
 
-#include <sys/epoll.h>
 #include <unistd.h>
 
 namespace plantaindoor::process {
 
 namespace {
 
-constexpr int most_events = 256;
-
 std::uint32_t events_of(io_interest interest)
 {
     return (interest.readable ? EPOLLIN : 0U) | (interest.writable ? EPOLLOUT : 0U);
@@ -74,10 +70,9 @@
 
 void descriptor_watches::run_ready()
 {
-    std::array<epoll_event, most_events> events;
-    const int count = ::epoll_wait(m_epoll, events.data(), most_events, 0);
+    const int count = ::epoll_wait(m_epoll, m_events.data(), most_events, 0);
     for (int each = 0; each < count; ++each) {
-        const epoll_event& event = events[static_cast<std::size_t>(each)];
+        const epoll_event& event = m_events[static_cast<std::size_t>(each)];
         const auto found = m_entries.find(event.data.u64);
         if (found == m_entries.end()) {
             continue;
--- a/packages/process/src/descriptor_watches.hpp
+++ b/packages/process/src/descriptor_watches.hpp
@@ -3,9 +3,12 @@
 
 #include "plantaindoor/common/event_loop.hpp"
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 
+#include <sys/epoll.h>
+
 namespace plantaindoor::process {
 
 /// A watch outlives its descriptor without harm: libcurl closes a socket whose connection was not
@@ -30,6 +33,8 @@
     void run_ready();
 
 private:
+    /// Taken from the set at a time.
+    static constexpr int most_events = 256;
     /// Names one watch for ever, unlike its descriptor.
     using watch_number = std::uint64_t;
 
@@ -40,6 +45,7 @@
     };
 
     int m_epoll;
+    std::array<epoll_event, most_events> m_events{};
     watch_number m_last = 0;
     std::unordered_map<int, watch_number> m_by_descriptor;
     std::unordered_map<watch_number, entry> m_entries;
--- a/packages/process/src/pool_duty.cpp
+++ b/packages/process/src/pool_duty.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/process/pool_duty.hpp"
 
+#include "duty_proposals.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -30,41 +32,6 @@
     return longest;
 }
 
-/// Makes one item's changes; a refused item is left out, since another writer was faster.
-template<class Plan>
-bool try_plan(std::vector<change>& changes, Plan plan)
-{
-    try {
-        const std::vector<change> more = plan();
-        changes.insert(changes.end(), more.begin(), more.end());
-        return true;
-    }
-    catch (const error&) {
-        return false;
-    }
-}
-
-std::uint32_t failed_in(const fleet& whole, const wave_id& wave)
-{
-    return static_cast<std::uint32_t>(
-        std::count_if(whole.instances.begin(), whole.instances.end(), [&](const auto& item) {
-            return item.second.state == instance_state::failed && item.second.outage_wave == wave;
-        }));
-}
-
-std::vector<instance_id> in_pool(const std::vector<instance_id>& ids, const fleet& whole,
-                                 const pool_id& pool)
-{
-    std::vector<instance_id> own;
-    for (const instance_id& id : ids) {
-        const auto found = whole.instances.find(id);
-        if (found != whole.instances.end() && found->second.pool == pool) {
-            own.push_back(id);
-        }
-    }
-    return own;
-}
-
 } // namespace
 
 std::vector<duty_action> pool_duty::step(const duty_view& view)
@@ -253,20 +220,8 @@
     if (drains.empty()) {
         return false;
     }
-    const journal_entry model = entry_for(view, "drain-undone", why);
-    append("undo drains", [drains, model](const fleet& newest, auto& notes) {
-        std::vector<change> changes;
-        for (const outage& each : drains) {
-            const auto found = newest.instances.find(each.id);
-            const bool same = found != newest.instances.end() &&
-                              found->second.state_version == each.state_version;
-            if (same && try_plan(changes, [&] { return plan_undrain(newest, each.id); })) {
-                notes.push_back(model);
-                notes.back().facts.insert(notes.back().facts.begin(), {"instance", each.id.str()});
-            }
-        }
-        return changes;
-    });
+    append("undo drains",
+           propose_undrains(std::move(drains), entry_for(view, "drain-undone", std::move(why))));
     return true;
 }
 
@@ -279,18 +234,7 @@
     for (const outage& each : found.ends) {
         ends.emplace_back(each, m_work.at(each).boots.value_or(0));
     }
-    const journal_entry model = entry_for(view, "drain-ended", {});
-    append("drained", [ends, model](const fleet& newest, auto& notes) {
-        std::vector<change> changes;
-        for (const auto& each : ends) {
-            const outage& drain = each.first;
-            if (try_plan(changes, [&] { return plan_end_of_drain(newest, drain, each.second); })) {
-                notes.push_back(model);
-                notes.back().facts.push_back({"instance", drain.id.str()});
-            }
-        }
-        return changes;
-    });
+    append("drained", propose_ends(std::move(ends), entry_for(view, "drain-ended", {})));
     return true;
 }
 
@@ -299,17 +243,7 @@
     if (found.admits.empty()) {
         return false;
     }
-    const journal_entry model = entry_for(view, "instance-maintained", {});
-    append("rebooted", [admits = found.admits, model](const fleet& newest, auto& notes) {
-        std::vector<change> changes;
-        for (const outage& each : admits) {
-            if (try_plan(changes, [&] { return plan_admit(newest, each, model.when); })) {
-                notes.push_back(model);
-                notes.back().facts.push_back({"instance", each.id.str()});
-            }
-        }
-        return changes;
-    });
+    append("rebooted", propose_admits(found.admits, entry_for(view, "instance-maintained", {})));
     return true;
 }
 
@@ -318,40 +252,8 @@
     if (found.fails.empty()) {
         return false;
     }
-    const journal_entry model = entry_for(view, "instance-failed", {});
-    const std::uint32_t most = m_options.times.max_failed_in_wave;
-    append("lost", [fails = found.fails, model, most](const fleet& newest, auto& notes) {
-        std::vector<change> changes;
-        std::map<wave_id, std::uint32_t> failed;
-        for (const outage& each : fails) {
-            if (!try_plan(changes, [&] { return plan_fail(newest, each); })) {
-                continue;
-            }
-            notes.push_back(model);
-            notes.back().facts.push_back({"instance", each.id.str()});
-            const wave_id& wave = newest.instances.at(each.id).outage_wave;
-            if (!wave.empty()) {
-                ++failed[wave];
-            }
-        }
-        for (const auto& item : failed) {
-            const wave_id& wave = item.first;
-            const std::uint32_t all = item.second + failed_in(newest, wave);
-            const auto found_wave = newest.waves.find(wave);
-            const bool running =
-                found_wave != newest.waves.end() && found_wave->second.state == wave_state::running;
-            if (most == 0 || all < most || !running) {
-                continue;
-            }
-            const std::string reason = std::to_string(all) + " instances did not come back";
-            try_plan(changes,
-                     [&] { return plan_wave_state(newest, wave, wave_state::paused, reason); });
-            notes.push_back(model);
-            notes.back().action = "wave-paused";
-            notes.back().facts = {{"wave", wave.str()}, {"failed", std::to_string(all)}};
-        }
-        return changes;
-    });
+    append("lost", propose_fails(found.fails, m_options.times.max_failed_in_wave,
+                                 entry_for(view, "instance-failed", {})));
     return true;
 }
 
@@ -360,24 +262,8 @@
     if (found.returns.empty()) {
         return false;
     }
-    const journal_entry model = entry_for(view, "loan-ending", {});
-    append("loan is due", [returns = found.returns, lost = view.lost, model](const fleet& newest,
-                                                                             auto& notes) {
-        std::vector<change> changes;
-        version::ledger books(newest, *lost);
-        for (const instance_id& id : returns) {
-            const auto subject = newest.instances.find(id);
-            if (subject == newest.instances.end() || !books.may_take_out(subject->second)) {
-                continue;
-            }
-            if (try_plan(changes, [&] { return plan_return(newest, {.id = id, .lost = *lost}); })) {
-                books.take_out(subject->second);
-                notes.push_back(model);
-                notes.back().facts.push_back({"instance", id.str()});
-            }
-        }
-        return changes;
-    });
+    append("loan is due",
+           propose_returns(found.returns, view.lost, entry_for(view, "loan-ending", {})));
     return true;
 }
 
@@ -387,28 +273,12 @@
         if (in_pool(plan.drains, view.whole, m_options.pool).empty()) {
             continue;
         }
-        const journal_entry model = entry_for(view, "drain-started", {{"wave", wave.str()}});
         append("wave " + wave.str(),
-               [wave = wave, lost = view.lost, model, pool = m_options.pool,
-                planner = m_options.planner](const fleet& newest, auto& notes) {
-                   std::vector<change> changes;
-                   const auto subject = newest.waves.find(wave);
-                   if (subject == newest.waves.end()) {
-                       return changes;
-                   }
-                   version::ledger books(newest, *lost);
-                   const wave_plan anew = planner.plan(newest, books, subject->second);
-                   for (const instance_id& id : in_pool(anew.drains, newest, pool)) {
-                       const instance& each = newest.instances.at(id);
-                       books.require_take_out(each);
-                       books.take_out(each);
-                       changes.push_back(version::set_instance_state{
-                           .id = id, .state = instance_state::draining, .wave = wave});
-                       notes.push_back(model);
-                       notes.back().facts.push_back({"instance", id.str()});
-                   }
-                   return changes;
-               });
+               propose_drains({.wave = wave,
+                               .pool = m_options.pool,
+                               .lost = view.lost,
+                               .planner = m_options.planner},
+                              entry_for(view, "drain-started", {{"wave", wave.str()}})));
         return true;
     }
     return false;
@@ -424,25 +294,10 @@
     if (loans.empty()) {
         return false;
     }
-    const journal_entry model = entry_for(view, "loan-started", {{"to", m_options.pool.str()}});
-    const wall_time until = view.wall_now + m_options.times.loan_term;
-    append("lend", [loan = loans.front(), lost = view.lost, until, model](const fleet& newest,
-                                                                          auto& notes) {
-        // Another wave's duty may have borrowed for this pool since.
-        const bool arriving =
-            std::any_of(newest.instances.begin(), newest.instances.end(), [&](const auto& item) {
-                return item.second.moving && item.second.moving->to == loan.to;
-            });
-        std::vector<change> changes;
-        if (!arriving && try_plan(changes, [&] {
-                return plan_lend(newest,
-                                 {.id = loan.id, .to = loan.to, .until = until, .lost = *lost});
-            })) {
-            notes.push_back(model);
-            notes.back().facts.push_back({"instance", loan.id.str()});
-        }
-        return changes;
-    });
+    append("lend", propose_loan({.loan = loans.front(),
+                                 .until = view.wall_now + m_options.times.loan_term,
+                                 .lost = view.lost},
+                                entry_for(view, "loan-started", {{"to", m_options.pool.str()}})));
     return true;
 }
 
@@ -455,16 +310,8 @@
             continue;
         }
         if (plan.finished && subject.state == wave_state::running) {
-            const journal_entry model = entry_for(view, "wave-finished", {{"wave", wave.str()}});
-            append("wave finished", [wave = wave, model](const fleet& newest, auto& notes) {
-                std::vector<change> changes;
-                if (try_plan(changes, [&] {
-                        return plan_wave_state(newest, wave, wave_state::finished, "all done");
-                    })) {
-                    notes.push_back(model);
-                }
-                return changes;
-            });
+            append("wave finished", propose_finished(wave, entry_for(view, "wave-finished",
+                                                                     {{"wave", wave.str()}})));
             return true;
         }
         const auto reported = m_hold_reported.try_emplace(wave, view.now).first;
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -59,13 +59,13 @@
 public:
     full_listener()
     {
-        ::bind(m_listener, address(), sizeof m_address);
-        ::listen(m_listener, 0);
+        CHECK(::bind(m_listener, address(), sizeof m_address) == 0);
+        CHECK(::listen(m_listener, 0) == 0);
         socklen_t size = sizeof m_address;
         ::getsockname(m_listener, address(), &size);
         for (int& each : m_waiting) {
             each = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect(each, address(), sizeof m_address);
+            static_cast<void>(::connect(each, address(), sizeof m_address));
         }
     }
     full_listener(const full_listener&) = delete;
