--- a/apps/plantaindoord/main.cpp
+++ b/apps/plantaindoord/main.cpp
@@ -38,6 +38,29 @@
     return line;
 }
 
+void set_attempts(process::entry_options& options, const process::attempt_settings& given)
+{
+    options.attempts.max_attempts = given.most;
+    options.attempts.connect_timeout = given.connect_timeout;
+    options.attempts.later_share_percent = given.later_share_percent;
+    options.retries.burst = given.retry_burst;
+    options.retries.per_thousand_successes = given.retries_per_thousand;
+}
+
+void set_claims(process::entry_options& options, const process::claim_settings& given)
+{
+    options.claim_wait = given.wait;
+    options.claims.max_waiting = given.queue;
+    options.claims.max_group = given.group_rows;
+    options.claims.transactions_per_second = given.transactions_per_second;
+    options.claims.shared_transactions_per_second = given.shared_transactions_per_second;
+    options.claims.rows_per_second = given.rows_per_second;
+    options.claims.max_answer_bytes = given.answer_bytes;
+    options.claim_sweep.lifetime = given.lifetime;
+    options.claim_sweep.page_rows = given.sweep_rows;
+    options.claim_sweep.page_period = given.sweep_period;
+}
+
 process::entry_options entry_options_of(const process::settings& settings)
 {
     process::entry_options options;
@@ -60,7 +83,10 @@
     options.renew = settings.timings.renew;
     options.drain_timeout = settings.timings.drain_timeout;
     options.queue_requests = settings.limits.queue_requests;
+    options.queue_requests_per_service = settings.limits.queue_requests_per_service;
     options.queue_bytes = settings.limits.queue_bytes;
+    set_attempts(options, settings.attempts);
+    set_claims(options, settings.claims);
     options.trace_ring = settings.traces.ring;
     options.trace_file = settings.traces.file;
     return options;
--- a/packages/process/include/plantaindoor/process/claim_sweeper.hpp
+++ b/packages/process/include/plantaindoor/process/claim_sweeper.hpp
@@ -19,7 +19,7 @@
 struct claim_sweeper_options {
     /// How long a key is remembered after its request's end; far longer than any deadline, and
     /// than the clocks of two entries may differ.
-    std::chrono::hours lifetime{24};
+    milliseconds lifetime = std::chrono::hours(24);
     std::size_t page_rows = 200;
     /// From one page to the next, over all entries.
     milliseconds page_period{1000};
--- a/packages/process/include/plantaindoor/process/entry.hpp
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -4,6 +4,10 @@
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/connection/endpoint.hpp"
+#include "plantaindoor/process/claim_sweeper.hpp"
+#include "plantaindoor/request/attempt_tracker.hpp"
+#include "plantaindoor/request/claim_batcher.hpp"
+#include "plantaindoor/request/retry_budget.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,7 +38,15 @@
     milliseconds list_lag{30000};
     /// Requests that wait for a slot, and the bytes of their bodies.
     std::size_t queue_requests = 1000;
+    std::size_t queue_requests_per_service = 512;
     std::size_t queue_bytes = 16U << 20U;
+    request::attempt_options attempts;
+    request::retry_budget_options retries;
+    /// Longest wait for a claim.
+    milliseconds claim_wait{500};
+    /// The owner's prefix is set by the entry.
+    request::claim_options claims;
+    claim_sweeper_options claim_sweep;
     /// Term of the duties' leases, and the time from one renewal to the next.
     milliseconds lease{6000};
     milliseconds renew{1000};
--- a/packages/process/include/plantaindoor/process/settings.hpp
+++ b/packages/process/include/plantaindoor/process/settings.hpp
@@ -33,6 +33,7 @@
     std::size_t body_bytes = 0;
     std::size_t answer_bytes = 0;
     std::size_t queue_requests = 0;
+    std::size_t queue_requests_per_service = 0;
     std::size_t queue_bytes = 0;
 };
 
@@ -46,6 +47,31 @@
     milliseconds drain_timeout{0};
 };
 
+struct attempt_settings {
+    std::uint32_t most = 0;
+    milliseconds connect_timeout{0};
+    /// Share of its time that an idempotent request keeps for later attempts.
+    std::uint32_t later_share_percent = 0;
+    std::uint32_t retry_burst = 0;
+    std::uint32_t retries_per_thousand = 0;
+};
+
+struct claim_settings {
+    /// Longest wait of a request for its claim.
+    milliseconds wait{0};
+    /// Claims that wait for a transaction.
+    std::size_t queue = 0;
+    std::size_t group_rows = 0;
+    std::uint32_t transactions_per_second = 0;
+    /// Of all entries together.
+    std::uint32_t shared_transactions_per_second = 0;
+    std::uint32_t rows_per_second = 0;
+    std::size_t answer_bytes = 0;
+    milliseconds lifetime{0};
+    std::size_t sweep_rows = 0;
+    milliseconds sweep_period{0};
+};
+
 struct log_settings {
     log_format format = log_format::human;
     log_level level = log_level::info;
@@ -70,6 +96,8 @@
     std::vector<endpoint> peers;
     limit_settings limits;
     timing_settings timings;
+    attempt_settings attempts;
+    claim_settings claims;
     log_settings logs;
     trace_settings traces;
 };
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -86,8 +86,8 @@
                      .incarnation = m_options.incarnation}),
           m_duties(duty_options()),
           m_rules(rule_options()),
-          m_claims(loop, m_table, {.owner_prefix = run_name()}),
-          m_sweeper(loop, m_table, {}),
+          m_claims(loop, m_table, claim_options_here()),
+          m_sweeper(loop, m_table, m_options.claim_sweep),
           m_callers(caller_options()),
           m_router(m_options.operator_token),
           m_caller_server(loop, caller_server_options()),
@@ -204,6 +204,7 @@
         return {.decisions = {.self = m_options.id,
                               .zone = m_options.zone,
                               .seed = m_options.incarnation,
+                              .max_waiting_per_service = m_options.queue_requests_per_service,
                               .max_waiting = m_options.queue_requests,
                               .max_waiting_bytes = m_options.queue_bytes},
                 .list_period = m_options.list_poll};
@@ -284,6 +285,13 @@
         m_log.share_polling(live.size());
     }
 
+    [[nodiscard]] request::claim_options claim_options_here() const
+    {
+        request::claim_options options = m_options.claims;
+        options.owner_prefix = run_name();
+        return options;
+    }
+
     caller_path_options caller_options()
     {
         return {.loop = m_loop,
@@ -296,6 +304,9 @@
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
                 .answers = {.max_bytes = m_options.answer_limit_bytes},
+                .attempts = m_options.attempts,
+                .retries = m_options.retries,
+                .claim_wait = m_options.claim_wait,
                 .not_serving_reason = [this] { return not_serving_reason(); },
                 .is_current = [this] { return may_serve() == serving_state::serving; }};
     }
--- a/packages/process/src/settings.cpp
+++ b/packages/process/src/settings.cpp
@@ -17,7 +17,10 @@
 constexpr std::uint64_t kib = 1024;
 constexpr std::uint64_t mib = 1024 * kib;
 constexpr std::uint64_t gib = 1024 * mib;
+constexpr std::uint64_t minute_ms = 60'000;
 constexpr std::uint64_t day_ms = 86'400'000;
+/// Twice the longest request that a fleet file may allow.
+constexpr std::uint64_t least_claim_lifetime_ms = 7'200'000;
 
 const setting<std::string> cluster_setting{.path = "cluster"};
 const setting<entry_id> entry_setting{.path = "entry"};
@@ -36,6 +39,8 @@
     .path = "limits.answer_bytes", .fallback = 4 * mib, .least = kib, .most = gib};
 const setting<std::uint64_t> queue_requests_setting{
     .path = "limits.queue_requests", .fallback = 1000, .least = 1, .most = 1'000'000};
+const setting<std::uint64_t> service_queue_setting{
+    .path = "limits.queue_requests_per_service", .fallback = 512, .least = 1, .most = 1'000'000};
 const setting<std::uint64_t> queue_bytes_setting{
     .path = "limits.queue_bytes", .fallback = 16 * mib, .least = kib, .most = gib};
 const setting<milliseconds> lease_setting{
@@ -52,6 +57,40 @@
                                                   .fallback = milliseconds(60000),
                                                   .least = 100,
                                                   .most = day_ms};
+const setting<std::uint64_t> most_attempts_setting{
+    .path = "attempts.most", .fallback = 3, .least = 1, .most = 10};
+const setting<milliseconds> connect_timeout_setting{.path = "attempts.connect_timeout_ms",
+                                                    .fallback = milliseconds(500),
+                                                    .least = 1,
+                                                    .most = minute_ms};
+const setting<std::uint64_t> later_share_setting{
+    .path = "attempts.later_share_percent", .fallback = 50, .least = 0, .most = 90};
+const setting<std::uint64_t> retry_burst_setting{
+    .path = "attempts.retry_burst", .fallback = 100, .least = 0, .most = 100'000};
+const setting<std::uint64_t> retries_setting{
+    .path = "attempts.retries_per_thousand", .fallback = 200, .least = 0, .most = 1000};
+const setting<milliseconds> claim_wait_setting{
+    .path = "claims.wait_ms", .fallback = milliseconds(500), .least = 1, .most = minute_ms};
+const setting<std::uint64_t> claim_queue_setting{
+    .path = "claims.queue", .fallback = 2000, .least = 1, .most = 1'000'000};
+const setting<std::uint64_t> claim_group_setting{
+    .path = "claims.group_rows", .fallback = 100, .least = 1, .most = 1000};
+const setting<std::uint64_t> claim_rate_setting{
+    .path = "claims.transactions_per_second", .fallback = 30, .least = 1, .most = 10'000};
+const setting<std::uint64_t> shared_claim_rate_setting{
+    .path = "claims.shared_transactions_per_second", .fallback = 210, .least = 1, .most = 100'000};
+const setting<std::uint64_t> claim_rows_setting{
+    .path = "claims.rows_per_second", .fallback = 3000, .least = 1, .most = 1'000'000};
+const setting<std::uint64_t> claim_answer_setting{
+    .path = "claims.answer_bytes", .fallback = 4 * kib, .least = 0, .most = mib};
+const setting<milliseconds> claim_lifetime_setting{.path = "claims.lifetime_ms",
+                                                   .fallback = milliseconds(day_ms),
+                                                   .least = least_claim_lifetime_ms,
+                                                   .most = 366 * day_ms};
+const setting<std::uint64_t> sweep_rows_setting{
+    .path = "claims.sweep_rows", .fallback = 200, .least = 1, .most = 1000};
+const setting<milliseconds> sweep_period_setting{
+    .path = "claims.sweep_period_ms", .fallback = milliseconds(1000), .least = 10, .most = day_ms};
 const setting<log_format> format_setting{.path = "logs.format", .fallback = log_format::human};
 const setting<log_level> level_setting{.path = "logs.level", .fallback = log_level::info};
 const setting<std::uint64_t> ring_setting{
@@ -59,6 +98,34 @@
 const setting<std::filesystem::path> trace_file_setting{.path = "traces.file",
                                                         .fallback = std::filesystem::path()};
 
+std::uint32_t small(settings_reader& in, const setting<std::uint64_t>& wanted)
+{
+    return static_cast<std::uint32_t>(in.get(wanted));
+}
+
+attempt_settings read_attempts(settings_reader& in)
+{
+    return {.most = small(in, most_attempts_setting),
+            .connect_timeout = in.get(connect_timeout_setting),
+            .later_share_percent = small(in, later_share_setting),
+            .retry_burst = small(in, retry_burst_setting),
+            .retries_per_thousand = small(in, retries_setting)};
+}
+
+claim_settings read_claims(settings_reader& in)
+{
+    return {.wait = in.get(claim_wait_setting),
+            .queue = in.get(claim_queue_setting),
+            .group_rows = in.get(claim_group_setting),
+            .transactions_per_second = small(in, claim_rate_setting),
+            .shared_transactions_per_second = small(in, shared_claim_rate_setting),
+            .rows_per_second = small(in, claim_rows_setting),
+            .answer_bytes = in.get(claim_answer_setting),
+            .lifetime = in.get(claim_lifetime_setting),
+            .sweep_rows = in.get(sweep_rows_setting),
+            .sweep_period = in.get(sweep_period_setting)};
+}
+
 settings read_all(settings_reader& in)
 {
     return {.cluster = in.get(cluster_setting),
@@ -74,6 +141,7 @@
             .limits = {.body_bytes = in.get(body_bytes_setting),
                        .answer_bytes = in.get(answer_bytes_setting),
                        .queue_requests = in.get(queue_requests_setting),
+                       .queue_requests_per_service = in.get(service_queue_setting),
                        .queue_bytes = in.get(queue_bytes_setting)},
             .timings = {.lease = in.get(lease_setting),
                         .renew = in.get(renew_setting),
@@ -81,6 +149,8 @@
                         .list_poll = in.get(list_poll_setting),
                         .list_lag = in.get(list_lag_setting),
                         .drain_timeout = in.get(drain_timeout_setting)},
+            .attempts = read_attempts(in),
+            .claims = read_claims(in),
             .logs = {.format = in.get(format_setting), .level = in.get(level_setting)},
             .traces = {.ring = in.get(ring_setting), .file = in.get(trace_file_setting)}};
 }
@@ -103,6 +173,14 @@
     }
 }
 
+void check_claims(settings_reader& in, const claim_settings& read)
+{
+    if (read.transactions_per_second > read.shared_transactions_per_second) {
+        in.fault(claim_rate_setting.path, std::to_string(read.transactions_per_second),
+                 "at most claims.shared_transactions_per_second");
+    }
+}
+
 void check_timings(settings_reader& in, const timing_settings& read)
 {
     if (read.renew * 2 > read.lease) {
@@ -166,6 +244,7 @@
     settings read = read_all(in);
     check_listeners(in, read);
     check_timings(in, read.timings);
+    check_claims(in, read.claims);
     in.check_keys();
     if (!in.faults().empty()) {
         throw settings_error(in.faults());
--- a/packages/process/tests/settings_test.cpp
+++ b/packages/process/tests/settings_test.cpp
@@ -1,5 +1,10 @@
 #include "plantaindoor/common/scope_guard.hpp"
+#include "plantaindoor/process/claim_sweeper.hpp"
 #include "plantaindoor/process/settings.hpp"
+#include "plantaindoor/request/attempt_tracker.hpp"
+#include "plantaindoor/request/claim_batcher.hpp"
+#include "plantaindoor/request/dispatcher.hpp"
+#include "plantaindoor/request/retry_budget.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -8,6 +13,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <string_view>
 #include <unistd.h>
 
@@ -20,6 +26,12 @@
 
 constexpr auto yaml_signs = "ab:-[]{}&*!|>'\"%@`#?, \n\t\0\x80"sv;
 
+/// The least that a file must hold, in six lines.
+const std::string short_text =
+    "cluster: c\nentry: e\navailability_zone: a\nregion: r\n"
+    "listen: {callers: '10.0.0.1:0', operators: '[::1]:0', peers: '10.0.0.1:0'}\n"
+    "platform: {address: '10.0.0.9:1'}\n";
+
 std::filesystem::path example_file()
 {
     return PLANTAINDOOR_EXAMPLE_SETTINGS;
@@ -61,10 +73,7 @@
 
 TEST_CASE("a short file takes the defaults", "[settings]")
 {
-    const settings read = parse_settings("{cluster: c, entry: e, availability_zone: a, region: r, "
-                                         "listen: {callers: '10.0.0.1:0', operators: '[::1]:0', "
-                                         "peers: '10.0.0.1:0'}, platform: {address: '10.0.0.9:1'}}",
-                                         "f.yaml");
+    const settings read = parse_settings(short_text, "f.yaml");
     CHECK(read.timings.lease == milliseconds(6000));
     CHECK(read.logs.format == log_format::human);
     CHECK(read.listen.operators.loopback());
@@ -113,6 +122,64 @@
     }
 }
 
+TEST_CASE("a short file's defaults are the request path's own", "[settings]")
+{
+    const settings read = parse_settings(short_text, "f.yaml");
+    const request::attempt_options attempts;
+    const request::retry_budget_options retries;
+    const request::claim_options claims;
+    const claim_sweeper_options sweep;
+    CHECK(read.limits.queue_requests_per_service ==
+          request::dispatcher_options{}.max_waiting_per_service);
+    CHECK(read.attempts.most == attempts.max_attempts);
+    CHECK(read.attempts.connect_timeout == attempts.connect_timeout);
+    CHECK(read.attempts.later_share_percent == attempts.later_share_percent);
+    CHECK(read.attempts.retry_burst == retries.burst);
+    CHECK(read.attempts.retries_per_thousand == retries.per_thousand_successes);
+    CHECK(read.claims.queue == claims.max_waiting);
+    CHECK(read.claims.group_rows == claims.max_group);
+    CHECK(read.claims.transactions_per_second == claims.transactions_per_second);
+    CHECK(read.claims.shared_transactions_per_second == claims.shared_transactions_per_second);
+    CHECK(read.claims.rows_per_second == claims.rows_per_second);
+    CHECK(read.claims.answer_bytes == claims.max_answer_bytes);
+    CHECK(read.claims.lifetime == sweep.lifetime);
+    CHECK(read.claims.sweep_rows == sweep.page_rows);
+    CHECK(read.claims.sweep_period == sweep.page_period);
+}
+
+TEST_CASE("faulty settings of the request path are reported together", "[settings]")
+{
+    const std::string text =
+        short_text + "limits: {queue_requests_per_service: 0}\n"
+                     "attempts: {most: 11, connect_timeout_ms: 0, later_share_percent: 91,\n"
+                     "  retry_burst: -1, retries_per_thousand: 1001, more: 1}\n"
+                     "claims: {wait_ms: 0, queue: 0, group_rows: 1001,\n"
+                     "  transactions_per_second: 31, shared_transactions_per_second: 30,\n"
+                     "  rows_per_second: 0, answer_bytes: 1048577, lifetime_ms: 1000,\n"
+                     "  sweep_rows: 0, sweep_period_ms: 9}\n";
+    std::set<std::string> paths;
+    for (const settings_fault& each : faults_of(text)) {
+        paths.insert(each.path + " " + std::to_string(each.line));
+    }
+    const std::set<std::string> expected{"limits.queue_requests_per_service 7",
+                                         "attempts.most 8",
+                                         "attempts.connect_timeout_ms 8",
+                                         "attempts.later_share_percent 8",
+                                         "attempts.retry_burst 9",
+                                         "attempts.retries_per_thousand 9",
+                                         "attempts.more 9",
+                                         "claims.wait_ms 10",
+                                         "claims.queue 10",
+                                         "claims.group_rows 10",
+                                         "claims.transactions_per_second 11",
+                                         "claims.rows_per_second 12",
+                                         "claims.answer_bytes 12",
+                                         "claims.lifetime_ms 12",
+                                         "claims.sweep_rows 13",
+                                         "claims.sweep_period_ms 13"};
+    CHECK(paths == expected);
+}
+
 TEST_CASE("a file or token that can't be read is a settings fault", "[settings]")
 {
     CHECK_THROWS_AS(load_settings("/nonexistent/settings.yaml"), settings_error);
