process: Show claims and ejections among the metrics

Verdicts on claims, their transactions and rows, what is unsettled, and for each service the targets ejected now and the ejections so far. They are taken over from the decisions' own counts when /metrics is read.

Seen failing, as mutations: the unknown verdicts not counted (observe_test.py), the ejections not counted (1 of 9 dispatcher cases).

--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -40,6 +40,10 @@
     void may_still_run(const instance_id& target, time_point until) override;
     [[nodiscard]] std::vector<instance_id> busy_targets() const override;
 
+    [[nodiscard]] std::vector<request::service_ejections> ejections() const
+    {
+        return m_dispatcher.ejections();
+    }
     /// Replaces the live entries, from their registrations.
     void set_entries(std::vector<entry_id> live);
     /// Takes a peer's demand.
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -16,6 +16,7 @@
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/paced_instance_list.hpp"
+#include "plantaindoor/process/path_metrics.hpp"
 #include "plantaindoor/process/peer_group.hpp"
 #include "plantaindoor/process/registrar.hpp"
 #include "plantaindoor/process/request_metrics.hpp"
@@ -67,6 +68,7 @@
           m_options(std::move(options)),
           m_tracer(loop, trace_options()),
           m_request_metrics(m_metrics),
+          m_path_metrics(m_metrics),
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
@@ -176,6 +178,8 @@
     {
         m_in_progress.set(static_cast<double>(m_callers.in_progress()));
         m_version.set(static_cast<double>(m_log.current()->version));
+        m_path_metrics.read_claims(m_claims.counts(), m_claims.unsettled());
+        m_path_metrics.read_ejections(m_targets.ejections());
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
@@ -418,6 +422,7 @@
     tracer m_tracer;
     metrics_registry m_metrics;
     request_metrics m_request_metrics;
+    path_metrics m_path_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
     connection::http_client m_client;
--- a/packages/request/include/plantaindoor/request/claim_batcher.hpp
+++ b/packages/request/include/plantaindoor/request/claim_batcher.hpp
@@ -98,6 +98,8 @@
     std::uint64_t granted = 0;
     std::uint64_t replayed = 0;
     std::uint64_t refused = 0;
+    /// Those of the refused whose request, or an earlier one of its key, may have run.
+    std::uint64_t unknown = 0;
     std::uint64_t transactions = 0;
     std::uint64_t rows = 0;
     std::uint64_t reads = 0;
--- a/packages/request/include/plantaindoor/request/dispatcher.hpp
+++ b/packages/request/include/plantaindoor/request/dispatcher.hpp
@@ -74,6 +74,17 @@
     milliseconds report_lifetime{3000};
 };
 
+/// What a service's targets are missing by their failures, as seen by this entry.
+struct service_ejections {
+    service_id service;
+    /// Targets that are admitted and ejected now.
+    std::size_t ejected = 0;
+    /// Ejections since the service was first known, probes that failed included.
+    std::uint64_t ejections = 0;
+
+    friend bool operator==(const service_ejections&, const service_ejections&) = default;
+};
+
 class slot_shares;
 
 /// Admits requests, chooses their targets and keeps this entry's share of the targets' slots.
@@ -128,6 +139,8 @@
     [[nodiscard]] std::vector<instance_id> busy_targets() const;
     /// Targets that this entry has ejected, in order of id.
     [[nodiscard]] std::vector<instance_id> ejected_targets() const;
+    /// Of each service of the fleet.
+    [[nodiscard]] std::vector<service_ejections> ejections() const;
 
 private:
     class state;
--- a/packages/request/include/plantaindoor/request/router.hpp
+++ b/packages/request/include/plantaindoor/request/router.hpp
@@ -69,12 +69,14 @@
     [[nodiscard]] const std::vector<service_id>& services_at(target_index index) const;
     [[nodiscard]] std::vector<instance_id> busy_targets() const;
     [[nodiscard]] std::vector<instance_id> ejected_targets() const;
+    [[nodiscard]] std::vector<service_ejections> ejections() const;
 
 private:
     struct service_routes {
         std::vector<std::size_t> pools;
         version::availability_budget budget;
         usual_duration usual;
+        std::uint64_t ejections = 0;
     };
     struct domain_counts {
         std::size_t size = 0;
--- a/packages/request/src/claim_batcher.cpp
+++ b/packages/request/src/claim_batcher.cpp
@@ -118,6 +118,8 @@
     m_verdicts.push_back(judge_repeat(request, row, now.wall, m_options.resolve_grace));
     const bool replayed = m_verdicts.back().decision == claim_decision::replay;
     ++(replayed ? m_counts.replayed : m_counts.refused);
+    const bool unknown = !replayed && m_verdicts.back().why->told() == outcome::unknown;
+    m_counts.unknown += unknown ? 1 : 0;
 }
 
 void claim_batcher::judge_local(const repeat& request, const item& holder, moment now)
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -457,4 +457,9 @@
     return m_state->routes().ejected_targets();
 }
 
+std::vector<service_ejections> dispatcher::ejections() const
+{
+    return m_state->routes().ejections();
+}
+
 } // namespace plantaindoor::request
--- a/packages/request/src/router.cpp
+++ b/packages/request/src/router.cpp
@@ -291,6 +291,23 @@
     return busy;
 }
 
+std::vector<service_ejections> router::ejections() const
+{
+    std::vector<std::size_t> by_pool(m_pools.size());
+    for (const target_state& target : m_targets) {
+        by_pool[target.pool] += target.ejected && target.admitted ? 1 : 0;
+    }
+    std::vector<service_ejections> result;
+    for (const auto& [id, routes] : m_services) {
+        service_ejections& service = result.emplace_back(id, 0, routes.ejections);
+        for (const std::size_t pool : routes.pools) {
+            service.ejected += by_pool[pool];
+        }
+    }
+    std::ranges::sort(result, {}, &service_ejections::service);
+    return result;
+}
+
 std::vector<instance_id> router::ejected_targets() const
 {
     std::vector<instance_id> ejected;
--- a/packages/request/src/router_ejection.cpp
+++ b/packages/request/src/router_ejection.cpp
@@ -68,6 +68,9 @@
         const milliseconds time = ejection_time(m_options.ejection, target.ejections);
         target.probe_due = now + time + time * jitter / 1024;
     });
+    for (const service_id& service : services_at(index)) {
+        ++m_services.at(service).ejections;
+    }
 }
 
 router::domain_counts router::counts(const service_routes& routes,
--- a/packages/request/tests/dispatcher_test.cpp
+++ b/packages/request/tests/dispatcher_test.cpp
@@ -191,6 +191,8 @@
         subject.hold(held.back(), attempt_result::timed_out, now);
     }
     CHECK(subject.ejected_targets() == std::vector{hung});
+    CHECK(subject.ejections() == std::vector<service_ejections>{
+                                     {.service = service_id("s0"), .ejected = 1, .ejections = 1}});
     for (const ticket_id each : held) {
         subject.release(each, attempt_result::timed_out, now);
     }
@@ -202,6 +204,8 @@
     CHECK(grants(subject.advance(now)).front().target == hung);
     subject.release(probe, attempt_result::answered, now);
     CHECK(subject.ejected_targets().empty());
+    CHECK(subject.ejections() == std::vector<service_ejections>{
+                                     {.service = service_id("s0"), .ejected = 0, .ejections = 1}});
 }
 
 TEST_CASE("a retry goes to another target and rack, or is refused", "[dispatcher]")
--- a/tests/process/observe_test.py
+++ b/tests/process/observe_test.py
@@ -33,6 +33,32 @@
                           text)
             self.assertIn("plantaindoor_version 1\n", text)
 
+    def test_metrics_count_claims_and_ejections(self):
+        with Cluster(targets=4, entries=1) as cluster:
+            cluster.wait_version(cluster.apply())
+
+            def metrics():
+                return call(cluster.operators_at("e1"), "GET", "/metrics").body.decode()
+
+            def claim(key, body=b"", path="/spell/check"):
+                cluster.request("e1", body, path, {"Idempotency-Key": key})
+                wait_for("the end's record", lambda: "plantaindoor_claims_unsettled 0\n" in metrics())
+
+            # The target repeats the path, and an answer of more than 4 KB is not recorded.
+            long_path = "/spell/" + 5000 * "x"
+            for key, path in (("short", "/spell/check"), ("long", long_path)):
+                for _ in range(2):
+                    claim(key, path=path)
+            claim("short", b"another body")
+            cluster.fault_target("w1", mode="fail-all")
+            wait_for("an ejection", lambda: cluster.request("e1") and
+                     'plantaindoor_ejections_total{service="spell"} 1\n' in metrics())
+            text = metrics()
+            self.assertIn('plantaindoor_claims_total{verdict="granted"} 2\n', text)
+            for verdict in ("replayed", "refused", "unknown"):
+                self.assertIn(f'plantaindoor_claims_total{{verdict="{verdict}"}} 1\n', text)
+            self.assertIn('plantaindoor_ejected_targets{service="spell"} 1\n', text)
+
     def test_log_names_the_part_of_each_line(self):
         with Cluster(targets=1, entries=1) as cluster:
             cluster.wait_version(cluster.apply())
