--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -94,6 +94,8 @@
             {.to = m_options.to,
              .request = {.method = "POST",
                          .target = "/spell/check",
+                         .headers = {{"Plantaindoor-Idempotent",
+                                      m_options.idempotent ? "yes" : "no"}},
                          .body = "a sentence of a pupil, as it is typed"}},
             [this, when](const connection::http_result& result) { ended(when, result); });
     }
