process: Let orders use kept connections of targets that name them

A request that may run only once opened a connection of its own at each target: socket, connect, close and the libcurl state around them were the largest part of its cost that an idempotent request did not have. It now takes a kept connection if the target's answers have always carried the request's id (echo_record) and the connection was used less than two seconds ago. libcurl's silent resend is refused before its first byte, as for idempotent requests, so the outcome is unknown and the order ran once at most. After a used connection ended under a request the target gets new connections for its next 1,000 answers, so one that closes connections at any time costs few unknown outcomes.

On a used connection only an answer that names the request is taken, if the target has always named them. A target whose answers sometimes carry the id gets new connections for all.

--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -37,14 +37,22 @@
     call_observer& operator=(const call_observer&) = delete;
     virtual ~call_observer() = default;
 
-    /// The connection stands; after `true` the first byte of the request leaves.
-    virtual bool may_send() = 0;
+    /// The connection stands, `kept` if it carried another call before; after `true` the first
+    /// byte of the request leaves.
+    virtual bool may_send(bool kept) = 0;
     /// The answer's whole head is here.
     virtual bool head(const http_response& head) = 0;
     /// More bytes of the answer's body are here.
     virtual bool body(std::size_t bytes) = 0;
 };
 
+/// Which connection a call takes, and whether it leaves it to later calls.
+enum class connection_use {
+    kept,   ///< takes a kept one, or leaves its own behind
+    recent, ///< the same, but takes only one whose last call ended less than two seconds ago
+    own,    ///< neither takes a kept one nor leaves its own behind
+};
+
 struct http_call {
     endpoint to;
     http_request request;
@@ -52,9 +60,8 @@
     milliseconds timeout{1000};
     milliseconds connect_timeout{500};
     std::size_t answer_limit_bytes = 8U << 20U;
-    /// Neither takes a kept connection nor leaves one behind, so that the other side's closing of
-    /// an idle connection can't be mistaken for a lost answer.
-    bool own_connection = false;
+    /// The other side's closing of an idle connection can't be told from a lost answer.
+    connection_use use = connection_use::kept;
     /// May be null.
     std::shared_ptr<call_observer> observer;
     /// Name of the call's span; a literal.
--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -12,6 +12,7 @@
 #include "plantaindoor/request/answer_check.hpp"
 #include "plantaindoor/request/answer_time.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
+#include "plantaindoor/request/echo_record.hpp"
 #include "plantaindoor/request/retry_budget.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
@@ -78,8 +79,13 @@
     void act(const active_ptr& current, const request::attempt_action& action);
     void choose(const active_ptr& current);
     void on_offer(const active_ptr& current, target_offer offer);
+    /// A connection is used again where an answer on it can be told from one that nobody asked for;
+    /// for idempotent requests also to targets that never name a request.
+    [[nodiscard]] connection::connection_use use_for(bool idempotent,
+                                                     const instance_id& target) const;
     void send(const active_ptr& current, const request::attempt_action& times);
     void on_result(const active_ptr& current, target_call_result result);
+    void note_connection(const instance_id& target, const target_call_result& result);
     void answer(const active_ptr& current);
     void refuse(const active_ptr& current, const request::refusal& why);
     void replay(const active_ptr& current, request::recorded_answer recorded);
@@ -97,6 +103,7 @@
     std::uint64_t m_last_request = 0;
     std::unordered_set<active_ptr> m_active;
     std::unordered_map<service_id, service_record> m_services;
+    request::echo_record m_echoes;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/include/plantaindoor/process/target_call.hpp
+++ b/packages/process/include/plantaindoor/process/target_call.hpp
@@ -18,7 +18,9 @@
     /// When the connection must stand, and when the answer must be whole.
     time_point connect_by{};
     time_point answer_by{};
-    bool own_connection = false;
+    connection::connection_use use = connection::connection_use::own;
+    /// On a connection that was used before, takes only an answer that names the request.
+    bool echo_on_kept = false;
     /// The caller's span.
     std::optional<trace_context> parent;
     request::answer_expectation expected;
@@ -31,6 +33,10 @@
     request::answer_verdict verdict = request::answer_verdict::incomplete;
     /// How the transport ended; `none` only with a whole answer, or one whose check failed.
     connection::transport_fault fault = connection::transport_fault::none;
+    /// The request went out on a connection that had carried another one.
+    bool kept = false;
+    /// The answer's head named the request.
+    bool echoed = false;
     connection::http_response response;
 };
 
--- a/packages/process/src/caller_path.cpp
+++ b/packages/process/src/caller_path.cpp
@@ -278,12 +278,23 @@
     act(current, action);
 }
 
+connection::connection_use caller_path::use_for(bool idempotent, const instance_id& target) const
+{
+    using connection::connection_use;
+    if (idempotent) {
+        const bool mixed = m_echoes.naming_of(target) == request::answer_naming::mixed;
+        return mixed ? connection_use::own : connection_use::kept;
+    }
+    return m_echoes.reusable(target) ? connection_use::recent : connection_use::own;
+}
+
 void caller_path::send(const active_ptr& current, const attempt_action& times)
 {
     ++current->marks.attempts;
     const time_point now = m_options.loop.now();
     current->sent_at = now;
     const auto left = std::chrono::floor<milliseconds>(current->subject.deadline - now);
+    const request::answer_naming naming = m_echoes.naming_of(current->grant.target);
     // The request owns the call.
     const std::weak_ptr<active_request> weak = current;
     current->call = std::make_unique<target_call>(
@@ -292,7 +303,8 @@
                             .request = request_for_target(current->from, current->marks.id, left),
                             .connect_by = times.connect_by,
                             .answer_by = times.answer_by,
-                            .own_connection = !current->subject.idempotent,
+                            .use = use_for(current->subject.idempotent, current->grant.target),
+                            .echo_on_kept = naming == request::answer_naming::always,
                             .parent = current->hop.context(),
                             .expected = {.request_id = current->marks.id.str(),
                                          .head_only = current->from.method == "HEAD",
@@ -311,10 +323,22 @@
         });
 }
 
+void caller_path::note_connection(const instance_id& target, const target_call_result& result)
+{
+    const bool nameless = result.verdict == answer_verdict::foreign && !result.echoed;
+    if (nameless || result.verdict == answer_verdict::whole) {
+        m_echoes.answered(target, result.echoed);
+    }
+    else if (result.kept && result.fault == transport_fault::broken) {
+        m_echoes.broke(target);
+    }
+}
+
 void caller_path::on_result(const active_ptr& current, target_call_result result)
 {
     const time_point now = m_options.loop.now();
     const auto ended = std::move(current->call);
+    note_connection(current->grant.target, result);
     if (result.verdict != answer_verdict::whole) {
         const attempt_failure failure = failure_of(result);
         if (failure == attempt_failure::timed_out) {
--- a/packages/process/src/target_call.cpp
+++ b/packages/process/src/target_call.cpp
@@ -61,17 +61,29 @@
 /// Shared with the client, which may hold it longer than the call lives.
 class target_call::watch final : public connection::call_observer {
 public:
-    watch(const event_loop& loop, request::answer_expectation expected,
+    watch(const event_loop& loop, request::answer_expectation expected, bool echo_on_kept,
           std::function<bool()> may_send)
-        : m_loop(loop), m_check(std::move(expected)), m_may_send(std::move(may_send))
+        : m_loop(loop),
+          m_check(std::move(expected)),
+          m_echo_on_kept(echo_on_kept),
+          m_may_send(std::move(may_send))
     {
     }
 
-    bool may_send() override { return m_may_send(); }
+    bool may_send(bool kept) override
+    {
+        m_kept = kept;
+        if (kept && m_echo_on_kept) {
+            m_check.require_echo();
+        }
+        return m_may_send();
+    }
 
     bool head(const http_response& head) override
     {
-        return m_check.head(head_of(head), m_loop.now()) == answer_verdict::incomplete;
+        const request::answer_head read = head_of(head);
+        m_echoed = !read.request_id.empty();
+        return m_check.head(read, m_loop.now()) == answer_verdict::incomplete;
     }
 
     bool body(std::size_t bytes) override
@@ -82,10 +94,15 @@
     answer_verdict end(bool clean) { return m_check.end(clean, m_loop.now()); }
     answer_verdict tick() { return m_check.tick(m_loop.now()); }
     [[nodiscard]] answer_verdict verdict() const { return m_check.verdict(); }
+    [[nodiscard]] bool kept() const { return m_kept; }
+    [[nodiscard]] bool echoed() const { return m_echoed; }
 
 private:
     const event_loop& m_loop;
     request::answer_check m_check;
+    bool m_echo_on_kept;
+    bool m_kept = false;
+    bool m_echoed = false;
     std::function<bool()> m_may_send;
 };
 
@@ -94,8 +111,8 @@
     : m_loop(loop),
       m_client(client),
       m_done(std::move(done)),
-      m_watch(
-          std::make_shared<watch>(loop, std::move(options.expected), std::move(options.may_send)))
+      m_watch(std::make_shared<watch>(loop, std::move(options.expected), options.echo_on_kept,
+                                      std::move(options.may_send)))
 {
     const time_point now = loop.now();
     const std::size_t limit = options.expected.limits.max_bytes;
@@ -104,7 +121,7 @@
                              .timeout = until(options.answer_by, now),
                              .connect_timeout = until(options.connect_by, now),
                              .answer_limit_bytes = limit,
-                             .own_connection = options.own_connection,
+                             .use = options.use,
                              .observer = m_watch,
                              .hop = "entry -> target",
                              .parent = options.parent},
@@ -139,6 +156,8 @@
     m_tick = timer_id::none;
     target_call_result ended{.verdict = m_watch->verdict(),
                              .fault = result.fault,
+                             .kept = m_watch->kept(),
+                             .echoed = m_watch->echoed(),
                              .response = std::move(result.response)};
     if (ended.verdict == answer_verdict::incomplete) {
         ended.verdict = m_watch->end(result.fault == transport_fault::none);
--- a/packages/request/include/plantaindoor/request/answer_check.hpp
+++ b/packages/request/include/plantaindoor/request/answer_check.hpp
@@ -21,7 +21,7 @@
     over_long,   ///< longer than declared, or than the limit
     undelimited, ///< neither a length nor chunks: its end can't be told from a cut
     malformed,   ///< contradictory head
-    foreign,     ///< carries another request's id
+    foreign,     ///< carries another request's id, or none where it must
     too_slow,    ///< below the minimum rate
     late,        ///< the deadline passed
 };
@@ -57,6 +57,9 @@
 public:
     explicit answer_check(answer_expectation expected) : m_expected(std::move(expected)) {}
 
+    /// Something else could be on the answer's connection: one without the request's id counts as
+    /// foreign. To be said before the head.
+    void require_echo() { m_echo_required = true; }
     answer_verdict head(const answer_head& head, time_point now);
     answer_verdict body(std::size_t bytes, time_point now);
     /// The transport reports the end; `clean` if the declared length or the last chunk was seen.
@@ -74,6 +77,7 @@
 
     answer_expectation m_expected;
     std::optional<std::size_t> m_length;
+    bool m_echo_required = false;
     bool m_has_head = false;
     time_point m_head_at{};
     std::size_t m_bytes = 0;
--- a/packages/request/src/answer_check.cpp
+++ b/packages/request/src/answer_check.cpp
@@ -33,7 +33,8 @@
     if (head.length && head.chunked) {
         return answer_verdict::malformed;
     }
-    if (!head.request_id.empty() && head.request_id != m_expected.request_id) {
+    const bool named = m_echo_required || !head.request_id.empty();
+    if (named && head.request_id != m_expected.request_id) {
         return answer_verdict::foreign;
     }
     if (bodiless(head)) {
--- a/tests/process/answers_test.py
+++ b/tests/process/answers_test.py
@@ -1,4 +1,5 @@
 """Answers that are not whole, not in time or not the caller's own, with a target that counts runs."""
+import collections
 import threading
 import time
 import unittest
@@ -12,6 +13,7 @@
           raw_target.two_lengths, raw_target.length_and_chunks, raw_target.foreign,
           raw_target.never_ending, raw_target.declared_too_long, raw_target.not_http]
 DEADLINE = {"Plantaindoor-Deadline-Ms": "10000"}
+ORDER = {"Plantaindoor-Idempotent": "no", **DEADLINE}
 KEPT = {"Plantaindoor-Idempotent": "yes", **DEADLINE}
 
 
@@ -113,6 +115,82 @@
                 self.assertEqual(lost.outcome, "unknown")
                 self.assertEqual(target.runs[lost.request_id], 1)
 
+    def test_unasked_answer_ahead_of_the_own_one_meets_nobody(self):
+        """It arrives after the request has left, so that only the request's id tells it."""
+        def unasked_first(request):
+            request.send(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nunasked")
+            request.answer()
+            return True
+
+        for headers in (KEPT, ORDER):
+            target = RawTarget()
+            with self.subTest(headers), RawCluster([target]) as cluster:
+                cluster.serve()
+                for _ in range(3):
+                    self.assertEqual(cluster.request("e1", headers=headers).outcome, "answered")
+                target.behave = unasked_first
+                doubtful = cluster.request("e1", headers=headers)
+                self.assertIn(doubtful.request_id, target.on_used_connections)
+                self.assertEqual((doubtful.outcome, doubtful.json()["type"]),
+                                 ("unknown", "lost-answer"))
+                self.assertEqual(target.runs[doubtful.request_id], 1)
+
+    def test_kept_connection_that_closes_does_not_run_an_order_twice(self):
+        """The target closes after it has read the order, on a connection that carried orders before."""
+        target = RawTarget()
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for number in range(10):
+                target.behave = well
+                for _ in range(3):
+                    good = cluster.request("e1", b"an order", headers=ORDER)
+                    self.assertEqual((good.outcome, good.body),
+                                     ("answered", good.request_id.encode() + b" an order"))
+                target.behave = (raw_target.close_silently, raw_target.reset)[number % 2]
+                lost = cluster.request("e1", str(number).encode(), headers=ORDER)
+                self.assertEqual(lost.outcome, "unknown")
+                self.assertEqual(target.runs[lost.request_id], 1)
+                # Such a target gets a new connection for each order, for a while.
+                self.assertEqual(lost.request_id in target.on_used_connections, number == 0)
+            self.assertEqual(set(target.runs.values()), {1})
+
+    def test_target_that_closes_idle_connections_runs_no_order_twice_and_loses_few(self):
+        """It closes after each answer without saying so, so that an order may meet the closing."""
+        def answer_and_close(request):
+            request.answer()
+
+        target = RawTarget(answer_and_close)
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            answers = [cluster.request("e1", b"an order", headers=ORDER) for _ in range(100)]
+            outcomes = collections.Counter(answer.outcome for answer in answers)
+            self.assertEqual(outcomes["answered"] + outcomes["unknown"], 100)
+            self.assertLessEqual(outcomes["unknown"], 1)
+            self.assertEqual(set(target.runs.values()), {1})
+
+    def test_target_that_does_not_always_name_requests_gets_new_connections(self):
+        for headers in (KEPT, ORDER):
+            target = RawTarget()
+            with self.subTest(headers), RawCluster([target]) as cluster:
+                cluster.serve()
+                self.assertEqual(cluster.request("e1", headers=headers).outcome, "answered")
+                target.behave = raw_target.nameless
+                cluster.request("e1", headers=headers)
+                target.on_used_connections.clear()
+                for behave in (well, raw_target.nameless, well, raw_target.nameless):
+                    target.behave = behave
+                    self.assertEqual(cluster.request("e1", headers=headers).outcome, "answered")
+                self.assertEqual(target.on_used_connections, set())
+
+    def test_target_that_names_no_request_gets_each_order_on_a_new_connection(self):
+        target = RawTarget(raw_target.nameless)
+        with RawCluster([target]) as cluster:
+            cluster.serve()
+            for _ in range(5):
+                answer = cluster.request("e1", headers=ORDER)
+                self.assertEqual((answer.outcome, answer.body), ("answered", b"nameless"))
+            self.assertEqual(target.on_used_connections, set())
+
     def test_target_that_refuses_is_no_run_and_the_next_one_is_asked(self):
         def refuse(request):
             request.answer(b"busy", status="503 Service Unavailable")
--- a/tests/process/raw_target.py
+++ b/tests/process/raw_target.py
@@ -41,6 +41,13 @@
     return True
 
 
+def nameless(request):
+    """A whole answer that doesn't say whose it is."""
+    request.send_head("Content-Length: 8")
+    request.send(b"nameless")
+    return True
+
+
 def short(request):
     request.send_head("Content-Length: 100")
     request.send(b"part of it")
@@ -125,6 +132,7 @@
         self.behave = behave
         self.runs = collections.Counter()
         self.bodies = collections.Counter()
+        self.on_used_connections = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.port = self.listener.getsockname()[1]
@@ -150,12 +158,13 @@
     def _serve(self, connection):
         try:
             with connection, connection.makefile("rb") as stream:
-                while self._serve_one(connection, stream):
-                    pass
+                used = False
+                while self._serve_one(connection, stream, used):
+                    used = True
         except OSError:
             pass
 
-    def _serve_one(self, connection, stream):
+    def _serve_one(self, connection, stream, used):
         line = stream.readline().decode().strip()
         if not line:
             return False
@@ -168,6 +177,8 @@
         with self.lock:
             self.runs[request.id] += 1
             self.bodies[body] += 1
+            if used:
+                self.on_used_connections.add(request.id)
         return self.behave(request)
 
 
