--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -125,6 +125,42 @@
     CHECK(result.response.body == std::string(900, 'x'));
 }
 
+TEST_CASE("calls one after another share a handle and nothing else", "[http]")
+{
+    loopback world;
+    world.handler = [](const http_request& request, const http_responder& respond) {
+        const std::string* const mark = find_header(request.headers, "X-Mark");
+        respond({.status = 200,
+                 .headers = {{"X-Seen", request.method + " " + request.target + " " +
+                                            (mark == nullptr ? "unmarked" : *mark)}},
+                 .body = request.body.empty() ? "nothing" : request.body});
+    };
+    struct step {
+        http_request request;
+        std::string seen;
+        std::string body;
+    };
+    const std::vector<step> steps{
+        {{.method = "PUT", .target = "/a", .headers = {{"X-Mark", "1"}}, .body = "first"},
+         "PUT /a 1",
+         "first"},
+        {{.method = "HEAD", .target = "/b"}, "HEAD /b unmarked", ""},
+        {{.method = "POST", .target = "/c", .body = "second"}, "POST /c unmarked", "second"},
+        {{.method = "GET", .target = "/d"}, "GET /d unmarked", "nothing"},
+        {{.method = "HEAD", .target = "/e"}, "HEAD /e unmarked", ""},
+        {{.method = "GET", .target = "/f", .headers = {{"X-Mark", "2"}}}, "GET /f 2", "nothing"},
+        {{.method = "DELETE", .target = "/g"}, "DELETE /g unmarked", "nothing"},
+        {{.method = "GET", .target = "/h", .body = "third"}, "GET /h unmarked", "third"},
+    };
+    for (const step& each : steps) {
+        const http_result result = world.call(each.request);
+        REQUIRE(result.fault == transport_fault::none);
+        REQUIRE(find_header(result.response.headers, "X-Seen") != nullptr);
+        CHECK(*find_header(result.response.headers, "X-Seen") == each.seen);
+        CHECK(result.response.body == each.body);
+    }
+}
+
 TEST_CASE("a body over the limit is answered with the overflow answer", "[http]")
 {
     loopback both;
--- a/packages/request/tests/answer_check_test.cpp
+++ b/packages/request/tests/answer_check_test.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+TEST_CASE("an answer that must name its request passes only with the id", "[answers]")
+{
+    auto check = check_of();
+    check.require_echo();
+    const auto [id, verdict] =
+        GENERATE(table<std::string, answer_verdict>({{"r1", answer_verdict::incomplete},
+                                                     {"", answer_verdict::foreign},
+                                                     {"r2", answer_verdict::foreign}}));
+    CHECK(check.head({.status = 200, .length = 4, .request_id = id}, begin) == verdict);
+}
+
 TEST_CASE("only a whole answer passes", "[answers]")
 {
     auto check = check_of();
