connection: Send targets no header that the caller did not send

libcurl added 'Accept: */*' to each request without one, and 'Content-Type: application/x-www-form-urlencoded' to each body without one; callers are promised that headers reach the target unaltered. The new test failed on both before.

--- a/packages/connection/src/curl_transfer.cpp
+++ b/packages/connection/src/curl_transfer.cpp
@@ -138,7 +138,10 @@
             header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
         list = curl_slist_append(list, line.c_str());
     }
-    list = curl_slist_append(list, "Expect:");
+    // libcurl adds these by itself where the request has none.
+    for (const char* const unasked : {"Expect:", "Accept:", "Content-Type:"}) {
+        list = curl_slist_append(list, unasked);
+    }
     return slist_ptr(list);
 }
 
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -125,6 +125,29 @@
     CHECK(result.response.body == std::string(900, 'x'));
 }
 
+TEST_CASE("a call carries the headers that it was given and its framing, no others", "[http]")
+{
+    loopback world;
+    world.handler = [](const http_request& request, const http_responder& respond) {
+        std::string seen;
+        for (const http_header& header : request.headers) {
+            seen += header.name + ": " + header.value + "\n";
+        }
+        respond({.status = 200, .body = std::move(seen)});
+    };
+    const std::string host = "Host: 127.0.0.1:" + std::to_string(world.server.port()) + "\n";
+    const auto seen = [&](http_request request) {
+        return world.call(std::move(request)).response.body;
+    };
+    CHECK(seen({.method = "GET", .target = "/a"}) == host);
+    CHECK(seen({.method = "POST", .target = "/a", .body = "four"}) == host + "Content-Length: 4\n");
+    CHECK(seen({.method = "POST",
+                .target = "/a",
+                .headers = {{"Accept", "text/plain"}, {"Content-Type", "a/b"}, {"X-Empty", ""}},
+                .body = "four"}) ==
+          host + "Accept: text/plain\nContent-Type: a/b\nX-Empty: \nContent-Length: 4\n");
+}
+
 TEST_CASE("calls one after another share a handle and nothing else", "[http]")
 {
     loopback world;
