--- a/packages/process/include/plantaindoor/process/target_call.hpp
+++ b/packages/process/include/plantaindoor/process/target_call.hpp
@@ -20,7 +20,9 @@
     time_point answer_by{};
     /// When the target must have ended the request, whether or not it was answered in time.
     time_point run_by{};
-    bool own_connection = false;
+    connection::connection_use use = connection::connection_use::own;
+    /// On a connection that was used before, takes only an answer that names the request.
+    bool echo_on_kept = false;
     /// The caller's span.
     std::optional<trace_context> parent;
     request::answer_expectation expected;
@@ -33,6 +35,10 @@
     request::answer_verdict verdict = request::answer_verdict::incomplete;
     /// How the transport ended; `none` only with a whole answer, or one whose check failed.
     connection::transport_fault fault = connection::transport_fault::none;
+    /// The request went out on a connection that had carried another one.
+    bool kept = false;
+    /// The answer's head named the request.
+    bool echoed = false;
     connection::http_response response;
     /// Out of time with the request at the target: the call goes on, only to see when the target
     /// ends it. Its connection closes then, and what arrives is thrown away.
--- a/packages/process/src/target_call.cpp
+++ b/packages/process/src/target_call.cpp
@@ -61,21 +61,30 @@
 /// Shared with the client, which may hold it longer than the call lives.
 class target_call::watch final : public connection::call_observer {
 public:
-    watch(const event_loop& loop, request::answer_expectation expected,
+    watch(const event_loop& loop, request::answer_expectation expected, bool echo_on_kept,
           std::function<bool()> may_send)
-        : m_loop(loop), m_check(std::move(expected)), m_may_send(std::move(may_send))
+        : m_loop(loop),
+          m_check(std::move(expected)),
+          m_echo_on_kept(echo_on_kept),
+          m_may_send(std::move(may_send))
     {
     }
 
-    bool may_send() override
+    bool may_send(bool kept) override
     {
+        m_kept = kept;
+        if (kept && m_echo_on_kept) {
+            m_check.require_echo();
+        }
         m_sent = m_sent || m_may_send();
         return m_sent;
     }
 
     bool head(const http_response& head) override
     {
-        return m_check.head(head_of(head), m_loop.now()) == answer_verdict::incomplete;
+        const request::answer_head read = head_of(head);
+        m_echoed = !read.request_id.empty();
+        return m_check.head(read, m_loop.now()) == answer_verdict::incomplete;
     }
 
     bool body(std::size_t bytes) override
@@ -88,10 +97,15 @@
     /// Whether the first byte was allowed to leave.
     [[nodiscard]] bool sent() const { return m_sent; }
     [[nodiscard]] answer_verdict verdict() const { return m_check.verdict(); }
+    [[nodiscard]] bool kept() const { return m_kept; }
+    [[nodiscard]] bool echoed() const { return m_echoed; }
 
 private:
     const event_loop& m_loop;
     request::answer_check m_check;
+    bool m_echo_on_kept;
+    bool m_kept = false;
+    bool m_echoed = false;
     std::function<bool()> m_may_send;
     bool m_sent = false;
 };
@@ -102,8 +116,8 @@
       m_client(client),
       m_done(std::move(done)),
       m_answer_by(options.answer_by),
-      m_watch(
-          std::make_shared<watch>(loop, std::move(options.expected), std::move(options.may_send)))
+      m_watch(std::make_shared<watch>(loop, std::move(options.expected), options.echo_on_kept,
+                                      std::move(options.may_send)))
 {
     const time_point now = loop.now();
     const std::size_t limit = options.expected.limits.max_bytes;
@@ -112,7 +126,7 @@
                              .timeout = until(std::max(options.answer_by, options.run_by), now),
                              .connect_timeout = until(options.connect_by, now),
                              .answer_limit_bytes = limit,
-                             .own_connection = options.own_connection,
+                             .use = options.use,
                              .observer = m_watch,
                              .hop = "entry -> target",
                              .parent = options.parent},
@@ -168,6 +182,8 @@
     m_tick = timer_id::none;
     target_call_result ended{.verdict = m_watch->verdict(),
                              .fault = result.fault,
+                             .kept = m_watch->kept(),
+                             .echoed = m_watch->echoed(),
                              .response = std::move(result.response)};
     if (ended.verdict == answer_verdict::incomplete) {
         ended.verdict = m_watch->end(result.fault == transport_fault::none);
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -125,6 +125,65 @@
     CHECK(result.response.body == std::string(900, 'x'));
 }
 
+TEST_CASE("a call carries the headers that it was given and its framing, no others", "[http]")
+{
+    loopback world;
+    world.handler = [](const http_request& request, const http_responder& respond) {
+        std::string seen;
+        for (const http_header& header : request.headers) {
+            seen += header.name + ": " + header.value + "\n";
+        }
+        respond({.status = 200, .body = std::move(seen)});
+    };
+    const std::string host = "Host: 127.0.0.1:" + std::to_string(world.server.port()) + "\n";
+    const auto seen = [&](http_request request) {
+        return world.call(std::move(request)).response.body;
+    };
+    CHECK(seen({.method = "GET", .target = "/a"}) == host);
+    CHECK(seen({.method = "POST", .target = "/a", .body = "four"}) == host + "Content-Length: 4\n");
+    CHECK(seen({.method = "POST",
+                .target = "/a",
+                .headers = {{"Accept", "text/plain"}, {"Content-Type", "a/b"}, {"X-Empty", ""}},
+                .body = "four"}) ==
+          host + "Accept: text/plain\nContent-Type: a/b\nX-Empty: \nContent-Length: 4\n");
+}
+
+TEST_CASE("calls one after another share a handle and nothing else", "[http]")
+{
+    loopback world;
+    world.handler = [](const http_request& request, const http_responder& respond) {
+        const std::string* const mark = find_header(request.headers, "X-Mark");
+        respond({.status = 200,
+                 .headers = {{"X-Seen", request.method + " " + request.target + " " +
+                                            (mark == nullptr ? "unmarked" : *mark)}},
+                 .body = request.body.empty() ? "nothing" : request.body});
+    };
+    struct step {
+        http_request request;
+        std::string seen;
+        std::string body;
+    };
+    const std::vector<step> steps{
+        {{.method = "PUT", .target = "/a", .headers = {{"X-Mark", "1"}}, .body = "first"},
+         "PUT /a 1",
+         "first"},
+        {{.method = "HEAD", .target = "/b"}, "HEAD /b unmarked", ""},
+        {{.method = "POST", .target = "/c", .body = "second"}, "POST /c unmarked", "second"},
+        {{.method = "GET", .target = "/d"}, "GET /d unmarked", "nothing"},
+        {{.method = "HEAD", .target = "/e"}, "HEAD /e unmarked", ""},
+        {{.method = "GET", .target = "/f", .headers = {{"X-Mark", "2"}}}, "GET /f 2", "nothing"},
+        {{.method = "DELETE", .target = "/g"}, "DELETE /g unmarked", "nothing"},
+        {{.method = "GET", .target = "/h", .body = "third"}, "GET /h unmarked", "third"},
+    };
+    for (const step& each : steps) {
+        const http_result result = world.call(each.request);
+        REQUIRE(result.fault == transport_fault::none);
+        REQUIRE(find_header(result.response.headers, "X-Seen") != nullptr);
+        CHECK(*find_header(result.response.headers, "X-Seen") == each.seen);
+        CHECK(result.response.body == each.body);
+    }
+}
+
 TEST_CASE("a body over the limit is answered with the overflow answer", "[http]")
 {
     loopback both;
