--- a/packages/process/tests/path_metrics_test.cpp
+++ b/packages/process/tests/path_metrics_test.cpp
@@ -6,7 +6,6 @@
 
 using namespace plantaindoor;
 using namespace plantaindoor::process;
-using request::service_ejections;
 
 TEST_CASE("claims are counted by what callers were told", "[path-metrics]")
 {
--- a/packages/request/src/router.cpp
+++ b/packages/request/src/router.cpp
@@ -299,10 +299,11 @@
     }
     std::vector<service_ejections> result;
     for (const auto& [id, routes] : m_services) {
-        service_ejections& service = result.emplace_back(id, 0, routes.ejections);
+        service_ejections service{.service = id, .ejections = routes.ejections};
         for (const std::size_t pool : routes.pools) {
             service.ejected += by_pool[pool];
         }
+        result.push_back(std::move(service));
     }
     std::ranges::sort(result, {}, &service_ejections::service);
     return result;
