process: Place jobs by size, class, deadline and quota

Cause: the types of jobs and their placement were declared without behaviour. Ruled out: trying every worker for every job; 10,000 waiting jobs and 1,700 workers would be 17 million tries a round. Ruled out: refusing a job whose deadline passed while it waited; it is warned of and runs late, since its work may still be wanted.

--- a/packages/process/include/plantaindoor/process/job_scheduler.hpp
+++ b/packages/process/include/plantaindoor/process/job_scheduler.hpp
@@ -84,8 +84,22 @@
     wall_time expected{};
 };
 
-using job_decision = std::variant<start_job, refuse_job, vacate_job, set_job_pace,
-                                  quarantine_worker, warn_deadline>;
+using job_decision =
+    std::variant<start_job, refuse_job, vacate_job, set_job_pace, quarantine_worker, warn_deadline>;
+
+/// What one pool's scheduler keeps between rounds. Losing it costs time, never safety.
+struct job_scheduler_memory {
+    /// Jobs that failed on a worker since its last success.
+    std::map<instance_id, std::set<job_id>> failed_here;
+    /// Workers on which a job that is not over failed.
+    std::map<job_id, std::set<instance_id>> failed_on;
+    /// Jobs whose missed deadline was told.
+    std::set<job_id> warned;
+    /// Jobs that got near their deadline; they stay unthrottled, so that their pace doesn't flap.
+    std::set<job_id> hurried;
+    /// Whether background jobs are throttled for interactive load.
+    bool throttling = false;
+};
 
 /// One pool's placement. Pure; not synchronised.
 class job_scheduler {
@@ -101,6 +115,12 @@
         double throttle_until = 0.6;
         /// Added to the expected run time of a job with a deadline.
         double deadline_margin = 0.2;
+        /// A job rises to the interactive class, and isn't throttled for load, from this share of
+        /// its expected run time (margin included) before the latest moment to begin.
+        double rise_ahead = 0.5;
+        /// A job that waited so long goes before the younger ones of its class, and a worker is
+        /// kept free of them for it if it fits nowhere.
+        milliseconds patience{600000};
     };
 
     explicit job_scheduler(options how) : m_options(how) {}
@@ -113,10 +133,7 @@
 
 private:
     options m_options;
-    /// Jobs that failed on a worker since its last success.
-    std::map<instance_id, std::set<job_id>> m_failed;
-    /// Whether background jobs are throttled for interactive load.
-    bool m_throttling = false;
+    job_scheduler_memory m_memory;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/include/plantaindoor/process/learned_sizes.hpp
+++ b/packages/process/include/plantaindoor/process/learned_sizes.hpp
@@ -35,6 +35,8 @@
         double memory = 1;
         double run_time = 1;
         std::size_t runs = 0;
+        /// Of them, those that ran to their end.
+        std::size_t whole_runs = 0;
     };
 
     options m_options;
