process: Let a job wait rather than fail again on the same worker

Cause: a failing worker is the one that always has room, so a job that may go elsewhere only 'if another fits now' came back to it until it had failed for good.

--- a/packages/process/include/plantaindoor/process/job_scheduler.hpp
+++ b/packages/process/include/plantaindoor/process/job_scheduler.hpp
@@ -121,6 +121,8 @@
         /// A job that waited so long goes before the younger ones of its class, and a worker is
         /// kept free of them for it if it fits nowhere.
         milliseconds patience{600000};
+        /// The same for urgent and interactive jobs.
+        milliseconds interactive_patience{30000};
     };
 
     explicit job_scheduler(options how) : m_options(how) {}
--- a/packages/process/src/give_way.cpp
+++ b/packages/process/src/give_way.cpp
@@ -75,16 +75,18 @@
 } // namespace
 
 give_way_plan plan_give_way(std::span<const occupied_worker> occupied,
-                            std::span<const worker> workers, const job_size& need, wall_time now)
+                            std::span<const worker> workers, const worker_wish& wish, wall_time now)
 {
     give_way_plan best{.worker = occupied.size()};
     loss least;
     for (std::size_t position = 0; position < occupied.size(); ++position) {
         const worker& at = workers[position];
-        if (!at.open || occupied[position].movable.empty() || !at.whole.fits(need)) {
+        const bool avoided = wish.avoided != nullptr && wish.avoided->contains(at.row->id);
+        if (!at.open || avoided || occupied[position].movable.empty() ||
+            !at.whole.fits(wish.need)) {
             continue;
         }
-        const std::vector<priced_job> leaving = least_set(occupied[position], need, now);
+        const std::vector<priced_job> leaving = least_set(occupied[position], wish.need, now);
         if (leaving.empty()) {
             continue;
         }
--- a/packages/process/src/give_way.hpp
+++ b/packages/process/src/give_way.hpp
@@ -28,7 +28,7 @@
 /// background jobs before hurried and interactive ones, then the least run time since the start,
 /// then the latest deadline. Precondition: the spans are of one length. Thread-safe.
 [[nodiscard]] give_way_plan plan_give_way(std::span<const occupied_worker> occupied,
-                                          std::span<const worker> workers, const job_size& need,
+                                          std::span<const worker> workers, const worker_wish& wish,
                                           wall_time now);
 
 } // namespace plantaindoor::process
--- a/packages/process/src/job_outlook.cpp
+++ b/packages/process/src/job_outlook.cpp
@@ -70,11 +70,12 @@
 job_outlook outlook_of(const job& row, const job_size& need, wall_time now,
                        const job_scheduler::options& how, bool hurried)
 {
+    const bool background = row.spec.work_class == version::priority::background;
     job_outlook seen{.row = &row,
                      .need = need,
                      .remaining = time_left(row, need, now),
                      .rank = own_rank(row.spec.work_class),
-                     .due = row.submitted + how.patience};
+                     .due = row.submitted + (background ? how.patience : how.interactive_patience)};
     const auto& deadline = row.spec.deadline;
     // A deadline that can't be met any more must not cost others theirs.
     if (!deadline || now + seen.remaining > *deadline) {
--- a/packages/process/src/worker_index.cpp
+++ b/packages/process/src/worker_index.cpp
@@ -17,12 +17,6 @@
 constexpr std::array plain_order{plain, plain_leaving, accelerated, accelerated_leaving, held};
 constexpr std::array accelerated_order{accelerated, accelerated_leaving, held};
 
-bool as_large(const job_size& left, const job_size& right)
-{
-    return left.processors >= right.processors && left.memory_mb >= right.memory_mb &&
-           left.accelerators >= right.accelerators;
-}
-
 std::uint64_t spread_key(std::uint32_t label, std::uint32_t rack)
 {
     return (std::uint64_t{label} << 32U) | rack;
@@ -30,6 +24,12 @@
 
 } // namespace
 
+bool as_large(const job_size& left, const job_size& right)
+{
+    return left.processors >= right.processors && left.memory_mb >= right.memory_mb &&
+           left.accelerators >= right.accelerators;
+}
+
 void worker_room::take(const job_size& need)
 {
     processors -= need.processors;
@@ -76,8 +76,7 @@
     return found == m_spread.end() ? 0 : found->second;
 }
 
-std::size_t worker_index::find_in(const std::set<entry>& group, const worker_wish& wish,
-                                  bool avoid) const
+std::size_t worker_index::find_in(const std::set<entry>& group, const worker_wish& wish) const
 {
     const double least = m_scarce == scarce_resource::processors
                              ? wish.need.processors - rounding
@@ -90,7 +89,8 @@
             break;
         }
         const worker& each = m_workers[position];
-        if (!each.free.fits(wish.need) || (avoid && wish.avoided->contains(each.row->id))) {
+        const bool avoided = wish.avoided != nullptr && wish.avoided->contains(each.row->id);
+        if (avoided || !each.free.fits(wish.need)) {
             continue;
         }
         ++compared;
@@ -101,7 +101,7 @@
     return best;
 }
 
-std::size_t worker_index::search(const worker_wish& wish, bool avoid) const
+std::size_t worker_index::search(const worker_wish& wish) const
 {
     const std::span<const worker_group> order =
         wish.need.accelerators > 0 ? std::span<const worker_group>(accelerated_order)
@@ -110,7 +110,7 @@
         if (each == held && !wish.urgent) {
             continue;
         }
-        const auto found = find_in(m_groups.at(static_cast<std::size_t>(each)), wish, avoid);
+        const auto found = find_in(m_groups.at(static_cast<std::size_t>(each)), wish);
         if (found != none()) {
             return found;
         }
@@ -131,15 +131,9 @@
     if (known_not_to_fit(wish)) {
         return none();
     }
-    if (wish.avoided != nullptr) {
-        const std::size_t found = search(wish, true);
-        if (found != none()) {
-            return found;
-        }
-    }
-    const std::size_t found = search(wish, false);
+    const std::size_t found = search(wish);
     std::vector<job_size>& hopeless = m_hopeless.at(wish.urgent ? 1 : 0);
-    if (found == none() && hopeless.size() < most_hopeless) {
+    if (found == none() && wish.avoided == nullptr && hopeless.size() < most_hopeless) {
         std::erase_if(hopeless, [&](const job_size& each) { return as_large(each, wish.need); });
         hopeless.push_back(wish.need);
     }
--- a/packages/process/src/worker_index.hpp
+++ b/packages/process/src/worker_index.hpp
@@ -15,6 +15,9 @@
 
 enum class scarce_resource { processors, memory };
 
+/// Whether the first needs at least as much of everything as the second. Thread-safe.
+[[nodiscard]] bool as_large(const job_size& left, const job_size& right);
+
 /// What a worker has, or has free; below zero where more was promised than there is.
 struct worker_room {
     double processors = 0;
@@ -50,7 +53,7 @@
     std::uint32_t label = 0;
     /// Whether the workers held back may be used.
     bool urgent = false;
-    /// Workers on which the job failed; used only if no other fits.
+    /// Workers that the job must not go to; none if null.
     const std::set<instance_id>* avoided = nullptr;
 };
 
@@ -73,9 +76,8 @@
     using entry = std::pair<double, std::size_t>;
 
     [[nodiscard]] double key(const worker_room& room) const;
-    [[nodiscard]] std::size_t find_in(const std::set<entry>& group, const worker_wish& wish,
-                                      bool avoid) const;
-    [[nodiscard]] std::size_t search(const worker_wish& wish, bool avoid) const;
+    [[nodiscard]] std::size_t find_in(const std::set<entry>& group, const worker_wish& wish) const;
+    [[nodiscard]] std::size_t search(const worker_wish& wish) const;
     [[nodiscard]] std::uint32_t neighbours(std::size_t position, std::uint32_t label) const;
     [[nodiscard]] bool known_not_to_fit(const worker_wish& wish) const;
 
