process: Keep fewer workers for aged jobs in small pools

Cause: up to four workers a round were kept for aged jobs that fit nowhere; in a pool of eight, half of the room stayed idle beside a backlog. Now one for each eight workers, at least one, at most four. The new test saw 4 of 7 starts with the bound of before.

--- a/packages/process/src/job_placement.cpp
+++ b/packages/process/src/job_placement.cpp
@@ -332,7 +332,9 @@
 
 void job_placement::keep_worker_for(const worker_wish& wish)
 {
-    if (m_kept == most_kept) {
+    // A backlog of aged jobs must not keep a small pool idle.
+    const std::size_t most = std::clamp<std::size_t>(m_workers.size() / 8, 1, most_kept);
+    if (m_kept == most) {
         return;
     }
     std::size_t soonest = m_workers.size();
--- a/packages/process/tests/job_scheduler_test.cpp
+++ b/packages/process/tests/job_scheduler_test.cpp
@@ -121,6 +121,18 @@
     CHECK(world.place_of("large") == "w1");
 }
 
+TEST_CASE("aged jobs keep few workers, so that a backlog doesn't idle the pool", "[job_scheduler]")
+{
+    job_world world(8);
+    for (int n = 1; n <= 8; ++n) {
+        const std::string number = std::to_string(n);
+        world.add_running("r" + number, "w" + number, background, size_of(4));
+        world.add("large" + number, background, size_of(8)).submitted -= std::chrono::minutes(20);
+        world.add("small" + number, background, size_of(4));
+    }
+    CHECK(only<start_job>(world.decide()).size() == 7);
+}
+
 TEST_CASE("a background job whose deadline gets near rises while it can make it", "[job_scheduler]")
 {
     job_world world(1);
