--- a/packages/process/include/plantaindoor/process/job.hpp
+++ b/packages/process/include/plantaindoor/process/job.hpp
@@ -1,4 +1,5 @@
-// A job: what was submitted, and what the duty of its pool has made of it. One row of the table each.
+// A job: what was submitted, and what the duty of its pool has made of it. One row of the table
+// each.
 #pragma once
 
 #include "plantaindoor/common/enum_names.hpp"
