process: Run jobs from their submission to their end

Rows of submitted, live and finished jobs, the book of one pool's jobs, the runner under the duty's guard and the operators' verbs. A run's row is committed before its start is sent; commands carry the row's version as epoch; renewals (resume or throttle with a lease) begin no task, because a start that arrives after the task's end would run it again; a stop where nothing runs fences older commands.

The command line's test of exit code 4 asked for the jobs' verbs, which are now answered.

--- a/packages/common/include/plantaindoor/common/platform.hpp
+++ b/packages/common/include/plantaindoor/common/platform.hpp
@@ -135,7 +135,8 @@
     double processors = 0;
     std::uint64_t memory_mb = 0;
     std::uint32_t accelerators = 0;
-    /// How long the worker may run the task without a renewal.
+    /// How long the worker may run the task without a renewal. `start` sets it; `resume` and
+    /// `throttle` renew the lease of a running task where this is not zero, and begin none.
     std::uint64_t lease_ms = 0;
 };
 
@@ -147,6 +148,10 @@
     double processors_used = 0;
     std::uint64_t memory_mb_used = 0;
     std::uint64_t run_ms = 0;
+    /// The part of run_ms that a checkpoint has saved.
+    std::uint64_t saved_ms = 0;
+    /// The `start` that began the task; empty where the platform doesn't tell.
+    operation_id started_by;
 };
 
 /// Tasks on workers, under leases. Same calling rules as table.
@@ -160,6 +165,8 @@
     task_control& operator=(const task_control&) = delete;
     virtual ~task_control() = default;
 
+    /// `stop` is accepted also where no task runs: no command under an older epoch is carried out
+    /// for the job from then on.
     virtual void command(const task_command& command, const operation_guard& guard,
                          operation_callback done) = 0;
     /// Reads the reports of all tasks that the platform knows.
--- a/packages/connection/src/http_platform.cpp
+++ b/packages/connection/src/http_platform.cpp
@@ -134,7 +134,9 @@
                        .worker = instance_id(in.at("worker").get<std::string>()),
                        .processors_used = in.at("processors_used").get<double>(),
                        .memory_mb_used = in.at("memory_mb_used").get<std::uint64_t>(),
-                       .run_ms = in.at("run_ms").get<std::uint64_t>()};
+                       .run_ms = in.at("run_ms").get<std::uint64_t>(),
+                       .saved_ms = in.value("saved_ms", std::uint64_t{0}),
+                       .started_by = operation_id(in.value("started_by", std::string()))};
     report.state = parse_enum<task_state>(in.at("state").get<std::string>()).value_or(report.state);
     return report;
 }
--- a/packages/process/include/plantaindoor/process/job.hpp
+++ b/packages/process/include/plantaindoor/process/job.hpp
@@ -1,4 +1,5 @@
-// A job: what was submitted, and what the duty of its pool has made of it. One row of the table each.
+// A job: what was submitted, and what the duty of its pool has made of it. One row of the table
+// each.
 #pragma once
 
 #include "plantaindoor/common/enum_names.hpp"
@@ -75,6 +76,8 @@
     std::uint32_t failures = 0;
     /// Set while a run is ended because the job was called off.
     bool cancel_asked = false;
+    /// While a run is ended: whether it is checkpointed before.
+    bool save = false;
     /// Why it is as it is, for operators.
     std::string reason;
 
--- a/packages/process/include/plantaindoor/process/job_scheduler.hpp
+++ b/packages/process/include/plantaindoor/process/job_scheduler.hpp
@@ -84,8 +84,8 @@
     wall_time expected{};
 };
 
-using job_decision = std::variant<start_job, refuse_job, vacate_job, set_job_pace,
-                                  quarantine_worker, warn_deadline>;
+using job_decision =
+    std::variant<start_job, refuse_job, vacate_job, set_job_pace, quarantine_worker, warn_deadline>;
 
 /// One pool's placement. Pure; not synchronised.
 class job_scheduler {
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -12,6 +12,8 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/job_runner.hpp"
+#include "plantaindoor/process/job_verbs.hpp"
 #include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
@@ -84,7 +86,9 @@
                      .rows = m_table,
                      .self = m_options.id,
                      .incarnation = m_options.incarnation}),
+          m_tasks(m_client, platform()),
           m_duties(duty_options()),
+          m_jobs(job_options()),
           m_rules(rule_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
           m_sweeper(loop, m_table, {}),
@@ -108,6 +112,11 @@
                         .duties = m_duties,
                         .runner = m_rules,
                         .journal = m_journal});
+        add_job_verbs({.router = m_router,
+                       .log = m_log,
+                       .rows = m_table,
+                       .time = loop,
+                       .run_name = run_name()});
         m_router.add("GET", "/metrics", [this](const auto&, const auto& respond) {
             respond.respond(plain(200, metrics_text()));
         });
@@ -136,6 +145,7 @@
         m_journal.start();
         m_duties.start();
         m_rules.start();
+        m_jobs.start();
     }
 
     void end(event_loop::action on_ended)
@@ -254,7 +264,23 @@
             .interval = m_options.renew,
             .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
             .lease_term = m_options.lease,
-            .other_duties = &duties_of_rules};
+            .other_duties = &duties_of_rules,
+            .checkpoint = [this](const version::outage& drain, std::function<void()> done) {
+                m_jobs.checkpoint(drain, std::move(done));
+            }};
+    }
+
+    job_runner_options job_options()
+    {
+        return {.loop = m_loop,
+                .rows = m_table,
+                .tasks = m_tasks,
+                .log = m_log,
+                .journal = m_journal,
+                .self = m_options.id,
+                .held = [this] { return m_duties.held(); },
+                .guard_of = [this](const pool_id& pool) { return m_duties.guard_of(pool); },
+                .drop = [this](const pool_id& pool) { m_duties.drop(pool); }};
     }
 
     rule_runner_options rule_options()
@@ -373,6 +399,7 @@
     void leave()
     {
         m_left = true;
+        m_jobs.stop();
         m_duties.stop();
         m_caller_server.stop_listening();
         m_settle_until = m_loop.now() + settle_time;
@@ -417,7 +444,9 @@
     peer_group m_peers;
     registrar m_registrar;
     table_journal m_journal;
+    connection::http_tasks m_tasks;
     duty_runner m_duties;
+    job_runner m_jobs;
     rule_runner m_rules;
     claim_store m_claims;
     claim_sweeper m_sweeper;
--- a/packages/process/src/operator_api.cpp
+++ b/packages/process/src/operator_api.cpp
@@ -12,7 +12,6 @@
 
 namespace plantaindoor::process {
 
-using connection::not_supported_error;
 using connection::operator_request;
 using connection::operator_responder;
 using connection::table_unavailable_error;
@@ -20,32 +19,8 @@
 
 namespace {
 
-struct verb_route {
-    const char* method;
-    const char* path;
-    const char* verb;
-};
-
-/// Verbs whose subsystem is not in this entry yet.
-constexpr std::array<verb_route, 4> missing_verbs{{
-    {"GET", "/v1/jobs", "get jobs"},
-    {"POST", "/v1/jobs", "job submit"},
-    {"GET", "/v1/jobs/{}", "job get"},
-    {"POST", "/v1/jobs/{}/cancel", "job cancel"},
-}};
-
 constexpr std::array<const char*, 5> kinds{"teams", "pools", "services", "instances", "rules"};
 
-void add_missing_verbs(connection::operator_router& router)
-{
-    for (const verb_route& each : missing_verbs) {
-        router.add(each.method, each.path,
-                   [&each](const operator_request&, const operator_responder&) {
-                       throw not_supported_error(each.verb);
-                   });
-    }
-}
-
 void add_reads(const operator_api_options& options)
 {
     for (const char* const kind : kinds) {
@@ -195,7 +170,6 @@
         [&log = options.log](const operator_request& request, const operator_responder& respond) {
             apply_document(log, request, respond);
         });
-    add_missing_verbs(options.router);
 }
 
 } // namespace plantaindoor::process
--- a/stand_ins/platform/platform.cpp
+++ b/stand_ins/platform/platform.cpp
@@ -282,7 +282,8 @@
                        {"processors_used", command.processors},
                        {"memory_mb_used", command.memory_mb},
                        {"run_ms", reading.run.count()},
-                       {"saved_ms", reading.saved.count()}});
+                       {"saved_ms", reading.saved.count()},
+                       {"started_by", reading.started_by}});
     }
     return reply_of({{"tasks", std::move(all)}});
 }
