--- a/packages/process/src/job_scheduler.cpp
+++ b/packages/process/src/job_scheduler.cpp
@@ -1,36 +1,35 @@
 #include "plantaindoor/process/job_scheduler.hpp"
 
+#include "job_round.hpp"
+
 namespace plantaindoor::process {
 
 std::vector<job_decision> job_scheduler::decide(const job_view& view)
 {
-    std::map<instance_id, double> free;
-    for (const auto& [id, each] : view.whole.instances) {
-        if (each.pool == view.pool && each.state == version::instance_state::admitted) {
-            free[id] = each.processors;
-        }
-    }
-    for (const auto& [id, each] : view.jobs) {
-        if (each.state != job_state::waiting) {
-            free[each.worker] -= each.spec.declared.processors;
-        }
+    return job_round(view, m_options, m_memory).run();
+}
+
+void job_scheduler::on_run_ended(const job_id& job, const instance_id& worker, bool failed)
+{
+    auto& [failed_here, failed_on, warned, hurried, throttling] = m_memory;
+    if (!failed) {
+        failed_here.erase(worker);
+        failed_on.erase(job);
+        return;
     }
-    std::vector<job_decision> out;
-    for (const auto& [id, each] : view.jobs) {
-        if (each.state != job_state::waiting) {
-            continue;
-        }
-        for (auto& [worker, left] : free) {
-            if (left >= each.spec.declared.processors) {
-                left -= each.spec.declared.processors;
-                out.emplace_back(start_job{id, worker});
-                break;
+    std::set<instance_id>& tried = failed_on[job];
+    tried.insert(worker);
+    // A job that fails wherever it goes tells nothing about the workers.
+    if (tried.size() >= m_options.worker_failures) {
+        for (const instance_id& each : tried) {
+            const auto found = failed_here.find(each);
+            if (found != failed_here.end()) {
+                found->second.erase(job);
             }
         }
+        return;
     }
-    return out;
+    failed_here[worker].insert(job);
 }
 
-void job_scheduler::on_run_ended(const job_id&, const instance_id&, bool) {}
-
 } // namespace plantaindoor::process
