process: Test jobs in the binaries and at every disturbed call; count them

The enumeration found that a job which ended while a write of it was under way was forgotten (map::at, at several steps): the write's reply dropped it as if it had been written as over.

--- a/packages/process/include/plantaindoor/process/job_runner.hpp
+++ b/packages/process/include/plantaindoor/process/job_runner.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/process/job_book.hpp"
+#include "plantaindoor/process/job_metrics.hpp"
 #include "plantaindoor/process/job_scheduler.hpp"
 #include "plantaindoor/process/learned_sizes.hpp"
 #include "plantaindoor/version/change_log.hpp"
@@ -26,6 +27,7 @@
     task_control& tasks;
     version::change_log& log;
     journal_sink& journal;
+    job_metrics& metrics;
     entry_id self;
     /// Between readings of the inbox: the most that a submission waits for its placement.
     milliseconds interval{200};
@@ -46,15 +48,6 @@
     job_scheduler::options placement;
 };
 
-/// How many jobs there are here, and what became of runs since the start.
-struct job_counts {
-    std::map<job_state, std::size_t> alive;
-    std::uint64_t starts = 0;
-    std::uint64_t failures = 0;
-    std::uint64_t finished = 0;
-    std::uint64_t missed_deadlines = 0;
-};
-
 /// Everything in the options must outlive it. Loop thread only.
 class job_runner {
 public:
@@ -124,7 +117,6 @@
     std::vector<awaited_vacancy> m_drains;
     /// The pools that the loading under way is for.
     std::map<pool_id, row_condition> m_loading;
-    job_counts m_counts;
     bool m_reading_inbox = false;
     bool m_reading_reports = false;
     time_point m_next_reports{};
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -12,6 +12,7 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/job_metrics.hpp"
 #include "plantaindoor/process/job_runner.hpp"
 #include "plantaindoor/process/job_verbs.hpp"
 #include "plantaindoor/process/logging.hpp"
@@ -69,6 +70,7 @@
           m_options(std::move(options)),
           m_tracer(loop, trace_options()),
           m_request_metrics(m_metrics),
+          m_job_metrics(m_metrics),
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
@@ -186,6 +188,7 @@
     {
         m_in_progress.set(static_cast<double>(m_callers.in_progress()));
         m_version.set(static_cast<double>(m_log.current()->version));
+        m_job_metrics.set(m_jobs.counts());
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
@@ -277,6 +280,7 @@
                 .tasks = m_tasks,
                 .log = m_log,
                 .journal = m_journal,
+                .metrics = m_job_metrics,
                 .self = m_options.id,
                 .held = [this] { return m_duties.held(); },
                 .guard_of = [this](const pool_id& pool) { return m_duties.guard_of(pool); },
@@ -431,6 +435,7 @@
     tracer m_tracer;
     metrics_registry m_metrics;
     request_metrics m_request_metrics;
+    job_metrics m_job_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
     connection::http_client m_client;
--- a/packages/process/src/job_book.cpp
+++ b/packages/process/src/job_book.cpp
@@ -340,7 +340,8 @@
             break;
         }
         m_rows[id] = {.version = result.version};
-        if (m_over.erase(id) != 0) {
+        // A job that ended while this was under way is still to be written as over.
+        if (!m_dirty.contains(id) && m_over.erase(id) != 0) {
             m_rows.erase(id);
         }
         else if (const auto run = m_runs.find(id); run != m_runs.end()) {
--- a/packages/process/src/job_runner.cpp
+++ b/packages/process/src/job_runner.cpp
@@ -48,10 +48,10 @@
 
 job_counts job_runner::counts() const
 {
-    job_counts out = m_counts;
+    job_counts out;
     for (const auto& [pool, each] : m_held) {
         for (const auto& [id, subject] : each->book.jobs()) {
-            ++out.alive[subject.state];
+            ++out[subject.state];
         }
     }
     return out;
@@ -245,8 +245,8 @@
                                                      .jobs = subject.book.jobs(),
                                                      .learned = subject.learned,
                                                      .used_elsewhere = none});
-    m_counts.starts += static_cast<std::uint64_t>(std::ranges::count_if(
-        decisions, [](const auto& each) { return std::holds_alternative<start_job>(each); }));
+    m_options.metrics.started(static_cast<std::uint64_t>(std::ranges::count_if(
+        decisions, [](const auto& each) { return std::holds_alternative<start_job>(each); })));
     subject.book.on_decided(decisions, now);
 }
 
@@ -257,10 +257,13 @@
         const bool failed = each.state == task_state::failed;
         subject.learned.on_run(each.spec, each.used, finished);
         subject.scheduler.on_run_ended(each.spec.id, each.worker, failed);
-        m_counts.finished += finished ? 1U : 0U;
-        m_counts.failures += failed ? 1U : 0U;
-        const bool late = each.spec.deadline && m_options.loop.wall_now() > *each.spec.deadline;
-        m_counts.missed_deadlines += finished && late ? 1U : 0U;
+        if (finished) {
+            m_options.metrics.finished(each.spec.deadline &&
+                                       m_options.loop.wall_now() > *each.spec.deadline);
+        }
+        if (failed) {
+            m_options.metrics.failed();
+        }
     }
 }
 
--- a/packages/process/tests/dispatched_targets_test.cpp
+++ b/packages/process/tests/dispatched_targets_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/fixed_log.hpp"
 #include "fakes/virtual_loop.hpp"
 #include "plantaindoor/process/dispatched_targets.hpp"
 
@@ -10,22 +11,6 @@
 
 namespace {
 
-/// A log with one version.
-class fixed_log final : public version::change_log {
-public:
-    explicit fixed_log(version::fleet fleet)
-        : m_fleet(std::make_shared<const version::fleet>(std::move(fleet)))
-    {
-    }
-
-    [[nodiscard]] version::fleet_ptr current() const override { return m_fleet; }
-    void append(version::append_request, append_callback) override {}
-    void subscribe(version_callback) override {}
-
-private:
-    version::fleet_ptr m_fleet;
-};
-
 /// A list that never answers.
 class silent_list final : public instance_list {
 public:
@@ -50,7 +35,7 @@
 TEST_CASE("a target stays busy while it may run a request that was given up", "[targets]")
 {
     fakes::virtual_loop loop;
-    fixed_log log(one_target());
+    fakes::fixed_log log(one_target());
     silent_list list;
     dispatched_targets targets(loop, log, list, {.decisions = {.self = entry_id("e")}});
     targets.start();
--- a/tests/process/jobs_test.py
+++ b/tests/process/jobs_test.py
@@ -1,12 +1,11 @@
 """Jobs from submission to their end, in the binaries: placement, leases, drains, cancellation, lost replies."""
+import collections
 import json
-import os
 import signal
-import subprocess
 import time
 import unittest
 
-from harness import BUILD, Cluster, call, wait_for
+from harness import Cluster, call, wait_for
 
 WORKER = {"processors": 8, "memory_mb": 16000}
 URGENT_START_S = 1.1
@@ -49,6 +48,10 @@
     return [t for t in found if name is None or t["job"] == name]
 
 
+def cluster_has_started(cluster, name):
+    return [t for t in tasks(cluster, name) if t["state"] in ("running", "finished")]
+
+
 def run_time(cluster, run_ms, name=None):
     body = {"run_ms": run_ms, **({"job": name} if name else {})}
     assert call(cluster.platform_at, "POST", "/admin/tasks", json.dumps(body)).status == 200
@@ -75,6 +78,132 @@
             self.assertEqual((other.status, other.json()["type"]), (409, "job-exists"))
             self.assertEqual(len(tasks(cluster, "j1")), 1)
 
+    def test_urgent_job_starts_in_time_beside_a_full_pool(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 60000)
+            submit(cluster, "e1", *[job(f"b{n}", processors=8, run_time_s=60) for n in range(2)])
+            wait_for("b0 and b1 run", lambda: len(tasks(cluster)) == 2)
+            asked = time.monotonic()
+            submit(cluster, "e2", job("u1", **{"class": "urgent"}, run_time_s=60))
+            wait_for("u1 runs", lambda: cluster_has_started(cluster, "u1"))
+            self.assertLess(time.monotonic() - asked, URGENT_START_S)
+
+    def test_another_entry_goes_on_after_the_holder_is_killed(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 25000)
+            submit(cluster, "e1", *[job(f"j{n}") for n in range(3)])
+            wait_for("all run", lambda: len(tasks(cluster)) == 3)
+            before = {t["job"]: t["started_by"] for t in tasks(cluster)}
+            holder = self.holder(cluster)
+            cluster.entries[holder].end(signal.SIGKILL)
+            cluster.list_instance(holder, "entry", state="gone")
+            other = next(n for n in cluster.entries if n != holder)
+            submit(cluster, other, job("late"))
+            wait_for("late runs", lambda: cluster_has_started(cluster, "late"))
+            wait_for("all finished", lambda: all(state(cluster, other, n) == "finished"
+                                                 for n in before))
+            # Longer than a lease without renewal, and still the same tasks.
+            self.assertEqual({t["job"]: t["started_by"] for t in tasks(cluster)
+                              if t["job"] in before}, before)
+
+    @staticmethod
+    def holder(cluster):
+        """The entry whose journal entries tell that it works for the pool."""
+        return next(name for name in cluster.entries if call(
+            cluster.operators_at(name), "GET", "/metrics").body.decode().find(
+                'plantaindoor_jobs{state="placed"} 3') >= 0)
+
+    def test_drained_worker_is_checkpointed_and_its_job_goes_on_elsewhere(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 6000)
+            submit(cluster, "e1", job("j1", run_time_s=6))
+            first = wait_for("j1 runs", lambda: cluster_has_started(cluster, "j1"))[0]
+            wait_for("a second done", lambda: tasks(cluster, "j1")[0]["run_ms"] > 1000)
+            drained = post(cluster, "e2", f"/v1/instances/{first['worker']}/drain", {})
+            self.assertEqual(drained.status, 200, drained.body)
+            wait_for("j1 finished", lambda: state(cluster, "e1", "j1") == "finished")
+            stopped, finished = tasks(cluster, "j1")
+            self.assertEqual((stopped["state"], finished["state"]), ("stopped", "finished"))
+            self.assertGreater(stopped["saved_ms"], 1000)
+            self.assertNotEqual(stopped["worker"], finished["worker"])
+
+    def test_wave_of_cancellations_costs_few_transactions(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 60000)
+            total = 2000
+            submit(cluster, "e1", *[job(f"c{n}", run_time_s=60, kind="wave") for n in range(total)],
+                   job("kept", kind="other", run_time_s=60))
+            wait_for("all taken", lambda: self.counts(cluster, "e2")["inbox"] == 0)
+            before = self.transactions(cluster)
+            answer = post(cluster, "e2", "/v1/jobs/cancel", {"kind": "wave", "reason": "enough"})
+            self.assertEqual(answer.status, 200, answer.body)
+            wait_for("all cancelled", lambda: self.counts(cluster, "e1")["cancelled"] == total)
+            # 10 groups of 200 for what waits, then what ran; the rest renews leases and rows.
+            self.assertLess(self.transactions(cluster) - before, 100)
+            self.assertFalse(any(t["state"] == "running" and t["job"] != "kept"
+                                 for t in tasks(cluster)))
+            self.assertIn(state(cluster, "e1", "kept"), ("waiting", "placed"))
+
+    @staticmethod
+    def transactions(cluster):
+        return call(cluster.platform_at, "GET", "/admin/counts").json()["table/transact"]
+
+    @staticmethod
+    def counts(cluster, entry):
+        items = call(cluster.operators_at(entry), "GET", "/v1/jobs").json()["items"]
+        found = collections.Counter(i["state"] for i in items)
+        scan = call(cluster.platform_at, "POST", "/table/scan",
+                    json.dumps({"prefix": "job/inbox/", "limit": 10000})).json()
+        found["inbox"] = len(scan["rows"])
+        return found
+
+    def test_lost_replies_give_each_job_one_task(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 500)
+            for lost in range(6):
+                cluster.fault_platform(lose_reply=1 + lost % 3, effects_only=True,
+                                       only="tasks" if lost % 2 else "table")
+                answer = post(cluster, "e1", "/v1/jobs", job(f"j{lost}"))
+                if answer.status != 200:
+                    self.assertEqual(answer.json()["type"], "table-unavailable", answer.body)
+                    cluster.fault_platform()
+                    submit(cluster, "e1", job(f"j{lost}"))
+                wait_for(f"j{lost} finished",
+                         lambda n=lost: state(cluster, "e1", f"j{n}") == "finished")
+            started = collections.Counter(t["job"] for t in tasks(cluster))
+            self.assertEqual(set(started.values()), {1}, started)
+
+    def test_job_that_can_never_run_is_refused_with_its_figures(self):
+        with self.workers() as cluster:
+            self.ready(cluster, max_job_processors=6)
+            cases = [(job("a", processors=9), "job-too-large", 409),
+                     (job("a", processors=7), "job-over-quota", 409),
+                     (job("a", pool="moon"), "unknown-pool", 404),
+                     (job("a", team="nobody"), "unknown-team", 404),
+                     (job("a", deadline="2020-01-01T00:00:00Z"), "deadline-passed", 409),
+                     (job("a/b"), "invalid-document", 400)]
+            for wrong, kind, status in cases:
+                answer = post(cluster, "e1", "/v1/jobs", {"jobs": [job("sound"), wrong]})
+                self.assertEqual((answer.status, answer.json()["type"]), (status, kind))
+            self.assertEqual(post(cluster, "e1", "/v1/jobs", {"jobs": [
+                job("sound"), job("a", processors=9)]}).json()["most"], "8")
+            self.assertIsNone(state(cluster, "e1", "sound"))
+
+    def test_failing_job_is_tried_elsewhere_and_given_up(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            for name in cluster.targets:
+                call(cluster.platform_at, "POST", "/admin/tasks", json.dumps({"failing_worker": name}))
+            submit(cluster, "e1", job("j1"))
+            wait_for("j1 failed", lambda: state(cluster, "e2", "j1") == "failed")
+            self.assertEqual(len(tasks(cluster, "j1")), 3)
+            self.assertIn("failed on", get(cluster, "e2", "j1")["reason"])
+
 
 if __name__ == "__main__":
     unittest.main()
