--- a/packages/process/src/job_metrics.cpp
+++ b/packages/process/src/job_metrics.cpp
@@ -9,8 +9,8 @@
           {.name = "job_starts_total", .help = "Runs of jobs begun by this entry."})),
       m_failures(
           registry.counter({.name = "job_failures_total", .help = "Runs of jobs that failed."})),
-      m_finished(registry.counter(
-          {.name = "jobs_finished_total", .help = "Jobs that ran to their end."})),
+      m_finished(
+          registry.counter({.name = "jobs_finished_total", .help = "Jobs that ran to their end."})),
       m_late(registry.counter(
           {.name = "jobs_late_total", .help = "Jobs that ended after their deadline."}))
 {
--- a/packages/process/tests/job_holders.hpp
+++ b/packages/process/tests/job_holders.hpp
@@ -5,8 +5,8 @@
 #include "fakes/fixed_log.hpp"
 #include "fakes/memory_table.hpp"
 #include "fakes/virtual_loop.hpp"
-#include "platform/task_board.hpp"
 #include "plantaindoor/process/job_runner.hpp"
+#include "platform/task_board.hpp"
 
 #include <functional>
 #include <memory>
@@ -46,6 +46,8 @@
     [[nodiscard]] const std::vector<std::string>& faults() const { return m_faults; }
     /// The state in which the job is over; nothing while it isn't.
     [[nodiscard]] std::optional<job_state> end_of(const std::string& name) const;
+    /// The row in which the job is over, as it is.
+    [[nodiscard]] std::string row_of(const std::string& name) const;
     /// Tasks that were begun for a job, by their last state.
     [[nodiscard]] std::vector<task_state> tasks_of(const std::string& name);
     [[nodiscard]] std::size_t rows_left() const;
