process: Bound teams over pools, quarantine workers, and let rules limit jobs

Throttle, checkpoint, stop and refuse are accepted now; refuse is answered at submission with the rule's name, and jobs that were accepted are not refused any more. A worker that fails everything is quarantined by a planned change, so within budgets.

--- a/apps/plantainctl/commands.hpp
+++ b/apps/plantainctl/commands.hpp
@@ -28,6 +28,14 @@
     explicit usage_error(const std::string& message) : error("usage", message, {}) {}
 };
 
+/// Which jobs are meant; empty: any.
+struct job_selector {
+    std::string pool;
+    std::string team;
+    std::string work_class;
+    std::string kind;
+};
+
 /// What was given beside the command's own words.
 struct command_flags {
     std::string file;
@@ -37,6 +45,7 @@
     std::uint32_t max_parallel = 0;
     std::uint32_t minutes = 60;
     std::size_t limit = 100;
+    job_selector jobs;
     bool dry_run = false;
     output_format format = output_format::table;
 };
--- a/apps/plantainctl/main.cpp
+++ b/apps/plantainctl/main.cpp
@@ -41,6 +41,11 @@
     add("max-parallel", "most instances out at once; 0: as budgets allow",
         cxxopts::value<std::uint32_t>()->default_value("0"));
     add("minutes", "term of a loan", cxxopts::value<std::uint32_t>()->default_value("60"));
+    add("pool", "jobs of this pool", cxxopts::value<std::string>()->default_value(""));
+    add("team", "jobs of this team", cxxopts::value<std::string>()->default_value(""));
+    add("class", "jobs of this class: urgent, interactive or background",
+        cxxopts::value<std::string>()->default_value(""));
+    add("kind", "jobs of this kind", cxxopts::value<std::string>()->default_value(""));
     add("limit", "most lines of the journal", cxxopts::value<std::size_t>()->default_value("100"));
     add("h,help", "show this help");
     add("command", "", cxxopts::value<std::vector<std::string>>());
@@ -96,6 +101,10 @@
     flags.max_parallel = given["max-parallel"].as<std::uint32_t>();
     flags.minutes = given["minutes"].as<std::uint32_t>();
     flags.limit = given["limit"].as<std::size_t>();
+    flags.jobs = {.pool = given["pool"].as<std::string>(),
+                  .team = given["team"].as<std::string>(),
+                  .work_class = given["class"].as<std::string>(),
+                  .kind = given["kind"].as<std::string>()};
     flags.dry_run = given.count("dry-run") != 0;
     const auto format = given["output"].as<std::string>();
     if (format != "table" && format != "json") {
--- a/packages/process/include/plantaindoor/process/job_runner.hpp
+++ b/packages/process/include/plantaindoor/process/job_runner.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/process/job_book.hpp"
+#include "plantaindoor/process/job_exchange.hpp"
 #include "plantaindoor/process/job_metrics.hpp"
 #include "plantaindoor/process/job_scheduler.hpp"
 #include "plantaindoor/process/learned_sizes.hpp"
@@ -28,6 +29,7 @@
     version::change_log& log;
     journal_sink& journal;
     job_metrics& metrics;
+    job_exchange& exchange;
     entry_id self;
     /// Between readings of the inbox: the most that a submission waits for its placement.
     milliseconds interval{200};
@@ -43,6 +45,8 @@
     std::function<std::optional<row_condition>(const pool_id&)> guard_of;
     /// Called when a write showed that the duty was lost.
     std::function<void(const pool_id&)> drop;
+    /// Instances that the platform doesn't list; nothing while that is not known.
+    std::function<std::optional<version::lost_instances>()> lost;
     /// `pool` and `holding` are set for each book.
     job_book::options book;
     job_scheduler::options placement;
@@ -81,6 +85,10 @@
         row_condition guard;
         bool loaded = false;
         time_point next_round{};
+        time_point next_figures{};
+        bool quarantining = false;
+        /// What the last quarantine was refused with.
+        std::string last_refusal;
     };
 
     /// A drain that waits for its instance's runs to end.
@@ -92,6 +100,8 @@
 
     void tick();
     void follow_duties();
+    [[nodiscard]] job_book::options book_options(const pool_id& pool,
+                                                 const row_condition& guard) const;
     void open(const pool_id& pool, const row_condition& guard);
     void load(const std::string& after);
     void on_live(const read_result& rows);
@@ -102,6 +112,10 @@
     void step_all();
     void step(const pool_id& pool, holding& subject);
     void decide(const pool_id& pool, holding& subject);
+    void quarantine(const pool_id& pool, holding& subject, const quarantine_worker& what);
+    void on_quarantined(const pool_id& pool, holding& subject, const quarantine_worker& what,
+                        const version::append_result& result);
+    void publish_figures(const pool_id& pool, holding& subject);
     void take_ended(holding& subject);
     void write(const pool_id& pool, holding& subject);
     void on_written(const pool_id& pool, const row_condition& guard, const transact_result& result);
--- a/packages/process/include/plantaindoor/process/job_verbs.hpp
+++ b/packages/process/include/plantaindoor/process/job_verbs.hpp
@@ -3,6 +3,7 @@
 
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/connection/operator_router.hpp"
+#include "plantaindoor/process/job_exchange.hpp"
 #include "plantaindoor/process/job_rows.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
@@ -32,6 +33,12 @@
     deadline_passed_error(const job_spec& spec, wall_time now);
 };
 
+/// A rule refuses jobs of this class at present.
+class class_refused_error : public error {
+public:
+    class_refused_error(const job_spec& spec, const rule_id& rule);
+};
+
 /// Reads a file with one job or a list of them. Throws document_error. Thread-safe.
 [[nodiscard]] std::vector<job_spec> parse_jobs(const std::string& text, const std::string& file);
 
@@ -44,6 +51,7 @@
     version::change_log& log;
     table& rows;
     const time_source& time;
+    const job_exchange& exchange;
     /// Unlike any other entry's run.
     std::string run_name;
 };
--- a/packages/process/include/plantaindoor/process/rule_runner.hpp
+++ b/packages/process/include/plantaindoor/process/rule_runner.hpp
@@ -35,8 +35,11 @@
     /// Instances that the platform doesn't list; nothing while that is not known.
     std::function<std::optional<version::lost_instances>()> lost;
     std::function<bool()> table_down;
-    /// Empty while nothing counts jobs.
-    std::function<version::demand_facts()> demand;
+    /// Nothing while it is not known; may be empty.
+    std::function<std::optional<version::demand_facts>()> demand;
+    /// Told after each evaluation which rule decides, if any; may be empty.
+    std::function<void(const std::optional<version::compiled_rule>&, const row_condition&)>
+        on_decided;
 };
 
 /// Everything in the options must outlive it. Loop thread only.
@@ -66,6 +69,7 @@
     void tick();
     void evaluate();
     void use_rules(const version::fleet& whole);
+    void tell_decided() const;
     void act(const version::fleet_ptr& whole, const version::rule_facts& facts);
     [[nodiscard]] std::set<rule_id> cleared() const;
     bool append(const std::shared_ptr<attempt>& what, const version::fleet& whole);
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -12,6 +12,7 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/job_exchange.hpp"
 #include "plantaindoor/process/job_metrics.hpp"
 #include "plantaindoor/process/job_runner.hpp"
 #include "plantaindoor/process/job_verbs.hpp"
@@ -90,6 +91,7 @@
                      .incarnation = m_options.incarnation}),
           m_tasks(m_client, platform()),
           m_duties(duty_options()),
+          m_exchange({.loop = loop, .rows = m_table, .log = m_log}),
           m_jobs(job_options()),
           m_rules(rule_options()),
           m_claims(loop, m_table, {.owner_prefix = run_name()}),
@@ -118,6 +120,7 @@
                        .log = m_log,
                        .rows = m_table,
                        .time = loop,
+                       .exchange = m_exchange,
                        .run_name = run_name()});
         m_router.add("GET", "/metrics", [this](const auto&, const auto& respond) {
             respond.respond(plain(200, metrics_text()));
@@ -147,6 +150,7 @@
         m_journal.start();
         m_duties.start();
         m_rules.start();
+        m_exchange.start();
         m_jobs.start();
     }
 
@@ -281,10 +285,12 @@
                 .log = m_log,
                 .journal = m_journal,
                 .metrics = m_job_metrics,
+                .exchange = m_exchange,
                 .self = m_options.id,
                 .held = [this] { return m_duties.held(); },
                 .guard_of = [this](const pool_id& pool) { return m_duties.guard_of(pool); },
-                .drop = [this](const pool_id& pool) { m_duties.drop(pool); }};
+                .drop = [this](const pool_id& pool) { m_duties.drop(pool); },
+                .lost = [this] { return m_duties.known_lost(); }};
     }
 
     rule_runner_options rule_options()
@@ -296,7 +302,10 @@
                 .guard = [this] { return m_duties.guard_of(rules_duty()); },
                 .drop_guard = [this] { m_duties.drop(rules_duty()); },
                 .lost = [this] { return m_duties.known_lost(); },
-                .table_down = [this] { return !m_duties.table_answers(); }};
+                .table_down = [this] { return !m_duties.table_answers(); },
+                .demand = [this] { return m_exchange.demand(); },
+                .on_decided = [this](const auto& rule,
+                                     const auto& guard) { m_exchange.publish(rule, guard); }};
     }
 
     void take_registered(const std::vector<version::registration>& rows)
@@ -451,6 +460,7 @@
     table_journal m_journal;
     connection::http_tasks m_tasks;
     duty_runner m_duties;
+    job_exchange m_exchange;
     job_runner m_jobs;
     rule_runner m_rules;
     claim_store m_claims;
--- a/packages/process/src/job_document.cpp
+++ b/packages/process/src/job_document.cpp
@@ -73,7 +73,6 @@
             in.fault_at("deadline", "a time as 2026-12-04T06:30:00Z");
         }
     }
-    in.finish();
     return spec;
 }
 
@@ -116,6 +115,15 @@
 {
 }
 
+class_refused_error::class_refused_error(const job_spec& spec, const rule_id& rule)
+    : error("class-refused",
+            fmt::format("rule {} refuses {} jobs at present", rule.str(), name_of(spec.work_class)),
+            {{"job", spec.id.str()},
+             {"class", std::string(name_of(spec.work_class))},
+             {"rule", rule.str()}})
+{
+}
+
 std::vector<job_spec> parse_jobs(const std::string& text, const std::string& file)
 {
     const document_node root = parse_document(text, file);
@@ -129,6 +137,7 @@
     else {
         document_reader in(root, "", file, faults);
         jobs.push_back(read_job(in));
+        in.finish();
     }
     std::set<job_id> seen;
     for (const job_spec& each : jobs) {
--- a/packages/process/src/job_runner.cpp
+++ b/packages/process/src/job_runner.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/process/job_runner.hpp"
 
+#include "plantaindoor/version/rule_actions.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -101,9 +103,16 @@
     }
     std::erase_if(m_held, [&](const auto& item) {
         const auto held = guards.find(item.first);
-        return held == guards.end() || held->second != item.second->guard ||
-               item.second->book.is_stale();
+        return held == guards.end() || held->second != item.second->guard;
     });
+    for (const auto& [pool, each] : m_held) {
+        if (each->book.is_stale()) {
+            // What was learned, and what placement remembers, stays.
+            each->book = job_book(book_options(pool, each->guard));
+            each->loaded = false;
+            m_options.exchange.refresh();
+        }
+    }
     std::erase_if(m_drains, [&](const auto& each) { return !guards.contains(each.pool); });
     for (const auto& [pool, guard] : guards) {
         if (!m_held.contains(pool)) {
@@ -112,12 +121,17 @@
     }
 }
 
-void job_runner::open(const pool_id& pool, const row_condition& guard)
+job_book::options job_runner::book_options(const pool_id& pool, const row_condition& guard) const
 {
     job_book::options how = m_options.book;
     how.pool = pool;
     how.holding = guard.version;
-    auto fresh = std::make_unique<holding>(std::move(how), m_options.placement);
+    return how;
+}
+
+void job_runner::open(const pool_id& pool, const row_condition& guard)
+{
+    auto fresh = std::make_unique<holding>(book_options(pool, guard), m_options.placement);
     fresh->guard = guard;
     m_held.emplace(pool, std::move(fresh));
 }
@@ -207,7 +221,7 @@
 void job_runner::step_all()
 {
     for (const auto& [pool, each] : m_held) {
-        if (each->loaded) {
+        if (each->loaded && m_options.exchange.was_read()) {
             step(pool, *each);
         }
     }
@@ -225,6 +239,7 @@
     if (m_options.guard_of(pool) == subject.guard) {
         write(pool, subject);
         send(pool, subject);
+        publish_figures(pool, subject);
     }
     for (journal_entry& each : subject.book.take_journal()) {
         each.when = m_options.loop.wall_now();
@@ -236,18 +251,114 @@
 
 void job_runner::decide(const pool_id& pool, holding& subject)
 {
-    static const std::map<team_id, team_usage> none;
     const version::fleet_ptr whole = m_options.log.current();
+    std::set<team_id> limited;
+    for (const auto& [id, each] : whole->teams) {
+        if (each.max_job_processors > 0 || each.max_job_accelerators > 0) {
+            limited.insert(id);
+        }
+    }
+    subject.book.set_limited(std::move(limited));
+    subject.book.on_quota(m_options.exchange.quota_rows());
+    const auto elsewhere = subject.book.used_elsewhere(*whole);
     const wall_time now = m_options.loop.wall_now();
-    const auto decisions = subject.scheduler.decide({.now = now,
-                                                     .whole = *whole,
-                                                     .pool = pool,
-                                                     .jobs = subject.book.jobs(),
-                                                     .learned = subject.learned,
-                                                     .used_elsewhere = none});
+    const auto decisions =
+        subject.scheduler.decide({.now = now,
+                                  .whole = *whole,
+                                  .pool = pool,
+                                  .jobs = subject.book.jobs(),
+                                  .learned = subject.learned,
+                                  .used_elsewhere = elsewhere,
+                                  .limits = m_options.exchange.placement_limits()});
     m_options.metrics.started(static_cast<std::uint64_t>(std::ranges::count_if(
         decisions, [](const auto& each) { return std::holds_alternative<start_job>(each); })));
     subject.book.on_decided(decisions, now);
+    for (const job_decision& each : decisions) {
+        if (const auto* worker = std::get_if<quarantine_worker>(&each)) {
+            quarantine(pool, subject, *worker);
+        }
+    }
+}
+
+/// The worker goes only if no budget is broken by it.
+void job_runner::quarantine(const pool_id& pool, holding& subject, const quarantine_worker& what)
+{
+    const auto lost = m_options.lost();
+    if (!lost || subject.quarantining) {
+        return;
+    }
+    subject.quarantining = true;
+    const version::compiled_rule wanted{
+        .then = {.verb = version::rule_verb::quarantine, .instance = what.worker}};
+    m_options.log.append({.author = "jobs:" + pool.str(),
+                          .reason = what.reason,
+                          .guards = {subject.guard},
+                          .propose =
+                              [wanted, lost](const version::fleet& newest) {
+                                  return version::plan_rule(newest, wanted, {.lost = *lost});
+                              }},
+                         while_alive([this, pool, guard = subject.guard,
+                                      what](const version::append_result& result) {
+                             if (holding* asked_by = find(pool, guard)) {
+                                 on_quarantined(pool, *asked_by, what, result);
+                             }
+                         }));
+}
+
+void job_runner::on_quarantined(const pool_id& pool, holding& subject,
+                                const quarantine_worker& what, const version::append_result& result)
+{
+    subject.quarantining = false;
+    journal_entry entry{
+        .when = m_options.loop.wall_now(),
+        .actor = m_options.self,
+        .part = "job",
+        .action = "worker-quarantined",
+        .version = result.version,
+        .facts = {{"instance", what.worker.str()}, {"pool", pool.str()}, {"reason", what.reason}}};
+    if (result.outcome == version::append_outcome::refused) {
+        std::string told;
+        try {
+            std::rethrow_exception(result.refusal);
+        }
+        catch (const std::exception& refusal) {
+            told = refusal.what();
+        }
+        // The same refusal comes back every round.
+        if (subject.last_refusal == told) {
+            return;
+        }
+        subject.last_refusal = told;
+        entry.action = "quarantine-refused";
+        entry.version = m_options.log.current()->version;
+        entry.facts.push_back({"refusal", told});
+    }
+    else if (result.outcome != version::append_outcome::accepted) {
+        return;
+    }
+    m_options.journal.record(std::move(entry));
+}
+
+void job_runner::publish_figures(const pool_id& pool, holding& subject)
+{
+    const time_point now = m_options.loop.now();
+    if (now < subject.next_figures) {
+        return;
+    }
+    subject.next_figures = now + m_options.round_interval;
+    job_figures figures;
+    for (const auto& [id, each] : subject.book.jobs()) {
+        if (each.state != job_state::waiting) {
+            continue;
+        }
+        ++figures.waiting;
+        figures.urgent += each.spec.work_class == version::priority::urgent ? 1U : 0U;
+        if (each.spec.deadline) {
+            figures.deadline =
+                std::min(figures.deadline.value_or(*each.spec.deadline), *each.spec.deadline);
+        }
+    }
+    m_options.exchange.publish(pool, figures, subject.guard);
 }
 
 void job_runner::take_ended(holding& subject)
--- a/packages/process/src/job_verbs.cpp
+++ b/packages/process/src/job_verbs.cpp
@@ -107,6 +107,19 @@
         });
     }
 
+    /// Throws where the rule in effect refuses a job that is not in the table yet.
+    void check_rule() const
+    {
+        const job_limits limits = m_options.exchange.limits();
+        for (const auto& [id, each] : m_wanted) {
+            const bool refused = limits.verb == name_of(version::rule_verb::refuse) &&
+                                 each.spec.work_class == limits.work_class;
+            if (refused && !m_accepted.contains(id)) {
+                throw class_refused_error(each.spec, limits.rule);
+            }
+        }
+    }
+
     void on_present(const read_result& rows)
     {
         if (!rows) {
@@ -123,6 +136,9 @@
             }
             m_accepted.emplace(spec.id, present->state);
         }
+        if (m_retries == 0) {
+            check_rule();
+        }
         write_next();
     }
 
@@ -291,7 +307,8 @@
 
 std::string reason_in(const json& body)
 {
-    return body.value("reason", std::string("cancelled by an operator"));
+    const std::string given = body.value("reason", std::string());
+    return given.empty() ? "cancelled by an operator" : given;
 }
 
 json object_in(const std::string& body)
--- a/packages/process/src/rule_runner.cpp
+++ b/packages/process/src/rule_runner.cpp
@@ -122,12 +122,11 @@
 
 version::rule_facts rule_runner::present_facts(std::optional<version::lost_instances> lost) const
 {
-    return version::gather_facts(
-        {.whole = *m_options.log.current(),
-         .lost = std::move(lost),
-         .demand = m_options.demand ? std::optional(m_options.demand()) : std::nullopt,
-         .table_down = m_options.table_down(),
-         .now = m_options.loop.wall_now()});
+    return version::gather_facts({.whole = *m_options.log.current(),
+                                  .lost = std::move(lost),
+                                  .demand = m_options.demand ? m_options.demand() : std::nullopt,
+                                  .table_down = m_options.table_down(),
+                                  .now = m_options.loop.wall_now()});
 }
 
 void rule_runner::evaluate()
@@ -136,11 +135,23 @@
     use_rules(*whole);
     const version::rule_facts facts = present_facts(m_options.lost());
     m_decision = m_engine.decide(facts, m_options.loop.now());
+    tell_decided();
     if (!m_appending) {
         act(whole, facts);
     }
 }
 
+void rule_runner::tell_decided() const
+{
+    const auto guard = m_options.guard();
+    if (!guard || !m_options.on_decided) {
+        return;
+    }
+    const auto decided = m_decision->decided;
+    m_options.on_decided(
+        decided ? std::optional(m_engine.rules()->rules()[*decided]) : std::nullopt, *guard);
+}
+
 void rule_runner::use_rules(const fleet& whole)
 {
     if (m_used == whole.rules) {
@@ -148,9 +159,7 @@
     }
     m_used = whole.rules;
     try {
-        // A rule that an earlier program accepted may be read by this one, if not carried out.
-        m_engine.use(std::make_shared<version::rule_set>(
-            whole.rules, version::rule_checks{.allow_unsupported = true}));
+        m_engine.use(std::make_shared<version::rule_set>(whole.rules));
     }
     catch (const document_error& faulty) {
         m_engine.use(std::make_shared<version::rule_set>());
--- a/packages/process/src/rule_verbs.cpp
+++ b/packages/process/src/rule_verbs.cpp
@@ -155,7 +155,7 @@
 
     [[nodiscard]] json body() const
     {
-        const rule_set rules(whole->rules, {.allow_unsupported = true});
+        const rule_set rules(whole->rules);
         const auto bound = rules.bind(facts);
         json out{{"version", whole->version}, {"facts", facts_json(facts)}, {"matched", ""}};
         out["rules"] = json::array();
--- a/packages/process/tests/job_runs_test.cpp
+++ b/packages/process/tests/job_runs_test.cpp
@@ -56,6 +56,18 @@
     check_all_ended(world);
 }
 
+TEST_CASE("a holder that lost the duty unseen writes nothing and starts nothing")
+{
+    job_holders world(disturbance::none, 0);
+    world.run_for(seconds(2));
+    world.take_duty_away();
+    world.submit("late", seconds(1));
+    world.run_for(seconds(30));
+    CHECK(world.rows.scan({.prefix = std::string(job_live_prefix)}).empty());
+    CHECK(world.rows.read({job_inbox_key(job_id("late"))}).size() == 1);
+    CHECK(world.tasks_of("late").empty());
+}
+
 TEST_CASE("whatever becomes of a holder's call, no job has two live runs, is lost or runs again")
 {
     const auto how =
--- a/packages/version/src/rule_reader.cpp
+++ b/packages/version/src/rule_reader.cpp
@@ -13,15 +13,6 @@
 constexpr std::int64_t longest_loan_s = 30LL * 86'400;
 constexpr std::int64_t most_figure = 1'000'000'000'000;
 
-/// Verbs that nothing carries out yet; a rule that uses one is refused when it is applied.
-constexpr std::array<rule_verb, 4> unsupported_verbs{rule_verb::throttle, rule_verb::checkpoint,
-                                                     rule_verb::stop, rule_verb::refuse};
-
-bool supported(rule_verb verb)
-{
-    return std::ranges::find(unsupported_verbs, verb) == unsupported_verbs.end();
-}
-
 /// The plain figures, which are written as {at_least: N, at_most: M}.
 constexpr std::array<rule_fact, 6> counted_facts{
     rule_fact::waves_running, rule_fact::lost_zones,          rule_fact::lost_racks,
@@ -102,9 +93,6 @@
         ++given;
         action.verb = verb;
         (this->*read)(in, action);
-        if (!supported(verb) && !m_checks.allow_unsupported) {
-            in.fault_at(key, "an action that is supported; " + key + " is not yet");
-        }
     }
     if (given != 1) {
         in.fault_at("then", "exactly one of " + expected_names<rule_verb>());
--- a/tests/process/jobs_test.py
+++ b/tests/process/jobs_test.py
@@ -194,6 +194,48 @@
                 job("sound"), job("a", processors=9)]}).json()["most"], "8")
             self.assertIsNone(state(cluster, "e1", "sound"))
 
+    def test_rule_refuses_and_throttles_a_class_while_it_holds(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            run_time(cluster, 60000)
+            submit(cluster, "e1", job("runs", run_time_s=60))
+            wait_for("runs", lambda: cluster_has_started(cluster, "runs"))
+            fleet = fleet_with_workers(cluster)
+            throttle = {"rule": "calm", "when": {}, "then": {"throttle": "background"}}
+            refuse = {"rule": "full", "when": {}, "then": {"refuse": "background"}}
+            cluster.wait_version(cluster.apply({**fleet, "rules": [throttle]}))
+            wait_for("throttled", lambda: tasks(cluster, "runs")[0]["state"] == "throttled")
+            cluster.wait_version(cluster.apply({**fleet, "rules": [refuse]}))
+            answer = wait_for("refused", lambda: self.refused(cluster, "e2"))
+            self.assertEqual((answer["type"], answer["rule"]), ("class-refused", "full"))
+            submit(cluster, "e2", job("u", **{"class": "urgent"}))
+            wait_for("not throttled any more",
+                     lambda: tasks(cluster, "runs")[0]["state"] == "running")
+            cluster.wait_version(cluster.apply({**fleet, "rules": []}))
+            wait_for("taken again", lambda: not self.refused(cluster, "e2"))
+            self.assertEqual(len(tasks(cluster, "runs")), 1)
+
+    @staticmethod
+    def refused(cluster, entry):
+        answer = post(cluster, entry, "/v1/jobs", job(f"at-{time.monotonic_ns()}"))
+        return answer.json() if answer.status == 409 else None
+
+    def test_worker_that_fails_everything_is_quarantined_within_budget(self):
+        with self.workers() as cluster:
+            self.ready(cluster)
+            call(cluster.platform_at, "POST", "/admin/tasks", json.dumps({"failing_worker": "w2"}))
+            run_time(cluster, 300)
+            submit(cluster, "e1", *[job(f"j{n}", processors=4) for n in range(12)])
+            wait_for("w2 quarantined", lambda: self.instance_state(cluster, "w2") == "quarantined")
+            wait_for("all finished", lambda: all(
+                state(cluster, "e2", f"j{n}") == "finished" for n in range(12)))
+
+    @staticmethod
+    def instance_state(cluster, name):
+        items = call(cluster.operators_at("e1"), "GET", "/v1/instances").json()["items"]
+        found = items[name] if isinstance(items, dict) else next(i for i in items if i["id"] == name)
+        return found["state"]
+
     def test_failing_job_is_tried_elsewhere_and_given_up(self):
         with self.workers() as cluster:
             self.ready(cluster)
