--- a/tests/process/ctl_test.py
+++ b/tests/process/ctl_test.py
@@ -7,7 +7,7 @@
 import threading
 import unittest
 
-from harness import BUILD, Cluster, call
+from harness import BUILD, Cluster, call, wait_for
 
 
 def run(program, *words):
@@ -89,6 +89,30 @@
                 done = run("plantainctl", "--entry", older, *words)
                 self.assertEqual((done.returncode, done.stderr), (4, "not-supported: too old\n"))
 
+    def test_jobs_are_submitted_shown_and_cancelled(self):
+        with Cluster(targets=1, entries=1) as cluster:
+            fleet = cluster.fleet()
+            fleet["instances"][0].update(processors=4, memory_mb=1000)
+            cluster.wait_version(cluster.apply(fleet))
+            call(cluster.platform_at, "POST", "/admin/tasks", json.dumps({"run_ms": 60000}))
+            job = {"id": "j1", "pool": "checks", "team": "exams", "kind": "rebuild", "processors": 4}
+            path = pathlib.Path(cluster.folder) / "job.yaml"
+            path.write_text(json.dumps(job))
+            done = self.ctl(cluster, "job", "submit", "-f", str(path))
+            self.assertEqual(done.returncode, 0, done.stderr)
+            shown = json.loads(self.ctl(cluster, "job", "get", "j1", "-o", "json").stdout)
+            self.assertEqual((shown["id"], shown["kind"]), ("j1", "rebuild"))
+            self.assertRegex(self.ctl(cluster, "get", "jobs").stdout, r"j1 +exams +(waiting|placed)")
+            path.write_text(json.dumps({**job, "id": "j2", "processors": 5}))
+            refused = self.ctl(cluster, "job", "submit", "-f", str(path))
+            self.assertEqual(refused.returncode, 1)
+            self.assertIn("job-too-large", refused.stderr)
+            self.assertEqual(self.ctl(cluster, "job", "cancel-matching").returncode, 1)
+            done = self.ctl(cluster, "job", "cancel-matching", "--kind", "rebuild", "--reason", "enough")
+            self.assertEqual(done.returncode, 0, done.stderr)
+            wait_for("j1 cancelled", lambda: json.loads(self.ctl(
+                cluster, "job", "get", "j1", "-o", "json").stdout)["state"] == "cancelled")
+
     def test_token_is_asked_for_where_one_is_set(self):
         with Cluster(targets=0, entries=0) as cluster:
             token = pathlib.Path(cluster.folder) / "token"
