--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -12,6 +12,10 @@
 #include "plantaindoor/process/dispatched_targets.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/process/fleet_verbs.hpp"
+#include "plantaindoor/process/job_exchange.hpp"
+#include "plantaindoor/process/job_metrics.hpp"
+#include "plantaindoor/process/job_runner.hpp"
+#include "plantaindoor/process/job_verbs.hpp"
 #include "plantaindoor/process/logging.hpp"
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
@@ -69,6 +73,7 @@
           m_tracer(loop, trace_options()),
           m_request_metrics(m_metrics),
           m_path_metrics(m_metrics),
+          m_job_metrics(m_metrics),
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
@@ -86,7 +91,10 @@
                      .rows = m_table,
                      .self = m_options.id,
                      .incarnation = m_options.incarnation}),
+          m_tasks(m_client, platform()),
           m_duties(duty_options()),
+          m_exchange({.loop = loop, .rows = m_table, .log = m_log}),
+          m_jobs(job_options()),
           m_rules(rule_options()),
           m_claims(loop, m_table, claim_options_here()),
           m_sweeper(loop, m_table, m_options.claim_sweep),
@@ -110,6 +118,12 @@
                         .duties = m_duties,
                         .runner = m_rules,
                         .journal = m_journal});
+        add_job_verbs({.router = m_router,
+                       .log = m_log,
+                       .rows = m_table,
+                       .time = loop,
+                       .exchange = m_exchange,
+                       .run_name = run_name()});
         m_router.add("GET", "/metrics", [this](const auto&, const auto& respond) {
             respond.respond(plain(200, metrics_text()));
         });
@@ -138,6 +152,8 @@
         m_journal.start();
         m_duties.start();
         m_rules.start();
+        m_exchange.start();
+        m_jobs.start();
     }
 
     void end(event_loop::action on_ended)
@@ -180,6 +196,7 @@
         m_version.set(static_cast<double>(m_log.current()->version));
         m_path_metrics.read_claims(m_claims.counts(), m_claims.unsettled());
         m_path_metrics.read_ejections(m_targets.ejections());
+        m_job_metrics.set(m_jobs.counts());
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
@@ -259,7 +276,26 @@
             .interval = m_options.renew,
             .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
             .lease_term = m_options.lease,
-            .other_duties = &duties_of_rules};
+            .other_duties = &duties_of_rules,
+            .checkpoint = [this](const version::outage& drain, std::function<void()> done) {
+                m_jobs.checkpoint(drain, std::move(done));
+            }};
+    }
+
+    job_runner_options job_options()
+    {
+        return {.loop = m_loop,
+                .rows = m_table,
+                .tasks = m_tasks,
+                .log = m_log,
+                .journal = m_journal,
+                .metrics = m_job_metrics,
+                .exchange = m_exchange,
+                .self = m_options.id,
+                .held = [this] { return m_duties.held(); },
+                .guard_of = [this](const pool_id& pool) { return m_duties.guard_of(pool); },
+                .drop = [this](const pool_id& pool) { m_duties.drop(pool); },
+                .lost = [this] { return m_duties.known_lost(); }};
     }
 
     rule_runner_options rule_options()
@@ -271,7 +307,10 @@
                 .guard = [this] { return m_duties.guard_of(rules_duty()); },
                 .drop_guard = [this] { m_duties.drop(rules_duty()); },
                 .lost = [this] { return m_duties.known_lost(); },
-                .table_down = [this] { return !m_duties.table_answers(); }};
+                .table_down = [this] { return !m_duties.table_answers(); },
+                .demand = [this] { return m_exchange.demand(); },
+                .on_decided = [this](const auto& rule,
+                                     const auto& guard) { m_exchange.publish(rule, guard); }};
     }
 
     void take_registered(const std::vector<version::registration>& rows)
@@ -388,6 +427,7 @@
     void leave()
     {
         m_left = true;
+        m_jobs.stop();
         m_duties.stop();
         m_caller_server.stop_listening();
         m_settle_until = m_loop.now() + settle_time;
@@ -423,6 +463,7 @@
     metrics_registry m_metrics;
     request_metrics m_request_metrics;
     path_metrics m_path_metrics;
+    job_metrics m_job_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
     connection::http_client m_client;
@@ -436,7 +477,10 @@
     peer_group m_peers;
     registrar m_registrar;
     table_journal m_journal;
+    connection::http_tasks m_tasks;
     duty_runner m_duties;
+    job_exchange m_exchange;
+    job_runner m_jobs;
     rule_runner m_rules;
     claim_store m_claims;
     claim_sweeper m_sweeper;
