--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -68,6 +68,9 @@
     /// False only if no byte of the request can have reached the other side.
     bool sent = false;
     http_response response;
+    /// Bytes of the request and of the answer as they were on the wire, heads included.
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
 };
 
 /// Names a call that has not ended.
--- a/packages/connection/include/plantaindoor/connection/http_platform.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_platform.hpp
@@ -4,6 +4,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/connection/http_client.hpp"
+#include "plantaindoor/connection/traffic_meter.hpp"
 
 namespace plantaindoor::connection {
 
@@ -11,6 +12,8 @@
     endpoint at;
     /// After this long a call counts as unanswered.
     milliseconds timeout{2000};
+    /// Counts what each part's calls cost; may be null, else it must outlive the adapters.
+    traffic_meter* traffic = nullptr;
 };
 
 /// The table service. A transaction whose request may have arrived and whose reply is not
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -372,6 +372,18 @@
         return true;
     }
 
+    static void count_bytes(CURL* easy, http_result& result)
+    {
+        long request = 0;
+        long head = 0;
+        curl_off_t body = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+        curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &head);
+        curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+        result.bytes_sent = static_cast<std::uint64_t>(request);
+        result.bytes_received = static_cast<std::uint64_t>(head + body);
+    }
+
     std::unique_ptr<transfer> take_finished(CURL* easy, CURLcode code)
     {
         const auto found = m_transfers.find(transfer_of(easy).id);
@@ -383,6 +395,7 @@
             current->hop.set("status", std::to_string(current->result.response.status));
         }
         current->hop.end();
+        count_bytes(easy, current->result);
         curl_multi_remove_handle(m_multi.get(), easy);
         if (m_idle.size() < kept_handles) {
             m_idle.push_back(std::move(current->easy));
--- a/packages/connection/src/http_platform.cpp
+++ b/packages/connection/src/http_platform.cpp
@@ -27,6 +27,30 @@
             .answer_limit_bytes = 64U << 20U};
 }
 
+/// The callback, after the call's bytes were counted for the part.
+template<class Done>
+http_client::callback counted(const platform_options& options, std::string_view part, Done done)
+{
+    return [meter = options.traffic, part = std::string(part),
+            done = std::move(done)](http_result result) {
+        if (meter != nullptr) {
+            meter->add(part, {.sent = result.bytes_sent, .received = result.bytes_received});
+        }
+        done(std::move(result));
+    };
+}
+
+std::string_view part_of(const std::vector<std::string>& keys)
+{
+    return keys.empty() ? "none" : traffic_meter::part_of(keys.front());
+}
+
+std::string_view part_of(const table_transaction& transaction)
+{
+    return transaction.writes.empty() ? "none"
+                                      : traffic_meter::part_of(transaction.writes.front().key);
+}
+
 bool answered_with(const http_result& result, std::uint16_t status)
 {
     return result.fault == transport_fault::none && result.response.status == status;
@@ -172,22 +196,29 @@
 {
     m_client.start(
         make_call(m_options, "POST", "/table/read", json{{"keys", keys}}.dump()),
-        [done = std::move(done)](const http_result& result) { deliver_rows(result, done); });
+        counted(m_options, part_of(keys), [done = std::move(done)](const http_result& result) {
+            deliver_rows(result, done);
+        }));
 }
 
 void http_table::scan(scan_options options, read_callback done)
 {
     const json body{{"prefix", options.prefix}, {"after", options.after}, {"limit", options.limit}};
-    m_client.start(
-        make_call(m_options, "POST", "/table/scan", body.dump()),
-        [done = std::move(done)](const http_result& result) { deliver_rows(result, done); });
+    m_client.start(make_call(m_options, "POST", "/table/scan", body.dump()),
+                   counted(m_options, traffic_meter::part_of(options.prefix),
+                           [done = std::move(done)](const http_result& result) {
+                               deliver_rows(result, done);
+                           }));
 }
 
 void http_table::transact(table_transaction transaction, transact_callback done)
 {
     m_client.start(
         make_call(m_options, "POST", "/table/transact", transaction_json(transaction).dump()),
-        [done = std::move(done)](const http_result& result) { done(transact_result_of(result)); });
+        counted(m_options, part_of(transaction),
+                [done = std::move(done)](const http_result& result) {
+                    done(transact_result_of(result));
+                }));
 }
 
 http_instances::http_instances(http_client& client, platform_options options)
@@ -198,9 +229,9 @@
 void http_instances::list(list_callback done)
 {
     m_client.start(make_call(m_options, "GET", "/instances"),
-                   [done = std::move(done)](const http_result& result) {
+                   counted(m_options, "list", [done = std::move(done)](const http_result& result) {
                        done(items_of(result, "instances", &listed_from));
-                   });
+                   }));
 }
 
 void http_instances::reboot(const instance_id& instance, const operation_guard& guard,
@@ -209,24 +240,24 @@
     const json body{{"operation_id", guard.id.str()}, {"epoch", guard.epoch}};
     m_client.start(
         make_call(m_options, "POST", "/instances/" + instance.str() + "/reboot", body.dump()),
-        [done = std::move(done)](const http_result& result) {
+        counted(m_options, "instances", [done = std::move(done)](const http_result& result) {
             done(operation_outcome_of(result));
-        });
+        }));
 }
 
 void http_instances::boot_count(const instance_id& instance,
                                 std::function<void(std::optional<std::uint64_t>)> done)
 {
-    m_client.start(make_call(m_options, "GET", "/instances/" + instance.str()),
-                   [done = std::move(done)](const http_result& result) {
-                       if (!answered_with(result, status_ok)) {
-                           done(std::nullopt);
-                           return;
-                       }
-                       done(decoded(result.response.body, [](const json& in) {
-                           return in.at("boot_count").get<std::uint64_t>();
-                       }));
-                   });
+    m_client.start(
+        make_call(m_options, "GET", "/instances/" + instance.str()),
+        counted(m_options, "instances", [done = std::move(done)](const http_result& result) {
+            if (!answered_with(result, status_ok)) {
+                done(std::nullopt);
+                return;
+            }
+            done(decoded(result.response.body,
+                         [](const json& in) { return in.at("boot_count").get<std::uint64_t>(); }));
+        }));
 }
 
 http_tasks::http_tasks(http_client& client, platform_options options)
@@ -243,17 +274,17 @@
                     {"memory_mb", command.memory_mb},    {"accelerators", command.accelerators},
                     {"lease_ms", command.lease_ms}};
     m_client.start(make_call(m_options, "POST", "/tasks", body.dump()),
-                   [done = std::move(done)](const http_result& result) {
+                   counted(m_options, "tasks", [done = std::move(done)](const http_result& result) {
                        done(operation_outcome_of(result));
-                   });
+                   }));
 }
 
 void http_tasks::reports(report_callback done)
 {
     m_client.start(make_call(m_options, "GET", "/tasks"),
-                   [done = std::move(done)](const http_result& result) {
+                   counted(m_options, "tasks", [done = std::move(done)](const http_result& result) {
                        done(items_of(result, "tasks", &report_from));
-                   });
+                   }));
 }
 
 http_objects::http_objects(http_client& client, platform_options options)
@@ -263,27 +294,30 @@
 
 void http_objects::put(std::string name, std::string bytes, std::function<void(bool)> done)
 {
-    m_client.start(make_call(m_options, "PUT", object_target(name), std::move(bytes)),
-                   [done = std::move(done)](const http_result& result) {
-                       done(answered_with(result, status_ok));
-                   });
+    m_client.start(
+        make_call(m_options, "PUT", object_target(name), std::move(bytes)),
+        counted(m_options, "objects", [done = std::move(done)](const http_result& result) {
+            done(answered_with(result, status_ok));
+        }));
 }
 
 void http_objects::get(std::string name, std::function<void(std::optional<std::string>)> done)
 {
-    m_client.start(make_call(m_options, "GET", object_target(name)), [done = std::move(done)](
-                                                                         http_result result) {
-        done(answered_with(result, status_ok) ? std::optional(std::move(result.response.body))
-                                              : std::nullopt);
-    });
+    m_client.start(make_call(m_options, "GET", object_target(name)),
+                   counted(m_options, "objects", [done = std::move(done)](http_result result) {
+                       done(answered_with(result, status_ok)
+                                ? std::optional(std::move(result.response.body))
+                                : std::nullopt);
+                   }));
 }
 
 void http_objects::remove(std::string name, std::function<void(bool)> done)
 {
-    m_client.start(make_call(m_options, "DELETE", object_target(name)),
-                   [done = std::move(done)](const http_result& result) {
-                       done(answered_with(result, status_ok));
-                   });
+    m_client.start(
+        make_call(m_options, "DELETE", object_target(name)),
+        counted(m_options, "objects", [done = std::move(done)](const http_result& result) {
+            done(answered_with(result, status_ok));
+        }));
 }
 
 } // namespace plantaindoor::connection
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -70,6 +70,7 @@
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
+          m_traffic(m_metrics),
           m_client(loop, &m_tracer),
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
@@ -155,9 +156,10 @@
     [[nodiscard]] const entry_options& options() const { return m_options; }
 
 private:
-    [[nodiscard]] connection::platform_options platform() const
+    [[nodiscard]] connection::platform_options platform()
     {
-        return {.at = m_options.platform, .timeout = m_options.platform_timeout};
+        return {
+            .at = m_options.platform, .timeout = m_options.platform_timeout, .traffic = &m_traffic};
     }
 
     [[nodiscard]] std::string run_name() const
@@ -176,10 +178,25 @@
     {
         m_in_progress.set(static_cast<double>(m_callers.in_progress()));
         m_version.set(static_cast<double>(m_log.current()->version));
+        count_peer_bytes();
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
 
+    /// Messages alone; what gRPC and HTTP/2 add is not counted.
+    void count_peer_bytes()
+    {
+        const auto follow = [this](const char* direction, std::uint64_t total) {
+            metric_counter& shown =
+                m_metrics.counter({.name = "peer_message_bytes_total",
+                                   .help = "Bytes of messages exchanged with peers.",
+                                   .labels = {{"direction", direction}}});
+            shown.add(total - shown.value());
+        };
+        follow("sent", m_peers.channel().bytes_sent());
+        follow("received", m_peers.channel().bytes_received());
+    }
+
     /// Logs each change of readiness.
     void watch_readiness()
     {
@@ -406,6 +423,7 @@
     request_metrics m_request_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
+    connection::traffic_meter m_traffic;
     connection::http_client m_client;
     connection::http_table m_table;
     connection::http_objects m_objects;
