process: Read rows and leases once for all parts, at a pace their size allows

The reading in two parts (rows, then the list) is now one class, membership_reader, that both ask; it and the readings of leases keep to 3 kB/s while their longest period allows it (7 s, below the 10 s that a holder may pause; two thirds of a lease's term). The list's longest period goes from 6 to 7 s. The barrier is unchanged: the list is still asked for after the rows have arrived, and every caller gets a reading begun after its call; its two enumerations pass.

Ruled out: reading by hash or key only (the table offers neither), a conditional transaction as a probe (a row changes each 3 s by its renewal, so it would always fail), and no readings while no drain is under way (a holder would start from nothing at each drain and wait the longest request; the registrar reads the rows anyhow).

--- a/packages/process/include/plantaindoor/process/duty_runner.hpp
+++ b/packages/process/include/plantaindoor/process/duty_runner.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/process/duty_lease.hpp"
+#include "plantaindoor/process/membership_reader.hpp"
 #include "plantaindoor/process/pool_duty.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
@@ -22,7 +23,7 @@
     event_loop& loop;
     table& rows;
     version::change_log& log;
-    instance_list& list;
+    membership_reader& reader;
     instance_control& control;
     journal_sink& journal;
     entry_id self;
@@ -34,6 +35,9 @@
     pool_duty::timing times;
     confirmation_set::options entries;
     milliseconds lease_term{6000};
+    /// What readings of the leases may cost; at many duties they are made less often than cycles,
+    /// up to two thirds of a term.
+    std::size_t lease_bytes_per_second = 3000;
     /// Duties beside the pools', taken and kept in the same way, and run by others.
     std::function<std::set<pool_id>(const version::fleet&)> other_duties;
     /// Checkpoints an instance's tasks and then calls back; empty where there are none.
@@ -79,13 +83,13 @@
 
     void cycle();
     void renew();
+    [[nodiscard]] bool leases_due() const;
     void scan_leases();
+    void run_cycle();
     void on_leases(const read_result& rows, time_point asked);
     void send(const std::vector<duty_leases::request>& requests);
     void scan_entries();
-    void on_entries(const read_result& rows);
-    void on_list(std::vector<version::registration_row> rows,
-                 const std::optional<std::vector<listed_instance>>& listed);
+    void on_entries(const membership_answer& answer);
     void run_duties();
     void index_fleet();
     void refresh_plans();
@@ -114,6 +118,7 @@
     std::map<wave_id, wave_plan> m_plans;
     timer_id m_timer = timer_id::none;
     std::optional<time_point> m_list_read;
+    time_point m_next_leases{};
     bool m_table_answers = true;
     bool m_renewing = false;
     bool m_reading = false;
--- a/packages/process/include/plantaindoor/process/paced_instance_list.hpp
+++ b/packages/process/include/plantaindoor/process/paced_instance_list.hpp
@@ -16,7 +16,7 @@
     /// Bounds of the time from the start of one reading to the next.
     milliseconds least_period{250};
     /// Must stay below the longest pause that a duty's holder may make between readings.
-    milliseconds most_period{6000};
+    milliseconds most_period{7000};
     /// What readings may cost.
     std::size_t bytes_per_second = 12'000;
     /// Size of one line of the platform's answer.
--- a/packages/process/include/plantaindoor/process/registrar.hpp
+++ b/packages/process/include/plantaindoor/process/registrar.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
-#include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/process/membership.hpp"
+#include "plantaindoor/process/membership_reader.hpp"
 #include "plantaindoor/version/registration_set.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
@@ -21,7 +21,7 @@
     entry_id self;
     std::uint64_t incarnation = 0;
     milliseconds tick{50};
-    /// Time from one reading of the rows to the next; longer at many entries.
+    /// Time from one reading of the rows to the next; longer where the reader's pace is slower.
     milliseconds scan_period{2000};
     version::retirement_options retirement;
     /// Targets at which this entry has requests in progress.
@@ -33,8 +33,8 @@
 /// Loop thread only; what it is given must outlive it.
 class registrar {
 public:
-    registrar(event_loop& loop, table& rows, instance_list& list, version::table_change_log& log,
-              membership& members, registrar_options options);
+    registrar(event_loop& loop, table& rows, membership_reader& reader,
+              version::table_change_log& log, membership& members, registrar_options options);
     registrar(const registrar&) = delete;
     registrar& operator=(const registrar&) = delete;
     ~registrar();
@@ -57,14 +57,12 @@
     void send(const registration_write& write, table_transaction step);
     void on_transacted(const transact_result& result);
     void scan();
-    void on_scanned(const std::vector<table_row>& rows);
-    void on_listed(const std::vector<version::registration_row>& rows,
-                   const std::vector<listed_instance>& listed);
-    void skip_reading();
+    void on_rows(const std::vector<version::registration_row>& rows);
+    void on_answer(const membership_answer& answer);
 
     event_loop& m_loop;
     table& m_table;
-    instance_list& m_list;
+    membership_reader& m_reader;
     version::table_change_log& m_log;
     membership& m_members;
     registrar_options m_options;
@@ -76,6 +74,7 @@
     version::registration_retirement m_retirement;
     timer_id m_timer = timer_id::none;
     timer_id m_scan_timer = timer_id::none;
+    bool m_reading = false;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/src/duty_runner.cpp
+++ b/packages/process/src/duty_runner.cpp
@@ -1,7 +1,5 @@
 #include "plantaindoor/process/duty_runner.hpp"
 
-#include "plantaindoor/version/codec.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -16,18 +14,6 @@
 /// Rows asked for in one reading, so that it is a consistent one.
 constexpr std::size_t max_rows = 10000;
 
-std::optional<std::vector<version::registration_row>>
-decode_entries(const std::vector<table_row>& rows)
-{
-    try {
-        return version::registration_rows(rows);
-    }
-    catch (const version::decode_error&) {
-        // An entry that can't be read can't have confirmed.
-        return std::nullopt;
-    }
-}
-
 bool needs_plan(const fleet& whole, const wave& subject)
 {
     if (subject.state == wave_state::running || subject.state == wave_state::paused) {
@@ -145,7 +131,12 @@
         return;
     }
     renew();
-    scan_leases();
+    if (leases_due()) {
+        scan_leases();
+    }
+    else {
+        run_cycle();
+    }
 }
 
 void duty_runner::renew()
@@ -163,6 +154,11 @@
                             }));
 }
 
+bool duty_runner::leases_due() const
+{
+    return m_options.loop.now() >= m_next_leases;
+}
+
 void duty_runner::scan_leases()
 {
     const time_point asked = m_options.loop.now();
@@ -179,9 +175,19 @@
         return;
     }
     const time_point now = m_options.loop.now();
+    const reading_pace pace{.least = m_options.interval,
+                            .most = m_options.lease_term * 2 / 3,
+                            .bytes_per_second = m_options.lease_bytes_per_second};
+    m_next_leases = asked + pace.period_after(answer_bytes(*rows));
     m_leases.observe(*rows, pools(), asked, now);
     send(m_leases.acquisitions(now));
-    const auto own = m_leases.held(now);
+    run_cycle();
+}
+
+/// What is done in each cycle with the leases as they were last read.
+void duty_runner::run_cycle()
+{
+    const auto own = m_leases.held(m_options.loop.now());
     std::erase_if(m_duties, [&](const auto& item) {
         return std::find(own.begin(), own.end(), item.first) == own.end();
     });
@@ -207,33 +213,18 @@
 void duty_runner::scan_entries()
 {
     m_reading = true;
-    m_options.rows.scan({.prefix = std::string(version::registration_prefix), .limit = max_rows},
-                        while_alive([this](const read_result& rows) { on_entries(rows); }));
-}
-
-void duty_runner::on_entries(const read_result& rows)
-{
-    auto entries = rows ? decode_entries(*rows) : std::nullopt;
-    if (!entries) {
-        m_reading = false;
-        return;
-    }
-    // The list is asked for only now: a reading counts if the list is the later half.
-    m_options.list.list(while_alive([this, entries = std::move(*entries)](
-                                        const std::optional<std::vector<listed_instance>>& listed) {
-        on_list(entries, listed);
-    }));
+    m_options.reader.read({.on_answer = while_alive(
+                               [this](const membership_answer& answer) { on_entries(answer); })});
 }
 
-void duty_runner::on_list(std::vector<version::registration_row> rows,
-                          const std::optional<std::vector<listed_instance>>& listed)
+void duty_runner::on_entries(const membership_answer& answer)
 {
     m_reading = false;
-    if (listed && !m_stopped) {
+    if (answer.listed && !m_stopped) {
         m_list_read = m_options.loop.now();
-        m_entries.observe({.rows = std::move(rows), .listed = *listed}, m_options.loop.now());
-        m_lost =
-            std::make_shared<version::lost_instances>(lost_of(*m_options.log.current(), *listed));
+        m_entries.observe({.rows = *answer.rows, .listed = *answer.listed}, m_options.loop.now());
+        m_lost = std::make_shared<version::lost_instances>(
+            lost_of(*m_options.log.current(), *answer.listed));
         run_duties();
     }
 }
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -80,7 +80,8 @@
           m_targets(loop, m_log, m_list, target_options()),
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
-          m_registrar(loop, m_table, m_list, m_log, m_members, registrar_options_here()),
+          m_reader(loop, m_table, m_list),
+          m_registrar(loop, m_table, m_reader, m_log, m_members, registrar_options_here()),
           m_journal({.loop = loop,
                      .rows = m_table,
                      .self = m_options.id,
@@ -263,7 +264,7 @@
             .loop = m_loop,
             .rows = m_table,
             .log = m_log,
-            .list = m_list,
+            .reader = m_reader,
             .control = m_instances,
             .journal = m_journal,
             .self = m_options.id,
@@ -433,6 +434,7 @@
     dispatched_targets m_targets;
     membership m_members;
     peer_group m_peers;
+    membership_reader m_reader;
     registrar m_registrar;
     table_journal m_journal;
     duty_runner m_duties;
--- a/packages/process/src/paced_instance_list.cpp
+++ b/packages/process/src/paced_instance_list.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/process/paced_instance_list.hpp"
 
-#include <algorithm>
+#include "plantaindoor/process/reading_pace.hpp"
+
 #include <utility>
 
 namespace plantaindoor::process {
@@ -62,9 +63,10 @@
 
 milliseconds paced_instance_list::period_after(std::size_t lines) const
 {
-    const std::size_t bytes = lines * m_options.bytes_per_line;
-    const milliseconds wanted(bytes * 1000 / m_options.bytes_per_second);
-    return std::clamp(wanted, m_options.least_period, m_options.most_period);
+    const reading_pace pace{.least = m_options.least_period,
+                            .most = m_options.most_period,
+                            .bytes_per_second = m_options.bytes_per_second};
+    return pace.period_after(lines * m_options.bytes_per_line);
 }
 
 } // namespace plantaindoor::process
--- a/packages/process/src/registrar.cpp
+++ b/packages/process/src/registrar.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr milliseconds scan_share{50};
-
 const table_row* find_row(const std::vector<table_row>& rows, std::string_view key)
 {
     const auto found = std::ranges::find(rows, key, &table_row::key);
@@ -37,11 +35,11 @@
 
 } // namespace
 
-registrar::registrar(event_loop& loop, table& rows, instance_list& list,
+registrar::registrar(event_loop& loop, table& rows, membership_reader& reader,
                      version::table_change_log& log, membership& members, registrar_options options)
     : m_loop(loop),
       m_table(rows),
-      m_list(list),
+      m_reader(reader),
       m_log(log),
       m_members(members),
       m_options(std::move(options)),
@@ -196,29 +194,18 @@
 void registrar::scan()
 {
     m_loop.cancel(m_scan_timer);
-    const milliseconds shared = scan_share * (m_members.others() + 1);
-    m_scan_timer = m_loop.call_after(std::max(m_options.scan_period, shared), [this] { scan(); });
-    m_table.scan({.prefix = std::string(version::registration_prefix)},
-                 while_alive([this](const read_result& rows) {
-                     if (rows) {
-                         on_scanned(*rows);
-                     }
-                     else {
-                         skip_reading();
-                     }
-                 }));
+    m_scan_timer = m_loop.call_after(m_options.scan_period, [this] { scan(); });
+    if (m_reading) {
+        return;
+    }
+    m_reading = true;
+    m_reader.read(
+        {.on_rows = while_alive([this](const auto& rows) { on_rows(rows); }),
+         .on_answer = while_alive([this](const membership_answer& answer) { on_answer(answer); })});
 }
 
-void registrar::on_scanned(const std::vector<table_row>& read)
+void registrar::on_rows(const std::vector<version::registration_row>& rows)
 {
-    std::vector<version::registration_row> rows;
-    try {
-        rows = version::registration_rows(read);
-    }
-    catch (const version::decode_error&) {
-        skip_reading();
-        return;
-    }
     std::set<entry_id> entries;
     std::vector<version::registration> values;
     for (const version::registration_row& each : rows) {
@@ -227,37 +214,27 @@
     }
     m_members.on_registered(entries, m_loop.now());
     m_options.on_rows(values);
-    m_list.list(while_alive(
-        [this, rows = std::move(rows)](const std::optional<std::vector<listed_instance>>& listed) {
-            if (listed) {
-                on_listed(rows, *listed);
-            }
-            else {
-                skip_reading();
-            }
-        }));
 }
 
-void registrar::on_listed(const std::vector<version::registration_row>& rows,
-                          const std::vector<listed_instance>& listed)
+void registrar::on_answer(const membership_answer& answer)
 {
+    m_reading = false;
+    if (!answer.rows || !answer.listed) {
+        m_retirement.on_gap();
+        return;
+    }
     std::set<entry_id> entries;
-    for (const listed_instance& each : listed) {
+    for (const listed_instance& each : *answer.listed) {
         if (each.role == listed_role::entry) {
             entries.emplace(each.id);
         }
     }
     m_members.on_listed(entries, m_loop.now());
-    for (const auto& each : m_retirement.on_reading(rows, entries, m_loop.now())) {
+    for (const auto& each : m_retirement.on_reading(*answer.rows, entries, m_loop.now())) {
         const std::string key = version::registration_key(each.value);
         m_table.transact({.conditions = {{key, each.version}}, .writes = {{key, std::nullopt}}},
                          [](const transact_result&) {});
     }
 }
 
-void registrar::skip_reading()
-{
-    m_retirement.on_gap();
-}
-
 } // namespace plantaindoor::process
--- a/packages/process/tests/duty_world.cpp
+++ b/packages/process/tests/duty_world.cpp
@@ -63,11 +63,13 @@
     options.poll_period = milliseconds(300);
     log = std::make_unique<version::table_change_log>(loop, *this, options);
     log->start();
+    reader = std::make_unique<membership_reader>(
+        loop, *this, *this, membership_reader_options{.pace = {.least = milliseconds(400)}});
     duties = std::make_unique<duty_runner>(duty_runner_options{
         .loop = loop,
         .rows = *this,
         .log = *log,
-        .list = *this,
+        .reader = *reader,
         .control = *this,
         .journal = *this,
         .self = id,
--- a/packages/process/tests/duty_world.hpp
+++ b/packages/process/tests/duty_world.hpp
@@ -112,6 +112,7 @@
     entry_id id;
     gated_loop loop;
     std::unique_ptr<version::table_change_log> log;
+    std::unique_ptr<membership_reader> reader;
     std::unique_ptr<duty_runner> duties;
     /// Requests in progress, by instance.
     std::map<instance_id, int> in_progress;
--- a/packages/process/tests/fleet_verbs_test.cpp
+++ b/packages/process/tests/fleet_verbs_test.cpp
@@ -73,10 +73,11 @@
     silent_platform platform;
     table_journal journal{{.loop = loop, .rows = rows, .self = entry_id("e1")}};
     connection::operator_router router{""};
+    membership_reader reader{loop, rows, platform};
     duty_runner duties{{.loop = loop,
                         .rows = rows,
                         .log = log,
-                        .list = platform,
+                        .reader = reader,
                         .control = platform,
                         .journal = journal,
                         .self = entry_id("e1")}};
