connection: Ask the platform whether its list has changed

Where the platform gives it an entity tag, the tag goes with the next request and a 304 stands for the list; each reading still asks the platform, so no reading is older than before. A platform without tags is read whole, as before.

Seen failing by mutation (no tag sent): the test reads 200, 200, 200, 200 in place of 200, 304, 200, 304.

--- a/packages/connection/include/plantaindoor/connection/http_platform.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_platform.hpp
@@ -6,6 +6,10 @@
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/traffic_meter.hpp"
 
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace plantaindoor::connection {
 
 struct platform_options {
@@ -31,7 +35,9 @@
     platform_options m_options;
 };
 
-/// The instance list and reboots. Loop thread only; the client must outlive it.
+/// The instance list and reboots. Where the platform gives the list an entity tag, an unchanged
+/// list is not sent again: the platform is asked at each reading, and says that nothing changed.
+/// Loop thread only; the client must outlive it.
 class http_instances final : public instance_list, public instance_control {
 public:
     http_instances(http_client& client, platform_options options);
@@ -43,8 +49,19 @@
                     std::function<void(std::optional<std::uint64_t>)> done) override;
 
 private:
+    struct tagged_list {
+        std::string tag;
+        std::vector<listed_instance> lines;
+    };
+
     http_client& m_client;
     platform_options m_options;
+    struct list_memory {
+        std::shared_ptr<const tagged_list> newest;
+    };
+
+    /// The newest list that had a tag; shared with calls under way.
+    std::shared_ptr<list_memory> m_memory = std::make_shared<list_memory>();
 };
 
 /// Tasks on workers. Loop thread only; the client must outlive it.
--- a/packages/connection/src/http_platform.cpp
+++ b/packages/connection/src/http_platform.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_accepted = 202;
+constexpr std::uint16_t status_not_modified = 304;
 constexpr std::uint16_t status_conflict = 409;
 
 http_call make_call(const platform_options& options, const char* method, std::string target,
@@ -228,10 +229,26 @@
 
 void http_instances::list(list_callback done)
 {
-    m_client.start(make_call(m_options, "GET", "/instances"),
-                   counted(m_options, "list", [done = std::move(done)](const http_result& result) {
-                       done(items_of(result, "instances", &listed_from));
-                   }));
+    http_call call = make_call(m_options, "GET", "/instances");
+    const auto known = m_memory->newest;
+    if (known != nullptr) {
+        call.request.headers.push_back({"If-None-Match", known->tag});
+    }
+    const auto on_result = [memory = m_memory, known,
+                            done = std::move(done)](const http_result& result) {
+        if (answered_with(result, status_not_modified) && known != nullptr) {
+            done(known->lines);
+            return;
+        }
+        auto lines = items_of(result, "instances", &listed_from);
+        if (lines) {
+            const std::string* tag = find_header(result.response.headers, "ETag");
+            memory->newest =
+                tag == nullptr ? nullptr : std::make_shared<tagged_list>(tagged_list{*tag, *lines});
+        }
+        done(std::move(lines));
+    };
+    m_client.start(std::move(call), counted(m_options, "list", on_result));
 }
 
 void http_instances::reboot(const instance_id& instance, const operation_guard& guard,
--- a/scripts/bench_control.py
+++ b/scripts/bench_control.py
@@ -5,7 +5,6 @@
 """
 import argparse
 import collections
-import json
 import os
 import pathlib
 import re
@@ -111,6 +110,7 @@
 
 def run(options):
     with Cluster(targets=0, entries=0) as cluster:
+        cluster.fault_platform(untagged=options.untagged)
         for n in range(options.workers):
             cluster.list_instance(f"worker-{n}", "target", address="127.0.0.1:9")
         for n in range(options.entries):
@@ -118,16 +118,13 @@
         cluster.wait_ready()
         fleet = target_fleet(options.workers, options.pools, options.teams)
         cluster.wait_version(cluster.apply(fleet))
-        if options.wave:
-            started = call(cluster.operators_at("entry-0"), "POST", "/v1/waves/start",
-                           json.dumps({"id": "m1", "pools": [p["id"] for p in fleet["pools"]]}))
-            print("wave:", started.status, started.body[:200])
         wait_for("the duties to settle", settled(options.settle))
         before = sample(cluster)
         wait_for("the measured time", settled(options.seconds))
         after = sample(cluster)
         print(f"{options.entries} entries, {options.workers} workers, {options.pools} pools,"
-              f" {options.seconds} s, load average {os.getloadavg()[0]:.1f}")
+              f" {options.seconds} s, list {'whole' if options.untagged else 'tagged'},"
+              f" load average {os.getloadavg()[0]:.1f}")
         report(cluster, rates(before, after))
 
 
@@ -144,5 +141,5 @@
     parser.add_argument("--teams", type=int, default=230)
     parser.add_argument("--seconds", type=int, default=30)
     parser.add_argument("--settle", type=int, default=15)
-    parser.add_argument("--wave", action="store_true")
+    parser.add_argument("--untagged", action="store_true", help="a platform that sends its list whole")
     run(parser.parse_args())
--- a/stand_ins/platform/http_server.cpp
+++ b/stand_ins/platform/http_server.cpp
@@ -16,6 +16,9 @@
     MHD_Response* response = MHD_create_response_from_buffer(
         reply.body.size(), const_cast<char*>(reply.body.data()), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, reply.content_type.c_str());
+    if (!reply.entity_tag.empty()) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_ETAG, reply.entity_tag.c_str());
+    }
     const MHD_Result queued = MHD_queue_response(connection, reply.status, response);
     MHD_destroy_response(response);
     return queued;
@@ -28,6 +31,9 @@
     auto* call = static_cast<http_call*>(*context);
     if (call == nullptr) {
         *context = std::make_unique<http_call>(http_call{.method = method, .path = url}).release();
+        const char* tag =
+            MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_IF_NONE_MATCH);
+        static_cast<http_call*>(*context)->if_none_match = tag == nullptr ? "" : tag;
         return MHD_YES;
     }
     if (*data_size > 0) {
--- a/stand_ins/platform/http_server.hpp
+++ b/stand_ins/platform/http_server.hpp
@@ -15,12 +15,14 @@
     std::string method;
     std::string path;
     std::string body;
+    std::string if_none_match;
 };
 
 struct http_reply {
     unsigned status = 200;
     std::string body;
     std::string content_type = "application/json";
+    std::string entity_tag;
 };
 
 /// Called from many threads at once. No value: the connection is closed without a reply.
--- a/stand_ins/platform/platform.cpp
+++ b/stand_ins/platform/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform.hpp"
 
+#include "plantaindoor/common/hash.hpp"
 #include "plantaindoor/common/scope_guard.hpp"
 
 #include <curl/curl.h>
@@ -32,6 +33,17 @@
     return reply_of({{"type", type}}, status);
 }
 
+/// The reply with a tag of its bytes, or only that the caller has them already.
+http_reply tagged(http_reply reply, const std::string& known)
+{
+    reply.entity_tag = '"' + std::to_string(hash64(reply.body)) + '"';
+    if (reply.entity_tag == known) {
+        reply.status = 304;
+        reply.body.clear();
+    }
+    return reply;
+}
+
 json rows_of(const std::vector<table_row>& rows)
 {
     json all = json::array();
@@ -250,7 +262,8 @@
             all.push_back(
                 {{"id", each.id}, {"role", name_of(each.role)}, {"state", name_of(each.state)}});
         }
-        return reply_of({{"instances", std::move(all)}});
+        http_reply reply = reply_of({{"instances", std::move(all)}});
+        return m_faults.untagged ? reply : tagged(std::move(reply), call.if_none_match);
     }
     const auto count = m_instances.boot_count(to.name, now());
     return count ? reply_of(json{{"boot_count", *count}}) : failure(404, "unknown-instance");
@@ -313,7 +326,8 @@
                 .lose_reply = in.value("lose_reply", std::uint64_t{0}),
                 .lose_call = in.value("lose_call", std::uint64_t{0}),
                 .only = in.value("only", std::string()),
-                .effects_only = in.value("effects_only", false)};
+                .effects_only = in.value("effects_only", false),
+                .untagged = in.value("untagged", false)};
     if (in.contains("list_lag_ms")) {
         m_instances.lag = milliseconds(in.at("list_lag_ms").get<std::int64_t>());
         m_tasks.lag = m_instances.lag;
--- a/stand_ins/platform/platform.hpp
+++ b/stand_ins/platform/platform.hpp
@@ -40,6 +40,8 @@
         std::string only;
         /// Lost calls and replies are counted off by calls that have an effect alone.
         bool effects_only = false;
+        /// The list is sent whole at each reading.
+        bool untagged = false;
     };
 
     enum class fate { carried_out, refused, reply_lost, call_lost };
