process: Send a large version to peers that lack it, a few times, not to each

A version of more than 8 KiB is now only told of, until the peer has said that it lacks it (of this version, at most two periods ago), and is sent at most three times in half a second by an entry. A peer that stays behind is pushed to again in the next round.

--- a/packages/connection/include/plantaindoor/connection/exchange_policy.hpp
+++ b/packages/connection/include/plantaindoor/connection/exchange_policy.hpp
@@ -49,6 +49,9 @@
 
     /// The version that the peer was last known to have; nothing before its first reply.
     [[nodiscard]] std::optional<version::version_number> known_version(const endpoint& peer) const;
+    /// Whether the peer said that it lacks the version in force here, since that is in force and
+    /// not more than two periods ago.
+    [[nodiscard]] bool known_behind(const endpoint& peer) const;
     [[nodiscard]] std::size_t peers() const noexcept { return m_peers.size(); }
     /// Whether each round asks every peer.
     [[nodiscard]] bool asks_all() const noexcept { return m_peers.size() <= m_options.full_mesh; }
@@ -56,6 +59,10 @@
 private:
     struct peer_state {
         std::optional<version::version_number> version;
+        /// What was in force here when the peer told its version.
+        version::version_number told_at = 0;
+        /// The newest round's time when the peer told it.
+        std::optional<time_point> told_in;
         bool under_way = false;
         bool pushed = false;
         std::size_t failures = 0;
--- a/packages/connection/src/exchange_policy.cpp
+++ b/packages/connection/src/exchange_policy.cpp
@@ -81,7 +81,12 @@
         ++m_informed;
     }
     m_pushes -= state->pushed ? 1 : 0;
-    *state = {.version = after};
+    // One that lacks the version in spite of what was sent gets it from elsewhere, or later.
+    const bool stuck = known_behind(peer) && after < m_version && m_last_round;
+    *state = {.version = after,
+              .told_at = m_version,
+              .told_in = m_last_round,
+              .not_before = stuck ? *m_last_round + m_options.period : time_point{}};
 }
 
 void exchange_policy::on_failure(const endpoint& peer, time_point now)
@@ -96,6 +101,8 @@
         std::min(m_options.longest_back_off, m_options.first_back_off * (1U << doublings));
     std::uniform_int_distribution<std::int64_t> jitter(wait.count() / 2, wait.count());
     *state = {.version = state->version,
+              .told_at = state->told_at,
+              .told_in = state->told_in,
               .failures = state->failures + 1,
               .not_before = now + milliseconds(jitter(m_random))};
 }
@@ -106,6 +113,16 @@
     return found == m_peers.end() ? std::nullopt : found->second.version;
 }
 
+bool exchange_policy::known_behind(const endpoint& peer) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || !found->second.told_in || found->second.told_at != m_version) {
+        return false;
+    }
+    const bool lately = *m_last_round - *found->second.told_in < 2 * m_options.period;
+    return lately && found->second.version.value_or(m_version) < m_version;
+}
+
 exchange_policy::peer_state* exchange_policy::find(const endpoint& peer)
 {
     const auto found = m_peers.find(peer);
--- a/packages/connection/tests/exchange_policy_test.cpp
+++ b/packages/connection/tests/exchange_policy_test.cpp
@@ -40,6 +40,44 @@
     CHECK(policy.begin_due(start).empty());
 }
 
+TEST_CASE("a peer is known to be behind only by what it said of the newest version", "[exchange]")
+{
+    exchange_policy policy({.seed = 1});
+    policy.set_peers(peers(1));
+    const endpoint peer = peers(1).front();
+    const auto exchanged = [&](version::version_number after) {
+        REQUIRE_FALSE(policy.begin_due(start + seconds(after)).empty());
+        policy.on_reply(peer, after, after);
+    };
+    CHECK_FALSE(policy.known_behind(peer));
+    policy.on_version(7);
+    exchanged(6);
+    CHECK(policy.known_behind(peer));
+    policy.on_version(8);
+    CHECK_FALSE(policy.known_behind(peer));
+    exchanged(7);
+    CHECK(policy.known_behind(peer));
+    // It has surely heard of it meanwhile.
+    REQUIRE_FALSE(policy.begin_due(start + seconds(60)).empty());
+    CHECK_FALSE(policy.known_behind(peer));
+}
+
+TEST_CASE("a peer that stays behind is pushed to again only in the next round", "[exchange]")
+{
+    exchange_policy policy({.seed = 1, .period = milliseconds(1000)});
+    policy.set_peers(peers(1));
+    policy.on_version(7);
+    std::size_t pushes = 0;
+    for (auto now = start; now < start + seconds(10); now += milliseconds(10)) {
+        for (const endpoint& each : policy.begin_due(now)) {
+            ++pushes;
+            policy.on_reply(each, 6, 6);
+        }
+    }
+    CHECK(pushes >= 10);
+    CHECK(pushes <= 20);
+}
+
 TEST_CASE("a failing peer is left alone for longer and longer, and tried again", "[exchange]")
 {
     exchange_policy policy({.seed = 1,
--- a/packages/process/include/plantaindoor/process/peer_group.hpp
+++ b/packages/process/include/plantaindoor/process/peer_group.hpp
@@ -35,6 +35,13 @@
     std::size_t max_records = 100;
     std::size_t max_heard = 40;
     std::size_t max_reports = 6;
+    /// Most bytes of versions sent to a peer that may have them already; it is told of more, and
+    /// gets them once it has said that it lacks them.
+    std::size_t max_unasked_bytes = 8192;
+    /// Most times that more than that is sent in one period, to whomever: those that get it pass it
+    /// on, and most read it from the table.
+    std::size_t max_large_sends = 3;
+    milliseconds large_period{500};
     /// A whole version is sent to the same peer no more often than this.
     milliseconds snapshot_period{10000};
     /// This entry's demand, and where to bring the peers'.
@@ -80,6 +87,10 @@
     /// Adds what a receiver at that version lacks.
     void add_versions(connection::peer_message& message, version::version_number receiver,
                       const std::string& receiver_name);
+    void add_snapshot(connection::peer_message& message, const std::string& receiver_name);
+    [[nodiscard]] bool take_large_send();
+    /// Adds them only if they are small.
+    void add_unasked_versions(connection::peer_message& message, version::version_number receiver);
     void add_reports(connection::peer_message& message);
     void refresh_peers();
 
@@ -95,6 +106,11 @@
     std::set<connection::endpoint> m_refused;
     std::map<entry_id, heard_report> m_reports;
     std::map<std::string, time_point> m_snapshots_sent;
+    /// The newest receiver's version that too much follows, up to the second one.
+    version::version_number m_large_after = 0;
+    version::version_number m_large_until = 0;
+    time_point m_large_since{};
+    std::size_t m_large_sent = 0;
     std::uint64_t m_sequence = 0;
     timer_id m_timer = timer_id::none;
 };
--- a/packages/process/src/peer_group.cpp
+++ b/packages/process/src/peer_group.cpp
@@ -114,7 +114,12 @@
 {
     peer_message message = status();
     if (const auto known = m_policy.known_version(peer)) {
-        add_versions(message, *known, peer.str());
+        if (m_policy.known_behind(peer)) {
+            add_versions(message, *known, peer.str());
+        }
+        else {
+            add_unasked_versions(message, *known);
+        }
     }
     add_reports(message);
     const auto hop = std::make_shared<span>(
@@ -217,14 +222,59 @@
     if (receiver >= current->version) {
         return;
     }
+    std::size_t bytes = 0;
     for (const auto& each : m_log.follower().records_after(receiver, m_options.max_records)) {
         message.records.push_back(version::encode(each));
+        bytes += message.records.back().size();
+    }
+    if (bytes > m_options.max_unasked_bytes && !take_large_send()) {
+        message.records.clear();
+        return;
+    }
+    if (message.records.empty()) {
+        add_snapshot(message, receiver_name);
+    }
+}
+
+void peer_group::add_snapshot(peer_message& message, const std::string& receiver_name)
+{
+    const time_point now = m_loop.now();
+    std::erase_if(m_snapshots_sent,
+                  [&](const auto& each) { return now - each.second >= m_options.snapshot_period; });
+    if (!m_snapshots_sent.contains(receiver_name) && take_large_send()) {
+        m_snapshots_sent.emplace(receiver_name, now);
+        message.snapshot = version::encode(*m_log.current());
+    }
+}
+
+bool peer_group::take_large_send()
+{
+    if (m_loop.now() - m_large_since >= m_options.large_period) {
+        m_large_since = m_loop.now();
+        m_large_sent = 0;
     }
-    time_point& sent = m_snapshots_sent[receiver_name];
-    const bool rested = sent == time_point{} || m_loop.now() - sent >= m_options.snapshot_period;
-    if (message.records.empty() && rested) {
-        sent = m_loop.now();
-        message.snapshot = version::encode(*current);
+    return m_large_sent++ < m_options.max_large_sends;
+}
+
+/// What a peer last said may be older than the version: then most have got it from others, so that
+/// sending a large one to each would cost its size for each pair of entries.
+void peer_group::add_unasked_versions(peer_message& message, version::version_number receiver)
+{
+    const version::version_number current = m_log.current()->version;
+    const bool known_large = m_large_until == current && receiver <= m_large_after;
+    if (receiver >= current || known_large) {
+        return;
+    }
+    std::size_t bytes = 0;
+    for (const auto& each : m_log.follower().records_after(receiver, m_options.max_records)) {
+        message.records.push_back(version::encode(each));
+        bytes += message.records.back().size();
+        if (bytes > m_options.max_unasked_bytes) {
+            message.records.clear();
+            m_large_after = receiver;
+            m_large_until = current;
+            return;
+        }
     }
 }
 
