--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -112,6 +113,8 @@
         self.service = service or {}
         self.entry_settings = entry_settings or {}
         self.platform = None
+        # What stands between an entry and the platform, by the entry's name.
+        self.relays = {}
         self.targets, self.entries = {}, {}
 
     def __enter__(self):
@@ -134,6 +137,8 @@
         running = list(self.entries.values()) + list(self.targets.values())
         for process in running + ([self.platform] if self.platform else []):
             process.end(signal.SIGKILL)
+        for relay in self.relays.values():
+            relay.close()
 
     def start_target(self, name):
         process = Process(name, [BUILD / "stand_ins/target_stand_in", "--port", 0], 1, self.folder)
@@ -162,7 +167,8 @@
         return {"cluster": "test", "entry": name, "availability_zone": zone, "region": "r1",
                 "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0",
                            "peers": "127.0.0.1:0"},
-                "platform": {"address": self.platform_at}, "peers": peers, **self.entry_settings}
+                "platform": {"address": self.relays[name].at if name in self.relays else self.platform_at},
+                "peers": peers, **self.entry_settings}
 
     def target_at(self, name):
         return self.targets[name].endpoints["listening"]
@@ -321,3 +327,75 @@
     doubled = sum(1 for count in runs.values() if count > 1)
     return Verdict(counts["answered"], counts["not-run"], counts["unknown"], counts["unanswered"],
                    lost, doubled, partial, false_not_run)
+
+
+class Relay:
+    """Passes TCP connections on to an address; a cut ends those that stand and takes no new ones."""
+
+    def __init__(self, to):
+        host, port = to.rsplit(":", 1)
+        self.to = (host, int(port))
+        self.is_cut = False
+        self.open = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.at = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self):
+        with self.lock:
+            self.is_cut = True
+            for each in self.open:
+                self._shut(each)
+
+    def mend(self):
+        self.is_cut = False
+
+    def close(self):
+        self.cut()
+        self._shut(self.listener)
+        self.listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._join, args=(near,), daemon=True).start()
+
+    def _join(self, near):
+        try:
+            far = socket.create_connection(self.to)
+        except OSError:
+            near.close()
+            return
+        with self.lock:
+            self.open |= {near, far}
+            if self.is_cut:
+                self._shut(near)
+                self._shut(far)
+        back = threading.Thread(target=self._pass_on, args=(far, near), daemon=True)
+        back.start()
+        self._pass_on(near, far)
+        back.join()
+        with self.lock:
+            self.open -= {near, far}
+        near.close()
+        far.close()
+
+    def _pass_on(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+        except OSError:
+            pass
+        self._shut(source)
+        self._shut(sink)
+
+    @staticmethod
+    def _shut(end):
+        try:
+            end.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
