--- a/packages/process/tests/membership_reader_test.cpp
+++ b/packages/process/tests/membership_reader_test.cpp
@@ -126,7 +126,8 @@
     const std::size_t once = answer_bytes(platform.rows);
     CAPTURE(count, busy, once);
     CHECK(duties.longest <= options.pace.most + milliseconds(100));
-    const std::size_t slowest = 70 * 1000 / static_cast<std::size_t>(options.pace.most.count()) + 1;
+    const auto slowest =
+        static_cast<std::size_t>(milliseconds(seconds(70)) / options.pace.most) + 1;
     CHECK(platform.bytes <= std::max(70 * options.pace.bytes_per_second + once, slowest * once));
 }
 
--- a/packages/process/tests/traffic_test.cpp
+++ b/packages/process/tests/traffic_test.cpp
@@ -61,7 +61,7 @@
         const int peer = ::accept(m_listener, nullptr, nullptr);
         std::string read;
         char buffer[4096];
-        while (read.find("}") == std::string::npos) {
+        while (read.find('}') == std::string::npos) {
             const auto count = ::recv(peer, buffer, sizeof buffer, 0);
             if (count <= 0) {
                 break;
