--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -77,6 +77,7 @@
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
+          m_traffic(m_metrics),
           m_client(loop, &m_tracer),
           m_table(m_client, platform()),
           m_objects(m_client, platform()),
@@ -86,7 +87,8 @@
           m_targets(loop, m_log, m_list, target_options()),
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
-          m_registrar(loop, m_table, m_list, m_log, m_members, registrar_options_here()),
+          m_reader(loop, m_table, m_list),
+          m_registrar(loop, m_table, m_reader, m_log, m_members, registrar_options_here()),
           m_journal({.loop = loop,
                      .rows = m_table,
                      .self = m_options.id,
@@ -173,9 +175,10 @@
     [[nodiscard]] const entry_options& options() const { return m_options; }
 
 private:
-    [[nodiscard]] connection::platform_options platform() const
+    [[nodiscard]] connection::platform_options platform()
     {
-        return {.at = m_options.platform, .timeout = m_options.platform_timeout};
+        return {
+            .at = m_options.platform, .timeout = m_options.platform_timeout, .traffic = &m_traffic};
     }
 
     [[nodiscard]] std::string run_name() const
@@ -197,10 +200,25 @@
         m_path_metrics.read_claims(m_claims.counts(), m_claims.unsettled());
         m_path_metrics.read_ejections(m_targets.ejections());
         m_job_metrics.set(m_jobs.counts());
+        count_peer_bytes();
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
 
+    /// Messages alone; what gRPC and HTTP/2 add is not counted.
+    void count_peer_bytes()
+    {
+        const auto follow = [this](const char* direction, std::uint64_t total) {
+            metric_counter& shown =
+                m_metrics.counter({.name = "peer_message_bytes_total",
+                                   .help = "Bytes of messages exchanged with peers.",
+                                   .labels = {{"direction", direction}}});
+            shown.add(total - shown.value());
+        };
+        follow("sent", m_peers.channel().bytes_sent());
+        follow("received", m_peers.channel().bytes_received());
+    }
+
     /// Logs each change of readiness.
     void watch_readiness()
     {
@@ -268,7 +286,7 @@
             .loop = m_loop,
             .rows = m_table,
             .log = m_log,
-            .list = m_list,
+            .reader = m_reader,
             .control = m_instances,
             .journal = m_journal,
             .self = m_options.id,
@@ -466,6 +484,7 @@
     job_metrics m_job_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
+    connection::traffic_meter m_traffic;
     connection::http_client m_client;
     connection::http_table m_table;
     connection::http_objects m_objects;
@@ -475,6 +494,7 @@
     dispatched_targets m_targets;
     membership m_members;
     peer_group m_peers;
+    membership_reader m_reader;
     registrar m_registrar;
     table_journal m_journal;
     connection::http_tasks m_tasks;
