--- a/packages/process/include/plantaindoor/process/caller_path.hpp
+++ b/packages/process/include/plantaindoor/process/caller_path.hpp
@@ -26,6 +26,7 @@
 
 namespace plantaindoor::process {
 
+class target_call;
 struct target_call_result;
 
 struct caller_path_options {
@@ -42,6 +43,8 @@
     request::answer_limits answers;
     request::attempt_options attempts;
     request::retry_budget_options retries;
+    /// How often requests that wait are looked at for callers who have gone.
+    milliseconds gone_check_period{250};
     /// Longest wait for a claim, and never more than half of the request's time.
     milliseconds claim_wait{500};
     /// Why no new work is taken; empty while it is.
@@ -61,6 +64,8 @@
 
     /// Takes a caller's request and answers it exactly once.
     void handle(connection::http_request request, connection::http_responder respond);
+    /// Tells every caller in progress at once what is true of the request: the entry stops now.
+    void stop();
     /// The answer to a body over the limit.
     [[nodiscard]] connection::http_response overflow_answer();
     /// Requests not yet answered.
@@ -76,6 +81,12 @@
     void claim(const active_ptr& current);
     void on_verdict(const active_ptr& current, request::claim_verdict verdict);
     void begin(const active_ptr& current);
+    void watch_callers();
+    void look_at_callers();
+    void stop_one(const active_ptr& current);
+    void abandon(const active_ptr& current);
+    void give_back(const active_ptr& current, request::attempt_result result,
+                   std::unique_ptr<target_call> ended, bool still_running);
     void act(const active_ptr& current, const request::attempt_action& action);
     void choose(const active_ptr& current);
     void on_offer(const active_ptr& current, target_offer offer);
@@ -101,8 +112,11 @@
 
     caller_path_options m_options;
     std::uint64_t m_last_request = 0;
+    timer_id m_caller_watch = timer_id::none;
     std::unordered_set<active_ptr> m_active;
     std::unordered_map<service_id, service_record> m_services;
+    /// Calls that were given up and whose targets may still run them.
+    std::unordered_map<request::ticket_id, std::unique_ptr<target_call>> m_given_up;
     request::echo_record m_echoes;
 };
 
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -16,6 +16,7 @@
 #include "plantaindoor/process/membership.hpp"
 #include "plantaindoor/process/operator_api.hpp"
 #include "plantaindoor/process/paced_instance_list.hpp"
+#include "plantaindoor/process/path_metrics.hpp"
 #include "plantaindoor/process/peer_group.hpp"
 #include "plantaindoor/process/registrar.hpp"
 #include "plantaindoor/process/request_metrics.hpp"
@@ -67,6 +68,7 @@
           m_options(std::move(options)),
           m_tracer(loop, trace_options()),
           m_request_metrics(m_metrics),
+          m_path_metrics(m_metrics),
           m_in_progress(m_metrics.gauge(
               {.name = "requests_in_progress", .help = "Requests not yet answered."})),
           m_version(m_metrics.gauge({.name = "version", .help = "The version in force here."})),
@@ -86,8 +88,8 @@
                      .incarnation = m_options.incarnation}),
           m_duties(duty_options()),
           m_rules(rule_options()),
-          m_claims(loop, m_table, {.owner_prefix = run_name()}),
-          m_sweeper(loop, m_table, {}),
+          m_claims(loop, m_table, claim_options_here()),
+          m_sweeper(loop, m_table, m_options.claim_sweep),
           m_callers(caller_options()),
           m_router(m_options.operator_token),
           m_caller_server(loop, caller_server_options()),
@@ -176,6 +178,8 @@
     {
         m_in_progress.set(static_cast<double>(m_callers.in_progress()));
         m_version.set(static_cast<double>(m_log.current()->version));
+        m_path_metrics.read_claims(m_claims.counts(), m_claims.unsettled());
+        m_path_metrics.read_ejections(m_targets.ejections());
         m_metrics.advance(m_loop.now());
         return m_metrics.text();
     }
@@ -204,6 +208,7 @@
         return {.decisions = {.self = m_options.id,
                               .zone = m_options.zone,
                               .seed = m_options.incarnation,
+                              .max_waiting_per_service = m_options.queue_requests_per_service,
                               .max_waiting = m_options.queue_requests,
                               .max_waiting_bytes = m_options.queue_bytes},
                 .list_period = m_options.list_poll};
@@ -284,6 +289,13 @@
         m_log.share_polling(live.size());
     }
 
+    [[nodiscard]] request::claim_options claim_options_here() const
+    {
+        request::claim_options options = m_options.claims;
+        options.owner_prefix = run_name();
+        return options;
+    }
+
     caller_path_options caller_options()
     {
         return {.loop = m_loop,
@@ -296,6 +308,9 @@
                 .id_prefix = run_name(),
                 .body_limit_bytes = m_options.body_limit_bytes,
                 .answers = {.max_bytes = m_options.answer_limit_bytes},
+                .attempts = m_options.attempts,
+                .retries = m_options.retries,
+                .claim_wait = m_options.claim_wait,
                 .not_serving_reason = [this] { return not_serving_reason(); },
                 .is_current = [this] { return may_serve() == serving_state::serving; }};
     }
@@ -388,6 +403,9 @@
 
     void check_ended()
     {
+        if (m_loop.now() >= m_leave_until) {
+            m_callers.stop();
+        }
         const bool busy = m_callers.in_progress() != 0 || m_caller_server.in_progress() != 0;
         if (busy && m_loop.now() < m_leave_until) {
             m_settle_until = m_loop.now() + settle_time;
@@ -404,6 +422,7 @@
     tracer m_tracer;
     metrics_registry m_metrics;
     request_metrics m_request_metrics;
+    path_metrics m_path_metrics;
     metric_gauge& m_in_progress;
     metric_gauge& m_version;
     connection::http_client m_client;
