--- a/packages/process/src/job_verbs.cpp
+++ b/packages/process/src/job_verbs.cpp
@@ -313,7 +313,7 @@
 
 json object_in(const std::string& body)
 {
-    const json in = body.empty() ? json::object() : json::parse(body, nullptr, false);
+    json in = body.empty() ? json::object() : json::parse(body, nullptr, false);
     if (!in.is_object()) {
         throw invalid_value_error("body", body, "a JSON object");
     }
--- a/packages/process/tests/job_holders.hpp
+++ b/packages/process/tests/job_holders.hpp
@@ -35,6 +35,8 @@
 public:
     /// Disturbs the `at`-th call with an effect of the first holder, from 0.
     job_holders(disturbance how, std::size_t at);
+    job_holders(const job_holders&) = delete;
+    job_holders& operator=(const job_holders&) = delete;
     ~job_holders();
 
     void submit(const std::string& name, milliseconds run_time);
--- a/packages/process/tests/job_runs_test.cpp
+++ b/packages/process/tests/job_runs_test.cpp
@@ -44,7 +44,8 @@
     }
     CHECK(world.rows_left() == 0);
     CHECK(world.drained());
-    CHECK(world.faults() == std::vector<std::string>{});
+    CAPTURE(world.faults());
+    CHECK(world.faults().empty());
 }
 
 } // namespace
--- a/packages/process/tests/job_verbs_test.cpp
+++ b/packages/process/tests/job_verbs_test.cpp
@@ -60,7 +60,7 @@
 
 TEST_CASE("a job that can never run is refused with its type")
 {
-    CHECK(refusal_of("pool: p, team: t, processors: 6, memory_mb: 1000, accelerators: 1") == "");
+    CHECK(refusal_of("pool: p, team: t, processors: 6, memory_mb: 1000, accelerators: 1").empty());
     CHECK(refusal_of("pool: p, team: t, processors: 6.5") == "job-over-quota");
     CHECK(refusal_of("pool: p, team: t, processors: 8.5") == "job-too-large");
     CHECK(refusal_of("pool: p, team: t, memory_mb: 1001") == "job-too-large");
@@ -69,7 +69,7 @@
     CHECK(refusal_of("pool: q, team: t") == "unknown-pool");
     CHECK(refusal_of("pool: p, team: u") == "unknown-team");
     CHECK(refusal_of("pool: p, team: t, deadline: '2026-12-03T12:00:00Z'") == "deadline-passed");
-    CHECK(refusal_of("pool: p, team: t, deadline: '2026-12-03T12:00:01Z'") == "");
+    CHECK(refusal_of("pool: p, team: t, deadline: '2026-12-03T12:00:01Z'").empty());
 }
 
 TEST_CASE("a faulty file of jobs is refused with every fault")
@@ -103,7 +103,7 @@
         CAPTURE(wrong);
         CHECK(deadline(wrong) == "invalid-document");
     }
-    CHECK(deadline("2027-01-01T06:30:00Z") == "");
+    CHECK(deadline("2027-01-01T06:30:00Z").empty());
 }
 
 TEST_CASE("rows of jobs are read as they were written, and damaged ones are no rows")
