process: Let interactive load throttle the background jobs of its pool

Cause: the scheduler throttles background jobs from a share of interactive load on, and the runner gave it none, so only rules throttled. The entries' demand reports say what is asked of each service; interactive_load divides it by the pool's admitted slots, over all entries. Ruled out: counting classes of single requests in the reports; the service's default class tells interactive services from rebuilds without a change of the peers' protocol.

--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/process/target_source.hpp"
 #include "plantaindoor/request/dispatcher.hpp"
+#include "plantaindoor/request/interactive_load.hpp"
 #include "plantaindoor/version/change_log.hpp"
 
 #include <map>
@@ -50,6 +51,8 @@
     void hear(const request::demand_report& report);
     /// This entry's demand, to be sent to the peers with every exchange.
     [[nodiscard]] std::vector<request::service_demand> report_demand();
+    /// Share of the pool's slots that interactive and urgent services ask for, at all entries.
+    [[nodiscard]] double interactive_load(const pool_id& pool) const;
 
 private:
     void read_list();
@@ -65,6 +68,7 @@
     instance_list& m_list;
     milliseconds m_list_period;
     request::dispatcher m_dispatcher;
+    request::interactive_load m_load;
     std::unordered_map<request::ticket_id, callback> m_waiting;
     /// When the last request that was given up at a target must have ended there.
     std::map<instance_id, time_point> m_may_still_run;
--- a/packages/process/include/plantaindoor/process/job_runner.hpp
+++ b/packages/process/include/plantaindoor/process/job_runner.hpp
@@ -47,6 +47,8 @@
     std::function<void(const pool_id&)> drop;
     /// Instances that the platform doesn't list; nothing while that is not known.
     std::function<std::optional<version::lost_instances>()> lost;
+    /// Share of a pool's slots that interactive requests ask for; empty: none.
+    std::function<double(const pool_id&)> interactive_load;
     /// `pool` and `holding` are set for each book.
     job_book::options book;
     job_scheduler::options placement;
--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -124,12 +124,20 @@
 void dispatched_targets::hear(const request::demand_report& report)
 {
     m_dispatcher.hear(report, m_loop.now());
+    m_load.hear(report, m_loop.now());
     carry_out();
 }
 
 std::vector<request::service_demand> dispatched_targets::report_demand()
 {
-    return m_dispatcher.report_demand(m_loop.now());
+    auto demand = m_dispatcher.report_demand(m_loop.now());
+    m_load.reported(demand, m_loop.now());
+    return demand;
+}
+
+double dispatched_targets::interactive_load(const pool_id& pool) const
+{
+    return m_load.of(*m_log.current(), pool, m_loop.now());
 }
 
 void dispatched_targets::carry_out()
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -313,7 +313,9 @@
                 .held = [this] { return m_duties.held(); },
                 .guard_of = [this](const pool_id& pool) { return m_duties.guard_of(pool); },
                 .drop = [this](const pool_id& pool) { m_duties.drop(pool); },
-                .lost = [this] { return m_duties.known_lost(); }};
+                .lost = [this] { return m_duties.known_lost(); },
+                .interactive_load =
+                    [this](const pool_id& pool) { return m_targets.interactive_load(pool); }};
     }
 
     rule_runner_options rule_options()
--- a/packages/process/src/job_runner.cpp
+++ b/packages/process/src/job_runner.cpp
@@ -262,6 +262,7 @@
     subject.book.on_quota(m_options.exchange.quota_rows());
     const auto elsewhere = subject.book.used_elsewhere(*whole);
     const wall_time now = m_options.loop.wall_now();
+    const double load = m_options.interactive_load ? m_options.interactive_load(pool) : 0;
     const auto decisions =
         subject.scheduler.decide({.now = now,
                                   .whole = *whole,
@@ -269,7 +270,8 @@
                                   .jobs = subject.book.jobs(),
                                   .learned = subject.learned,
                                   .used_elsewhere = elsewhere,
-                                  .limits = m_options.exchange.placement_limits()});
+                                  .limits = m_options.exchange.placement_limits(),
+                                  .interactive_load = load});
     m_options.metrics.started(static_cast<std::uint64_t>(std::ranges::count_if(
         decisions, [](const auto& each) { return std::holds_alternative<start_job>(each); })));
     subject.book.on_decided(decisions, now);
