--- /dev/null
+++ b/bench/jobs_bench.cpp
@@ -0,0 +1,219 @@
+// Placement of jobs in virtual time: the scheduler against a naive first fit on the same arrivals,
+// and what a round of placement costs.
+#include "job_simulation.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace plantaindoor;
+using namespace plantaindoor::process;
+using version::priority;
+
+namespace {
+
+constexpr std::size_t fewest_workers = 8;
+constexpr std::size_t most_workers = 56;
+constexpr std::size_t workers_step = 4;
+constexpr std::size_t compared_workers = 28;
+
+constexpr std::array scenarios{
+    scenario{.name = "declared sizes right"},
+    scenario{.name = "declared sizes off", .wrong_sizes = true},
+    scenario{.name = "off, 2 failing workers", .wrong_sizes = true, .failing_workers = 2},
+    scenario{.name = "off, rebuild beside load", .wrong_sizes = true, .load = true}};
+
+struct way {
+    const char* name = "";
+    std::unique_ptr<placer> (*make)() = nullptr;
+    std::uint32_t reserve = 0;
+};
+
+constexpr std::array ways{
+    way{.name = "first fit",
+        .make = []() -> std::unique_ptr<placer> { return std::make_unique<first_fit>(); }},
+    way{.name = "scheduler",
+        .make = []() -> std::unique_ptr<placer> { return std::make_unique<planned>(); }},
+    way{.name = "scheduler, reserve 1",
+        .make = []() -> std::unique_ptr<placer> { return std::make_unique<planned>(); },
+        .reserve = 1}};
+
+figures simulate(const scenario& what, const way& how, std::size_t workers)
+{
+    const arrival_list arrivals(what.wrong_sizes);
+    const std::unique_ptr<placer> placed = how.make();
+    return simulation(what, *placed, workers, how.reserve).run(arrivals.all());
+}
+
+/// The fewest workers, in steps, with which nothing is missed; zero if `most_workers` don't do.
+std::size_t workers_needed(const scenario& what, const way& how)
+{
+    for (std::size_t workers = fewest_workers; workers <= most_workers; workers += workers_step) {
+        if (simulate(what, how, workers).good()) {
+            return workers;
+        }
+    }
+    return 0;
+}
+
+struct round_shape {
+    const char* name = "";
+    std::size_t pools = 1;
+    std::size_t workers = 0;
+    std::size_t waiting = 0;
+    /// Every worker is full, so that nothing fits.
+    bool full = false;
+};
+
+/// Mean time of one round of all pools, in milliseconds: the same view again and again.
+double round_ms(const round_shape& shape)
+{
+    std::mt19937 random(20261203);
+    version::fleet whole = fleet_of(shape.workers / shape.pools);
+    const std::size_t own = whole.instances.size();
+    // The other pools' instances are walked over as well.
+    for (std::size_t n = own; n < shape.workers; ++n) {
+        const instance_id id(fmt::format("x{:04}", n));
+        whole.instances[id] = {.id = id, .pool = pool_id("other"), .processors = 16};
+    }
+    std::map<job_id, job> jobs;
+    const auto add = [&](std::string name, double processors) -> job& {
+        const job_id id(std::move(name));
+        return jobs[id] = {.spec = {.id = id,
+                                    .pool = pool_name,
+                                    .team = team_name,
+                                    .work_class = static_cast<priority>(1 + random() % 2),
+                                    .kind = std::to_string(random() % 20),
+                                    .declared = {.processors = processors,
+                                                 .memory_mb = 500 + random() % 8000,
+                                                 .run_time = seconds(60 + random() % 600)}},
+                           .submitted = wall_time(seconds(random() % 100))};
+    };
+    for (std::size_t n = 0; n < shape.waiting / shape.pools; ++n) {
+        add(fmt::format("job-{:06}", n), 1 + static_cast<double>(random() % 80) / 10);
+    }
+    if (shape.full) {
+        for (const auto& [id, each] : whole.instances) {
+            if (each.pool != pool_name) {
+                continue;
+            }
+            job& running = add("running-" + id.str(), worker_processors - 0.5);
+            running.state = job_state::placed;
+            running.worker = id;
+        }
+    }
+    const learned_sizes learned;
+    const std::map<team_id, team_usage> nothing;
+    constexpr int rounds = 20;
+    job_scheduler scheduler{{}};
+    const auto begin = std::chrono::steady_clock::now();
+    for (int n = 0; n < rounds; ++n) {
+        static_cast<void>(scheduler.decide({.now = wall_time(seconds(100)),
+                                            .whole = whole,
+                                            .pool = pool_name,
+                                            .jobs = jobs,
+                                            .learned = learned,
+                                            .used_elsewhere = nothing,
+                                            .limits = {},
+                                            .interactive_load = 0}));
+    }
+    const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begin;
+    return took.count() / rounds * static_cast<double>(shape.pools);
+}
+
+constexpr std::array round_shapes{round_shape{"61 pools, room", 61, 1708, 2500},
+                                  round_shape{"61 pools, room", 61, 1708, 5000},
+                                  round_shape{"61 pools, room", 61, 1708, 10000},
+                                  round_shape{"61 pools, full", 61, 1708, 10000, true},
+                                  round_shape{"one pool, room", 1, 1700, 2500},
+                                  round_shape{"one pool, room", 1, 1700, 5000},
+                                  round_shape{"one pool, room", 1, 1700, 10000},
+                                  round_shape{"one pool, room", 1, 1700, 20000},
+                                  round_shape{"one pool, full", 1, 1700, 2500, true},
+                                  round_shape{"one pool, full", 1, 1700, 5000, true},
+                                  round_shape{"one pool, full", 1, 1700, 10000, true},
+                                  round_shape{"one pool, full", 1, 1700, 20000, true},
+                                  round_shape{"one pool, full", 1, 425, 10000, true},
+                                  round_shape{"one pool, full", 1, 850, 10000, true}};
+
+nlohmann::json compare(bool print)
+{
+    nlohmann::json rows;
+    if (print) {
+        fmt::print("{:<26}{:<22}{:>8}{:>8}{:>8}{:>7}{:>8}{:>12}{:>17}{:>11}{:>8}\n", "list", "way",
+                   "workers", "missed", "warned", "moves", "failed", "urgent p99",
+                   "interactive p99", "in load %", "needed");
+    }
+    for (const scenario& what : scenarios) {
+        for (const way& how : ways) {
+            const figures seen = simulate(what, how, compared_workers);
+            const std::size_t needed = workers_needed(what, how);
+            rows.push_back({{"list", what.name},
+                            {"way", how.name},
+                            {"workers", seen.workers},
+                            {"missed", seen.missed},
+                            {"warned", seen.warned},
+                            {"moves", seen.moves},
+                            {"failed", seen.failed},
+                            {"undone", seen.undone},
+                            {"urgent_p99_ms", seen.urgent_p99_ms},
+                            {"interactive_p99_s", seen.interactive_p99_s},
+                            {"background_in_load", seen.background_in_load},
+                            {"workers_needed", needed}});
+            if (print) {
+                fmt::print(
+                    "{:<26}{:<22}{:>8}{:>8}{:>8}{:>7}{:>8}{:>10.2f} s{:>15.2f} s{:>11.0f}{:>8}\n",
+                    what.name, how.name, seen.workers, seen.missed, seen.warned, seen.moves,
+                    seen.failed, seen.urgent_p99_ms / 1000, seen.interactive_p99_s,
+                    seen.background_in_load * 100,
+                    needed > 0 ? std::to_string(needed) : fmt::format("> {}", most_workers));
+            }
+        }
+    }
+    return rows;
+}
+
+nlohmann::json time_rounds(bool print)
+{
+    nlohmann::json rows;
+    for (const round_shape& shape : round_shapes) {
+        const double took = round_ms(shape);
+        rows.push_back({{"shape", shape.name},
+                        {"workers", shape.workers},
+                        {"waiting", shape.waiting},
+                        {"milliseconds", took}});
+        if (print) {
+            fmt::print("round, {}, {} workers, {} waiting: {:.2f} ms, {:.0f} ns a job\n",
+                       shape.name, shape.workers, shape.waiting, took,
+                       took * 1e6 / static_cast<double>(shape.waiting));
+        }
+    }
+    return rows;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("jobs_bench", "Placement of jobs against first fit, and its cost");
+    options.add_options()("json", "print JSON")("rounds", "only the cost of rounds");
+    const auto given = options.parse(argc, argv);
+    const bool print = given.count("json") == 0;
+    nlohmann::json out;
+    out["rounds"] = time_rounds(print);
+    if (given.count("rounds") == 0) {
+        out["placement"] = compare(print);
+    }
+    if (!print) {
+        std::cout << out.dump(2) << '\n';
+    }
+    return 0;
+}
--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -76,11 +76,19 @@
 
 void dispatched_targets::cancel(request::ticket_id ticket)
 {
-    m_waiting.erase(ticket);
+    if (m_waiting.erase(ticket) == 0) {
+        return;
+    }
     m_dispatcher.cancel(ticket);
     carry_out();
 }
 
+void dispatched_targets::hold(const request::target_grant& grant, request::attempt_result result)
+{
+    m_dispatcher.hold(grant.ticket, result, m_loop.now());
+    carry_out();
+}
+
 void dispatched_targets::release(const request::target_grant& grant, request::attempt_result result)
 {
     m_dispatcher.release(grant.ticket, result, m_loop.now());
