--- a/packages/process/include/plantaindoor/process/dispatched_targets.hpp
+++ b/packages/process/include/plantaindoor/process/dispatched_targets.hpp
@@ -35,10 +35,15 @@
     request::ticket_id submit(const request::caller_request& request,
                               const request::tried_targets& tried, callback done) override;
     void cancel(request::ticket_id ticket) override;
+    void hold(const request::target_grant& grant, request::attempt_result result) override;
     void release(const request::target_grant& grant, request::attempt_result result) override;
     void may_still_run(const instance_id& target, time_point until) override;
     [[nodiscard]] std::vector<instance_id> busy_targets() const override;
 
+    [[nodiscard]] std::vector<request::service_ejections> ejections() const
+    {
+        return m_dispatcher.ejections();
+    }
     /// Replaces the live entries, from their registrations.
     void set_entries(std::vector<entry_id> live);
     /// Takes a peer's demand.
--- a/packages/process/src/target_call.cpp
+++ b/packages/process/src/target_call.cpp
@@ -61,17 +61,30 @@
 /// Shared with the client, which may hold it longer than the call lives.
 class target_call::watch final : public connection::call_observer {
 public:
-    watch(const event_loop& loop, request::answer_expectation expected,
+    watch(const event_loop& loop, request::answer_expectation expected, bool echo_on_kept,
           std::function<bool()> may_send)
-        : m_loop(loop), m_check(std::move(expected)), m_may_send(std::move(may_send))
+        : m_loop(loop),
+          m_check(std::move(expected)),
+          m_echo_on_kept(echo_on_kept),
+          m_may_send(std::move(may_send))
     {
     }
 
-    bool may_send() override { return m_may_send(); }
+    bool may_send(bool kept) override
+    {
+        m_kept = kept;
+        if (kept && m_echo_on_kept) {
+            m_check.require_echo();
+        }
+        m_sent = m_sent || m_may_send();
+        return m_sent;
+    }
 
     bool head(const http_response& head) override
     {
-        return m_check.head(head_of(head), m_loop.now()) == answer_verdict::incomplete;
+        const request::answer_head read = head_of(head);
+        m_echoed = !read.request_id.empty();
+        return m_check.head(read, m_loop.now()) == answer_verdict::incomplete;
     }
 
     bool body(std::size_t bytes) override
@@ -81,12 +94,20 @@
 
     answer_verdict end(bool clean) { return m_check.end(clean, m_loop.now()); }
     answer_verdict tick() { return m_check.tick(m_loop.now()); }
+    /// Whether the first byte was allowed to leave.
+    [[nodiscard]] bool sent() const { return m_sent; }
     [[nodiscard]] answer_verdict verdict() const { return m_check.verdict(); }
+    [[nodiscard]] bool kept() const { return m_kept; }
+    [[nodiscard]] bool echoed() const { return m_echoed; }
 
 private:
     const event_loop& m_loop;
     request::answer_check m_check;
+    bool m_echo_on_kept;
+    bool m_kept = false;
+    bool m_echoed = false;
     std::function<bool()> m_may_send;
+    bool m_sent = false;
 };
 
 target_call::target_call(event_loop& loop, connection::http_client& client,
@@ -94,21 +115,22 @@
     : m_loop(loop),
       m_client(client),
       m_done(std::move(done)),
-      m_watch(
-          std::make_shared<watch>(loop, std::move(options.expected), std::move(options.may_send)))
+      m_answer_by(options.answer_by),
+      m_watch(std::make_shared<watch>(loop, std::move(options.expected), options.echo_on_kept,
+                                      std::move(options.may_send)))
 {
     const time_point now = loop.now();
     const std::size_t limit = options.expected.limits.max_bytes;
     m_call = m_client.start({.to = std::move(options.to),
                              .request = std::move(options.request),
-                             .timeout = until(options.answer_by, now),
+                             .timeout = until(std::max(options.answer_by, options.run_by), now),
                              .connect_timeout = until(options.connect_by, now),
                              .answer_limit_bytes = limit,
-                             .own_connection = options.own_connection,
+                             .use = options.use,
                              .observer = m_watch,
                              .hop = "entry -> target",
                              .parent = options.parent},
-                            [this](connection::http_result result) { finish(std::move(result)); });
+                            [this](connection::http_result result) { end(std::move(result)); });
     schedule_tick();
 }
 
@@ -120,7 +142,8 @@
 
 void target_call::schedule_tick()
 {
-    m_tick = m_loop.call_after(tick_period, [this] { tick(); });
+    const nanoseconds left = std::max(nanoseconds(0), m_answer_by - m_loop.now());
+    m_tick = m_loop.call_after(std::min<nanoseconds>(tick_period, left), [this] { tick(); });
 }
 
 void target_call::tick()
@@ -129,8 +152,28 @@
         schedule_tick();
         return;
     }
+    m_tick = timer_id::none;
+    if (m_watch->verdict() == answer_verdict::late && m_watch->sent()) {
+        report({.verdict = answer_verdict::late,
+                .fault = transport_fault::timed_out,
+                .still_running = true});
+        return;
+    }
     m_client.cancel(m_call);
-    finish({.fault = transport_fault::rejected, .sent = true});
+    finish({.fault = m_watch->sent() ? transport_fault::rejected : transport_fault::connect_failed,
+            .sent = m_watch->sent()});
+}
+
+void target_call::end(connection::http_result result)
+{
+    if (m_done) {
+        finish(std::move(result));
+        return;
+    }
+    const idle_callback idle = std::move(m_idle);
+    if (idle) {
+        idle();
+    }
 }
 
 void target_call::finish(connection::http_result result)
@@ -139,12 +182,19 @@
     m_tick = timer_id::none;
     target_call_result ended{.verdict = m_watch->verdict(),
                              .fault = result.fault,
+                             .kept = m_watch->kept(),
+                             .echoed = m_watch->echoed(),
                              .response = std::move(result.response)};
     if (ended.verdict == answer_verdict::incomplete) {
         ended.verdict = m_watch->end(result.fault == transport_fault::none);
     }
-    const callback done = std::move(m_done);
-    done(std::move(ended));
+    report(std::move(ended));
+}
+
+void target_call::report(target_call_result result)
+{
+    const callback done = std::exchange(m_done, nullptr);
+    done(std::move(result));
 }
 
 } // namespace plantaindoor::process
