process: Let a deployment set what its waves save and when an instance has failed

Cause: the planner's weights and the duties' times were constants, although Blue Mahoe's spare capacity is dear and Chao Phraya's moves are. waves.save names what is saved (buffer, moves or neither); domain, loans and the bounds for failed instances are settings too, checked and with the duties' own defaults.

--- a/apps/plantaindoord/main.cpp
+++ b/apps/plantaindoord/main.cpp
@@ -61,6 +61,30 @@
     options.claim_sweep.page_period = given.sweep_period;
 }
 
+constexpr process::wave_weights weights_of(process::wave_saving save)
+{
+    switch (save) {
+    case process::wave_saving::buffer:
+        return process::buffer_saving_weights;
+    case process::wave_saving::moves:
+        return process::move_saving_weights;
+    case process::wave_saving::balanced:
+        break;
+    }
+    return {};
+}
+
+void set_waves(process::entry_options& options, const process::wave_settings& given)
+{
+    options.waves.weights = weights_of(given.save);
+    options.waves.one_at_a_time = given.one_at_a_time;
+    options.waves.max_loans_per_pool = given.loans_per_pool;
+    options.wave_times.loan_term = given.loan_term;
+    options.wave_times.max_failed_in_wave = given.most_failed;
+    options.wave_times.return_timeout = given.return_timeout;
+    options.wave_times.lost_after = given.lost_after;
+}
+
 process::entry_options entry_options_of(const process::settings& settings)
 {
     process::entry_options options;
@@ -87,6 +111,7 @@
     options.queue_bytes = settings.limits.queue_bytes;
     set_attempts(options, settings.attempts);
     set_claims(options, settings.claims);
+    set_waves(options, settings.waves);
     options.trace_ring = settings.traces.ring;
     options.trace_file = settings.traces.file;
     return options;
--- a/packages/process/include/plantaindoor/process/entry.hpp
+++ b/packages/process/include/plantaindoor/process/entry.hpp
@@ -5,6 +5,8 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/connection/endpoint.hpp"
 #include "plantaindoor/process/claim_sweeper.hpp"
+#include "plantaindoor/process/pool_duty.hpp"
+#include "plantaindoor/process/wave_planner.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
 #include "plantaindoor/request/claim_batcher.hpp"
 #include "plantaindoor/request/retry_budget.hpp"
@@ -47,6 +49,8 @@
     /// The owner's prefix is set by the entry.
     request::claim_options claims;
     claim_sweeper_options claim_sweep;
+    wave_planner::options waves;
+    pool_duty::timing wave_times;
     /// Term of the duties' leases, and the time from one renewal to the next.
     milliseconds lease{6000};
     milliseconds renew{1000};
--- a/packages/process/include/plantaindoor/process/settings.hpp
+++ b/packages/process/include/plantaindoor/process/settings.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/connection/endpoint.hpp"
+#include "plantaindoor/version/fleet.hpp"
 
 #include <array>
 #include <cstddef>
@@ -22,6 +23,8 @@
 
 enum class log_format { human, json };
 enum class log_level { debug, info, warning, error };
+/// What waves spend least of: neither, spare capacity, or moves.
+enum class wave_saving { balanced, buffer, moves };
 
 struct listen_settings {
     endpoint callers;
@@ -72,6 +75,21 @@
     milliseconds sweep_period{0};
 };
 
+/// Of the pools' duties.
+struct wave_settings {
+    wave_saving save = wave_saving::balanced;
+    /// Only one of these has a service's instances out at a time.
+    version::failure_domain one_at_a_time = version::failure_domain::availability_zone;
+    std::uint32_t loans_per_pool = 0;
+    milliseconds loan_term{0};
+    /// A wave is paused when this many of its instances have failed; zero: never.
+    std::uint32_t most_failed = 0;
+    /// An instance that isn't back from its reboot by then has failed.
+    milliseconds return_timeout{0};
+    /// An admitted instance that isn't listed for this long has failed.
+    milliseconds lost_after{0};
+};
+
 struct log_settings {
     log_format format = log_format::human;
     log_level level = log_level::info;
@@ -98,6 +116,7 @@
     timing_settings timings;
     attempt_settings attempts;
     claim_settings claims;
+    wave_settings waves;
     log_settings logs;
     trace_settings traces;
 };
@@ -145,6 +164,15 @@
     }};
 };
 
+template<>
+struct enum_names<process::wave_saving> {
+    static constexpr std::array<enum_name<process::wave_saving>, 3> table{{
+        {process::wave_saving::balanced, "balanced"},
+        {process::wave_saving::buffer, "buffer"},
+        {process::wave_saving::moves, "moves"},
+    }};
+};
+
 template<>
 struct enum_names<process::log_level> {
     static constexpr std::array<enum_name<process::log_level>, 4> table{{
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -292,6 +292,8 @@
             .self = m_options.id,
             .incarnation = m_options.incarnation,
             .interval = m_options.renew,
+            .waves = m_options.waves,
+            .times = m_options.wave_times,
             .entries = {.list_lag_bound = m_options.list_lag, .longest_gap = longest_reading_gap},
             .lease_term = m_options.lease,
             .other_duties = &duties_of_rules,
--- a/packages/process/src/settings.cpp
+++ b/packages/process/src/settings.cpp
@@ -91,6 +91,26 @@
     .path = "claims.sweep_rows", .fallback = 200, .least = 1, .most = 1000};
 const setting<milliseconds> sweep_period_setting{
     .path = "claims.sweep_period_ms", .fallback = milliseconds(1000), .least = 10, .most = day_ms};
+const setting<wave_saving> wave_saving_setting{.path = "waves.save",
+                                               .fallback = wave_saving::balanced};
+const setting<version::failure_domain> one_at_a_time_setting{
+    .path = "waves.one_at_a_time", .fallback = version::failure_domain::availability_zone};
+const setting<std::uint64_t> loans_setting{
+    .path = "waves.loans_per_pool", .fallback = 2, .least = 0, .most = 1000};
+const setting<milliseconds> loan_term_setting{.path = "waves.loan_term_ms",
+                                              .fallback = milliseconds(7'200'000),
+                                              .least = minute_ms,
+                                              .most = 30 * day_ms};
+const setting<std::uint64_t> most_failed_setting{
+    .path = "waves.most_failed", .fallback = 2, .least = 0, .most = 10'000};
+const setting<milliseconds> return_timeout_setting{.path = "waves.return_timeout_ms",
+                                                   .fallback = milliseconds(900'000),
+                                                   .least = 10'000,
+                                                   .most = day_ms};
+const setting<milliseconds> lost_after_setting{.path = "waves.lost_after_ms",
+                                               .fallback = milliseconds(180'000),
+                                               .least = 10'000,
+                                               .most = day_ms};
 const setting<log_format> format_setting{.path = "logs.format", .fallback = log_format::human};
 const setting<log_level> level_setting{.path = "logs.level", .fallback = log_level::info};
 const setting<std::uint64_t> ring_setting{
@@ -126,6 +146,17 @@
             .sweep_period = in.get(sweep_period_setting)};
 }
 
+wave_settings read_waves(settings_reader& in)
+{
+    return {.save = in.get(wave_saving_setting),
+            .one_at_a_time = in.get(one_at_a_time_setting),
+            .loans_per_pool = small(in, loans_setting),
+            .loan_term = in.get(loan_term_setting),
+            .most_failed = small(in, most_failed_setting),
+            .return_timeout = in.get(return_timeout_setting),
+            .lost_after = in.get(lost_after_setting)};
+}
+
 settings read_all(settings_reader& in)
 {
     return {.cluster = in.get(cluster_setting),
@@ -151,6 +182,7 @@
                         .drain_timeout = in.get(drain_timeout_setting)},
             .attempts = read_attempts(in),
             .claims = read_claims(in),
+            .waves = read_waves(in),
             .logs = {.format = in.get(format_setting), .level = in.get(level_setting)},
             .traces = {.ring = in.get(ring_setting), .file = in.get(trace_file_setting)}};
 }
--- a/packages/process/src/settings_reader.cpp
+++ b/packages/process/src/settings_reader.cpp
@@ -183,6 +183,8 @@
 template endpoint settings_reader::get(const setting<endpoint>&);
 template log_format settings_reader::get(const setting<log_format>&);
 template log_level settings_reader::get(const setting<log_level>&);
+template wave_saving settings_reader::get(const setting<wave_saving>&);
+template version::failure_domain settings_reader::get(const setting<version::failure_domain>&);
 
 std::vector<endpoint> settings_reader::get_list(const setting<endpoint>& wanted)
 {
--- a/packages/process/tests/settings_test.cpp
+++ b/packages/process/tests/settings_test.cpp
@@ -1,6 +1,8 @@
 #include "plantaindoor/common/scope_guard.hpp"
 #include "plantaindoor/process/claim_sweeper.hpp"
+#include "plantaindoor/process/pool_duty.hpp"
 #include "plantaindoor/process/settings.hpp"
+#include "plantaindoor/process/wave_planner.hpp"
 #include "plantaindoor/request/attempt_tracker.hpp"
 #include "plantaindoor/request/claim_batcher.hpp"
 #include "plantaindoor/request/dispatcher.hpp"
@@ -122,6 +124,42 @@
     }
 }
 
+TEST_CASE("a short file's defaults are the duties' own", "[settings]")
+{
+    const wave_settings read = parse_settings(short_text, "f.yaml").waves;
+    const wave_planner::options planner;
+    const pool_duty::timing times;
+    CHECK(read.save == wave_saving::balanced);
+    CHECK(read.one_at_a_time == planner.one_at_a_time);
+    CHECK(read.loans_per_pool == planner.max_loans_per_pool);
+    CHECK(read.loan_term == times.loan_term);
+    CHECK(read.most_failed == times.max_failed_in_wave);
+    CHECK(read.return_timeout == times.return_timeout);
+    CHECK(read.lost_after == times.lost_after);
+}
+
+TEST_CASE("waves are set as a deployment wants them", "[settings]")
+{
+    const std::string text = short_text;
+    const wave_settings read =
+        parse_settings(text + "waves: {save: moves, one_at_a_time: rack, loans_per_pool: 0,\n"
+                              "  loan_term_ms: 60000, most_failed: 0, return_timeout_ms: 10000,\n"
+                              "  lost_after_ms: 86400000}\n",
+                       "f.yaml")
+            .waves;
+    CHECK(read.save == wave_saving::moves);
+    CHECK(read.one_at_a_time == version::failure_domain::rack);
+    CHECK(read.loans_per_pool == 0);
+    CHECK(read.loan_term == milliseconds(60000));
+    CHECK(read.most_failed == 0);
+    CHECK(read.return_timeout == milliseconds(10000));
+    CHECK(read.lost_after == milliseconds(86400000));
+    const auto faults = faults_of(text + "waves: {save: money, lost_after_ms: 9999}\n");
+    REQUIRE(faults.size() == 2);
+    CHECK(faults[0].expected == "balanced|buffer|moves");
+    CHECK(faults[1].path == "waves.lost_after_ms");
+}
+
 TEST_CASE("a short file's defaults are the request path's own", "[settings]")
 {
     const settings read = parse_settings(short_text, "f.yaml");
--- a/tests/process/wave_test.py
+++ b/tests/process/wave_test.py
@@ -83,6 +83,15 @@
             self.run_wave(cluster, lambda: None, entries=["e1", "e2"],
                           headers={"Plantaindoor-Deadline-Ms": str(LONGEST_REQUEST_MS)})
 
+    def test_waves_follow_the_settings(self):
+        with Cluster(targets=3, entries=1, service={"budget": {"minimum": 1}},
+                     entry_settings={"waves": {"one_at_a_time": "none"}}) as cluster:
+            cluster.wait_version(cluster.apply())
+            started = post(cluster, "e1", "/v1/waves", {"id": "m1", "pools": ["checks"]})
+            self.assertEqual(started.status, 200, started.body)
+            # In two zones: no zone has more than one.
+            wait_for("two instances out", lambda: wave_of(cluster, "e1").get("out") == 2)
+
     def test_drain_that_breaks_the_budget_is_refused_with_figures(self):
         with self.fleet_cluster() as cluster:
             cluster.wait_version(cluster.apply())
