process: Let one class take turns for the list's and the rows' readings

Cause: paced_instance_list and membership_reader held the same 25 lines that queue callers and start one reading at a time, no sooner than due (found by comparing the change with the tree). The template reading_turns holds them once.

--- a/packages/process/include/plantaindoor/process/membership_reader.hpp
+++ b/packages/process/include/plantaindoor/process/membership_reader.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/platform.hpp"
 #include "plantaindoor/common/table.hpp"
 #include "plantaindoor/process/reading_pace.hpp"
+#include "plantaindoor/process/reading_turns.hpp"
 #include "plantaindoor/version/registration_set.hpp"
 
 #include <functional>
@@ -46,7 +47,7 @@
     membership_reader(const membership_reader&) = delete;
     membership_reader& operator=(const membership_reader&) = delete;
     /// Callers that still wait are not called back.
-    ~membership_reader();
+    ~membership_reader() = default;
 
     void read(caller who);
 
@@ -54,23 +55,17 @@
     template<class Action>
     auto while_alive(Action action);
 
-    void start_when_due();
-    void start();
+    void start(std::vector<caller> callers);
     void on_rows(const read_result& rows);
     void deliver(const membership_answer& answer);
 
-    event_loop& m_loop;
     table& m_table;
     instance_list& m_list;
     membership_reader_options m_options;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    std::vector<caller> m_waiting;
     /// The callers of the reading that is under way.
     std::vector<caller> m_served;
-    bool m_reading = false;
-    time_point m_started{};
-    time_point m_next{};
-    timer_id m_timer = timer_id::none;
+    reading_turns<caller> m_turns;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/include/plantaindoor/process/paced_instance_list.hpp
+++ b/packages/process/include/plantaindoor/process/paced_instance_list.hpp
@@ -4,6 +4,7 @@
 
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/platform.hpp"
+#include "plantaindoor/process/reading_turns.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -32,27 +33,21 @@
     paced_instance_list(const paced_instance_list&) = delete;
     paced_instance_list& operator=(const paced_instance_list&) = delete;
     /// Callers that still wait are not called back.
-    ~paced_instance_list() override;
+    ~paced_instance_list() override = default;
 
     void list(list_callback done) override;
 
 private:
     using reading = std::optional<std::vector<listed_instance>>;
 
-    void start_when_due();
-    void start();
+    void read(std::vector<list_callback> callers);
     void deliver(const std::vector<list_callback>& callers, const reading& listed);
     [[nodiscard]] milliseconds period_after(std::size_t lines) const;
 
-    event_loop& m_loop;
     instance_list& m_inner;
     paced_instance_list_options m_options;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    std::vector<list_callback> m_waiting;
-    bool m_reading = false;
-    time_point m_started{};
-    time_point m_next{};
-    timer_id m_timer = timer_id::none;
+    reading_turns<list_callback> m_turns;
 };
 
 } // namespace plantaindoor::process
--- a/packages/process/src/membership_reader.cpp
+++ b/packages/process/src/membership_reader.cpp
@@ -26,15 +26,13 @@
 
 membership_reader::membership_reader(event_loop& loop, table& rows, instance_list& list,
                                      membership_reader_options options)
-    : m_loop(loop), m_table(rows), m_list(list), m_options(options)
+    : m_table(rows),
+      m_list(list),
+      m_options(options),
+      m_turns(loop, [this](std::vector<caller> callers) { start(std::move(callers)); })
 {
 }
 
-membership_reader::~membership_reader()
-{
-    m_loop.cancel(m_timer);
-}
-
 template<class Action>
 auto membership_reader::while_alive(Action action)
 {
@@ -47,32 +45,13 @@
 
 void membership_reader::read(caller who)
 {
-    m_waiting.push_back(std::move(who));
-    start_when_due();
-}
-
-void membership_reader::start_when_due()
-{
-    if (m_reading || m_waiting.empty() || m_timer != timer_id::none) {
-        return;
-    }
-    const nanoseconds wait = m_next - m_loop.now();
-    if (wait <= nanoseconds(0)) {
-        start();
-        return;
-    }
-    m_timer = m_loop.call_after(wait, [this] {
-        m_timer = timer_id::none;
-        start();
-    });
+    m_turns.ask(std::move(who));
 }
 
-void membership_reader::start()
+void membership_reader::start(std::vector<caller> callers)
 {
-    m_reading = true;
-    m_started = m_loop.now();
-    m_next = m_started + m_options.pace.least;
-    m_served = std::exchange(m_waiting, {});
+    m_turns.set_period(m_options.pace.least);
+    m_served = std::move(callers);
     m_table.scan({.prefix = std::string(version::registration_prefix), .limit = max_rows},
                  while_alive([this](const read_result& rows) { on_rows(rows); }));
 }
@@ -84,7 +63,7 @@
         deliver({});
         return;
     }
-    m_next = m_started + m_options.pace.period_after(answer_bytes(*rows));
+    m_turns.set_period(m_options.pace.period_after(answer_bytes(*rows)));
     for (const caller& each : m_served) {
         if (each.on_rows) {
             each.on_rows(*decoded);
@@ -98,11 +77,10 @@
 
 void membership_reader::deliver(const membership_answer& answer)
 {
-    m_reading = false;
     for (const caller& each : std::exchange(m_served, {})) {
         each.on_answer(answer);
     }
-    start_when_due();
+    m_turns.ended();
 }
 
 } // namespace plantaindoor::process
