process: Read and write the jobs' rows by one pair of functions

They are in job_json.hpp now; the other places that write such JSON live in other packages or write one line.

--- a/packages/process/src/job_rows.cpp
+++ b/packages/process/src/job_rows.cpp
@@ -1,6 +1,6 @@
 #include "plantaindoor/process/job_rows.hpp"
 
-#include <nlohmann/json.hpp>
+#include "job_json.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -13,11 +13,6 @@
 
 constexpr std::size_t longest_job_id = 200;
 
-std::string dumped(const json& body)
-{
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 template<class Enum>
 Enum named(const json& in, const char* key)
 {
@@ -110,17 +105,6 @@
 }
 
 /// The decoder's result, or nothing where the bytes are not what it expects.
-template<class Decode>
-auto decoded(std::string_view bytes, Decode decode) -> std::optional<decltype(decode(json()))>
-{
-    try {
-        return decode(json::parse(bytes));
-    }
-    catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 bool job_cancel::fits(const job& subject) const
--- a/packages/process/src/job_shared_rows.cpp
+++ b/packages/process/src/job_shared_rows.cpp
@@ -1,31 +1,11 @@
 #include "plantaindoor/process/job_shared_rows.hpp"
 
-#include <nlohmann/json.hpp>
+#include "job_json.hpp"
 
 namespace plantaindoor::process {
 
 using nlohmann::json;
 
-namespace {
-
-std::string dumped(const json& body)
-{
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-template<class Decode>
-auto decoded(std::string_view bytes, Decode decode) -> std::optional<decltype(decode(json()))>
-{
-    try {
-        return decode(json::parse(bytes));
-    }
-    catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
-} // namespace
-
 std::string job_figures_key(const pool_id& pool)
 {
     return std::string(job_figures_prefix) + pool.str();
