process: Promise a job its team's quota together with its room

Cause: an urgent job that waits until others have given way held its room and not its quota, so a later job of the same team could take the quota in the same round, and the first one waited on.

--- a/packages/process/include/plantaindoor/process/job_book.hpp
+++ b/packages/process/include/plantaindoor/process/job_book.hpp
@@ -8,7 +8,7 @@
 #include "plantaindoor/process/job.hpp"
 #include "plantaindoor/process/job_rows.hpp"
 #include "plantaindoor/process/job_scheduler.hpp"
-#include "plantaindoor/process/job_shared_rows.hpp"
+#include "plantaindoor/process/team_quotas.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -68,7 +68,7 @@
         std::size_t group = 200;
     };
 
-    explicit job_book(options how) : m_options(std::move(how)) {}
+    explicit job_book(options how) : m_options(std::move(how)), m_quotas(m_options.pool) {}
 
     /// Takes in rows under job_live_prefix, read after the duty was taken. Others' jobs are left
     /// out.
@@ -81,11 +81,7 @@
     void on_decided(const std::vector<job_decision>& decisions, wall_time now);
     /// Which teams have a quota: a write that changes what their runs need here is conditioned on
     /// the quota's row, and tells the other pools.
-    void set_limited(std::set<team_id> teams) { m_limited = std::move(teams); }
-    /// Takes in the rows of quotas.
-    void on_quota(const std::vector<table_row>& rows);
-    /// What the limited teams use in the fleet's other pools.
-    [[nodiscard]] std::map<team_id, team_usage> used_elsewhere(const version::fleet& whole) const;
+    [[nodiscard]] team_quotas& quotas() noexcept { return m_quotas; }
     /// Ends the runs on a worker, checkpointing them first.
     void vacate(const instance_id& worker, const std::string& reason);
     /// Whether no run can be alive on the worker, as far as the table knows.
@@ -136,14 +132,7 @@
         row_version inbox = absent_row;
     };
 
-    struct quota_state {
-        row_version version = absent_row;
-        quota_usage usage;
-    };
-
     [[nodiscard]] std::map<team_id, team_usage> own_usage() const;
-    /// Adds the quotas that the write changes; false where there are none.
-    bool add_quotas(table_transaction& into);
     void take(const table_row& row, const job& submitted);
     void cancel(const table_row& row);
     void on_report(const job_id& id, const task_report& report);
@@ -169,6 +158,7 @@
     void note(const job& subject, const std::string& action);
 
     options m_options;
+    team_quotas m_quotas;
     std::map<job_id, job> m_jobs;
     /// Over here, and not yet in the table.
     std::map<job_id, job> m_over;
@@ -180,9 +170,6 @@
     /// Requests to cancel that are carried out once nothing is dirty; their versions by key.
     std::map<std::string, row_version> m_cancels;
     std::map<std::string, row_version> m_cancels_writing;
-    std::set<team_id> m_limited;
-    std::map<team_id, quota_state> m_quotas;
-    std::map<team_id, quota_usage> m_quotas_writing;
     std::vector<journal_entry> m_journal;
     std::vector<ended_run> m_ended;
     bool m_under_way = false;
--- a/packages/process/src/job_book.cpp
+++ b/packages/process/src/job_book.cpp
@@ -284,32 +284,6 @@
         m_runs, [&](const auto& item) { return m_jobs.at(item.first).worker == worker; });
 }
 
-void job_book::on_quota(const std::vector<table_row>& rows)
-{
-    for (const table_row& row : rows) {
-        const team_id team(row.key.substr(job_quota_prefix.size()));
-        quota_state& known = m_quotas[team];
-        const auto usage = decode_quota_usage(row.value);
-        if (usage && row.version > known.version && !m_quotas_writing.contains(team)) {
-            known = {.version = row.version, .usage = *usage};
-        }
-    }
-}
-
-std::map<team_id, team_usage> job_book::used_elsewhere(const version::fleet& whole) const
-{
-    std::map<team_id, team_usage> out;
-    for (const auto& [team, quota] : m_quotas) {
-        for (const auto& [pool, used] : quota.usage) {
-            if (pool != m_options.pool && whole.pools.contains(pool)) {
-                out[team].processors += used.processors;
-                out[team].accelerators += used.accelerators;
-            }
-        }
-    }
-    return out;
-}
-
 std::map<team_id, team_usage> job_book::own_usage() const
 {
     std::map<team_id, team_usage> out;
@@ -321,36 +295,13 @@
     return out;
 }
 
-bool job_book::add_quotas(table_transaction& into)
-{
-    if (m_limited.empty()) {
-        return false;
-    }
-    auto own = own_usage();
-    for (const team_id& team : m_limited) {
-        const quota_state& known = m_quotas[team];
-        const auto before = known.usage.find(m_options.pool);
-        const team_usage used = own[team];
-        const team_usage told = before == known.usage.end() ? team_usage{} : before->second;
-        if (used.processors == told.processors && used.accelerators == told.accelerators) {
-            continue;
-        }
-        quota_usage fresh = known.usage;
-        fresh[m_options.pool] = used;
-        into.conditions.push_back({job_quota_key(team), known.version});
-        into.writes.push_back({job_quota_key(team), encode(fresh)});
-        m_quotas_writing.emplace(team, std::move(fresh));
-    }
-    return !m_quotas_writing.empty();
-}
-
 std::optional<table_transaction> job_book::next_write()
 {
     if (m_under_way || m_stale) {
         return std::nullopt;
     }
     table_transaction out;
-    const bool quotas_change = add_quotas(out);
+    const bool quotas_change = m_quotas.add_changes(own_usage(), out);
     if (!quotas_change && m_dirty.empty() && m_cancels.empty()) {
         return std::nullopt;
     }
@@ -399,12 +350,7 @@
         m_stale = true;
         return;
     }
-    for (auto& [team, usage] : m_quotas_writing) {
-        if (result.outcome == transact_outcome::applied) {
-            m_quotas[team] = {.version = result.version, .usage = std::move(usage)};
-        }
-    }
-    m_quotas_writing.clear();
+    m_quotas.on_written(result.outcome == transact_outcome::applied, result.version);
     for (const job_id& id : m_writing) {
         if (result.outcome != transact_outcome::applied) {
             break;
--- a/packages/process/src/job_placement.cpp
+++ b/packages/process/src/job_placement.cpp
@@ -278,7 +278,10 @@
         start(each, wish, position);
     }
     else if (wish.urgent) {
-        make_room(wish);
+        if (make_room(wish)) {
+            // Else a later job of its team takes the quota that it needs once the room is there.
+            use_quota(row);
+        }
     }
     else if (m_view.now >= each.due) {
         keep_worker_for(wish);
@@ -295,11 +298,11 @@
         start_job{.job = each.row->spec.id, .worker = m_workers[position].row->id});
 }
 
-void job_placement::make_room(const worker_wish& wish)
+bool job_placement::make_room(const worker_wish& wish)
 {
     const auto smaller = [&](const job_size& each) { return as_large(wish.need, each); };
     if (m_searches == most_searches || std::ranges::any_of(m_no_way_given, smaller)) {
-        return;
+        return false;
     }
     ++m_searches;
     std::size_t position = 0;
@@ -313,7 +316,7 @@
             if (wish.avoided == nullptr) {
                 m_no_way_given.push_back(wish.need);
             }
-            return;
+            return false;
         }
         position = plan.worker;
         occupied_worker& occupied = m_occupied[position];
@@ -328,6 +331,7 @@
     // Promised to it, so that nothing else takes the room before the runs there have ended.
     m_index->take(position, wish);
     m_occupied[position].coming.take(wish.need);
+    return true;
 }
 
 void job_placement::keep_worker_for(const worker_wish& wish)
--- a/packages/process/src/job_placement.hpp
+++ b/packages/process/src/job_placement.hpp
@@ -43,7 +43,8 @@
     void build_index();
     void place_one(const job_outlook& each);
     void start(const job_outlook& each, const worker_wish& wish, std::size_t position);
-    void make_room(const worker_wish& wish);
+    /// Whether room is promised, now or once runs have ended.
+    bool make_room(const worker_wish& wish);
     void keep_worker_for(const worker_wish& wish);
     void use_quota(const job& row);
 
--- a/packages/process/src/job_runner.cpp
+++ b/packages/process/src/job_runner.cpp
@@ -258,9 +258,9 @@
             limited.insert(id);
         }
     }
-    subject.book.set_limited(std::move(limited));
-    subject.book.on_quota(m_options.exchange.quota_rows());
-    const auto elsewhere = subject.book.used_elsewhere(*whole);
+    subject.book.quotas().set_limited(std::move(limited));
+    subject.book.quotas().observe(m_options.exchange.quota_rows());
+    const auto elsewhere = subject.book.quotas().used_elsewhere(*whole);
     const wall_time now = m_options.loop.wall_now();
     const double load = m_options.interactive_load ? m_options.interactive_load(pool) : 0;
     const auto decisions =
--- a/packages/process/tests/job_book_test.cpp
+++ b/packages/process/tests/job_book_test.cpp
@@ -26,11 +26,14 @@
         const job fresh{
             .spec = {.id = id, .pool = pool_id(pool), .team = team, .declared = {.processors = 3}}};
         rows.transact({.writes = {{job_inbox_key(id), encode(fresh)}}});
-        book.set_limited({team});
+        book.quotas().set_limited({team});
         book.on_inbox(rows.read({job_inbox_key(id)}));
     }
 
-    void read_quotas() { book.on_quota(rows.scan({.prefix = std::string(job_quota_prefix)})); }
+    void read_quotas()
+    {
+        book.quotas().observe(rows.scan({.prefix = std::string(job_quota_prefix)}));
+    }
 
     void place()
     {
@@ -61,13 +64,13 @@
     p.place();
     REQUIRE(p.write() == transact_outcome::applied);
     q.read_quotas();
-    CHECK(q.book.used_elsewhere(two_pools()).at(team).processors == 3);
+    CHECK(q.book.quotas().used_elsewhere(two_pools()).at(team).processors == 3);
     p.book.on_reports({{.job = p.id,
                         .state = task_state::finished,
                         .started_by = p.book.commands(time_point{}).at(0).guard.id}});
     REQUIRE(p.write() == transact_outcome::applied);
     q.read_quotas();
-    CHECK(q.book.used_elsewhere(two_pools()).at(team).processors == 0);
+    CHECK(q.book.quotas().used_elsewhere(two_pools()).at(team).processors == 0);
     CHECK(rows.read({job_done_key(p.id)}).size() == 1);
 }
 
--- a/packages/process/tests/job_scheduler_pressure_test.cpp
+++ b/packages/process/tests/job_scheduler_pressure_test.cpp
@@ -51,6 +51,27 @@
     CHECK(vacated(world.step()) == std::vector<std::string>{"large"});
 }
 
+TEST_CASE("a later job of the team does not take the quota of one that waits for room",
+          "[job_scheduler]")
+{
+    job_world world(2);
+    const team_id q("q");
+    world.whole.teams[q] = {.id = q, .max_job_processors = 5};
+    world.worker("w2").processors = 2;
+    world.add_running("b", "w1", background, size_of(4));
+    world.add("large", urgent, size_of(5)).spec.team = q;
+    job& later = world.add("small", urgent, size_of(1));
+    later.spec.team = q;
+    later.submitted += seconds(1);
+    CHECK(vacated(world.step()) == std::vector<std::string>{"b"});
+    CHECK(world.place_of("small").empty());
+    CHECK(world.decide().empty());
+    world.jobs.erase(job_id("b"));
+    world.step();
+    CHECK(world.place_of("large") == "w1");
+    CHECK(world.place_of("small").empty());
+}
+
 TEST_CASE("the job with the later deadline gives way among equals", "[job_scheduler]")
 {
     job_world world(1);
