--- /dev/null
+++ b/bench/arguments.hpp
@@ -0,0 +1,29 @@
+// Reads a benchmark's arguments.
+#pragma once
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace plantaindoor::bench {
+
+/// Adds --help, and ends the program after printing it, or with 2 for arguments that can't be read.
+inline cxxopts::ParseResult parse_or_exit(cxxopts::Options& options, int argc, char** argv)
+{
+    options.add_options()("help", "show this help");
+    try {
+        cxxopts::ParseResult given = options.parse(argc, argv);
+        if (given.count("help") != 0) {
+            std::cout << options.help();
+            std::exit(EXIT_SUCCESS);
+        }
+        return given;
+    }
+    catch (const cxxopts::exceptions::exception& failure) {
+        std::cerr << failure.what() << '\n';
+        std::exit(2);
+    }
+}
+
+} // namespace plantaindoor::bench
--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -1,10 +1,11 @@
 // Table writes that idempotency keys cost: grouped claims against one transaction for each claim
 // and each end, in virtual time.
+#include "arguments.hpp"
+
 #include "fakes/delayed_table.hpp"
 #include "fakes/virtual_loop.hpp"
 #include "plantaindoor/process/claim_store.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -171,12 +172,8 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options arguments("claims_bench", "Compares ways of writing claims to the table.");
-    arguments.add_options()("json", "print JSON")("help", "show this help");
-    const auto given = arguments.parse(argc, argv);
-    if (given.count("help") != 0) {
-        std::cout << arguments.help();
-        return 0;
-    }
+    arguments.add_options()("json", "print JSON");
+    const auto given = plantaindoor::bench::parse_or_exit(arguments, argc, argv);
     const std::vector<way> ways{{"each",
                                  {.owner_prefix = "e",
                                   .max_group = 1,
--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,9 +1,10 @@
 // What a fleet costs an entry as it grows: memory, a change, a snapshot, and the registration rows.
+#include "arguments.hpp"
+
 #include "plantaindoor/version/codec.hpp"
 #include "plantaindoor/version/delta.hpp"
 #include "plantaindoor/version/registration.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -217,7 +218,8 @@
 {
     cxxopts::Options options("fleet_bench", "Fleets, changes, snapshots and registration rows");
     options.add_options()("json", "print JSON");
-    const bool json_wanted = options.parse(argc, argv).count("json") > 0;
+    const bool json_wanted =
+        plantaindoor::bench::parse_or_exit(options, argc, argv).count("json") > 0;
     std::vector<fleet_figures> fleets;
     for (const fleet_size& each : sizes) {
         fleets.push_back(measured(each));
--- a/bench/in_force_bench.cpp
+++ b/bench/in_force_bench.cpp
@@ -1,12 +1,13 @@
 // Time from the acceptance of a change to the last entry that has it in force, in virtual time,
 // over the real log, follower and exchange policy: with peers, and by polling the table alone.
+#include "arguments.hpp"
+
 #include "fakes/delayed_table.hpp"
 #include "fakes/virtual_loop.hpp"
 #include "plantaindoor/connection/exchange_policy.hpp"
 #include "plantaindoor/version/codec.hpp"
 #include "plantaindoor/version/table_change_log.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -336,7 +337,7 @@
 {
     cxxopts::Options options("in_force_bench", "Time from acceptance to the last entry.");
     options.add_options()("json", "print JSON");
-    const bool as_json = options.parse(argc, argv).count("json") != 0;
+    const bool as_json = plantaindoor::bench::parse_or_exit(options, argc, argv).count("json") != 0;
     nlohmann::json out = nlohmann::json::array();
     if (!as_json) {
         std::cout << fmt::format("apply one change to 1,700 instances: {:.2f} ms\n", apply_ms());
--- a/bench/jobs_bench.cpp
+++ b/bench/jobs_bench.cpp
@@ -1,8 +1,9 @@
 // Placement of jobs in virtual time: the scheduler against a naive first fit on the same arrivals,
 // and what a round of placement costs.
+#include "arguments.hpp"
+
 #include "job_simulation.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -205,7 +206,7 @@
 {
     cxxopts::Options options("jobs_bench", "Placement of jobs against first fit, and its cost");
     options.add_options()("json", "print JSON")("rounds", "only the cost of rounds");
-    const auto given = options.parse(argc, argv);
+    const auto given = plantaindoor::bench::parse_or_exit(options, argc, argv);
     const bool print = given.count("json") == 0;
     nlohmann::json out;
     out["rounds"] = time_rounds(print);
--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -1,8 +1,9 @@
 // Overload at three times the capacity, by class, against one queue in order of arrival.
+#include "arguments.hpp"
+
 #include "fakes/uniform_fleet.hpp"
 #include "plantaindoor/request/dispatcher.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -229,7 +230,7 @@
     cxxopts::Options usage("overload_bench", "Overload by class against one queue.");
     usage.add_options()("json", "Print JSON.")("seconds", "Virtual length of a trial.",
                                                cxxopts::value<int>()->default_value("60"));
-    const auto arguments = usage.parse(argc, argv);
+    const auto arguments = plantaindoor::bench::parse_or_exit(usage, argc, argv);
     const seconds length{arguments["seconds"].as<int>()};
     struct mix {
         const char* name;
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,9 +1,10 @@
 // Added latency, processor time and memory of one entry: the same client, in turn straight to a
 // target and through the entry. scripts/bench-path starts what it needs.
+#include "arguments.hpp"
+
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/process/reactor_loop.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -204,7 +205,7 @@
     add("connections", "most at once", cxxopts::value<std::size_t>()->default_value("64"));
     add("idempotent", "say that requests are idempotent");
     add("json", "print JSON only");
-    const auto given = options.parse(argc, argv);
+    const auto given = plantaindoor::bench::parse_or_exit(options, argc, argv);
 
     load_options direct{.to = connection::require_endpoint(given["direct"].as<std::string>()),
                         .requests_per_second = given["rate"].as<std::size_t>(),
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,8 +1,9 @@
 // Cost of one decision on a target, at several fleet sizes, against a plain scan.
+#include "arguments.hpp"
+
 #include "fakes/uniform_fleet.hpp"
 #include "plantaindoor/request/router.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -128,7 +129,7 @@
     usage.add_options()("json",
                         "Print JSON.")("decisions", "Decisions for each size.",
                                        cxxopts::value<std::size_t>()->default_value("1000000"));
-    const auto arguments = usage.parse(argc, argv);
+    const auto arguments = plantaindoor::bench::parse_or_exit(usage, argc, argv);
     const auto decisions = arguments["decisions"].as<std::size_t>();
     std::vector<row> rows;
     for (const std::size_t targets : {std::size_t{50}, std::size_t{500}, std::size_t{1700}}) {
--- a/bench/slots_bench.cpp
+++ b/bench/slots_bench.cpp
@@ -1,7 +1,8 @@
 // Compares ways of sharing the targets' slots among entries on the same list of events.
+#include "arguments.hpp"
+
 #include "slot_sharing.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -103,7 +104,7 @@
     cxxopts::Options usage("slots_bench", "Compares ways of sharing slots among entries.");
     usage.add_options()("json", "Print JSON.")("seconds", "Virtual length of a trial.",
                                                cxxopts::value<int>()->default_value("30"));
-    const auto arguments = usage.parse(argc, argv);
+    const auto arguments = plantaindoor::bench::parse_or_exit(usage, argc, argv);
     const seconds length{arguments["seconds"].as<int>()};
     const std::array<size_row, 2> sizes{{{"today", 7, 10, 60}, {"target", 20, 28, 168}}};
     nlohmann::json all = nlohmann::json::array();
--- a/bench/wave_bench.cpp
+++ b/bench/wave_bench.cpp
@@ -1,12 +1,13 @@
 // Maintenance waves in virtual time: the planner against one at a time and a greedy order, and what
 // a round of planning and a take-over of duties cost.
+#include "arguments.hpp"
+
 #include "wave_roll_out.hpp"
 
 #include "fakes/delayed_table.hpp"
 #include "fakes/virtual_loop.hpp"
 #include "plantaindoor/process/duty_lease.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -131,7 +132,8 @@
 {
     cxxopts::Options options("wave_bench", "Waves, planning time and take-over of duties");
     options.add_options()("json", "print JSON");
-    const bool json_wanted = options.parse(argc, argv).count("json") > 0;
+    const bool json_wanted =
+        plantaindoor::bench::parse_or_exit(options, argc, argv).count("json") > 0;
     std::vector<figures> rows;
     for (const fleet_shape& shape :
          {today(), today_without_spare(), one_tight_pool(), large(1700, 61)}) {
