request: Count a pool's slots once for each version

Cause: interactive_load walked all instances of the fleet for each pool in each round of placement, to count slots that change only with a version; the dispatcher beside it is told of versions, and now it is too. Behaviour as before: the three cases keep their assertions; request_test (59 cases) and process_test (134) pass, the linter is clean. Found by reading the change once more.

--- a/packages/process/src/dispatched_targets.cpp
+++ b/packages/process/src/dispatched_targets.cpp
@@ -26,8 +26,10 @@
 void dispatched_targets::start()
 {
     m_dispatcher.update(m_log.current(), m_loop.now());
+    m_load.update(m_log.current());
     m_log.subscribe([this](const version::fleet_ptr& fleet) {
         m_dispatcher.update(fleet, m_loop.now());
+        m_load.update(fleet);
         carry_out();
     });
     read_list();
@@ -137,7 +139,7 @@
 
 double dispatched_targets::interactive_load(const pool_id& pool) const
 {
-    return m_load.of(*m_log.current(), pool, m_loop.now());
+    return m_load.of(pool, m_loop.now());
 }
 
 void dispatched_targets::carry_out()
--- a/packages/request/include/plantaindoor/request/interactive_load.hpp
+++ b/packages/request/include/plantaindoor/request/interactive_load.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace plantaindoor::request {
@@ -18,6 +19,8 @@
 public:
     explicit interactive_load(milliseconds lifetime = milliseconds(2000)) : m_lifetime(lifetime) {}
 
+    /// Takes a new version; its slots are counted once, not at each question.
+    void update(version::fleet_ptr whole);
     /// Takes what this entry has just reported to the others.
     void reported(std::vector<service_demand> own, time_point now);
     /// Takes a peer's report; an older one than the last of its sender changes nothing.
@@ -25,7 +28,7 @@
     /// Demand divided by the slots of the pool's admitted instances: above 1 where requests wait.
     /// A service of several pools asks of each in the proportion of their slots. Zero without
     /// slots.
-    [[nodiscard]] double of(const version::fleet& whole, const pool_id& pool, time_point now) const;
+    [[nodiscard]] double of(const pool_id& pool, time_point now) const;
 
 private:
     struct heard {
@@ -38,6 +41,9 @@
     [[nodiscard]] std::map<service_id, double> demand(time_point now) const;
 
     milliseconds m_lifetime;
+    version::fleet_ptr m_fleet = std::make_shared<const version::fleet>();
+    /// Of the admitted instances.
+    std::map<pool_id, std::uint32_t> m_slots;
     heard m_own;
     std::map<entry_id, heard> m_peers;
 };
--- a/packages/request/src/interactive_load.cpp
+++ b/packages/request/src/interactive_load.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+void interactive_load::update(version::fleet_ptr whole)
+{
+    m_slots = admitted_slots(*whole);
+    m_fleet = std::move(whole);
+}
+
 void interactive_load::reported(std::vector<service_demand> own, time_point now)
 {
     m_own = {.at = now, .services = std::move(own)};
@@ -56,25 +62,24 @@
     return sum;
 }
 
-double interactive_load::of(const version::fleet& whole, const pool_id& pool, time_point now) const
+double interactive_load::of(const pool_id& pool, time_point now) const
 {
-    const std::map<pool_id, std::uint32_t> slots = admitted_slots(whole);
-    const auto own = slots.find(pool);
-    if (own == slots.end() || own->second == 0) {
+    const auto own = m_slots.find(pool);
+    if (own == m_slots.end() || own->second == 0) {
         return 0;
     }
     double asked = 0;
     for (const auto& [id, wanted] : demand(now)) {
-        const auto found = whole.services.find(id);
-        if (found == whole.services.end() ||
+        const auto found = m_fleet->services.find(id);
+        if (found == m_fleet->services.end() ||
             found->second.default_priority == version::priority::background ||
             std::ranges::find(found->second.pools, pool) == found->second.pools.end()) {
             continue;
         }
         double all = 0;
         for (const pool_id& each : found->second.pools) {
-            const auto in_pool = slots.find(each);
-            all += in_pool == slots.end() ? 0 : in_pool->second;
+            const auto in_pool = m_slots.find(each);
+            all += in_pool == m_slots.end() ? 0 : in_pool->second;
         }
         asked += wanted * own->second / all;
     }
--- a/packages/request/tests/interactive_load_test.cpp
+++ b/packages/request/tests/interactive_load_test.cpp
@@ -47,29 +47,29 @@
 
 TEST_CASE("load is all entries' demand for the admitted slots", "[interactive_load]")
 {
-    const version::fleet whole = some_fleet();
     interactive_load load;
-    CHECK(load.of(whole, checks, begin) == 0);
+    load.update(std::make_shared<const version::fleet>(some_fleet()));
+    CHECK(load.of(checks, begin) == 0);
     load.reported({{.service = spell, .in_progress = 3, .waiting = 1},
                    {.service = rebuild, .in_progress = 9}},
                   begin);
-    CHECK(load.of(whole, checks, begin) == Approx(4.0 / 16));
+    CHECK(load.of(checks, begin) == Approx(4.0 / 16));
     load.hear(report("e2", 1, 8), begin);
-    CHECK(load.of(whole, checks, begin) == Approx(12.0 / 16));
-    CHECK(load.of(whole, spare, begin) == 0);
-    CHECK(load.of(whole, pool_id("none"), begin) == 0);
+    CHECK(load.of(checks, begin) == Approx(12.0 / 16));
+    CHECK(load.of(spare, begin) == 0);
+    CHECK(load.of(pool_id("none"), begin) == 0);
 }
 
 TEST_CASE("a report counts until a newer one or its lifetime", "[interactive_load]")
 {
-    const version::fleet whole = some_fleet();
     interactive_load load(milliseconds(1000));
+    load.update(std::make_shared<const version::fleet>(some_fleet()));
     load.hear(report("e2", 2, 8), begin);
     load.hear(report("e2", 1, 16), begin);
-    CHECK(load.of(whole, checks, begin) == Approx(0.5));
+    CHECK(load.of(checks, begin) == Approx(0.5));
     load.hear(report("e2", 3, 4), begin + milliseconds(500));
-    CHECK(load.of(whole, checks, begin + milliseconds(1500)) == Approx(0.25));
-    CHECK(load.of(whole, checks, begin + milliseconds(1501)) == 0);
+    CHECK(load.of(checks, begin + milliseconds(1500)) == Approx(0.25));
+    CHECK(load.of(checks, begin + milliseconds(1501)) == 0);
 }
 
 TEST_CASE("a service of several pools asks of each by its slots", "[interactive_load]")
@@ -77,7 +77,8 @@
     version::fleet whole = some_fleet();
     whole.services.at(spell).pools = {checks, spare};
     interactive_load load;
+    load.update(std::make_shared<const version::fleet>(whole));
     load.reported({{.service = spell, .in_progress = 32}}, begin);
-    CHECK(load.of(whole, checks, begin) == Approx(0.5));
-    CHECK(load.of(whole, spare, begin) == Approx(0.5));
+    CHECK(load.of(checks, begin) == Approx(0.5));
+    CHECK(load.of(spare, begin) == Approx(0.5));
 }
