--- /dev/null
+++ b/apps/plantaindoor_entry/main.cpp
@@ -0,0 +1,231 @@
+// The entry's program on a platform with a store of its own: reads settings, runs one entry until
+// it is told to end.
+#include "plantaindoor/common/document.hpp"
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/connection/http_client.hpp"
+#include "plantaindoor/connection/http_server.hpp"
+#include "plantaindoor/fleet/fleet_entry.hpp"
+#include "plantaindoor/platform/forms.hpp"
+#include "plantaindoor/platform/front_api.hpp"
+#include "plantaindoor/platform/machine_client.hpp"
+#include "plantaindoor/platform/settings.hpp"
+#include "plantaindoor/platform/store_client.hpp"
+#include "plantaindoor/platform/worker_client.hpp"
+#include "plantaindoor/process/logging.hpp"
+#include "plantaindoor/process/reactor_loop.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace {
+
+using namespace plantaindoor;
+
+constexpr process::log_part entry_log("entry");
+
+constexpr int exit_ended = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_unavailable = 503;
+
+/// A worker keeps its tasks for so long without hearing of the duty's holder.
+constexpr milliseconds worker_lease{5000};
+/// Entries that want the duty wait for different parts of this.
+constexpr milliseconds longest_duty_delay{120};
+/// A stopping entry still answers callers until the balancer has noticed.
+constexpr milliseconds notice_of_stop{2500};
+constexpr milliseconds stop_check{100};
+constexpr milliseconds stop_reserve{1000};
+
+/// Counts suspended time too, unlike the loop's clock.
+time_point boot_clock_now()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::seconds(now.tv_sec) + nanoseconds(now.tv_nsec));
+}
+
+std::string random_incarnation(std::mt19937_64& random)
+{
+    return fmt::format("{:016x}", random());
+}
+
+/// Everything that one run of the program owns.
+class program {
+public:
+    explicit program(const platform::entry_settings& settings);
+
+    void run();
+
+private:
+    connection::http_server make_server(const connection::endpoint& listen,
+                                        connection::http_handler handler);
+    void begin_stop();
+    void check_stop(time_point latest, time_point earliest);
+
+    platform::entry_settings m_settings;
+    std::mt19937_64 m_random{std::random_device{}()};
+    process::reactor_loop m_loop;
+    metrics_registry m_metrics;
+    connection::http_client m_client{m_loop};
+    platform::store_client m_store;
+    platform::worker_client m_workers;
+    platform::machine_client m_machines;
+    fleet::platform_forms m_forms = platform::forms();
+    fleet::fleet_entry m_entry;
+    platform::front_api m_front;
+    connection::http_server m_callers;
+    connection::http_server m_ready;
+    connection::http_server m_metrics_server;
+    bool m_handed_over = false;
+    bool m_stopping = false;
+};
+
+fleet::fleet_entry_options entry_options(const platform::entry_settings& settings,
+                                         std::mt19937_64& random)
+{
+    fleet::fleet_entry_options options;
+    options.name = settings.entry;
+    options.incarnation = random_incarnation(random);
+    options.peers = settings.peers;
+    options.duty.delay = milliseconds(
+        std::uniform_int_distribution<std::int64_t>(0, longest_duty_delay.count())(random));
+    options.scheduling.lease = std::min(worker_lease, settings.longest_lease);
+    options.scheduling.stop_time = settings.stop_time;
+    options.scheduling.notice = settings.notice;
+    return options;
+}
+
+program::program(const platform::entry_settings& settings)
+    : m_settings(settings),
+      m_store(m_loop, m_client, settings.store, m_metrics),
+      m_workers(m_client),
+      m_machines(m_client, settings.machines),
+      m_entry(fleet::session_context{.loop = m_loop,
+                                     .store = m_store,
+                                     .workers = m_workers,
+                                     .machines = m_machines,
+                                     .metrics = m_metrics,
+                                     .forms = m_forms,
+                                     .clock = &boot_clock_now},
+              m_client, entry_options(settings, m_random)),
+      m_front(m_loop, m_entry, m_metrics),
+      m_callers(make_server(
+          settings.callers,
+          [this](const connection::http_request& request,
+                 const connection::http_responder& respond) { m_front.handle(request, respond); })),
+      m_ready(make_server(settings.ready,
+                          [this](const connection::http_request& /*request*/,
+                                 const connection::http_responder& respond) {
+                              respond({.status = m_entry.ready() ? status_ok : status_unavailable});
+                          })),
+      m_metrics_server(
+          make_server(settings.metrics, [this](const connection::http_request& /*request*/,
+                                               const connection::http_responder& respond) {
+              m_metrics.advance(m_loop.now());
+              respond({.status = status_ok, .body = m_metrics.text()});
+          }))
+{
+}
+
+connection::http_server program::make_server(const connection::endpoint& listen,
+                                             connection::http_handler handler)
+{
+    return {m_loop, {.listen = listen, .on_request = std::move(handler), .on_overflow = [] {
+                         return connection::http_response{.status = 413};
+                     }}};
+}
+
+void program::run()
+{
+    m_loop.on_signal(SIGTERM, [this] { begin_stop(); });
+    m_loop.on_signal(SIGINT, [this] { begin_stop(); });
+    m_loop.on_signal(SIGHUP, [] { entry_log.info("settings changed; none of them can change"); });
+    entry_log.info(
+        fmt::format("{} started, callers {}", m_settings.entry, m_settings.callers.str()));
+    m_loop.run();
+    entry_log.info("ended");
+}
+
+void program::begin_stop()
+{
+    if (std::exchange(m_stopping, true)) {
+        return;
+    }
+    entry_log.info("stopping");
+    m_entry.retire([this] { m_handed_over = true; });
+    const time_point now = m_loop.now();
+    check_stop(now + m_settings.stop_grace - stop_reserve, now + notice_of_stop);
+}
+
+void program::check_stop(time_point latest, time_point earliest)
+{
+    const time_point now = m_loop.now();
+    const bool idle = m_handed_over && m_callers.in_progress() == 0;
+    if (now >= latest || (idle && now >= earliest)) {
+        m_loop.stop();
+        return;
+    }
+    m_loop.call_after(stop_check, [this, latest, earliest] { check_stop(latest, earliest); });
+}
+
+cxxopts::Options command_line()
+{
+    cxxopts::Options options("plantaindoor_entry",
+                             "Runs one entry of plantaindoor on a platform.\n");
+    auto add = options.add_options();
+    add("c,config", "settings file, as platform/settings.yaml.template renders it",
+        cxxopts::value<std::string>()->default_value("settings.yaml"), "FILE");
+    add("check-settings", "only report what is wrong with the settings file");
+    add("h,help", "show this help");
+    return options;
+}
+
+int main_of(int argc, char** argv)
+{
+    auto options = command_line();
+    const auto given = options.parse(argc, argv);
+    if (given.count("help") != 0) {
+        std::cout << options.help();
+        return exit_ended;
+    }
+    const auto settings = platform::load_settings(given["config"].as<std::string>());
+    if (given.count("check-settings") != 0) {
+        std::cout << "settings are correct\n";
+        return exit_ended;
+    }
+    const process::log_output logs({.format = process::log_format::json,
+                                    .level = process::log_level::info,
+                                    .stream = &std::cout});
+    program(settings).run();
+    return exit_ended;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return main_of(argc, argv);
+    }
+    catch (const document_error& failure) {
+        std::cerr << failure.what() << '\n';
+        return exit_bad_settings;
+    }
+    catch (const std::exception& failure) {
+        std::cerr << "plantaindoor_entry: " << failure.what() << '\n';
+        return exit_failed;
+    }
+}
--- a/cmake/plantaindoor.cmake
+++ b/cmake/plantaindoor.cmake
@@ -1,19 +1,21 @@
 # Shared build rules: one function per kind of target, so that each package's file only lists names.
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(Protobuf REQUIRED)
-find_package(gRPC CONFIG REQUIRED)
-find_package(Boost REQUIRED COMPONENTS log log_setup)
+find_package(Boost REQUIRED COMPONENTS log)
 find_package(yaml-cpp REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(cxxopts REQUIRED)
 find_package(CURL REQUIRED)
-find_package(Catch2 2 REQUIRED)
-find_package(trompeloeil REQUIRED)
 find_package(OpenTracing CONFIG REQUIRED)
 find_package(fmt REQUIRED)
 pkg_check_modules(ACE REQUIRED IMPORTED_TARGET ACE)
 pkg_check_modules(MHD REQUIRED IMPORTED_TARGET libmicrohttpd)
+if(NOT PLANTAINDOOR_DEPLOY)
+    find_package(Protobuf REQUIRED)
+    find_package(gRPC CONFIG REQUIRED)
+    find_package(Catch2 2 REQUIRED)
+    find_package(trompeloeil REQUIRED)
+endif()
 
 find_program(CCACHE ccache)
 if(CCACHE)
@@ -34,12 +36,16 @@
 endif()
 
 # The compiled test main, shared by every package's test program: Catch2's main takes long to compile.
-add_library(plantaindoor_test_main STATIC ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
-target_link_libraries(plantaindoor_test_main PUBLIC plantaindoor_flags Catch2::Catch2)
+if(NOT PLANTAINDOOR_DEPLOY)
+    add_library(plantaindoor_test_main STATIC ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
+    target_link_libraries(plantaindoor_test_main PUBLIC plantaindoor_flags Catch2::Catch2)
+endif()
 
-# Declares library plantaindoor_NAME from packages/NAME, with all of its src/*.cpp.
+# Declares library plantaindoor_NAME from packages/NAME, with its src/*.cpp but for those that the
+# list NAME_own_libraries gives to smaller libraries.
 function(plantaindoor_package name)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    list(REMOVE_ITEM sources ${${name}_own_libraries})
     add_library(plantaindoor_${name} STATIC ${sources})
     target_include_directories(plantaindoor_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
     target_link_libraries(plantaindoor_${name} PUBLIC plantaindoor_flags ${ARGN})
@@ -47,6 +53,9 @@
 
 # Declares test program NAME_test from tests/*_test.cpp of the calling package.
 function(plantaindoor_package_tests name)
+    if(PLANTAINDOOR_DEPLOY)
+        return()
+    endif()
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
     if(sources)
         add_executable(${name}_test ${sources})
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/control_session.hpp
@@ -0,0 +1,110 @@
+// All that an entry does while it holds the control duty: reads the jobs, watches the workers,
+// places tasks, keeps progress. Ends when the duty is lost.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/fleet/duty.hpp"
+#include "plantaindoor/fleet/fleet_config.hpp"
+#include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/platform_forms.hpp"
+#include "plantaindoor/fleet/progress_keeper.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/table_follower.hpp"
+#include "plantaindoor/fleet/worker_watch.hpp"
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace plantaindoor::fleet {
+
+/// What the process lends to a session.
+struct session_context {
+    event_loop& loop;
+    row_store& store;
+    worker_gateway& workers;
+    machine_gateway& machines;
+    metrics_registry& metrics;
+    const platform_forms& forms;
+    /// A clock that also counts suspended time.
+    std::function<time_point()> clock;
+};
+
+struct session_options {
+    std::string entry;
+    duty_claim claim;
+    row_condition claim_row;
+    row_condition renewal_row;
+    milliseconds lease{2500};
+    job::scheduler_options scheduling;
+    /// When the transaction that took the duty was sent.
+    time_point taken{};
+};
+
+/// Loop thread only.
+class control_session {
+public:
+    using event = std::function<void()>;
+
+    /// Everything in the context must outlive the session. `on_lost` runs once, later, when another
+    /// entry has the duty.
+    control_session(const session_context& context, session_options options,
+                    std::shared_ptr<const fleet_config> config, event on_lost);
+    control_session(const control_session&) = delete;
+    control_session& operator=(const control_session&) = delete;
+    ~control_session();
+
+    void apply(std::shared_ptr<const fleet_config> config);
+    /// Takes in a job that this entry has just kept, ahead of the feed.
+    void submit(const job_id& id, const std::string& row_value);
+    void cancel(const job_id& id);
+
+    /// Whether all jobs have been read.
+    [[nodiscard]] bool ready() const noexcept { return m_ready; }
+    /// The state to tell callers; nothing for an unknown job.
+    [[nodiscard]] std::optional<job::job_state> state_of(const job_id& id) const;
+    [[nodiscard]] std::size_t pending(const std::string& queue) const;
+    [[nodiscard]] const job::scheduler& scheduler() const noexcept { return m_scheduler; }
+
+private:
+    void read_progress();
+    void read_jobs();
+    void read_workers();
+    void take_job_row(const stored_row& row);
+    void take_worker_row(const stored_row& row);
+    void become_ready();
+    void change();
+    void plan();
+    void renewed(time_point sent);
+    void check_lease();
+    void lose();
+    void tick();
+
+    session_context m_context;
+    session_options m_options;
+    std::shared_ptr<const fleet_config> m_config;
+    event m_on_lost;
+    std::shared_ptr<bool> m_alive;
+    job::scheduler m_scheduler;
+    std::map<job_id, std::string> m_read_progress;
+    std::unique_ptr<table_follower> m_progress_rows;
+    std::unique_ptr<table_follower> m_job_rows;
+    std::unique_ptr<table_follower> m_worker_rows;
+    std::unique_ptr<worker_watch> m_watch;
+    std::unique_ptr<progress_keeper> m_keeper;
+    timer_id m_plan_timer = timer_id::none;
+    timer_id m_tick_timer = timer_id::none;
+    time_point m_lease_until{};
+    bool m_paused = false;
+    bool m_ready = false;
+    bool m_lost = false;
+    bool m_workers_read = false;
+    metric_summary& m_plan_seconds;
+};
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/job_desk.hpp
@@ -0,0 +1,80 @@
+// Answers callers about jobs at any entry: by the session where this entry holds the duty, by the
+// holder elsewhere, by the store where the holder can't be reached.
+#pragma once
+
+#include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/fleet/control_session.hpp"
+#include "plantaindoor/fleet/job_intake.hpp"
+#include "plantaindoor/fleet/peer_calls.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/job/record.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace plantaindoor::fleet {
+
+enum class cancel_outcome { cancelled, no_such_job, not_kept, unknown };
+
+struct state_answer {
+    /// Whether anybody who knows could be asked.
+    bool known = false;
+    /// Nothing: there is no such job.
+    std::optional<job::job_state> state;
+};
+
+/// Loop thread only. Each callback runs once, by its deadline.
+class job_desk {
+public:
+    using submit_callback = std::function<void(intake_outcome)>;
+    using cancel_callback = std::function<void(cancel_outcome)>;
+    using state_callback = std::function<void(state_answer)>;
+    using pending_callback = std::function<void(std::optional<std::size_t>)>;
+
+    job_desk(event_loop& loop, row_store& store, job_intake& intake, peer_calls& peers);
+    job_desk(const job_desk&) = delete;
+    job_desk& operator=(const job_desk&) = delete;
+    ~job_desk();
+
+    /// The session while this entry holds the duty, else null.
+    void set_session(control_session* session) noexcept { m_session = session; }
+
+    void submit(const job_id& id, const accepted_job& accepted, time_point deadline,
+                submit_callback done);
+    void cancel(const job_id& id, time_point deadline, cancel_callback done);
+    void state(const job_id& id, state_callback done);
+    void pending(const std::string& queue, pending_callback done);
+
+private:
+    void state_from_store(const job_id& id, state_callback done);
+    void accepted_in_store(const job_id& id, state_callback done);
+    [[nodiscard]] bool session_ready() const;
+
+    event_loop& m_loop;
+    row_store& m_store;
+    job_intake& m_intake;
+    peer_calls& m_peers;
+    std::shared_ptr<bool> m_alive;
+    control_session* m_session = nullptr;
+};
+
+} // namespace plantaindoor::fleet
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<fleet::cancel_outcome> {
+    static constexpr std::array<enum_name<fleet::cancel_outcome>, 4> table{{
+        {fleet::cancel_outcome::cancelled, "cancelled"},
+        {fleet::cancel_outcome::no_such_job, "no-such-job"},
+        {fleet::cancel_outcome::not_kept, "not-kept"},
+        {fleet::cancel_outcome::unknown, "unknown"},
+    }};
+};
+
+} // namespace plantaindoor
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/job_intake.hpp
@@ -0,0 +1,106 @@
+// Makes accepted and cancelled jobs durable: many at a time, one transaction for each partition at
+// a time, and never says that a job was refused when it may have been kept.
+#pragma once
+
+#include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/fleet/job_rows.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+enum class intake_outcome {
+    kept,     ///< durable, now or before
+    differs,  ///< another job has this id
+    not_kept, ///< nothing was kept, and nothing will be
+    unknown,  ///< it may have been kept, or may yet be
+};
+
+struct intake_options {
+    milliseconds commit_timeout{700};
+    milliseconds first_retry{30};
+    milliseconds longest_retry{250};
+    /// Requests that wait for the store; more are refused.
+    std::size_t most_waiting = 2000;
+};
+
+/// Loop thread only.
+class job_intake {
+public:
+    using callback = std::function<void(intake_outcome)>;
+
+    /// Loop and store must outlive the intake.
+    job_intake(event_loop& loop, row_store& store, intake_options options);
+    job_intake(const job_intake&) = delete;
+    job_intake& operator=(const job_intake&) = delete;
+    ~job_intake();
+
+    /// Keeps an accepted job. Answers by the deadline.
+    void accept(const job_id& id, const accepted_job& accepted, time_point deadline, callback done);
+    /// Keeps a job's cancelling. Answers by the deadline.
+    void cancel(const job_id& id, time_point deadline, callback done);
+
+    /// Whether the last transaction was answered.
+    [[nodiscard]] bool store_answers() const noexcept { return m_store_answers; }
+    /// Requests that have not been answered.
+    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting; }
+
+private:
+    struct item {
+        row_address at;
+        std::string value;
+        time_point deadline{};
+        callback done;
+        /// An earlier transaction with it has an unknown outcome.
+        bool doubtful = false;
+    };
+    struct partition {
+        std::deque<item> queue;
+        std::vector<item> sent;
+        bool busy = false;
+        milliseconds retry{0};
+        timer_id timer = timer_id::none;
+    };
+
+    void add(item added);
+    void send(const std::string& name);
+    void finish(const std::string& name, const commit_result& result);
+    void settle_conflict(partition& part, const std::vector<stored_row>& present);
+    void put_back(partition& part, bool doubtful);
+    void wait_and_retry(const std::string& name);
+    void expire(const std::string& name);
+    void answer(item& answered, intake_outcome outcome);
+
+    event_loop& m_loop;
+    row_store& m_store;
+    intake_options m_options;
+    std::shared_ptr<bool> m_alive;
+    std::map<std::string, partition> m_partitions;
+    std::size_t m_waiting = 0;
+    bool m_store_answers = true;
+};
+
+} // namespace plantaindoor::fleet
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<fleet::intake_outcome> {
+    static constexpr std::array<enum_name<fleet::intake_outcome>, 4> table{{
+        {fleet::intake_outcome::kept, "kept"},
+        {fleet::intake_outcome::differs, "differs"},
+        {fleet::intake_outcome::not_kept, "not-kept"},
+        {fleet::intake_outcome::unknown, "unknown"},
+    }};
+};
+
+} // namespace plantaindoor
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/progress_keeper.hpp
@@ -0,0 +1,83 @@
+// Keeps the jobs' progress in the store, in groups, and renews the duty's lease with the same
+// transactions. Each depends on the one before, so that none that arrives late undoes a later one.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+struct keeper_options {
+    row_condition claim;
+    row_condition renewal;
+    /// Tells this holder's renewals from others'.
+    std::string incarnation;
+    /// Collects what changes within this time into one transaction.
+    milliseconds gather{12};
+    milliseconds renew{800};
+    milliseconds commit_timeout{700};
+    milliseconds retry{100};
+};
+
+/// Loop thread only.
+class progress_keeper {
+public:
+    using event = std::function<void()>;
+
+    struct observers {
+        /// Something has become durable.
+        event on_kept;
+        /// The lease has been renewed by a transaction that was sent at this time.
+        std::function<void(time_point sent)> on_renewed;
+        /// The claim no longer stands.
+        event on_lost;
+    };
+
+    /// Everything passed must outlive the keeper. `clock` must also count suspended time.
+    progress_keeper(event_loop& loop, row_store& store, job::scheduler& scheduler,
+                    metrics_registry& metrics, keeper_options options,
+                    std::function<time_point()> clock, observers told);
+    progress_keeper(const progress_keeper&) = delete;
+    progress_keeper& operator=(const progress_keeper&) = delete;
+    ~progress_keeper();
+
+    /// Something may have to be kept.
+    void refresh();
+    /// Removes a row of the claim's partition with a later transaction.
+    void remove_later(const row_address& at) { m_removals.push_back(at); }
+
+private:
+    void send();
+    void finish(time_point sent, const commit_result& result);
+    void settle_conflict(const commit_result& result);
+    void send_after(milliseconds delay);
+
+    event_loop& m_loop;
+    row_store& m_store;
+    job::scheduler& m_scheduler;
+    keeper_options m_options;
+    std::function<time_point()> m_clock;
+    observers m_observers;
+    std::shared_ptr<bool> m_alive;
+    timer_id m_timer = timer_id::none;
+    /// When the timer will have waited only to gather.
+    bool m_gathering = false;
+    bool m_busy = false;
+    std::uint64_t m_count = 0;
+    std::vector<job_id> m_left;
+    std::vector<row_address> m_removals;
+    std::vector<row_address> m_removing;
+    metric_counter& m_commits;
+    metric_counter& m_rows;
+    metric_counter& m_bytes;
+};
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/row_store.hpp
@@ -0,0 +1,142 @@
+// The platform's store as the system uses it: rows in partitions of tables, transactions within one
+// partition, readings of one moment, and a feed of what has changed in a table.
+#pragma once
+
+#include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+/// Drawn from one counter that grows with each transaction.
+using row_version = std::uint64_t;
+/// The version of a row that doesn't exist.
+inline constexpr row_version absent = 0;
+
+struct row_address {
+    std::string table;
+    std::string partition;
+    std::string key;
+
+    friend auto operator<=>(const row_address&, const row_address&) = default;
+};
+
+struct stored_row {
+    row_address at;
+    std::string value;
+    row_version version = absent;
+    /// The row has been removed; only in feeds.
+    bool removed = false;
+};
+
+/// Holds if the row has this version.
+struct row_condition {
+    row_address at;
+    row_version version = absent;
+};
+
+/// Sets a row's value, or removes the row where there is no value.
+struct row_write {
+    row_address at;
+    std::optional<std::string> value;
+};
+
+/// Applied wholly or not at all. All rows lie in one partition.
+struct row_transaction {
+    std::vector<row_condition> conditions;
+    std::vector<row_write> writes;
+};
+
+inline constexpr std::size_t max_transaction_entries = 100;
+inline constexpr std::size_t max_transaction_bytes = 700U << 10U; // Base64 of it stays under 1 MB.
+
+enum class commit_outcome {
+    applied,
+    conflict, ///< a condition didn't hold; nothing was written
+    refused,  ///< nothing was written
+    unknown,  ///< the writes may have taken effect, or may yet
+};
+
+struct commit_result {
+    commit_outcome outcome = commit_outcome::unknown;
+    /// After conflict: the rows that the conditions name, as they are.
+    std::vector<stored_row> present;
+    /// After applied: the version that the written rows have.
+    row_version version = absent;
+};
+
+struct row_query {
+    std::string table;
+    std::string partition;
+    /// First key; empty for the beginning.
+    std::string from;
+    /// First key past the range; empty for the end.
+    std::string until;
+    std::size_t limit = 500;
+};
+
+/// Rows of one moment, in ascending order of their keys.
+struct row_page {
+    std::vector<stored_row> rows;
+    bool more = false;
+    /// The store's newest version at that moment.
+    row_version version = absent;
+};
+
+enum class feed_outcome {
+    changed,      ///< rows may be empty when the wait was over
+    history_lost, ///< read everything again
+    failed,
+};
+
+struct feed_result {
+    feed_outcome outcome = feed_outcome::failed;
+    std::vector<stored_row> rows;
+    /// Where to go on.
+    row_version version = absent;
+};
+
+/// The store. Each callback runs once, later, on the event loop's thread. Loop thread only.
+class row_store {
+public:
+    using commit_callback = std::function<void(commit_result)>;
+    /// No value: the store didn't answer.
+    using read_callback = std::function<void(std::optional<row_page>)>;
+    using feed_callback = std::function<void(feed_result)>;
+
+    row_store() = default;
+    row_store(const row_store&) = delete;
+    row_store& operator=(const row_store&) = delete;
+    virtual ~row_store() = default;
+
+    /// Applies a transaction of at most max_transaction_entries entries.
+    virtual void commit(row_transaction transaction, milliseconds timeout,
+                        commit_callback done) = 0;
+    virtual void read(row_query query, milliseconds timeout, read_callback done) = 0;
+    /// Waits until a row of the table has changed after a version.
+    virtual void follow(const std::string& table, row_version after, milliseconds wait,
+                        feed_callback done) = 0;
+};
+
+} // namespace plantaindoor::fleet
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<fleet::commit_outcome> {
+    static constexpr std::array<enum_name<fleet::commit_outcome>, 4> table{{
+        {fleet::commit_outcome::applied, "applied"},
+        {fleet::commit_outcome::conflict, "conflict"},
+        {fleet::commit_outcome::refused, "refused"},
+        {fleet::commit_outcome::unknown, "unknown"},
+    }};
+};
+
+} // namespace plantaindoor
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/table_follower.hpp
@@ -0,0 +1,79 @@
+// Keeps up with one table of the store: reads its partitions whole, then follows the feed, and
+// reads all again when the store has lost the history in between.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/time.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+struct follower_options {
+    std::string table;
+    /// The partitions to read whole; the feed brings all of the table's.
+    std::vector<std::string> partitions{""};
+    /// How long one call of the feed waits for a change.
+    milliseconds wait{10000};
+    milliseconds read_timeout{1000};
+    /// Waits this long after a call that failed.
+    milliseconds retry{100};
+};
+
+/// Follows one table while it lives. Loop thread only.
+class table_follower {
+public:
+    /// A row as it is now, or its removal.
+    using row_callback = std::function<void(const stored_row&)>;
+    using event = std::function<void()>;
+
+    struct observers {
+        row_callback on_row;
+        /// All rows of a whole reading have been passed on.
+        event on_complete;
+        /// An answer of the store has come, with changes or without.
+        event on_alive;
+        event on_failure;
+    };
+
+    /// Begins at once. Store and loop must outlive the follower.
+    table_follower(event_loop& loop, row_store& store, follower_options options, observers told);
+    table_follower(const table_follower&) = delete;
+    table_follower& operator=(const table_follower&) = delete;
+    ~table_follower();
+
+    /// Whether a whole reading has been passed on.
+    [[nodiscard]] bool complete() const noexcept { return m_complete; }
+
+private:
+    void read_all();
+    void read_page(std::size_t partition, std::string from);
+    void take_page(std::size_t partition, const row_page& page);
+    void follow();
+    void take_changes(const feed_result& result);
+    void retry(void (table_follower::*what)());
+    void forget_absent();
+
+    event_loop& m_loop;
+    row_store& m_store;
+    follower_options m_options;
+    observers m_observers;
+    std::shared_ptr<bool> m_alive;
+    timer_id m_timer = timer_id::none;
+    row_version m_version = absent;
+    bool m_complete = false;
+    /// Versions of the rows passed on, so that a whole reading tells what has gone.
+    std::map<row_address, row_version> m_known;
+    std::map<row_address, row_version> m_seen;
+    std::size_t m_partitions_left = 0;
+    /// Numbers the whole readings; answers to an earlier one no longer count.
+    std::uint64_t m_attempt = 0;
+    row_version m_first_version = absent;
+};
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/worker_watch.hpp
@@ -0,0 +1,74 @@
+// Looks at every worker again and again, and carries the scheduler's orders to them.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/common/metrics.hpp"
+#include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace plantaindoor::fleet {
+
+struct watch_options {
+    fencing_token token = 0;
+    /// Between two looks at a worker, so that one look brings several ends.
+    milliseconds gap{25};
+    /// After a look that wasn't answered.
+    milliseconds retry{250};
+    /// Longest pause while ends can't be acknowledged.
+    milliseconds longest_unacknowledged{200};
+};
+
+/// Loop thread only.
+class worker_watch {
+public:
+    using event = std::function<void()>;
+
+    /// Everything passed must outlive the watch.
+    worker_watch(event_loop& loop, worker_gateway& workers, job::scheduler& scheduler,
+                 metrics_registry& metrics, watch_options options, event on_change,
+                 event on_stale_token);
+    worker_watch(const worker_watch&) = delete;
+    worker_watch& operator=(const worker_watch&) = delete;
+    ~worker_watch();
+
+    /// Begins to look at workers that are new.
+    void refresh();
+    /// Sends orders out.
+    void send(const job::orders& orders);
+    /// While paused nothing is sent; looks on their way are still taken in.
+    void set_paused(bool paused);
+
+private:
+    struct watched {
+        bool looking = false;
+        timer_id timer = timer_id::none;
+        milliseconds unacknowledged{0};
+    };
+
+    void look(const instance_id& id);
+    void take_look(const instance_id& id, time_point sent, const look_result& result);
+    void look_after(const instance_id& id, milliseconds delay);
+    [[nodiscard]] milliseconds pause_after_report(const instance_id& id, watched& at);
+    [[nodiscard]] worker_address address_of(const instance_id& id) const;
+
+    event_loop& m_loop;
+    worker_gateway& m_workers;
+    job::scheduler& m_scheduler;
+    watch_options m_options;
+    event m_on_change;
+    event m_on_stale_token;
+    std::shared_ptr<bool> m_alive;
+    std::map<instance_id, watched> m_watched;
+    bool m_paused = false;
+    metric_counter& m_looks;
+    metric_counter& m_missed_looks;
+    metric_counter& m_starts;
+    metric_counter& m_stops;
+    metric_counter& m_paces;
+};
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/control_session.cpp
@@ -0,0 +1,288 @@
+#include "plantaindoor/fleet/control_session.hpp"
+
+#include "plantaindoor/fleet/job_rows.hpp"
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr process::log_part duty_log("duty");
+constexpr process::log_part job_log("job");
+constexpr process::log_part worker_log("worker");
+
+/// Several events share one round of placement.
+constexpr milliseconds plan_delay{3};
+constexpr milliseconds tick_period{100};
+/// A job can't have waited longer than its callers wait; bounds what a wrong clock can do.
+constexpr milliseconds longest_past{60000};
+
+std::vector<job::queue_policy> queues_of(const fleet_config& config)
+{
+    std::vector<job::queue_policy> queues;
+    for (const queue_route& route : config.routes) {
+        queues.push_back(route.queue);
+    }
+    return queues;
+}
+
+} // namespace
+
+control_session::control_session(const session_context& context, session_options options,
+                                 std::shared_ptr<const fleet_config> config, event on_lost)
+    : m_context(context),
+      m_options(std::move(options)),
+      m_config(std::move(config)),
+      m_on_lost(std::move(on_lost)),
+      m_alive(std::make_shared<bool>(true)),
+      m_scheduler(m_options.scheduling, context.loop.now()),
+      m_plan_seconds(context.metrics.summary({"plan_seconds", "Rounds of placement", {}}))
+{
+    m_lease_until = m_options.taken + m_options.lease;
+    m_scheduler.set_queues(queues_of(*m_config));
+    m_watch = std::make_unique<worker_watch>(
+        m_context.loop, m_context.workers, m_scheduler, m_context.metrics,
+        watch_options{.token = m_options.claim_row.version}, [this] { change(); },
+        [this] { lose(); });
+    m_keeper = std::make_unique<progress_keeper>(
+        m_context.loop, m_context.store, m_scheduler, m_context.metrics,
+        keeper_options{.claim = m_options.claim_row,
+                       .renewal = m_options.renewal_row,
+                       .incarnation = m_options.claim.incarnation},
+        m_context.clock,
+        progress_keeper::observers{.on_kept = [this] { change(); },
+                                   .on_renewed = [this](time_point sent) { renewed(sent); },
+                                   .on_lost = [this] { lose(); }});
+    read_progress();
+    read_workers();
+    tick();
+}
+
+control_session::~control_session()
+{
+    *m_alive = false;
+    m_context.loop.cancel(m_plan_timer);
+    m_context.loop.cancel(m_tick_timer);
+}
+
+void control_session::read_progress()
+{
+    follower_options options{.table = std::string(progress_table),
+                             .partitions = {std::string(control_partition)}};
+    m_progress_rows = std::make_unique<table_follower>(
+        m_context.loop, m_context.store, std::move(options),
+        table_follower::observers{
+            .on_row =
+                [this](const stored_row& row) { m_read_progress[job_id(row.at.key)] = row.value; },
+            .on_complete =
+                [this] {
+                    // This session writes the table itself from now on, so it isn't followed.
+                    m_context.loop.post([this, alive = m_alive] {
+                        if (*alive) {
+                            m_progress_rows.reset();
+                            read_jobs();
+                        }
+                    });
+                },
+            .on_alive = [] {},
+            .on_failure = [] {}});
+}
+
+void control_session::read_jobs()
+{
+    follower_options options{.table = std::string(jobs_table), .partitions = all_job_partitions()};
+    m_job_rows = std::make_unique<table_follower>(
+        m_context.loop, m_context.store, std::move(options),
+        table_follower::observers{.on_row = [this](const stored_row& row) { take_job_row(row); },
+                                  .on_complete = [this] { become_ready(); },
+                                  .on_alive = [] {},
+                                  .on_failure = [] {}});
+}
+
+void control_session::read_workers()
+{
+    follower_options options{.table = m_context.forms.workers_table, .partitions = {""}};
+    m_worker_rows = std::make_unique<table_follower>(
+        m_context.loop, m_context.store, std::move(options),
+        table_follower::observers{.on_row = [this](const stored_row& row) { take_worker_row(row); },
+                                  .on_complete =
+                                      [this] {
+                                          m_workers_read = true;
+                                          change();
+                                      },
+                                  .on_alive = [] {},
+                                  .on_failure = [] {}});
+}
+
+void control_session::take_job_row(const stored_row& row)
+{
+    const job_row_key key = parse_job_row_key(row.at.key);
+    if (row.removed) {
+        return;
+    }
+    if (key.cancelling) {
+        cancel(key.id);
+    }
+    else {
+        submit(key.id, row.value);
+    }
+}
+
+void control_session::submit(const job_id& id, const std::string& row_value)
+{
+    if (m_scheduler.find(id) != nullptr) {
+        return;
+    }
+    const auto accepted = parse_accepted_job(row_value);
+    if (!accepted) {
+        job_log.warning(fmt::format("job {} has an unreadable row", id.str()));
+        return;
+    }
+    try {
+        const auto spec = m_context.forms.parse_job(accepted->body);
+        const auto age = std::clamp(m_context.loop.wall_now() - accepted->accepted, milliseconds(0),
+                                    longest_past);
+        m_scheduler.submit(id, accepted->queue, spec, m_context.loop.now() - age, !m_ready);
+        if (const auto progress = m_read_progress.find(id); progress != m_read_progress.end()) {
+            m_scheduler.restore(id, progress->second);
+        }
+    }
+    catch (const job::spec_error& failure) {
+        job_log.error(fmt::format("job {} can't be read: {}", id.str(), failure.what()));
+        return;
+    }
+    change();
+}
+
+void control_session::cancel(const job_id& id)
+{
+    m_scheduler.cancel(id, m_context.loop.now());
+    change();
+}
+
+void control_session::take_worker_row(const stored_row& row)
+{
+    const instance_id id(row.at.key);
+    if (row.removed) {
+        worker_log.info(fmt::format("worker {} is no longer listed", id.str()));
+        m_scheduler.unlist_worker(id, m_context.loop.now());
+        change();
+        return;
+    }
+    auto listing = m_context.forms.parse_worker(row);
+    if (!listing) {
+        worker_log.warning(
+            fmt::format("worker {} has an unreadable entry, version {}", id.str(), row.version));
+        m_scheduler.unlist_worker(id, m_context.loop.now());
+        return;
+    }
+    const auto known = m_scheduler.workers().find(id);
+    if (known != m_scheduler.workers().end() && known->second.listed &&
+        known->second.listing == *listing) {
+        return;
+    }
+    worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
+                                listing->address, listing->service.str(),
+                                listing->draining ? ", draining" : "", row.version));
+    m_scheduler.list_worker(std::move(*listing), m_context.loop.now());
+    change();
+}
+
+void control_session::become_ready()
+{
+    if (m_ready) {
+        return;
+    }
+    m_ready = true;
+    m_read_progress.clear();
+    duty_log.info(fmt::format("session ready: {} jobs, generation {}, token {}",
+                              m_scheduler.job_count(), m_options.claim.generation,
+                              m_options.claim_row.version));
+    change();
+}
+
+void control_session::change()
+{
+    if (m_plan_timer == timer_id::none) {
+        m_plan_timer = m_context.loop.call_after(plan_delay, [this] {
+            m_plan_timer = timer_id::none;
+            plan();
+        });
+    }
+}
+
+void control_session::plan()
+{
+    check_lease();
+    if (!m_ready || !m_workers_read || m_paused || m_lost) {
+        return;
+    }
+    const time_point begun = m_context.loop.now();
+    m_watch->refresh();
+    m_watch->send(m_scheduler.plan(begun, m_context.loop.wall_now()));
+    m_keeper->refresh();
+    m_plan_seconds.record(m_context.loop.now() - begun);
+}
+
+void control_session::renewed(time_point sent)
+{
+    m_lease_until = sent + m_options.lease;
+    check_lease();
+}
+
+void control_session::check_lease()
+{
+    const bool over = m_context.clock() >= m_lease_until;
+    if (over != m_paused) {
+        m_paused = over;
+        duty_log.warning(over ? "the lease isn't renewed: no orders" : "the lease is renewed");
+        m_watch->set_paused(over);
+    }
+}
+
+void control_session::tick()
+{
+    m_tick_timer = m_context.loop.call_after(tick_period, [this] {
+        plan();
+        tick();
+    });
+}
+
+void control_session::lose()
+{
+    if (!std::exchange(m_lost, true)) {
+        m_watch->set_paused(true);
+        m_on_lost();
+    }
+}
+
+void control_session::apply(std::shared_ptr<const fleet_config> config)
+{
+    m_config = std::move(config);
+    m_scheduler.set_queues(queues_of(*m_config));
+    change();
+}
+
+std::optional<job::job_state> control_session::state_of(const job_id& id) const
+{
+    const job::job_record* const job = m_scheduler.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    // What isn't durable yet must not be told: a successor might tell otherwise.
+    const bool hidden = is_over(job->state()) && !m_scheduler.is_kept(id) &&
+                        job->state() != job::job_state::cancelled;
+    return hidden ? job::job_state::running : job->state();
+}
+
+std::size_t control_session::pending(const std::string& queue) const
+{
+    return m_scheduler.pending(queue);
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/job_desk.cpp
@@ -0,0 +1,183 @@
+#include "plantaindoor/fleet/job_desk.hpp"
+
+#include "plantaindoor/fleet/job_rows.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr milliseconds read_timeout{700};
+
+std::optional<job::job_state> state_in(const std::string& progress)
+{
+    const auto read = nlohmann::json::parse(progress, nullptr, false);
+    if (!read.is_object() || !read.contains("state") || !read["state"].is_string()) {
+        return std::nullopt;
+    }
+    return parse_enum<job::job_state>(read["state"].get<std::string>());
+}
+
+/// Both rows of one job, in the jobs' table.
+row_query rows_of(const job_id& id)
+{
+    const row_address first = accepted_address(id);
+    return {.table = first.table,
+            .partition = first.partition,
+            .from = first.key,
+            .until = cancelled_address(id).key + '\x01',
+            .limit = 2};
+}
+
+} // namespace
+
+job_desk::job_desk(event_loop& loop, row_store& store, job_intake& intake, peer_calls& peers)
+    : m_loop(loop),
+      m_store(store),
+      m_intake(intake),
+      m_peers(peers),
+      m_alive(std::make_shared<bool>(true))
+{
+}
+
+job_desk::~job_desk()
+{
+    *m_alive = false;
+}
+
+bool job_desk::session_ready() const
+{
+    return m_session != nullptr && m_session->ready();
+}
+
+void job_desk::submit(const job_id& id, const accepted_job& accepted, time_point deadline,
+                      submit_callback done)
+{
+    m_intake.accept(id, accepted, deadline,
+                    [this, id, accepted, done = std::move(done)](intake_outcome outcome) {
+                        if (outcome == intake_outcome::kept && session_ready()) {
+                            m_session->submit(id, to_text(accepted));
+                        }
+                        done(outcome);
+                    });
+}
+
+void job_desk::cancel(const job_id& id, time_point deadline, cancel_callback done)
+{
+    auto keep = [this, id, deadline, done] {
+        m_intake.cancel(id, deadline, [this, id, done](intake_outcome outcome) {
+            if (outcome == intake_outcome::kept && session_ready()) {
+                m_session->cancel(id);
+            }
+            done(outcome == intake_outcome::kept       ? cancel_outcome::cancelled
+                 : outcome == intake_outcome::not_kept ? cancel_outcome::not_kept
+                                                       : cancel_outcome::unknown);
+        });
+    };
+    if (session_ready() && m_session->state_of(id)) {
+        keep();
+        return;
+    }
+    m_store.read(rows_of(id), read_timeout,
+                 [keep, done, alive = m_alive](const std::optional<row_page>& page) {
+                     if (!*alive) {
+                         return;
+                     }
+                     if (!page) {
+                         done(cancel_outcome::not_kept);
+                     }
+                     else if (page->rows.empty()) {
+                         done(cancel_outcome::no_such_job);
+                     }
+                     else {
+                         keep();
+                     }
+                 });
+}
+
+void job_desk::state(const job_id& id, state_callback done)
+{
+    if (session_ready()) {
+        if (const auto state = m_session->state_of(id)) {
+            done({.known = true, .state = state});
+            return;
+        }
+    }
+    m_peers.state(id, [this, id, done = std::move(done)](std::optional<job::job_state> state) {
+        if (state) {
+            done({.known = true, .state = state});
+        }
+        else {
+            // The holder may not have heard of the job yet.
+            state_from_store(id, done);
+        }
+    });
+}
+
+void job_desk::state_from_store(const job_id& id, state_callback done)
+{
+    const row_address at = progress_address(id);
+    m_store.read(
+        {.table = at.table,
+         .partition = at.partition,
+         .from = at.key,
+         .until = at.key + '\x01',
+         .limit = 1},
+        read_timeout,
+        [this, id, done = std::move(done), alive = m_alive](const std::optional<row_page>& page) {
+            if (!*alive) {
+                return;
+            }
+            if (!page) {
+                done({});
+                return;
+            }
+            const auto state =
+                page->rows.empty() ? std::nullopt : state_in(page->rows.front().value);
+            if (state && is_over(*state)) {
+                done({.known = true, .state = state});
+                return;
+            }
+            accepted_in_store(id, done);
+        });
+}
+
+void job_desk::accepted_in_store(const job_id& id, state_callback done)
+{
+    m_store.read(rows_of(id), read_timeout,
+                 [done = std::move(done), alive = m_alive](const std::optional<row_page>& page) {
+                     if (!*alive) {
+                         return;
+                     }
+                     if (!page) {
+                         done({});
+                         return;
+                     }
+                     if (page->rows.empty()) {
+                         done({.known = true, .state = std::nullopt});
+                         return;
+                     }
+                     const bool cancelled =
+                         std::any_of(page->rows.begin(), page->rows.end(), [](const auto& row) {
+                             return parse_job_row_key(row.at.key).cancelling;
+                         });
+                     done(
+                         {.known = true,
+                          .state = cancelled ? job::job_state::cancelled : job::job_state::queued});
+                 });
+}
+
+void job_desk::pending(const std::string& queue, pending_callback done)
+{
+    if (session_ready()) {
+        done(m_session->pending(queue));
+        return;
+    }
+    m_peers.pending(queue, std::move(done));
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/job_intake.cpp
@@ -0,0 +1,195 @@
+#include "plantaindoor/fleet/job_intake.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+/// Each item takes a condition and a write.
+constexpr std::size_t most_items = max_transaction_entries / 2;
+constexpr std::string_view cancel_mark = "cancelled";
+
+/// Whether a row that is there already is what the item would have written.
+bool is_same(const std::string& wanted, const std::string& present)
+{
+    if (wanted == cancel_mark) {
+        return true;
+    }
+    const auto ours = parse_accepted_job(wanted);
+    const auto theirs = parse_accepted_job(present);
+    return ours && theirs && ours->body == theirs->body;
+}
+
+} // namespace
+
+job_intake::job_intake(event_loop& loop, row_store& store, intake_options options)
+    : m_loop(loop), m_store(store), m_options(options), m_alive(std::make_shared<bool>(true))
+{
+}
+
+job_intake::~job_intake()
+{
+    *m_alive = false;
+    for (auto& [name, part] : m_partitions) {
+        m_loop.cancel(part.timer);
+    }
+}
+
+void job_intake::accept(const job_id& id, const accepted_job& accepted, time_point deadline,
+                        callback done)
+{
+    add({.at = accepted_address(id),
+         .value = to_text(accepted),
+         .deadline = deadline,
+         .done = std::move(done)});
+}
+
+void job_intake::cancel(const job_id& id, time_point deadline, callback done)
+{
+    add({.at = cancelled_address(id),
+         .value = std::string(cancel_mark),
+         .deadline = deadline,
+         .done = std::move(done)});
+}
+
+void job_intake::add(item added)
+{
+    ++m_waiting;
+    if (m_waiting > m_options.most_waiting) {
+        answer(added, intake_outcome::not_kept);
+        return;
+    }
+    const std::string name = added.at.partition;
+    partition& part = m_partitions[name];
+    part.queue.push_back(std::move(added));
+    if (!part.busy && part.timer == timer_id::none) {
+        send(name);
+    }
+}
+
+void job_intake::send(const std::string& name)
+{
+    if (m_partitions[name].busy) {
+        return;
+    }
+    expire(name);
+    partition& part = m_partitions[name];
+    if (part.busy || part.queue.empty()) {
+        return;
+    }
+    row_transaction transaction;
+    std::size_t bytes = 0;
+    while (!part.queue.empty() && part.sent.size() < most_items &&
+           bytes + part.queue.front().value.size() < max_transaction_bytes) {
+        item& next = part.queue.front();
+        bytes += next.value.size();
+        transaction.conditions.push_back({next.at, absent});
+        transaction.writes.push_back({next.at, next.value});
+        part.sent.push_back(std::move(next));
+        part.queue.pop_front();
+    }
+    part.busy = true;
+    m_store.commit(std::move(transaction), m_options.commit_timeout,
+                   [this, name, alive = m_alive](const commit_result& result) {
+                       if (*alive) {
+                           finish(name, result);
+                       }
+                   });
+}
+
+void job_intake::finish(const std::string& name, const commit_result& result)
+{
+    partition& part = m_partitions[name];
+    part.busy = false;
+    m_store_answers =
+        result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict;
+    switch (result.outcome) {
+    case commit_outcome::applied:
+        for (item& each : std::exchange(part.sent, {})) {
+            answer(each, intake_outcome::kept);
+        }
+        part.retry = milliseconds(0);
+        break;
+    case commit_outcome::conflict:
+        settle_conflict(part, result.present);
+        part.retry = milliseconds(0);
+        break;
+    case commit_outcome::refused:
+    case commit_outcome::unknown:
+        // Written again under the same condition, an item tells whether it was kept before.
+        put_back(part, result.outcome == commit_outcome::unknown);
+        wait_and_retry(name);
+        return;
+    }
+    send(name);
+}
+
+void job_intake::settle_conflict(partition& part, const std::vector<stored_row>& present)
+{
+    auto sent = std::exchange(part.sent, {});
+    std::vector<item> again;
+    for (item& each : sent) {
+        const auto there = std::find_if(present.begin(), present.end(), [&](const auto& row) {
+            return row.at == each.at && row.version != absent && !row.removed;
+        });
+        if (there == present.end()) {
+            again.push_back(std::move(each));
+        }
+        else {
+            answer(each, is_same(each.value, there->value) ? intake_outcome::kept
+                                                           : intake_outcome::differs);
+        }
+    }
+    for (auto each = again.rbegin(); each != again.rend(); ++each) {
+        part.queue.push_front(std::move(*each));
+    }
+}
+
+void job_intake::put_back(partition& part, bool doubtful)
+{
+    auto sent = std::exchange(part.sent, {});
+    for (auto each = sent.rbegin(); each != sent.rend(); ++each) {
+        each->doubtful = each->doubtful || doubtful;
+        part.queue.push_front(std::move(*each));
+    }
+}
+
+void job_intake::wait_and_retry(const std::string& name)
+{
+    partition& part = m_partitions[name];
+    part.retry = std::clamp(part.retry * 2, m_options.first_retry, m_options.longest_retry);
+    part.timer = m_loop.call_after(part.retry, [this, name] {
+        m_partitions[name].timer = timer_id::none;
+        send(name);
+    });
+}
+
+void job_intake::expire(const std::string& name)
+{
+    partition& part = m_partitions[name];
+    const time_point latest = m_loop.now() + m_options.first_retry;
+    std::deque<item> left;
+    for (item& each : std::exchange(part.queue, {})) {
+        if (each.deadline <= latest) {
+            answer(each, each.doubtful ? intake_outcome::unknown : intake_outcome::not_kept);
+        }
+        else {
+            left.push_back(std::move(each));
+        }
+    }
+    // An answer may have added items meanwhile.
+    for (item& each : part.queue) {
+        left.push_back(std::move(each));
+    }
+    part.queue = std::move(left);
+}
+
+void job_intake::answer(item& answered, intake_outcome outcome)
+{
+    --m_waiting;
+    answered.done(outcome);
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/job_rows.cpp
@@ -0,0 +1,86 @@
+#include "plantaindoor/fleet/job_rows.hpp"
+
+#include "plantaindoor/common/hash.hpp"
+#include "plantaindoor/fleet/duty.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view cancel_suffix = "!cancel";
+
+std::string partition_name(std::size_t number)
+{
+    return "jobs-" + std::to_string(number);
+}
+
+std::string partition_of(const job_id& id)
+{
+    return partition_name(hash64(id.str()) % job_partitions);
+}
+
+} // namespace
+
+std::vector<std::string> all_job_partitions()
+{
+    std::vector<std::string> all;
+    for (std::size_t number = 0; number < job_partitions; ++number) {
+        all.push_back(partition_name(number));
+    }
+    return all;
+}
+
+row_address accepted_address(const job_id& id)
+{
+    return {std::string(jobs_table), partition_of(id), id.str()};
+}
+
+row_address cancelled_address(const job_id& id)
+{
+    return {std::string(jobs_table), partition_of(id), id.str() + std::string(cancel_suffix)};
+}
+
+row_address progress_address(const job_id& id)
+{
+    return {std::string(progress_table), std::string(control_partition), id.str()};
+}
+
+job_row_key parse_job_row_key(std::string_view key)
+{
+    const bool cancelling = key.ends_with(cancel_suffix);
+    if (cancelling) {
+        key.remove_suffix(cancel_suffix.size());
+    }
+    return {.id = job_id(std::string(key)), .cancelling = cancelling};
+}
+
+std::string to_text(const accepted_job& accepted)
+{
+    return json{{"queue", accepted.queue},
+                {"accepted_ms", accepted.accepted.time_since_epoch().count()},
+                {"body", accepted.body}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<accepted_job> parse_accepted_job(std::string_view text)
+{
+    const json read = json::parse(text, nullptr, false);
+    if (!read.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        return accepted_job{.queue = read.at("queue"),
+                            .accepted =
+                                wall_time(milliseconds(read.at("accepted_ms").get<std::int64_t>())),
+                            .body = read.at("body")};
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/peer_calls.cpp
@@ -0,0 +1,112 @@
+#include "plantaindoor/fleet/peer_calls.hpp"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+using connection::http_response;
+using connection::http_result;
+using connection::transport_fault;
+
+constexpr milliseconds call_timeout{300};
+/// A port without a listener refuses within a round trip; a silent one takes the whole time.
+constexpr milliseconds refusal_bound{100};
+
+constexpr std::string_view ping_path = "/ping";
+constexpr std::string_view state_path = "/state/";
+constexpr std::string_view pending_path = "/pending/";
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_not_found = 404;
+
+bool answered(const http_result& result)
+{
+    return result.fault == transport_fault::none && result.response.status == status_ok;
+}
+
+} // namespace
+
+peer_calls::peer_calls(event_loop& loop, connection::http_client& client)
+    : m_loop(loop), m_client(client)
+{
+}
+
+void peer_calls::set_holder(const std::string& address, const std::string& incarnation)
+{
+    m_holder = connection::parse_endpoint(address);
+    m_incarnation = incarnation;
+}
+
+void peer_calls::call(const std::string& target, connection::http_client::callback done)
+{
+    if (!m_holder) {
+        m_loop.post([done = std::move(done)] {
+            done({.fault = transport_fault::connect_failed, .response = {}});
+        });
+        return;
+    }
+    connection::http_call call{.to = *m_holder,
+                               .request = {.method = "GET", .target = target},
+                               .timeout = call_timeout,
+                               .connect_timeout = call_timeout,
+                               .hop = "entry -> entry"};
+    m_client.start(std::move(call), std::move(done));
+}
+
+void peer_calls::state(const job_id& id, state_callback done)
+{
+    call(std::string(state_path) + id.str(), [done = std::move(done)](const http_result& result) {
+        done(answered(result) ? parse_enum<job::job_state>(result.response.body) : std::nullopt);
+    });
+}
+
+void peer_calls::pending(const std::string& queue, pending_callback done)
+{
+    call(std::string(pending_path) + queue, [done = std::move(done)](const http_result& result) {
+        const std::string& body = result.response.body;
+        std::size_t count = 0;
+        const auto read = std::from_chars(body.data(), body.data() + body.size(), count);
+        done(answered(result) && read.ec == std::errc{} ? std::optional(count) : std::nullopt);
+    });
+}
+
+void peer_calls::probe(life_callback done)
+{
+    call(std::string(ping_path), [this, begun = m_loop.now(), incarnation = m_incarnation,
+                                  done = std::move(done)](const http_result& result) {
+        if (answered(result)) {
+            done(result.response.body == incarnation ? peer_life::alive : peer_life::ended);
+            return;
+        }
+        const bool refused =
+            result.fault == transport_fault::connect_failed && m_loop.now() - begun < refusal_bound;
+        done(refused ? peer_life::ended : peer_life::silent);
+    });
+}
+
+http_response answer_peer(const connection::http_request& request, const peer_answers& answers)
+{
+    const std::string_view target = request.target;
+    if (target == ping_path) {
+        return {.status = status_ok, .body = answers.incarnation};
+    }
+    if (target.starts_with(state_path)) {
+        const auto state = answers.state(job_id(std::string(target.substr(state_path.size()))));
+        if (state) {
+            return {.status = status_ok, .body = std::string(name_of(*state))};
+        }
+    }
+    if (target.starts_with(pending_path)) {
+        const auto count = answers.pending(std::string(target.substr(pending_path.size())));
+        if (count) {
+            return {.status = status_ok, .body = std::to_string(*count)};
+        }
+    }
+    return {.status = status_not_found};
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/progress_keeper.cpp
@@ -0,0 +1,149 @@
+#include "plantaindoor/fleet/progress_keeper.hpp"
+
+#include "plantaindoor/fleet/job_rows.hpp"
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr process::log_part progress_log("progress");
+/// Two entries are conditions and one is the renewal.
+constexpr std::size_t most_rows = max_transaction_entries - 3;
+
+} // namespace
+
+progress_keeper::progress_keeper(event_loop& loop, row_store& store, job::scheduler& scheduler,
+                                 metrics_registry& metrics, keeper_options options,
+                                 std::function<time_point()> clock, observers told)
+    : m_loop(loop),
+      m_store(store),
+      m_scheduler(scheduler),
+      m_options(std::move(options)),
+      m_clock(std::move(clock)),
+      m_observers(std::move(told)),
+      m_alive(std::make_shared<bool>(true)),
+      m_commits(metrics.counter({"progress_commits_total", "Transactions of progress", {}})),
+      m_rows(metrics.counter({"progress_rows_total", "Rows of progress written", {}})),
+      m_bytes(metrics.counter({"progress_bytes_total", "Bytes of progress written", {}}))
+{
+    send_after(m_options.renew);
+}
+
+progress_keeper::~progress_keeper()
+{
+    *m_alive = false;
+    m_loop.cancel(m_timer);
+}
+
+void progress_keeper::send_after(milliseconds delay)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.call_after(delay, [this] {
+        m_timer = timer_id::none;
+        send();
+    });
+}
+
+void progress_keeper::refresh()
+{
+    const bool wanted = !m_scheduler.unkept().empty() || !m_removals.empty();
+    if (wanted && !m_busy && !m_gathering) {
+        m_gathering = true;
+        send_after(m_options.gather);
+    }
+}
+
+void progress_keeper::send()
+{
+    m_gathering = false;
+    if (m_left.empty()) {
+        m_left = m_scheduler.begin_keeping();
+    }
+    row_transaction transaction{.conditions = {m_options.claim, m_options.renewal}, .writes = {}};
+    transaction.writes.push_back(
+        {m_options.renewal.at, m_options.incarnation + ' ' + std::to_string(++m_count)});
+    std::size_t bytes = 0;
+    while (!m_left.empty() && transaction.writes.size() < most_rows &&
+           bytes < max_transaction_bytes / 2) {
+        const job::job_record* const job = m_scheduler.find(m_left.back());
+        if (job != nullptr) {
+            transaction.writes.push_back({progress_address(job->id()), job->progress()});
+            bytes += transaction.writes.back().value->size();
+        }
+        m_left.pop_back();
+    }
+    while (!m_removals.empty() && transaction.writes.size() < most_rows) {
+        transaction.writes.push_back({m_removals.back(), std::nullopt});
+        m_removing.push_back(m_removals.back());
+        m_removals.pop_back();
+    }
+    m_commits.add();
+    m_rows.add(transaction.writes.size());
+    m_bytes.add(bytes);
+    m_busy = true;
+    m_store.commit(std::move(transaction), m_options.commit_timeout,
+                   [this, sent = m_clock(), alive = m_alive](const commit_result& result) {
+                       if (*alive) {
+                           finish(sent, result);
+                       }
+                   });
+}
+
+void progress_keeper::finish(time_point sent, const commit_result& result)
+{
+    m_busy = false;
+    if (result.outcome == commit_outcome::applied) {
+        m_options.renewal.version = result.version;
+        m_removing.clear();
+        m_observers.on_renewed(sent);
+        if (!m_left.empty()) {
+            send();
+            return;
+        }
+        m_scheduler.note_kept();
+        m_observers.on_kept();
+        send_after(m_options.renew);
+        refresh();
+        return;
+    }
+    m_removals.insert(m_removals.end(), m_removing.begin(), m_removing.end());
+    m_removing.clear();
+    m_left.clear();
+    m_scheduler.note_not_kept();
+    if (result.outcome == commit_outcome::conflict) {
+        settle_conflict(result);
+        return;
+    }
+    progress_log.info(fmt::format("progress not kept: {}", name_of(result.outcome)));
+    send_after(m_options.retry);
+}
+
+void progress_keeper::settle_conflict(const commit_result& result)
+{
+    const auto row_at = [&](const row_address& at) {
+        return std::find_if(result.present.begin(), result.present.end(),
+                            [&](const stored_row& row) { return row.at == at; });
+    };
+    const auto claim = row_at(m_options.claim.at);
+    const auto renewal = row_at(m_options.renewal.at);
+    const auto none = result.present.end();
+    const bool claim_stands = claim != none && claim->version == m_options.claim.version;
+    // An earlier transaction whose answer was lost has renewed.
+    const bool own_renewal =
+        renewal != none && renewal->value.starts_with(m_options.incarnation + ' ');
+    if (!claim_stands || !own_renewal) {
+        progress_log.warning("the duty's claim no longer stands");
+        m_observers.on_lost();
+        return;
+    }
+    m_options.renewal.version = renewal->version;
+    send();
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/worker_watch.cpp
@@ -0,0 +1,197 @@
+#include "plantaindoor/fleet/worker_watch.hpp"
+
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr process::log_part worker_log("worker");
+
+metric_options counter_named(std::string name, std::string help)
+{
+    return {.name = std::move(name), .help = std::move(help), .labels = {}};
+}
+
+} // namespace
+
+worker_watch::worker_watch(event_loop& loop, worker_gateway& workers, job::scheduler& scheduler,
+                           metrics_registry& metrics, watch_options options, event on_change,
+                           event on_stale_token)
+    : m_loop(loop),
+      m_workers(workers),
+      m_scheduler(scheduler),
+      m_options(options),
+      m_on_change(std::move(on_change)),
+      m_on_stale_token(std::move(on_stale_token)),
+      m_alive(std::make_shared<bool>(true)),
+      m_looks(metrics.counter(counter_named("worker_looks_total", "Looks sent to workers"))),
+      m_missed_looks(metrics.counter(
+          counter_named("worker_looks_missed_total", "Looks that weren't answered"))),
+      m_starts(metrics.counter(counter_named("task_starts_total", "Starts ordered"))),
+      m_stops(metrics.counter(counter_named("task_stops_total", "Stops ordered"))),
+      m_paces(metrics.counter(counter_named("task_paces_total", "Paces ordered")))
+{
+}
+
+worker_watch::~worker_watch()
+{
+    *m_alive = false;
+    for (auto& [id, at] : m_watched) {
+        m_loop.cancel(at.timer);
+    }
+}
+
+worker_address worker_watch::address_of(const instance_id& id) const
+{
+    const auto& workers = m_scheduler.workers();
+    const auto found = workers.find(id);
+    return {.id = id, .address = found == workers.end() ? "" : found->second.listing.address};
+}
+
+void worker_watch::refresh()
+{
+    if (m_paused) {
+        return;
+    }
+    std::erase_if(m_watched, [this](auto& each) {
+        const bool gone = !m_scheduler.watched(each.first) && !each.second.looking;
+        if (gone) {
+            m_loop.cancel(each.second.timer);
+        }
+        return gone;
+    });
+    for (const auto& [id, worker] : m_scheduler.workers()) {
+        watched& at = m_watched[id];
+        if (!at.looking && at.timer == timer_id::none) {
+            look(id);
+        }
+    }
+}
+
+void worker_watch::set_paused(bool paused)
+{
+    m_paused = paused;
+    if (!paused) {
+        refresh();
+    }
+}
+
+void worker_watch::look_after(const instance_id& id, milliseconds delay)
+{
+    watched& at = m_watched[id];
+    m_loop.cancel(at.timer);
+    at.timer = m_loop.call_after(delay, [this, id] {
+        m_watched[id].timer = timer_id::none;
+        look(id);
+    });
+}
+
+void worker_watch::look(const instance_id& id)
+{
+    if (m_paused || !m_scheduler.watched(id)) {
+        return;
+    }
+    m_watched[id].looking = true;
+    m_looks.add();
+    const time_point sent = m_loop.now();
+    const job::look_order order = m_scheduler.next_look(id, sent);
+    m_workers.look(address_of(id), order, m_options.token,
+                   [this, id, sent, alive = m_alive](const look_result& result) {
+                       if (*alive) {
+                           take_look(id, sent, result);
+                       }
+                   });
+}
+
+void worker_watch::take_look(const instance_id& id, time_point sent, const look_result& result)
+{
+    watched& at = m_watched[id];
+    at.looking = false;
+    const time_point now = m_loop.now();
+    switch (result.answer) {
+    case job::order_answer::accepted:
+        m_scheduler.note_report(id, result.report, sent, now);
+        look_after(id, pause_after_report(id, at));
+        break;
+    case job::order_answer::another_life:
+        worker_log.info(
+            fmt::format("worker {} is over: its address has another instance", id.str()));
+        m_scheduler.end_worker(id, now);
+        break;
+    case job::order_answer::stale_token:
+        m_on_stale_token();
+        look_after(id, m_options.retry);
+        break;
+    default:
+        m_missed_looks.add();
+        worker_log.info(fmt::format("worker {} missed a look after {} ms: {}", id.str(),
+                                    std::chrono::duration_cast<milliseconds>(now - sent).count(),
+                                    name_of(result.answer)));
+        m_scheduler.note_missed_look(id, now);
+        look_after(id, m_options.retry);
+        break;
+    }
+    m_on_change();
+}
+
+milliseconds worker_watch::pause_after_report(const instance_id& id, watched& at)
+{
+    const auto& worker = m_scheduler.workers().at(id);
+    const bool all_kept =
+        worker.committed_sequence >= worker.applied_sequence || m_scheduler.unkept().empty();
+    if (all_kept) {
+        at.unacknowledged = milliseconds(0);
+        return m_options.gap;
+    }
+    at.unacknowledged =
+        std::clamp(at.unacknowledged * 2, m_options.gap, m_options.longest_unacknowledged);
+    return at.unacknowledged;
+}
+
+void worker_watch::send(const job::orders& orders)
+{
+    for (const job::stop_order& order : orders.stops) {
+        m_stops.add();
+        m_workers.stop(address_of(order.worker), order, m_options.token,
+                       [this, order, alive = m_alive](job::order_answer answer) {
+                           if (*alive) {
+                               m_scheduler.note_stop(order.worker, order.run, answer, m_loop.now());
+                               m_on_change();
+                           }
+                       });
+    }
+    for (const job::start_order& order : orders.starts) {
+        m_starts.add();
+        m_workers.start(address_of(order.worker), order, m_options.token,
+                        [this, worker = order.worker, run = order.run,
+                         alive = m_alive](job::order_answer answer) {
+                            if (!*alive) {
+                                return;
+                            }
+                            if (answer != job::order_answer::accepted) {
+                                worker_log.info(fmt::format("start of {} attempt {} on {}: {}",
+                                                            to_string(run.task), run.attempt,
+                                                            worker.str(), name_of(answer)));
+                            }
+                            if (answer == job::order_answer::stale_token) {
+                                m_on_stale_token();
+                            }
+                            m_scheduler.note_start(worker, run, answer, m_loop.now());
+                            m_on_change();
+                        });
+    }
+    for (const job::pace_order& order : orders.paces) {
+        m_paces.add();
+        m_workers.pace(address_of(order.worker), order, m_options.token, [](job::order_answer) {
+            // The next report tells whether the pace has had an effect.
+        });
+    }
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -0,0 +1,200 @@
+// Decides which task runs where: takes in what is known, gives out orders to workers.
+#pragma once
+
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/time.hpp"
+#include "plantaindoor/job/record.hpp"
+#include "plantaindoor/job/spec.hpp"
+#include "plantaindoor/job/task_name.hpp"
+#include "plantaindoor/job/worker.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace plantaindoor::job {
+
+struct scheduler_options {
+    /// How long a worker may run tasks without hearing of this process.
+    milliseconds lease{5000};
+    /// Longest time in which a predecessor may still have extended leases after this process took
+    /// the duty over.
+    milliseconds predecessor_grace{2500};
+    /// How long a worker takes to stop a run.
+    milliseconds stop_time{1000};
+    /// A lasting task that is away for so long counts against what planned work may take.
+    milliseconds notice{4500};
+    /// Added to attempts, so that they rise from one holder of the duty to the next.
+    std::uint32_t attempt_base = 0;
+};
+
+/// Starts a run on a worker.
+struct start_order {
+    instance_id worker;
+    run_name run;
+    std::shared_ptr<const job_spec> spec;
+    std::string checkpoint;
+    /// Of the queue's advice service; empty where none is needed.
+    std::string ticket;
+    /// On the worker's clock.
+    milliseconds deadline{0};
+};
+
+struct stop_order {
+    instance_id worker;
+    run_name run;
+};
+
+/// Lets a filler work at a share of its capacity.
+struct pace_order {
+    instance_id worker;
+    run_name run;
+    std::uint32_t percent = 100;
+};
+
+struct orders {
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
+};
+
+/// Asks a worker for its report, acknowledges ends and extends its leases.
+struct look_order {
+    std::uint64_t acknowledged = 0;
+    /// On the worker's clock; nothing where its clock isn't known or the lease must not grow.
+    std::optional<milliseconds> deadline;
+    /// How long the worker may wait for an end before it answers.
+    milliseconds wait{0};
+};
+
+/// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
+/// Not synchronised.
+class scheduler {
+public:
+    scheduler(scheduler_options options, time_point now);
+
+    /// Replaces all queues; jobs of a queue that is gone keep what they had.
+    void set_queues(const std::vector<queue_policy>& queues);
+
+    /// Takes in an accepted job; does nothing for one that is known. Requires a checked spec.
+    /// `inherited` for a job that an earlier holder of the duty may have started.
+    void submit(job_id id, const std::string& queue, std::shared_ptr<const job_spec> spec,
+                time_point submitted, bool inherited);
+    /// Applies what an earlier holder kept of a job. Throws spec_error.
+    void restore(const job_id& id, std::string_view progress);
+    /// Cancels a job that is not over; remembers it for a job that isn't known yet.
+    void cancel(const job_id& id, time_point now);
+    /// Forgets a job that is over and whose end was kept.
+    void forget(const job_id& id);
+
+    /// Takes in a worker's listing, or its end.
+    void list_worker(worker_listing listing, time_point now);
+    void unlist_worker(const instance_id& id, time_point now);
+    /// The worker's life is over for certain: nothing runs there.
+    void end_worker(const instance_id& id, time_point now);
+    /// Plans a worker out, or in again.
+    void close_worker(const instance_id& id, bool closing);
+
+    /// What to ask a worker now.
+    [[nodiscard]] look_order next_look(const instance_id& id, time_point now);
+    /// Takes in the answer to a look that was sent at `sent`.
+    void note_report(const instance_id& id, const worker_report& report, time_point sent,
+                     time_point now);
+    void note_missed_look(const instance_id& id, time_point now);
+    void note_start(const instance_id& id, const run_name& run, order_answer answer,
+                    time_point now);
+    void note_stop(const instance_id& id, const run_name& run, order_answer answer, time_point now);
+
+    /// All orders that are due. Call after events and at least every 100 ms.
+    [[nodiscard]] orders plan(time_point now, wall_time wall_now);
+
+    /// Jobs whose kept progress is out of date; the caller keeps them, then calls note_kept().
+    [[nodiscard]] const std::set<job_id>& unkept() const noexcept { return m_unkept; }
+    /// Begins a keeping of all unkept jobs, and returns them.
+    [[nodiscard]] std::vector<job_id> begin_keeping();
+    /// The keeping that began last is durable: ends that were applied before may be acknowledged.
+    void note_kept();
+    /// It is not; the jobs are unkept again.
+    void note_not_kept();
+
+    [[nodiscard]] const job_record* find(const job_id& id) const;
+    /// Whether the job's present state is durable.
+    [[nodiscard]] bool is_kept(const job_id& id) const;
+    /// Accepted jobs of a queue without a task that has started.
+    [[nodiscard]] std::size_t pending(const std::string& queue) const;
+    [[nodiscard]] const std::map<instance_id, worker_record>& workers() const noexcept
+    {
+        return m_workers;
+    }
+    /// Whether a worker should be looked at: it is listed, or something may run there.
+    [[nodiscard]] bool watched(const instance_id& id) const;
+    [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
+
+private:
+    struct candidate {
+        job_record* job = nullptr;
+        std::uint32_t tier = 0;
+        time_point objective{};
+    };
+
+    job_record* find_job(const job_id& id);
+    void keep(const job_id& id) { m_unkept.insert(id); }
+
+    void apply_end(worker_record& worker, const ended_entry& end, time_point now);
+    void apply_running(worker_record& worker, const running_entry& entry, time_point now);
+    void drop_unreported(worker_record& worker, const worker_report& report, time_point sent);
+    void adopt(worker_record& worker, const running_entry& entry, job_record& job,
+               task_record& task, time_point now);
+    void stop_unknown(worker_record& worker, const run_name& run, time_point now);
+    /// Takes a run off its worker and its task.
+    void release(worker_record& worker, const run_name& run);
+    void lose_all_runs(worker_record& worker);
+    void complete_task(job_record& job, const task_name& name, std::uint32_t attempt);
+    void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
+                   worker_record& worker);
+    void complete_gang(job_record& job, const task_name& name, std::uint32_t attempt);
+    void end_job(job_record& job, job_state state);
+    void want_stop(worker_record& worker, const run_name& run);
+
+    void reap_silent(time_point now);
+    void begin_due_occurrences(wall_time wall_now);
+    void place_all(time_point now);
+    [[nodiscard]] std::vector<candidate> ranked(time_point now);
+    void place_job(job_record& job, time_point now);
+    void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
+    void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
+    [[nodiscard]] worker_record* choose(const job_record& job, const occurrence_record& occurrence,
+                                        std::uint32_t step, const task_record& task,
+                                        time_point now);
+    void order_start(job_record& job, const task_name& name, worker_record& worker,
+                     std::uint32_t attempt, time_point now);
+    void evacuate(time_point now);
+    [[nodiscard]] bool may_take(job_record& job, const task_name& name, time_point now);
+    void send_stops(time_point now);
+    void pace_fillers(time_point now);
+    [[nodiscard]] bool in_doubt(const job_id& id, time_point now) const;
+    [[nodiscard]] std::optional<milliseconds> grant(worker_record& worker, time_point now);
+
+    scheduler_options m_options;
+    time_point m_started;
+    std::map<std::string, queue_policy> m_queues;
+    std::map<job_id, job_record> m_jobs;
+    std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
+    std::set<job_id> m_open;
+    std::set<job_id> m_inherited;
+    std::set<job_id> m_cancelled_early;
+    std::map<instance_id, worker_record> m_workers;
+    std::map<service_id, std::vector<worker_record*>> m_candidates;
+    std::set<job_id> m_unkept;
+    std::set<job_id> m_keeping;
+    std::map<instance_id, std::uint64_t> m_keeping_sequences;
+    orders m_orders;
+};
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/record.cpp
@@ -0,0 +1,266 @@
+#include "plantaindoor/job/record.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace plantaindoor::job {
+
+namespace {
+
+using nlohmann::json;
+
+/// One character a task: what a row needs, short and readable.
+constexpr char done_mark = 'd';
+constexpr char open_mark = '.';
+
+json step_json(const step_record& step)
+{
+    std::string marks;
+    json failures = json::object();
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const task_record& task = step.tasks[index];
+        marks += task.done ? done_mark : open_mark;
+        if (!task.failed_attempts.empty()) {
+            failures[std::to_string(index)] = task.failed_attempts;
+        }
+    }
+    json written{{"tasks", marks}};
+    if (!failures.empty()) {
+        written["failed"] = failures;
+    }
+    return written;
+}
+
+void restore_step(step_record& step, const json& from)
+{
+    const auto marks = from.at("tasks").get<std::string>();
+    if (marks.size() != step.tasks.size()) {
+        throw spec_error("progress", "as wide as its step");
+    }
+    for (std::size_t index = 0; index < marks.size(); ++index) {
+        if (marks[index] == done_mark) {
+            step.tasks[index].done = true;
+            ++step.done;
+            --step.waiting;
+        }
+    }
+    if (!from.contains("failed")) {
+        return;
+    }
+    for (const auto& [index, attempts] : from.at("failed").items()) {
+        task_record& task = step.tasks.at(std::stoul(index));
+        task.failed_attempts = attempts.get<std::vector<std::uint32_t>>();
+        for (const std::uint32_t attempt : task.failed_attempts) {
+            task.last_attempt = std::max(task.last_attempt, attempt);
+        }
+    }
+}
+
+} // namespace
+
+bool task_record::runs_on(const instance_id& worker, std::uint32_t attempt) const noexcept
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const task_run& run) {
+        return run.attempt == attempt && run.worker == worker;
+    });
+}
+
+void task_record::drop_run(const instance_id& worker, std::uint32_t attempt)
+{
+    std::erase_if(
+        runs, [&](const task_run& run) { return run.attempt == attempt && run.worker == worker; });
+}
+
+bool occurrence_record::complete() const noexcept
+{
+    return std::all_of(steps.begin(), steps.end(),
+                       [](const step_record& step) { return step.complete(); });
+}
+
+job_record::job_record(job_id id, queue_policy queue, std::shared_ptr<const job_spec> spec,
+                       time_point submitted)
+    : m_id(std::move(id)),
+      m_queue(std::move(queue)),
+      m_spec(std::move(spec)),
+      m_submitted(submitted),
+      m_chains(chains_from(*m_spec)),
+      m_chains_longest(*std::max_element(m_chains.begin(), m_chains.end())),
+      m_lasting(m_spec->lasting())
+{
+    if (!m_spec->repeats) {
+        m_occurrences.emplace(0, make_occurrence());
+        m_begun = 1;
+    }
+}
+
+time_point job_record::objective() const
+{
+    const auto stretched = std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double, std::milli>(m_queue.stretch * double(chain().count())));
+    return m_submitted + stretched + m_queue.target_latency;
+}
+
+std::optional<wall_time> job_record::next_due() const
+{
+    if (!m_spec->repeats || m_begun >= m_spec->repeats->count) {
+        return std::nullopt;
+    }
+    return m_spec->repeats->first + m_spec->repeats->interval * m_begun;
+}
+
+bool job_record::begin_due(wall_time now)
+{
+    bool begun = false;
+    for (auto due = next_due(); due && *due <= now; due = next_due()) {
+        m_occurrences.emplace(m_begun, make_occurrence());
+        ++m_begun;
+        begun = true;
+    }
+    return begun;
+}
+
+bool job_record::retire_occurrences()
+{
+    if (!m_spec->repeats) {
+        return m_occurrences.begin()->second.complete();
+    }
+    std::erase_if(m_occurrences, [](const auto& each) { return each.second.complete(); });
+    return m_occurrences.empty() && m_begun >= m_spec->repeats->count;
+}
+
+task_record* job_record::find(const task_name& name)
+{
+    const auto occurrence = m_occurrences.find(name.occurrence);
+    if (occurrence == m_occurrences.end() || name.step >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    auto& tasks = occurrence->second.steps[name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+step_record& job_record::step_of(const task_name& name)
+{
+    return m_occurrences.at(name.occurrence).steps.at(name.step);
+}
+
+bool job_record::is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const
+{
+    const auto& after = m_spec->steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+                       [&](std::uint32_t earlier) { return occurrence.steps[earlier].complete(); });
+}
+
+bool job_record::note_done(const task_name& name)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || task->done) {
+        return false;
+    }
+    step_record& step = step_of(name);
+    if (task->runs.empty()) {
+        --step.waiting;
+    }
+    task->done = true;
+    ++step.done;
+    return true;
+}
+
+bool job_record::note_failed(const task_name& name, std::uint32_t attempt,
+                             const instance_id& worker)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || task->done) {
+        return false;
+    }
+    auto& attempts = task->failed_attempts;
+    if (std::find(attempts.begin(), attempts.end(), attempt) != attempts.end()) {
+        return false;
+    }
+    task->avoided.push_back(worker);
+    if (m_spec->steps[name.step].lasting) {
+        return false;
+    }
+    attempts.push_back(attempt);
+    return true;
+}
+
+void job_record::note_started(const task_name& name, task_run run)
+{
+    task_record& task = *find(name);
+    if (task.waiting()) {
+        --step_of(name).waiting;
+    }
+    task.last_attempt = std::max(task.last_attempt, run.attempt);
+    task.runs.push_back(std::move(run));
+    if (m_state == job_state::queued) {
+        m_state = job_state::running;
+    }
+}
+
+void job_record::note_not_running(const task_name& name, const task_run& run)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || !task->runs_on(run.worker, run.attempt)) {
+        return;
+    }
+    task->drop_run(run.worker, run.attempt);
+    if (task->waiting()) {
+        ++step_of(name).waiting;
+    }
+}
+
+std::string job_record::progress() const
+{
+    json written{{"state", name_of(m_state)}};
+    if (!is_over(m_state)) {
+        json occurrences = json::object();
+        for (const auto& [number, occurrence] : m_occurrences) {
+            json steps = json::array();
+            for (const step_record& step : occurrence.steps) {
+                steps.push_back(step_json(step));
+            }
+            occurrences[std::to_string(number)] = std::move(steps);
+        }
+        written["begun"] = m_begun;
+        written["occurrences"] = std::move(occurrences);
+    }
+    return written.dump();
+}
+
+void job_record::restore(std::string_view progress)
+{
+    const json read = json::parse(progress);
+    const auto state = parse_enum<job_state>(read.at("state").get<std::string>());
+    if (!state) {
+        throw spec_error("progress: state", expected_names<job_state>());
+    }
+    m_state = *state;
+    if (is_over(m_state)) {
+        return;
+    }
+    m_begun = read.at("begun").get<std::uint32_t>();
+    m_occurrences.clear();
+    for (const auto& [number, steps] : read.at("occurrences").items()) {
+        occurrence_record occurrence = make_occurrence();
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            restore_step(occurrence.steps[step], steps.at(step));
+        }
+        m_occurrences.emplace(static_cast<std::uint32_t>(std::stoul(number)),
+                              std::move(occurrence));
+    }
+}
+
+occurrence_record job_record::make_occurrence() const
+{
+    occurrence_record made;
+    made.steps.resize(m_spec->steps.size());
+    for (std::size_t step = 0; step < made.steps.size(); ++step) {
+        made.steps[step].tasks.resize(m_spec->steps[step].count);
+        made.steps[step].waiting = m_spec->steps[step].count;
+    }
+    return made;
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -0,0 +1,279 @@
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::job {
+
+namespace {
+
+constexpr std::uint32_t failures_before_quarantine = 3;
+constexpr milliseconds quarantine_time{5000};
+
+} // namespace
+
+scheduler::scheduler(scheduler_options options, time_point now) : m_options(options), m_started(now)
+{
+}
+
+void scheduler::set_queues(const std::vector<queue_policy>& queues)
+{
+    m_queues.clear();
+    for (const queue_policy& queue : queues) {
+        m_queues.emplace(queue.name, queue);
+    }
+    for (auto& [id, job] : m_jobs) {
+        const auto queue = m_queues.find(job.queue().name);
+        if (queue != m_queues.end()) {
+            job.set_queue(queue->second);
+        }
+    }
+}
+
+job_record* scheduler::find_job(const job_id& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const job_record* scheduler::find(const job_id& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+bool scheduler::is_kept(const job_id& id) const
+{
+    return !m_unkept.contains(id) && !m_keeping.contains(id);
+}
+
+void scheduler::submit(job_id id, const std::string& queue, std::shared_ptr<const job_spec> spec,
+                       time_point submitted, bool inherited)
+{
+    if (m_jobs.contains(id)) {
+        return;
+    }
+    queue_policy policy{.name = queue};
+    if (const auto known = m_queues.find(queue); known != m_queues.end()) {
+        policy = known->second;
+    }
+    m_specs.emplace(id, spec);
+    m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
+    m_open.insert(id);
+    if (inherited) {
+        m_inherited.insert(id);
+    }
+    if (m_cancelled_early.erase(id) != 0) {
+        end_job(*find_job(id), job_state::cancelled);
+    }
+}
+
+void scheduler::restore(const job_id& id, std::string_view progress)
+{
+    job_record* const job = find_job(id);
+    if (job == nullptr) {
+        return;
+    }
+    const bool cancelled = job->state() == job_state::cancelled;
+    job->restore(progress);
+    if (cancelled) {
+        job->set_state(job_state::cancelled);
+    }
+    if (is_over(job->state())) {
+        m_open.erase(id);
+        m_specs.erase(id);
+    }
+}
+
+void scheduler::cancel(const job_id& id, time_point /*now*/)
+{
+    job_record* const job = find_job(id);
+    if (job == nullptr) {
+        m_cancelled_early.insert(id);
+        return;
+    }
+    if (!is_over(job->state())) {
+        end_job(*job, job_state::cancelled);
+    }
+}
+
+void scheduler::forget(const job_id& id)
+{
+    m_jobs.erase(id);
+    m_specs.erase(id);
+    m_inherited.erase(id);
+    m_open.erase(id);
+}
+
+void scheduler::end_job(job_record& job, job_state state)
+{
+    job.set_state(state);
+    m_open.erase(job.id());
+    keep(job.id());
+    for (auto& [number, occurrence] : job.occurrences()) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                for (const task_run& run : tasks[index].runs) {
+                    const auto worker = m_workers.find(run.worker);
+                    if (worker != m_workers.end()) {
+                        want_stop(worker->second, {{job.id(), number, step, index}, run.attempt});
+                    }
+                }
+            }
+        }
+    }
+}
+
+void scheduler::want_stop(worker_record& worker, const run_name& run)
+{
+    const auto found = worker.runs.find(run);
+    if (found != worker.runs.end() && found->second.phase != run_phase::stopping) {
+        found->second.phase = run_phase::stopping;
+        found->second.stop_sent.reset();
+        found->second.stop_answered.reset();
+    }
+}
+
+void scheduler::apply_end(worker_record& worker, const ended_entry& end, time_point now)
+{
+    job_record* const job = find_job(end.run.task.job);
+    task_record* const task = job == nullptr ? nullptr : job->find(end.run.task);
+    if (task == nullptr) {
+        release(worker, end.run);
+        return;
+    }
+    task->last_attempt = std::max(task->last_attempt, end.run.attempt);
+    if (!end.checkpoint.empty()) {
+        task->checkpoint = end.checkpoint;
+    }
+    release(worker, end.run);
+    if (is_over(job->state())) {
+        return;
+    }
+    const step_spec& step = job->spec().steps[end.run.task.step];
+    if (end.how == run_end::failed) {
+        fail_task(*job, end.run.task, end.run.attempt, worker);
+        if (++worker.failures_in_a_row >= failures_before_quarantine) {
+            worker.quarantined_until = now + quarantine_time;
+            worker.failures_in_a_row = 0;
+        }
+    }
+    else if (end.how == run_end::done) {
+        worker.failures_in_a_row = 0;
+        if (!step.lasting) {
+            complete_task(*job, end.run.task, end.run.attempt);
+        }
+    }
+}
+
+void scheduler::complete_task(job_record& job, const task_name& name, std::uint32_t attempt)
+{
+    if (job.spec().steps[name.step].gang) {
+        complete_gang(job, name, attempt);
+    }
+    else if (!job.note_done(name)) {
+        return;
+    }
+    keep(job.id());
+    if (task_record* const task = job.find(name); task != nullptr) {
+        for (const task_run& copy : task->runs) {
+            if (const auto worker = m_workers.find(copy.worker); worker != m_workers.end()) {
+                want_stop(worker->second, {name, copy.attempt});
+            }
+        }
+    }
+    if (job.retire_occurrences()) {
+        end_job(job, job_state::completed);
+    }
+}
+
+void scheduler::complete_gang(job_record& job, const task_name& name, std::uint32_t /*attempt*/)
+{
+    // The members end together, and one such end stands for all.
+    task_name member = name;
+    const auto width = static_cast<std::uint32_t>(job.step_of(name).tasks.size());
+    for (member.index = 0; member.index < width; ++member.index) {
+        job.note_done(member);
+    }
+}
+
+void scheduler::fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
+                          worker_record& worker)
+{
+    if (!job.note_failed(name, attempt, worker.listing.id)) {
+        return;
+    }
+    keep(job.id());
+    if (job.find(name)->failed_attempts.size() >= job.queue().max_attempts) {
+        end_job(job, job_state::failed);
+    }
+}
+
+void scheduler::release(worker_record& worker, const run_name& run)
+{
+    const auto found = worker.runs.find(run);
+    if (found != worker.runs.end()) {
+        worker.used -= found->second.footprint;
+        worker.runs.erase(found);
+    }
+    if (job_record* const job = find_job(run.task.job)) {
+        job->note_not_running(run.task, {worker.listing.id, run.attempt});
+    }
+}
+
+void scheduler::lose_all_runs(worker_record& worker)
+{
+    while (!worker.runs.empty()) {
+        const auto first = worker.runs.begin();
+        const run_name run = first->first;
+        if (job_record* const job = find_job(run.task.job)) {
+            task_record* const task = job->find(run.task);
+            if (task != nullptr && !first->second.checkpoint.empty()) {
+                task->checkpoint = first->second.checkpoint;
+            }
+        }
+        release(worker, run);
+    }
+}
+
+std::vector<job_id> scheduler::begin_keeping()
+{
+    m_keeping.swap(m_unkept);
+    m_keeping_sequences.clear();
+    for (const auto& [id, worker] : m_workers) {
+        m_keeping_sequences.emplace(id, worker.applied_sequence);
+    }
+    return {m_keeping.begin(), m_keeping.end()};
+}
+
+void scheduler::note_kept()
+{
+    m_keeping.clear();
+    for (const auto& [id, sequence] : m_keeping_sequences) {
+        if (const auto worker = m_workers.find(id); worker != m_workers.end()) {
+            worker->second.committed_sequence =
+                std::max(worker->second.committed_sequence, sequence);
+        }
+    }
+}
+
+void scheduler::note_not_kept()
+{
+    m_unkept.merge(m_keeping);
+    m_keeping.clear();
+}
+
+std::size_t scheduler::pending(const std::string& queue) const
+{
+    std::size_t count = 0;
+    for (const job_id& id : m_open) {
+        const job_record& job = m_jobs.at(id);
+        if (job.state() == job_state::queued && job.queue().name == queue) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/scheduler_placement.cpp
@@ -0,0 +1,345 @@
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace plantaindoor::job {
+
+namespace {
+
+constexpr milliseconds stop_resend{600};
+/// Past this many times its objective a job earns its callers nothing.
+constexpr int worthless_factor = 3;
+/// Share of a tail target, in percent, from which fillers are paced down, and up again.
+constexpr std::int64_t pace_down_percent = 85;
+constexpr std::int64_t pace_up_percent = 55;
+constexpr std::uint32_t whole_pace = 100;
+constexpr std::uint32_t pace_step_up = 25;
+constexpr std::uint32_t least_pace = 13;
+
+enum tier : std::uint32_t { lasting_tier, timely_tier, late_tier, worthless_tier };
+
+/// How well a worker suits a task; higher is better, compared left to right.
+using suitability = std::tuple<bool, bool, std::int64_t>;
+
+} // namespace
+
+orders scheduler::plan(time_point now, wall_time wall_now)
+{
+    m_orders = {};
+    reap_silent(now);
+    begin_due_occurrences(wall_now);
+    evacuate(now);
+    place_all(now);
+    pace_fillers(now);
+    send_stops(now);
+    return std::exchange(m_orders, {});
+}
+
+void scheduler::begin_due_occurrences(wall_time wall_now)
+{
+    for (const job_id& id : m_open) {
+        job_record& job = m_jobs.at(id);
+        if (job.begin_due(wall_now)) {
+            keep(id);
+        }
+    }
+}
+
+std::vector<scheduler::candidate> scheduler::ranked(time_point now)
+{
+    std::vector<candidate> all;
+    all.reserve(m_open.size());
+    for (const job_id& id : m_open) {
+        job_record& job = m_jobs.at(id);
+        if (in_doubt(id, now)) {
+            continue;
+        }
+        candidate each{.job = &job, .objective = job.objective()};
+        const auto budget = each.objective - job.submitted();
+        if (job.lasting()) {
+            each.tier = lasting_tier;
+        }
+        else if (now + job.chain() > job.submitted() + budget * worthless_factor) {
+            each.tier = worthless_tier;
+        }
+        else if (now > each.objective) {
+            each.tier = late_tier;
+        }
+        else {
+            each.tier = timely_tier;
+        }
+        all.push_back(each);
+    }
+    std::sort(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
+        const auto rank = [](const candidate& each) {
+            return std::tuple(each.tier, each.job->queue().priority, each.objective);
+        };
+        const auto order = rank(left) <=> rank(right);
+        return order != 0 ? order < 0 : left.job->id() < right.job->id();
+    });
+    return all;
+}
+
+void scheduler::place_all(time_point now)
+{
+    m_candidates.clear();
+    for (auto& [id, worker] : m_workers) {
+        if (worker.usable(now)) {
+            m_candidates[worker.listing.service].push_back(&worker);
+        }
+    }
+    for (const candidate& each : ranked(now)) {
+        place_job(*each.job, now);
+    }
+}
+
+void scheduler::place_job(job_record& job, time_point now)
+{
+    if (!m_candidates.contains(job.queue().service)) {
+        return;
+    }
+    for (auto& [number, occurrence] : job.occurrences()) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].waiting == 0 || !job.is_unblocked(occurrence, step)) {
+                continue;
+            }
+            if (job.spec().steps[step].gang) {
+                place_gang(job, number, step, now);
+            }
+            else {
+                place_step(job, number, step, now);
+            }
+        }
+    }
+}
+
+void scheduler::place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
+                           time_point now)
+{
+    auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        task_record& task = tasks[index];
+        if (!task.waiting()) {
+            continue;
+        }
+        worker_record* const worker =
+            choose(job, job.occurrences().at(occurrence), step, task, now);
+        if (worker == nullptr) {
+            return;
+        }
+        const std::uint32_t attempt = std::max(task.last_attempt, m_options.attempt_base) + 1;
+        order_start(job, {job.id(), occurrence, step, index}, *worker, attempt, now);
+    }
+}
+
+void scheduler::place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step,
+                           time_point now)
+{
+    occurrence_record& pass = job.occurrences().at(occurrence);
+    auto& tasks = pass.steps[step].tasks;
+    const bool all_waiting = std::all_of(tasks.begin(), tasks.end(),
+                                         [](const task_record& task) { return task.waiting(); });
+    if (!all_waiting) {
+        return;
+    }
+    std::uint32_t attempt = m_options.attempt_base;
+    std::string checkpoint;
+    for (const task_record& task : tasks) {
+        attempt = std::max(attempt, task.last_attempt);
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    // A gang starts whole or not at all, so the members are tried before any order leaves.
+    std::vector<worker_record*> chosen;
+    const resources footprint = job.spec().steps[step].footprint();
+    for (task_record& task : tasks) {
+        worker_record* const worker = choose(job, pass, step, task, now);
+        if (worker == nullptr) {
+            break;
+        }
+        worker->used += footprint;
+        task.runs.push_back({worker->listing.id, 0});
+        chosen.push_back(worker);
+    }
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        chosen[index]->used -= footprint;
+        tasks[index].runs.clear();
+    }
+    if (chosen.size() < tasks.size()) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        tasks[index].checkpoint = checkpoint;
+        order_start(job, {job.id(), occurrence, step, index}, *chosen[index], attempt + 1, now);
+    }
+}
+
+worker_record* scheduler::choose(const job_record& job, const occurrence_record& occurrence,
+                                 std::uint32_t step, const task_record& task, time_point now)
+{
+    const step_spec& spec = job.spec().steps[step];
+    const resources need = spec.footprint();
+    std::map<instance_id, std::uint32_t> siblings;
+    std::set<rack_id> racks;
+    if (spec.most_per_worker > 0 || spec.same_rack) {
+        for (const task_record& other : occurrence.steps[step].tasks) {
+            for (const task_run& run : other.runs) {
+                ++siblings[run.worker];
+                if (const auto at = m_workers.find(run.worker); at != m_workers.end()) {
+                    racks.insert(at->second.listing.rack);
+                }
+            }
+        }
+    }
+    worker_record* best = nullptr;
+    suitability best_suits;
+    for (worker_record* const worker : m_candidates[job.queue().service]) {
+        if (!worker->usable(now) || !worker->room().holds(need) ||
+            (!spec.required_label.empty() && !worker->listing.has_label(spec.required_label))) {
+            continue;
+        }
+        if (spec.most_per_worker > 0) {
+            const auto count = siblings.find(worker->listing.id);
+            if (count != siblings.end() && count->second >= spec.most_per_worker) {
+                continue;
+            }
+        }
+        const bool avoided = std::find(task.avoided.begin(), task.avoided.end(),
+                                       worker->listing.id) != task.avoided.end();
+        const bool near =
+            (spec.rack.empty() || worker->listing.rack.str() == spec.rack) &&
+            (!spec.same_rack || racks.empty() || racks.contains(worker->listing.rack));
+        const suitability suits(!avoided, near, worker->room().cpu_millis);
+        if (best == nullptr || suits > best_suits) {
+            best = worker;
+            best_suits = suits;
+        }
+    }
+    return best;
+}
+
+void scheduler::order_start(job_record& job, const task_name& name, worker_record& worker,
+                            std::uint32_t attempt, time_point now)
+{
+    const auto deadline = grant(worker, now);
+    if (!deadline) {
+        return;
+    }
+    const step_spec& step = job.spec().steps[name.step];
+    const run_name run{name, attempt};
+    worker_run begun{.footprint = step.footprint(), .ordered = now};
+    worker.used += begun.footprint;
+    worker.runs.emplace(run, std::move(begun));
+    job.note_started(name, {worker.listing.id, attempt});
+    m_orders.starts.push_back({.worker = worker.listing.id,
+                               .run = run,
+                               .spec = m_specs.at(job.id()),
+                               .checkpoint = job.find(name)->checkpoint,
+                               .deadline = *deadline});
+}
+
+void scheduler::evacuate(time_point now)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (!worker.closing && !worker.listing.draining) {
+            continue;
+        }
+        for (auto& [name, run] : worker.runs) {
+            job_record* const job = find_job(name.task.job);
+            if (run.phase != run_phase::running || job == nullptr ||
+                !job->spec().steps[name.task.step].lasting) {
+                continue;
+            }
+            if (worker.listing.draining || may_take(*job, name.task, now)) {
+                want_stop(worker, name);
+            }
+        }
+    }
+}
+
+bool scheduler::may_take(job_record& job, const task_name& name, time_point /*now*/)
+{
+    const step_spec& spec = job.spec().steps[name.step];
+    std::uint32_t away = 0;
+    auto& tasks = job.step_of(name).tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (index == name.index) {
+            continue;
+        }
+        const bool at_work = std::any_of(
+            tasks[index].runs.begin(), tasks[index].runs.end(), [&](const task_run& run) {
+                const auto worker = m_workers.find(run.worker);
+                if (worker == m_workers.end()) {
+                    return false;
+                }
+                const auto known = worker->second.runs.find(
+                    {{job.id(), name.occurrence, name.step, index}, run.attempt});
+                return known != worker->second.runs.end() &&
+                       known->second.phase == run_phase::running &&
+                       known->second.at_work_since.has_value() && worker->second.missed_looks == 0;
+            });
+        away += at_work ? 0 : 1;
+    }
+    return away < std::max<std::uint32_t>(spec.may_miss, 1);
+}
+
+void scheduler::send_stops(time_point now)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (auto& [name, run] : worker.runs) {
+            const bool due = run.phase == run_phase::stopping && !run.stop_answered &&
+                             (!run.stop_sent || now - *run.stop_sent >= stop_resend);
+            if (due && worker.missed_looks == 0) {
+                run.stop_sent = now;
+                m_orders.stops.push_back({id, name});
+            }
+        }
+    }
+}
+
+void scheduler::pace_fillers(time_point /*now*/)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (!std::exchange(worker.loads_fresh, false)) {
+            continue;
+        }
+        std::int64_t worst_percent = 0;
+        bool fillers = false;
+        for (const auto& [name, run] : worker.runs) {
+            const job_record* const job = find(name.task.job);
+            if (job == nullptr || run.phase != run_phase::running) {
+                continue;
+            }
+            const step_spec& step = job->spec().steps[name.task.step];
+            fillers = fillers || step.filler;
+            if (step.tail_target.count() > 0) {
+                worst_percent =
+                    std::max(worst_percent, run.load * whole_pace / step.tail_target.count());
+            }
+        }
+        if (!fillers) {
+            continue;
+        }
+        for (auto& [name, run] : worker.runs) {
+            const job_record* const job = find(name.task.job);
+            if (job == nullptr || run.phase != run_phase::running ||
+                !job->spec().steps[name.task.step].filler) {
+                continue;
+            }
+            std::uint32_t wanted = run.pace_percent;
+            if (worst_percent > pace_down_percent) {
+                wanted = wanted <= least_pace ? 0 : wanted / 2;
+            }
+            else if (worst_percent < pace_up_percent) {
+                wanted = std::min(whole_pace, wanted + pace_step_up);
+            }
+            if (wanted != run.pace_percent) {
+                run.pace_percent = wanted;
+                m_orders.paces.push_back({id, name, wanted});
+            }
+        }
+    }
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/scheduler_workers.cpp
@@ -0,0 +1,312 @@
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindoor::job {
+
+namespace {
+
+/// A worker's clock may be 2% slow, and an answer takes time; measured from the platform's pages.
+constexpr double slowest_clock = 1.03;
+constexpr milliseconds lease_slack{300};
+constexpr milliseconds busy_wait{1000};
+constexpr milliseconds idle_wait{2000};
+constexpr milliseconds full_pause{200};
+constexpr milliseconds unhealthy_pause{2000};
+
+milliseconds stretched(milliseconds time)
+{
+    return milliseconds(static_cast<std::int64_t>(double(time.count()) * slowest_clock)) +
+           lease_slack;
+}
+
+} // namespace
+
+void scheduler::list_worker(worker_listing listing, time_point now)
+{
+    for (auto& [id, other] : m_workers) {
+        // An address has one instance at a time, so the earlier one's life is over.
+        if (id != listing.id && other.listing.address == listing.address) {
+            lose_all_runs(other);
+            other.listed = false;
+        }
+    }
+    const instance_id id = listing.id;
+    worker_record& worker = m_workers[id];
+    if (worker.listing.id.empty()) {
+        // An earlier holder of the duty may have let tasks run there.
+        worker.lease_bound = now + m_options.predecessor_grace + stretched(m_options.lease);
+        worker.last_answer = now;
+    }
+    worker.listing = std::move(listing);
+    worker.listed = true;
+}
+
+void scheduler::unlist_worker(const instance_id& id, time_point /*now*/)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    found->second.listed = false;
+    if (found->second.runs.empty()) {
+        m_workers.erase(found);
+    }
+}
+
+void scheduler::end_worker(const instance_id& id, time_point /*now*/)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end()) {
+        lose_all_runs(found->second);
+        m_workers.erase(found);
+    }
+}
+
+void scheduler::close_worker(const instance_id& id, bool closing)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end()) {
+        found->second.closing = closing;
+    }
+}
+
+bool scheduler::watched(const instance_id& id) const
+{
+    return m_workers.contains(id);
+}
+
+std::optional<milliseconds> scheduler::grant(worker_record& worker, time_point now)
+{
+    if (!worker.clock || worker.missed_looks > 0) {
+        return std::nullopt;
+    }
+    worker.lease_bound = std::max(worker.lease_bound, now + stretched(m_options.lease));
+    const auto passed = std::chrono::duration_cast<milliseconds>(now - worker.clock_read);
+    return *worker.clock + passed + m_options.lease;
+}
+
+look_order scheduler::next_look(const instance_id& id, time_point now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return {};
+    }
+    worker_record& worker = found->second;
+    if (m_unkept.empty() && m_keeping.empty()) {
+        worker.committed_sequence = worker.applied_sequence;
+    }
+    look_order look{.acknowledged = worker.committed_sequence};
+    if (worker.fenced && worker.missed_looks == 0) {
+        look.wait = worker.runs.empty() ? idle_wait : busy_wait;
+    }
+    if (!worker.runs.empty()) {
+        look.deadline = grant(worker, now);
+    }
+    return look;
+}
+
+void scheduler::note_report(const instance_id& id, const worker_report& report, time_point sent,
+                            time_point now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    worker_record& worker = found->second;
+    worker.clock = report.worker_clock;
+    worker.clock_read = now;
+    worker.last_answer = now;
+    worker.missed_looks = 0;
+    worker.fenced = true;
+    worker.loads_fresh = true;
+    for (const ended_entry& end : report.ended) {
+        if (end.sequence > worker.applied_sequence) {
+            apply_end(worker, end, now);
+            worker.applied_sequence = end.sequence;
+        }
+    }
+    for (const running_entry& entry : report.running) {
+        apply_running(worker, entry, now);
+    }
+    drop_unreported(worker, report, sent);
+}
+
+void scheduler::apply_running(worker_record& worker, const running_entry& entry, time_point now)
+{
+    auto known = worker.runs.find(entry.run);
+    if (known == worker.runs.end()) {
+        job_record* const job = find_job(entry.run.task.job);
+        task_record* const task = job == nullptr ? nullptr : job->find(entry.run.task);
+        if (task == nullptr || is_over(job->state()) || task->done || !task->runs.empty()) {
+            stop_unknown(worker, entry.run, now);
+        }
+        else {
+            adopt(worker, entry, *job, *task, now);
+        }
+        known = worker.runs.find(entry.run);
+    }
+    worker_run& run = known->second;
+    if (run.phase == run_phase::ordered || run.phase == run_phase::unconfirmed) {
+        run.phase = run_phase::running;
+        run.confirmed = now;
+    }
+    run.checkpoint = entry.checkpoint;
+    run.percent = entry.percent;
+    run.load = entry.load;
+    constexpr std::uint32_t whole = 100;
+    if (entry.percent >= whole && !run.at_work_since) {
+        run.at_work_since = now;
+    }
+}
+
+void scheduler::adopt(worker_record& worker, const running_entry& entry, job_record& job,
+                      task_record& task, time_point now)
+{
+    worker_run run{.phase = run_phase::running,
+                   .footprint = job.spec().steps[entry.run.task.step].footprint(),
+                   .ordered = now,
+                   .confirmed = now};
+    worker.used += run.footprint;
+    worker.runs.emplace(entry.run, std::move(run));
+    task.last_attempt = std::max(task.last_attempt, entry.run.attempt);
+    job.note_started(entry.run.task, {worker.listing.id, entry.run.attempt});
+    // The adopted run must outlive this process's silence as its own do.
+    worker.lease_bound = std::max(worker.lease_bound, now + stretched(m_options.lease));
+}
+
+void scheduler::stop_unknown(worker_record& worker, const run_name& run, time_point now)
+{
+    worker_run unknown{.phase = run_phase::stopping, .ordered = now, .confirmed = now};
+    if (const job_record* const job = find(run.task.job);
+        job != nullptr && run.task.step < job->spec().steps.size()) {
+        unknown.footprint = job->spec().steps[run.task.step].footprint();
+    }
+    worker.used += unknown.footprint;
+    worker.runs.emplace(run, std::move(unknown));
+}
+
+void scheduler::drop_unreported(worker_record& worker, const worker_report& report, time_point sent)
+{
+    std::set<run_name> reported;
+    for (const running_entry& entry : report.running) {
+        reported.insert(entry.run);
+    }
+    std::vector<run_name> absent;
+    for (auto& [name, run] : worker.runs) {
+        if (reported.contains(name)) {
+            continue;
+        }
+        const bool ended_unseen = run.phase == run_phase::running && run.confirmed < sent;
+        const bool never_there =
+            run.phase == run_phase::stopping && run.stop_answered && *run.stop_answered < sent;
+        if (ended_unseen || never_there) {
+            absent.push_back(name);
+        }
+        else if (run.phase == run_phase::unconfirmed) {
+            // It may still arrive; a stop makes the worker refuse it then.
+            run.phase = run_phase::stopping;
+        }
+    }
+    for (const run_name& name : absent) {
+        release(worker, name);
+    }
+}
+
+void scheduler::note_missed_look(const instance_id& id, time_point /*now*/)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end()) {
+        ++found->second.missed_looks;
+    }
+}
+
+void scheduler::note_start(const instance_id& id, const run_name& run, order_answer answer,
+                           time_point now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    worker_record& worker = found->second;
+    const auto known = worker.runs.find(run);
+    if (known == worker.runs.end()) {
+        return;
+    }
+    switch (answer) {
+    case order_answer::accepted:
+        if (known->second.phase == run_phase::ordered) {
+            known->second.phase = run_phase::running;
+        }
+        known->second.confirmed = now;
+        break;
+    case order_answer::unanswered:
+        if (known->second.phase == run_phase::ordered) {
+            known->second.phase = run_phase::unconfirmed;
+        }
+        break;
+    case order_answer::another_life:
+        end_worker(id, now);
+        break;
+    case order_answer::no_room:
+        worker.full_until = now + full_pause;
+        release(worker, run);
+        break;
+    case order_answer::unhealthy:
+    case order_answer::unreachable:
+    case order_answer::malformed:
+        worker.quarantined_until = now + unhealthy_pause;
+        release(worker, run);
+        break;
+    case order_answer::stale_token:
+    case order_answer::stale_run:
+    case order_answer::too_late:
+    case order_answer::no_ticket:
+        release(worker, run);
+        break;
+    }
+}
+
+void scheduler::note_stop(const instance_id& id, const run_name& run, order_answer answer,
+                          time_point now)
+{
+    if (answer == order_answer::another_life) {
+        end_worker(id, now);
+        return;
+    }
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    const auto known = found->second.runs.find(run);
+    if (known != found->second.runs.end() && answer == order_answer::accepted) {
+        known->second.stop_answered = now;
+    }
+}
+
+void scheduler::reap_silent(time_point now)
+{
+    for (auto at = m_workers.begin(); at != m_workers.end();) {
+        worker_record& worker = at->second;
+        const bool silent = worker.missed_looks > 0 || !worker.listed;
+        if (silent && now > worker.lease_bound && !worker.runs.empty()) {
+            lose_all_runs(worker);
+        }
+        const bool gone = !worker.listed && worker.runs.empty();
+        at = gone ? m_workers.erase(at) : std::next(at);
+    }
+}
+
+bool scheduler::in_doubt(const job_id& id, time_point now) const
+{
+    if (!m_inherited.contains(id)) {
+        return false;
+    }
+    const time_point bound = m_started + m_options.predecessor_grace + stretched(m_options.lease);
+    return now < bound && std::any_of(m_workers.begin(), m_workers.end(), [](const auto& each) {
+               return each.second.listed && !each.second.fenced;
+           });
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/spec.cpp
@@ -0,0 +1,70 @@
+#include "plantaindoor/job/spec.hpp"
+
+#include <algorithm>
+
+namespace plantaindoor::job {
+
+namespace {
+
+void check_step(const step_spec& step, std::size_t number)
+{
+    const std::string where = "step " + std::to_string(number);
+    if (step.count == 0 || step.count > max_tasks_per_step) {
+        throw spec_error(where + ": count", "between 1 and " + std::to_string(max_tasks_per_step));
+    }
+    if (step.need.cpu_millis < 0 || step.need.memory_mb < 0 || step.need.accelerators < 0 ||
+        step.estimate < milliseconds(0) || step.tail_target < milliseconds(0)) {
+        throw spec_error(where, "free of negative figures");
+    }
+    for (const std::uint32_t earlier : step.after) {
+        if (earlier >= number) {
+            throw spec_error(where + ": after", "a list of earlier steps");
+        }
+    }
+}
+
+} // namespace
+
+bool job_spec::lasting() const noexcept
+{
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const step_spec& step) { return step.lasting; });
+}
+
+void check_spec(const job_spec& spec)
+{
+    if (spec.payload.size() > max_payload_bytes) {
+        throw spec_error("spec", "at most " + std::to_string(max_payload_bytes) + " bytes long");
+    }
+    if (spec.steps.empty() || spec.steps.size() > max_steps) {
+        throw spec_error("steps", "a list of 1 to " + std::to_string(max_steps));
+    }
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        check_step(spec.steps[number], number);
+    }
+    if (spec.repeats && (spec.repeats->count == 0 || spec.repeats->count > max_occurrences ||
+                         spec.repeats->interval < milliseconds(0))) {
+        throw spec_error("repetition", "a bounded count with an interval of zero or more");
+    }
+}
+
+std::vector<milliseconds> chains_from(const job_spec& spec)
+{
+    std::vector<milliseconds> chains(spec.steps.size(), milliseconds(0));
+    for (std::size_t number = spec.steps.size(); number-- > 0;) {
+        // Later steps have added to this one already, since `after` names only earlier steps.
+        chains[number] += spec.steps[number].estimate;
+        for (const std::uint32_t earlier : spec.steps[number].after) {
+            chains[earlier] = std::max(chains[earlier], chains[number]);
+        }
+    }
+    return chains;
+}
+
+milliseconds longest_chain(const job_spec& spec)
+{
+    const auto chains = chains_from(spec);
+    return *std::max_element(chains.begin(), chains.end());
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/src/worker.cpp
@@ -0,0 +1,18 @@
+#include "plantaindoor/job/worker.hpp"
+
+#include <algorithm>
+
+namespace plantaindoor::job {
+
+bool worker_listing::has_label(const std::string& label) const
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool worker_record::usable(time_point now) const
+{
+    return listed && fenced && !closing && !listing.draining && missed_looks == 0 &&
+           now >= quarantined_until && now >= full_until;
+}
+
+} // namespace plantaindoor::job
