fleet: Renew the lease apart from progress, and pause between feeds

Cause: every transaction of progress wrote the renewal row, which every entry follows, so each of some 25 transactions a second woke all entries; the workers' feed returned once for each of 33 heartbeats a second.

--- a/packages/fleet/include/plantaindoor/fleet/control_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/control_session.hpp
@@ -39,7 +39,7 @@
     std::string entry;
     duty_claim claim;
     row_condition claim_row;
-    row_condition renewal_row;
+    row_condition chain_row;
     milliseconds lease{2500};
     job::scheduler_options scheduling;
     /// When the transaction that took the duty was sent.
--- a/packages/fleet/include/plantaindoor/fleet/duty.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/duty.hpp
@@ -36,6 +36,8 @@
 
 [[nodiscard]] row_address duty_claim_address();
 [[nodiscard]] row_address duty_renewal_address();
+/// Orders the holder's transactions; in a table that nobody follows.
+[[nodiscard]] row_address duty_chain_address();
 
 struct duty_options {
     /// A holder that hasn't renewed for so long may be replaced.
--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -61,8 +61,7 @@
     void probe_holder();
     void take_duty();
     void confirm_duty(time_point sent);
-    void begin_session(const duty_claim& claim, row_version claim_version,
-                       row_version renewal_version, time_point sent);
+    void begin_session(const duty_claim& claim, row_version claim_version, time_point sent);
     void end_session(std::string_view reason);
     void tick();
 
--- a/packages/fleet/include/plantaindoor/fleet/progress_keeper.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/progress_keeper.hpp
@@ -17,8 +17,11 @@
 
 struct keeper_options {
     row_condition claim;
-    row_condition renewal;
-    /// Tells this holder's renewals from others'.
+    /// Written by every transaction, so that each depends on the one before.
+    row_condition chain;
+    /// Watched by the other entries, so written only as often as the lease needs.
+    row_address renewal;
+    /// Tells this holder's transactions from others'.
     std::string incarnation;
     /// Collects what changes within this time into one transaction.
     milliseconds gather{12};
@@ -72,6 +75,9 @@
     bool m_gathering = false;
     bool m_busy = false;
     std::uint64_t m_count = 0;
+    /// When the renewal was last sent, and whether the present transaction has it.
+    time_point m_renewal_sent{};
+    bool m_renewing = false;
     std::vector<job_id> m_left;
     std::vector<row_address> m_removals;
     std::vector<row_address> m_removing;
--- a/packages/fleet/include/plantaindoor/fleet/table_follower.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_follower.hpp
@@ -21,6 +21,8 @@
     /// How long one call of the feed waits for a change.
     milliseconds wait{10000};
     milliseconds read_timeout{1000};
+    /// Pause after a call that brought changes.
+    milliseconds gap{0};
     /// Waits this long after a call that failed.
     milliseconds retry{100};
 };
@@ -56,7 +58,7 @@
     void take_page(std::size_t partition, const row_page& page);
     void follow();
     void take_changes(const feed_result& result);
-    void retry(void (table_follower::*what)());
+    void run_later(milliseconds delay, void (table_follower::*what)());
     void forget_absent();
 
     event_loop& m_loop;
--- a/packages/fleet/src/control_session.cpp
+++ b/packages/fleet/src/control_session.cpp
@@ -19,6 +19,9 @@
 /// Several events share one round of placement.
 constexpr milliseconds plan_delay{3};
 constexpr milliseconds tick_period{100};
+/// Several changes share one call of a feed.
+constexpr milliseconds worker_feed_gap{150};
+constexpr milliseconds job_feed_gap{20};
 /// A job can't have waited longer than its callers wait; bounds what a wrong clock can do.
 constexpr milliseconds longest_past{60000};
 
@@ -52,7 +55,8 @@
     m_keeper = std::make_unique<progress_keeper>(
         m_context.loop, m_context.store, m_scheduler, m_context.metrics,
         keeper_options{.claim = m_options.claim_row,
-                       .renewal = m_options.renewal_row,
+                       .chain = m_options.chain_row,
+                       .renewal = duty_renewal_address(),
                        .incarnation = m_options.claim.incarnation},
         m_context.clock,
         progress_keeper::observers{.on_kept = [this] { change(); },
@@ -106,7 +110,8 @@
 
 void control_session::read_workers()
 {
-    follower_options options{.table = m_context.forms.workers_table, .partitions = {""}};
+    follower_options options{
+        .table = m_context.forms.workers_table, .partitions = {""}, .gap = worker_feed_gap};
     m_worker_rows = std::make_unique<table_follower>(
         m_context.loop, m_context.store, std::move(options),
         table_follower::observers{.on_row = [this](const stored_row& row) { take_worker_row(row); },
--- a/packages/fleet/src/duty.cpp
+++ b/packages/fleet/src/duty.cpp
@@ -47,6 +47,11 @@
     return {std::string(duty_table), std::string(control_partition), "renewal"};
 }
 
+row_address duty_chain_address()
+{
+    return {"duty-chain", std::string(control_partition), "chain"};
+}
+
 duty_tracker::duty_tracker(duty_options options, std::string incarnation)
     : m_options(options), m_incarnation(std::move(incarnation))
 {
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -237,7 +237,7 @@
     row_transaction transaction;
     transaction.conditions.push_back({duty_claim_address(), m_duty.version()});
     transaction.writes.push_back({duty_claim_address(), to_text(claim)});
-    transaction.writes.push_back({duty_renewal_address(), m_options.incarnation + " 0"});
+    transaction.writes.push_back({duty_chain_address(), m_options.incarnation + " 0"});
     const time_point sent = m_context.clock();
     m_context.store.commit(std::move(transaction), commit_timeout,
                            [this, sent, alive = m_alive](const commit_result& result) {
@@ -267,30 +267,27 @@
             }
             std::optional<duty_claim> claim;
             row_version claim_version = absent;
-            row_version renewal_version = absent;
             for (const stored_row& row : page->rows) {
                 if (row.at == duty_claim_address()) {
                     claim = parse_duty_claim(row.value);
                     claim_version = row.version;
                 }
-                else if (row.at == duty_renewal_address()) {
-                    renewal_version = row.version;
-                }
             }
             m_duty.note_claim(claim, claim_version, m_context.loop.now());
             if (m_duty.holds() && !m_session && !m_retiring) {
-                begin_session(*claim, claim_version, renewal_version, sent);
+                begin_session(*claim, claim_version, sent);
             }
         });
 }
 
 void fleet_entry::begin_session(const duty_claim& claim, row_version claim_version,
-                                row_version renewal_version, time_point sent)
+                                time_point sent)
 {
     session_options options{.entry = m_options.name,
                             .claim = claim,
                             .claim_row = {duty_claim_address(), claim_version},
-                            .renewal_row = {duty_renewal_address(), renewal_version},
+                            // Written with the claim; the keeper reads a later one back.
+                            .chain_row = {duty_chain_address(), claim_version},
                             .lease = m_options.duty.lease,
                             .scheduling = m_options.scheduling,
                             .taken = sent};
--- a/packages/fleet/src/progress_keeper.cpp
+++ b/packages/fleet/src/progress_keeper.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr process::log_part progress_log("progress");
-/// Two entries are conditions and one is the renewal.
-constexpr std::size_t most_rows = max_transaction_entries - 3;
+/// Two entries are conditions, and two are writes of the lease.
+constexpr std::size_t most_rows = max_transaction_entries - 4;
 
 } // namespace
 
@@ -65,9 +65,14 @@
     if (m_left.empty()) {
         m_left = m_scheduler.begin_keeping();
     }
-    row_transaction transaction{.conditions = {m_options.claim, m_options.renewal}, .writes = {}};
-    transaction.writes.push_back(
-        {m_options.renewal.at, m_options.incarnation + ' ' + std::to_string(++m_count)});
+    const time_point sent = m_clock();
+    row_transaction transaction{.conditions = {m_options.claim, m_options.chain}, .writes = {}};
+    const std::string mark = m_options.incarnation + ' ' + std::to_string(++m_count);
+    transaction.writes.push_back({m_options.chain.at, mark});
+    m_renewing = sent - m_renewal_sent >= m_options.renew;
+    if (m_renewing) {
+        transaction.writes.push_back({m_options.renewal, mark});
+    }
     std::size_t bytes = 0;
     while (!m_left.empty() && transaction.writes.size() < most_rows &&
            bytes < max_transaction_bytes / 2) {
@@ -88,7 +93,7 @@
     m_bytes.add(bytes);
     m_busy = true;
     m_store.commit(std::move(transaction), m_options.commit_timeout,
-                   [this, sent = m_clock(), alive = m_alive](const commit_result& result) {
+                   [this, sent, alive = m_alive](const commit_result& result) {
                        if (*alive) {
                            finish(sent, result);
                        }
@@ -99,9 +104,12 @@
 {
     m_busy = false;
     if (result.outcome == commit_outcome::applied) {
-        m_options.renewal.version = result.version;
+        m_options.chain.version = result.version;
         m_removing.clear();
-        m_observers.on_renewed(sent);
+        if (m_renewing) {
+            m_renewal_sent = sent;
+            m_observers.on_renewed(sent);
+        }
         if (!m_left.empty()) {
             send();
             return;
@@ -131,18 +139,17 @@
                             [&](const stored_row& row) { return row.at == at; });
     };
     const auto claim = row_at(m_options.claim.at);
-    const auto renewal = row_at(m_options.renewal.at);
+    const auto chain = row_at(m_options.chain.at);
     const auto none = result.present.end();
     const bool claim_stands = claim != none && claim->version == m_options.claim.version;
-    // An earlier transaction whose answer was lost has renewed.
-    const bool own_renewal =
-        renewal != none && renewal->value.starts_with(m_options.incarnation + ' ');
-    if (!claim_stands || !own_renewal) {
+    // An earlier transaction whose answer was lost has written it.
+    const bool own_chain = chain != none && chain->value.starts_with(m_options.incarnation + ' ');
+    if (!claim_stands || !own_chain) {
         progress_log.warning("the duty's claim no longer stands");
         m_observers.on_lost();
         return;
     }
-    m_options.renewal.version = renewal->version;
+    m_options.chain.version = chain->version;
     send();
 }
 
--- a/packages/fleet/src/table_follower.cpp
+++ b/packages/fleet/src/table_follower.cpp
@@ -51,7 +51,7 @@
                      // The other partitions' answers to this attempt no longer count.
                      ++m_attempt;
                      m_observers.on_failure();
-                     retry(&table_follower::read_all);
+                     run_later(m_options.retry, &table_follower::read_all);
                  });
 }
 
@@ -109,7 +109,7 @@
 {
     if (result.outcome == feed_outcome::failed) {
         m_observers.on_failure();
-        retry(&table_follower::follow);
+        run_later(m_options.retry, &table_follower::follow);
         return;
     }
     if (result.outcome == feed_outcome::history_lost) {
@@ -128,13 +128,18 @@
         }
     }
     m_observers.on_alive();
-    follow();
+    if (result.rows.empty() || m_options.gap == milliseconds(0)) {
+        follow();
+    }
+    else {
+        run_later(m_options.gap, &table_follower::follow);
+    }
 }
 
-void table_follower::retry(void (table_follower::*what)())
+void table_follower::run_later(milliseconds delay, void (table_follower::*what)())
 {
     m_loop.cancel(m_timer);
-    m_timer = m_loop.call_after(m_options.retry, [this, what] { (this->*what)(); });
+    m_timer = m_loop.call_after(delay, [this, what] { (this->*what)(); });
 }
 
 } // namespace plantaindoor::fleet
