fleet: Move machines by demand and carry out waves of upkeep

Cause: 11 missed duties for a wave that nobody served, and pools that were short of machines while others idled. Change: a pure machine planner under the control duty; each wave's begun machines are kept, and a new holder waits before its first machine order.

--- a/packages/fleet/include/plantaindoor/fleet/control_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/control_session.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/fleet/duty.hpp"
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/machine_session.hpp"
 #include "plantaindoor/fleet/platform_forms.hpp"
 #include "plantaindoor/fleet/progress_keeper.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
@@ -42,6 +43,7 @@
     row_condition chain_row;
     milliseconds lease{2500};
     job::scheduler_options scheduling;
+    machine_planner_options planning;
     /// When the transaction that took the duty was sent.
     time_point taken{};
 };
@@ -60,6 +62,8 @@
     ~control_session();
 
     void apply(std::shared_ptr<const fleet_config> config);
+    /// `seen` is when the request was first read.
+    void add_wave(const wave_request& request, time_point seen);
     /// Takes in a job that this entry has just kept, ahead of the feed.
     void submit(const job_id& id, const std::string& row_value);
     void cancel(const job_id& id);
@@ -97,6 +101,7 @@
     std::unique_ptr<table_follower> m_worker_rows;
     std::unique_ptr<worker_watch> m_watch;
     std::unique_ptr<progress_keeper> m_keeper;
+    std::unique_ptr<machine_session> m_machines;
     timer_id m_plan_timer = timer_id::none;
     timer_id m_tick_timer = timer_id::none;
     time_point m_lease_until{};
--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -30,6 +30,7 @@
     connection::endpoint peers;
     duty_options duty;
     job::scheduler_options scheduling;
+    machine_planner_options planning;
 };
 
 /// Loop thread only.
@@ -53,6 +54,12 @@
     void retire(event done);
 
 private:
+    /// A wave, and when it was first read.
+    struct seen_wave {
+        wave_request request;
+        time_point seen{};
+    };
+
     void follow_operator();
     void follow_duty();
     void take_operator_row(const stored_row& row);
@@ -69,7 +76,7 @@
     fleet_entry_options m_options;
     std::shared_ptr<bool> m_alive;
     std::shared_ptr<const fleet_config> m_config;
-    std::map<std::uint64_t, wave_request> m_waves;
+    std::vector<seen_wave> m_waves;
     duty_tracker m_duty;
     peer_calls m_peers;
     job_intake m_intake;
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -0,0 +1,138 @@
+// Decides which machines change their pool, and when each machine of a wave has its upkeep.
+#pragma once
+
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/time.hpp"
+#include "plantaindoor/fleet/fleet_config.hpp"
+#include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+struct machine_planner_options {
+    /// No machine is ordered about earlier: an earlier holder may have done so just before.
+    time_point first_order{};
+    /// How long a machine is away for a move, and for its upkeep.
+    milliseconds move_time{1500};
+    milliseconds upkeep_time{2000};
+    /// Arrivals are counted over this time.
+    milliseconds arrival_window{500};
+    /// The waiting work should be under way within this time.
+    milliseconds backlog_time{1000};
+    /// Share of a pool's capacity that its load may take, in percent.
+    std::uint32_t full_percent = 92;
+    /// A pool gives machines away only when it has had no use for them for so long.
+    milliseconds idle_before_leaving{600};
+    /// Reserve for the drains of a wave that can't wait for idle machines.
+    milliseconds wave_reserve{6000};
+};
+
+enum class machine_task { move, maintain };
+
+struct machine_order {
+    std::string machine;
+    machine_task task = machine_task::move;
+    /// Of a move.
+    service_id pool;
+    /// Of an upkeep.
+    std::uint64_t wave = 0;
+    /// The worker whose life the order ends; empty where none runs.
+    instance_id worker;
+};
+
+/// A worker to close before its machine is ordered about, or to open again.
+struct worker_closing {
+    instance_id worker;
+    bool closing = true;
+};
+
+struct machine_orders {
+    std::vector<worker_closing> closings;
+    std::vector<machine_order> orders;
+};
+
+/// How far a wave is.
+struct wave_progress {
+    wave_request request;
+    time_point seen{};
+    /// Machines whose upkeep has begun, or that are gone.
+    std::set<std::string> begun;
+
+    [[nodiscard]] bool completed() const { return begun.size() >= request.machines.size(); }
+};
+
+/// Deterministic; reads no clock. Not synchronised.
+class machine_planner {
+public:
+    explicit machine_planner(machine_planner_options options) : m_options(options) {}
+
+    void set_pools(const std::vector<pool_settings>& pools);
+    /// Takes in a whole list that was asked for at `asked`.
+    void note_list(const std::vector<machine_entry>& machines, time_point asked);
+    /// A worker has been listed.
+    void note_worker(const job::worker_listing& listing);
+    void note_wave(const wave_request& request, time_point seen,
+                   const std::set<std::string>& begun);
+    void note_answer(const machine_order& order, machine_answer answer, time_point now);
+
+    [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
+
+    [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
+    /// Whether an order is under way, so that the list is worth reading.
+    [[nodiscard]] bool busy() const;
+
+private:
+    struct machine_record {
+        service_id pool;
+        machine_state state = machine_state::up;
+        instance_id worker;
+        rack_id rack;
+        /// What it is being emptied for, or has been ordered to do.
+        std::optional<machine_order> purpose;
+        bool ordered = false;
+        time_point changed{};
+        /// Idle since then; nothing while something runs there.
+        std::optional<time_point> idle_since;
+    };
+    struct pool_state {
+        std::uint32_t wanted = 0;
+        /// Machines that serve it, or will.
+        std::uint32_t present = 0;
+    };
+    struct arrival_sample {
+        time_point at{};
+        double work = 0;
+    };
+
+    [[nodiscard]] bool is_standby(const service_id& pool) const;
+    [[nodiscard]] bool is_free(const machine_record& machine) const;
+    void refresh_idle(time_point now, const job::scheduler& scheduler);
+    void plan_waves(time_point now, machine_orders& out);
+    void take_for_wave(wave_progress& wave, time_point now, machine_orders& out);
+    void plan_pools(time_point now, const job::scheduler& scheduler, machine_orders& out);
+    [[nodiscard]] std::map<service_id, pool_state> pool_states(time_point now,
+                                                               const job::scheduler& scheduler);
+    [[nodiscard]] double arrival_rate(const service_id& pool, double submitted, time_point now);
+    void order_emptied(time_point now, const job::scheduler& scheduler, machine_orders& out);
+    void close(machine_record& machine, machine_order purpose, machine_orders& out);
+    [[nodiscard]] std::string idle_machine_of(const service_id& pool, time_point now) const;
+
+    machine_planner_options m_options;
+    std::map<service_id, pool_settings> m_pools;
+    std::map<std::string, machine_record> m_machines;
+    std::map<std::uint64_t, wave_progress> m_waves;
+    std::map<service_id, std::deque<arrival_sample>> m_arrivals;
+    /// Workers whose machines stay after all.
+    std::vector<worker_closing> m_reopened;
+    bool m_listed = false;
+};
+
+} // namespace plantaindoor::fleet
--- a/packages/fleet/src/control_session.cpp
+++ b/packages/fleet/src/control_session.cpp
@@ -62,6 +62,14 @@
         progress_keeper::observers{.on_kept = [this] { change(); },
                                    .on_renewed = [this](time_point sent) { renewed(sent); },
                                    .on_lost = [this] { lose(); }});
+    m_machines = std::make_unique<machine_session>(
+        m_context.loop, m_context.store, m_context.machines, m_context.forms, m_scheduler,
+        m_context.metrics,
+        machine_session_options{
+            .authority = {.holder = m_options.entry, .token = m_options.claim_row.version},
+            .claim = m_options.claim_row,
+            .planning = m_options.planning});
+    m_machines->set_pools(m_config->pools);
     read_progress();
     read_workers();
     tick();
@@ -194,6 +202,7 @@
     worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
                                 listing->address, listing->service.str(),
                                 listing->draining ? ", draining" : "", row.version));
+    m_machines->note_worker(*listing);
     m_scheduler.list_worker(std::move(*listing), m_context.loop.now());
     change();
 }
@@ -253,6 +262,9 @@
 void control_session::tick()
 {
     m_tick_timer = m_context.loop.call_after(tick_period, [this] {
+        if (m_ready && m_workers_read && !m_paused && !m_lost) {
+            m_machines->tick(m_context.loop.now());
+        }
         plan();
         tick();
     });
@@ -270,9 +282,15 @@
 {
     m_config = std::move(config);
     m_scheduler.set_queues(queues_of(*m_config));
+    m_machines->set_pools(m_config->pools);
     change();
 }
 
+void control_session::add_wave(const wave_request& request, time_point seen)
+{
+    m_machines->add_wave(request, seen);
+}
+
 std::optional<job::job_state> control_session::state_of(const job_id& id) const
 {
     const job::job_record* const job = m_scheduler.find(id);
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds commit_timeout{700};
 /// Attempts of one holder stay below those of the next.
 constexpr std::uint32_t attempts_per_generation = 1000;
+/// Between the machine orders of two holders, beyond the platform's lease on a machine of 3 s.
+constexpr milliseconds machine_handover{3300};
 /// An entry that hasn't heard of the store for so long sends callers elsewhere.
 constexpr milliseconds store_silence{3000};
 
@@ -131,7 +133,10 @@
     if (auto* const wave = std::get_if<wave_request>(&read)) {
         config_log.info(fmt::format("wave {} over {} machines, at most {} down", wave->number,
                                     wave->machines.size(), wave->most_down));
-        m_waves[wave->number] = std::move(*wave);
+        m_waves.push_back({std::move(*wave), m_context.loop.now()});
+        if (m_session) {
+            m_session->add_wave(m_waves.back().request, m_waves.back().seen);
+        }
         return;
     }
     auto* const config = std::get_if<fleet_config>(&read);
@@ -280,8 +285,7 @@
         });
 }
 
-void fleet_entry::begin_session(const duty_claim& claim, row_version claim_version,
-                                time_point sent)
+void fleet_entry::begin_session(const duty_claim& claim, row_version claim_version, time_point sent)
 {
     session_options options{.entry = m_options.name,
                             .claim = claim,
@@ -290,9 +294,13 @@
                             .chain_row = {duty_chain_address(), claim_version},
                             .lease = m_options.duty.lease,
                             .scheduling = m_options.scheduling,
+                            .planning = m_options.planning,
                             .taken = sent};
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.duty.lease;
+    if (claim.generation > 0) {
+        options.planning.first_order = m_context.loop.now() + machine_handover;
+    }
     m_peers.set_holder("", "");
     m_session = std::make_unique<control_session>(
         m_context, std::move(options), m_config, [this, alive = m_alive] {
@@ -302,6 +310,9 @@
                 }
             });
         });
+    for (const seen_wave& wave : m_waves) {
+        m_session->add_wave(wave.request, wave.seen);
+    }
     m_desk.set_session(m_session.get());
 }
 
--- /dev/null
+++ b/packages/fleet/src/machine_planner.cpp
@@ -0,0 +1,348 @@
+#include "plantaindoor/fleet/machine_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+/// Refused or lost orders are tried again after this time.
+constexpr milliseconds order_retry{400};
+constexpr double percent = 100;
+
+} // namespace
+
+void machine_planner::set_pools(const std::vector<pool_settings>& pools)
+{
+    m_pools.clear();
+    for (const pool_settings& pool : pools) {
+        m_pools.emplace(pool.id, pool);
+    }
+}
+
+bool machine_planner::is_standby(const service_id& pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found != m_pools.end() && found->second.standby;
+}
+
+void machine_planner::note_list(const std::vector<machine_entry>& machines, time_point asked)
+{
+    std::set<std::string> listed;
+    for (const machine_entry& entry : machines) {
+        listed.insert(entry.machine);
+        machine_record& machine = m_machines[entry.machine];
+        if (machine.changed > asked) {
+            continue;
+        }
+        machine.rack = entry.rack;
+        machine.pool = entry.pool;
+        machine.state = entry.state;
+        if (entry.state == machine_state::up && entry.worker != machine.worker) {
+            machine.worker = entry.worker;
+            machine.idle_since.reset();
+        }
+        if (entry.state == machine_state::up && machine.ordered) {
+            machine.purpose.reset();
+            machine.ordered = false;
+        }
+        else if (entry.state != machine_state::up && machine.purpose) {
+            // An order whose answer was lost has been carried out.
+            machine.ordered = true;
+            if (entry.state == machine_state::upkeep &&
+                machine.purpose->task == machine_task::maintain) {
+                m_waves[machine.purpose->wave].begun.insert(entry.machine);
+            }
+        }
+    }
+    std::erase_if(m_machines, [&](const auto& each) { return !listed.contains(each.first); });
+    m_listed = true;
+    for (auto& [number, wave] : m_waves) {
+        for (const std::string& name : wave.request.machines) {
+            if (!listed.contains(name)) {
+                wave.begun.insert(name);
+            }
+        }
+    }
+}
+
+void machine_planner::note_worker(const job::worker_listing& listing)
+{
+    const auto found = m_machines.find(listing.machine);
+    if (found == m_machines.end() || found->second.worker == listing.id) {
+        return;
+    }
+    machine_record& machine = found->second;
+    machine.worker = listing.id;
+    machine.pool = listing.service;
+    machine.state = machine_state::up;
+    machine.idle_since.reset();
+    machine.purpose.reset();
+    machine.ordered = false;
+}
+
+void machine_planner::note_wave(const wave_request& request, time_point seen,
+                                const std::set<std::string>& begun)
+{
+    if (!m_waves.contains(request.number)) {
+        m_waves.emplace(request.number,
+                        wave_progress{.request = request, .seen = seen, .begun = begun});
+    }
+}
+
+void machine_planner::note_answer(const machine_order& order, machine_answer answer, time_point now)
+{
+    const auto found = m_machines.find(order.machine);
+    if (found == m_machines.end()) {
+        return;
+    }
+    machine_record& machine = found->second;
+    machine.changed = now;
+    switch (answer) {
+    case machine_answer::accepted:
+        if (order.task == machine_task::maintain) {
+            machine.state = machine_state::upkeep;
+            if (const auto wave = m_waves.find(order.wave); wave != m_waves.end()) {
+                wave->second.begun.insert(order.machine);
+            }
+        }
+        else {
+            machine.state = machine_state::moving;
+            machine.pool = order.pool;
+        }
+        machine.worker = instance_id();
+        break;
+    case machine_answer::invalid:
+    case machine_answer::not_in_wave:
+        if (order.task == machine_task::maintain) {
+            m_waves[order.wave].begun.insert(order.machine);
+        }
+        m_reopened.push_back({machine.worker, false});
+        machine.purpose.reset();
+        machine.ordered = false;
+        break;
+    case machine_answer::busy:
+    case machine_answer::refused:
+    case machine_answer::stale_token:
+    case machine_answer::unanswered:
+        // The purpose stays, and the order is repeated: it is the same order.
+        machine.ordered = false;
+        break;
+    }
+}
+
+bool machine_planner::busy() const
+{
+    return std::any_of(m_machines.begin(), m_machines.end(), [](const auto& each) {
+        return each.second.purpose.has_value() || each.second.state != machine_state::up;
+    });
+}
+
+machine_orders machine_planner::plan(time_point now, const job::scheduler& scheduler)
+{
+    machine_orders out;
+    out.closings = std::exchange(m_reopened, {});
+    if (!m_listed || now < m_options.first_order) {
+        return out;
+    }
+    refresh_idle(now, scheduler);
+    plan_waves(now, out);
+    plan_pools(now, scheduler, out);
+    order_emptied(now, scheduler, out);
+    return out;
+}
+
+void machine_planner::refresh_idle(time_point now, const job::scheduler& scheduler)
+{
+    for (auto& [name, machine] : m_machines) {
+        const auto worker = scheduler.workers().find(machine.worker);
+        const bool idle = worker == scheduler.workers().end() || worker->second.runs.empty();
+        if (!idle) {
+            machine.idle_since.reset();
+        }
+        else if (!machine.idle_since) {
+            machine.idle_since = now;
+        }
+    }
+}
+
+bool machine_planner::is_free(const machine_record& machine) const
+{
+    return machine.state == machine_state::up && !machine.purpose;
+}
+
+void machine_planner::close(machine_record& machine, machine_order purpose, machine_orders& out)
+{
+    purpose.worker = machine.worker;
+    machine.purpose = std::move(purpose);
+    machine.ordered = false;
+    if (!machine.worker.empty()) {
+        out.closings.push_back({machine.worker, true});
+    }
+}
+
+void machine_planner::plan_waves(time_point now, machine_orders& out)
+{
+    for (auto& [number, wave] : m_waves) {
+        if (!wave.completed()) {
+            take_for_wave(wave, now, out);
+        }
+    }
+}
+
+void machine_planner::take_for_wave(wave_progress& wave, time_point now, machine_orders& out)
+{
+    std::uint32_t taken = 0;
+    std::vector<std::string> waiting;
+    for (const std::string& name : wave.request.machines) {
+        const auto found = m_machines.find(name);
+        if (found == m_machines.end()) {
+            continue;
+        }
+        const machine_record& machine = found->second;
+        const bool for_this = machine.purpose && machine.purpose->wave == wave.request.number &&
+                              machine.purpose->task == machine_task::maintain;
+        taken += for_this || machine.state == machine_state::upkeep ? 1 : 0;
+        if (!wave.begun.contains(name) && is_free(machine)) {
+            waiting.push_back(name);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) {
+        return m_machines[left].idle_since.has_value() > m_machines[right].idle_since.has_value();
+    });
+    const auto rounds = (waiting.size() + wave.request.most_down - 1) /
+                        std::max<std::uint32_t>(wave.request.most_down, 1);
+    const auto left = wave.seen + wave.request.deadline - now;
+    const bool pressed = left < m_options.wave_reserve +
+                                    m_options.upkeep_time * 2 * static_cast<std::int64_t>(rounds);
+    for (const std::string& name : waiting) {
+        machine_record& machine = m_machines[name];
+        if (taken >= wave.request.most_down || (!machine.idle_since && !pressed)) {
+            break;
+        }
+        close(machine,
+              {.machine = name, .task = machine_task::maintain, .wave = wave.request.number}, out);
+        ++taken;
+    }
+}
+
+double machine_planner::arrival_rate(const service_id& pool, double submitted, time_point now)
+{
+    auto& samples = m_arrivals[pool];
+    samples.push_back({now, submitted});
+    while (samples.size() > 2 && now - samples[1].at >= m_options.arrival_window) {
+        samples.pop_front();
+    }
+    const double passed = std::chrono::duration<double>(now - samples.front().at).count();
+    const double window = std::chrono::duration<double>(m_options.arrival_window).count();
+    return (submitted - samples.front().work) / std::max(passed, window);
+}
+
+std::map<service_id, machine_planner::pool_state>
+machine_planner::pool_states(time_point now, const job::scheduler& scheduler)
+{
+    std::map<service_id, pool_state> states;
+    std::map<service_id, double> capacity;
+    std::map<service_id, std::uint32_t> counted;
+    for (const auto& [id, worker] : scheduler.workers()) {
+        capacity[worker.listing.service] += double(worker.listing.capacity.cpu_millis);
+        ++counted[worker.listing.service];
+    }
+    double typical = 0;
+    std::uint32_t all = 0;
+    for (const auto& [pool, sum] : capacity) {
+        typical += sum;
+        all += counted[pool];
+    }
+    typical = all == 0 ? 0 : typical / all;
+    const auto loads = scheduler.loads();
+    for (const auto& [pool, load] : loads) {
+        const double each = counted[pool] > 0 ? capacity[pool] / counted[pool] : typical;
+        if (each <= 0) {
+            continue;
+        }
+        const double backlog =
+            load.waiting_work / std::chrono::duration<double>(m_options.backlog_time).count();
+        const double arriving = arrival_rate(pool, load.submitted_work, now);
+        const double needed = load.lasting + std::max(load.running, arriving) + backlog;
+        const auto machines =
+            static_cast<std::uint32_t>(std::ceil(needed / each * percent / m_options.full_percent));
+        states[pool].wanted = std::max(machines, load.least_workers);
+    }
+    for (const auto& [name, machine] : m_machines) {
+        const bool leaving = machine.purpose && machine.purpose->task == machine_task::move;
+        if (machine.state == machine_state::down) {
+            continue;
+        }
+        ++states[leaving ? machine.purpose->pool : machine.pool].present;
+    }
+    return states;
+}
+
+std::string machine_planner::idle_machine_of(const service_id& pool, time_point now) const
+{
+    const std::string* best = nullptr;
+    time_point longest{};
+    for (const auto& [name, machine] : m_machines) {
+        if (machine.pool != pool || !is_free(machine) || !machine.idle_since) {
+            continue;
+        }
+        const bool long_enough =
+            is_standby(pool) || now - *machine.idle_since >= m_options.idle_before_leaving;
+        if (long_enough && (best == nullptr || *machine.idle_since < longest)) {
+            best = &name;
+            longest = *machine.idle_since;
+        }
+    }
+    return best == nullptr ? std::string() : *best;
+}
+
+void machine_planner::plan_pools(time_point now, const job::scheduler& scheduler,
+                                 machine_orders& out)
+{
+    auto states = pool_states(now, scheduler);
+    std::vector<service_id> sources;
+    for (const auto& [id, pool] : m_pools) {
+        // What is off costs nothing to give, so it goes first.
+        sources.insert(pool.standby ? sources.begin() : sources.end(), id);
+    }
+    for (auto& [pool, state] : states) {
+        if (is_standby(pool) || !m_pools.contains(pool)) {
+            continue;
+        }
+        for (const service_id& source : sources) {
+            while (source != pool && state.present < state.wanted) {
+                pool_state& giver = states[source];
+                const std::string name = idle_machine_of(source, now);
+                if (name.empty() || (!is_standby(source) && giver.present <= giver.wanted + 1)) {
+                    break;
+                }
+                close(m_machines[name], {.machine = name, .task = machine_task::move, .pool = pool},
+                      out);
+                --giver.present;
+                ++state.present;
+            }
+        }
+    }
+}
+
+void machine_planner::order_emptied(time_point now, const job::scheduler& scheduler,
+                                    machine_orders& out)
+{
+    for (auto& [name, machine] : m_machines) {
+        if (!machine.purpose || machine.ordered || now - machine.changed < order_retry) {
+            continue;
+        }
+        const auto worker = scheduler.workers().find(machine.worker);
+        const bool empty = worker == scheduler.workers().end() || worker->second.runs.empty();
+        if (empty && machine.state == machine_state::up) {
+            machine.ordered = true;
+            machine.changed = now;
+            out.orders.push_back(*machine.purpose);
+        }
+    }
+}
+
+} // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/src/machine_session.cpp
@@ -0,0 +1,232 @@
+#include "plantaindoor/fleet/machine_session.hpp"
+
+#include "plantaindoor/fleet/duty.hpp"
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr process::log_part machine_log("machine");
+constexpr process::log_part wave_log("wave");
+constexpr std::string_view waves_table = "waves";
+
+row_address begun_address(std::uint64_t wave)
+{
+    return {std::string(waves_table), std::string(control_partition), std::to_string(wave)};
+}
+
+std::set<std::string> parse_begun(const std::string& text)
+{
+    const auto read = nlohmann::json::parse(text, nullptr, false);
+    std::set<std::string> begun;
+    if (read.is_array()) {
+        for (const auto& each : read) {
+            if (each.is_string()) {
+                begun.insert(each.get<std::string>());
+            }
+        }
+    }
+    return begun;
+}
+
+} // namespace
+
+machine_session::machine_session(event_loop& loop, row_store& store, machine_gateway& machines,
+                                 const platform_forms& forms, job::scheduler& scheduler,
+                                 metrics_registry& metrics, machine_session_options options)
+    : m_loop(loop),
+      m_store(store),
+      m_machines(machines),
+      m_forms(forms),
+      m_scheduler(scheduler),
+      m_options(std::move(options)),
+      m_planner(m_options.planning),
+      m_alive(std::make_shared<bool>(true)),
+      m_moves(metrics.counter({"machine_moves_total", "Moves ordered", {}})),
+      m_upkeeps(metrics.counter({"machine_upkeeps_total", "Upkeeps ordered", {}}))
+{
+    read_waves();
+}
+
+machine_session::~machine_session()
+{
+    *m_alive = false;
+}
+
+void machine_session::read_waves()
+{
+    m_wave_rows = std::make_unique<table_follower>(
+        m_loop, m_store,
+        follower_options{.table = std::string(waves_table),
+                         .partitions = {std::string(control_partition)}},
+        table_follower::observers{.on_row =
+                                      [this](const stored_row& row) {
+                                          std::uint64_t number = 0;
+                                          const std::string& key = row.at.key;
+                                          std::from_chars(key.data(), key.data() + key.size(),
+                                                          number);
+                                          m_kept_begun[number] = parse_begun(row.value);
+                                      },
+                                  .on_complete =
+                                      [this] {
+                                          m_waves_read = true;
+                                          m_loop.post([this, alive = m_alive] {
+                                              if (*alive) {
+                                                  // Only this session writes the table from now on.
+                                                  m_wave_rows.reset();
+                                              }
+                                          });
+                                      },
+                                  .on_alive = [] {},
+                                  .on_failure = [] {}});
+}
+
+void machine_session::add_wave(const wave_request& request, time_point seen)
+{
+    // A wave is taken in only once it is known what an earlier holder has done of it.
+    if (!m_waves_read) {
+        m_loop.call_after(milliseconds(50), [this, request, seen, alive = m_alive] {
+            if (*alive) {
+                add_wave(request, seen);
+            }
+        });
+        return;
+    }
+    m_planner.note_wave(request, seen, m_kept_begun[request.number]);
+    tell_status(request.number, false);
+}
+
+void machine_session::tick(time_point now)
+{
+    if (!m_waves_read) {
+        return;
+    }
+    if (!m_listing && now >= m_next_list) {
+        read_list(now);
+    }
+    const machine_orders orders = m_planner.plan(now, m_scheduler);
+    for (const worker_closing& each : orders.closings) {
+        m_scheduler.close_worker(each.worker, each.closing);
+    }
+    for (const machine_order& order : orders.orders) {
+        carry_out(order);
+    }
+    keep_waves();
+}
+
+void machine_session::read_list(time_point now)
+{
+    m_listing = true;
+    m_next_list =
+        now + (m_planner.busy() ? m_options.busy_list_period : m_options.idle_list_period);
+    m_machines.list(
+        [this, now, alive = m_alive](const std::optional<std::vector<machine_entry>>& machines) {
+            if (!*alive) {
+                return;
+            }
+            m_listing = false;
+            if (machines) {
+                m_planner.note_list(*machines, now);
+            }
+        });
+}
+
+void machine_session::carry_out(const machine_order& order)
+{
+    auto done = [this, order, alive = m_alive](machine_answer answer) {
+        if (*alive) {
+            take_answer(order, answer);
+        }
+    };
+    if (order.task == machine_task::move) {
+        m_moves.add();
+        m_machines.move(m_options.authority, order.machine, order.pool, std::move(done));
+    }
+    else {
+        m_upkeeps.add();
+        m_machines.maintain(m_options.authority, order.machine, order.wave, std::move(done));
+    }
+}
+
+void machine_session::take_answer(const machine_order& order, machine_answer answer)
+{
+    const std::string what = order.task == machine_task::move
+                                 ? "move to " + order.pool.str()
+                                 : fmt::format("upkeep of wave {}", order.wave);
+    machine_log.info(fmt::format("machine {} worker {}: {}: {}", order.machine, order.worker.str(),
+                                 what, name_of(answer)));
+    const time_point now = m_loop.now();
+    if (answer == machine_answer::accepted && !order.worker.empty()) {
+        m_scheduler.end_worker(order.worker, now);
+    }
+    m_planner.note_answer(order, answer, now);
+    keep_waves();
+}
+
+void machine_session::keep_waves()
+{
+    for (const auto& [number, wave] : m_planner.waves()) {
+        if (wave.begun != m_kept_begun[number]) {
+            keep_begun(number, wave.begun);
+        }
+        else if (wave.completed() && !m_told_completed[number]) {
+            tell_status(number, true);
+        }
+    }
+}
+
+void machine_session::keep_begun(std::uint64_t wave, const std::set<std::string>& begun)
+{
+    if (std::exchange(m_keeping, true)) {
+        return;
+    }
+    row_transaction transaction;
+    transaction.conditions.push_back(m_options.claim);
+    transaction.writes.push_back({begun_address(wave), nlohmann::json(begun).dump()});
+    m_store.commit(std::move(transaction), m_options.commit_timeout,
+                   [this, wave, begun, alive = m_alive](const commit_result& result) {
+                       if (!*alive) {
+                           return;
+                       }
+                       m_keeping = false;
+                       if (result.outcome == commit_outcome::applied) {
+                           m_kept_begun[wave] = begun;
+                       }
+                   });
+}
+
+void machine_session::tell_status(std::uint64_t wave, bool completed)
+{
+    if (!m_telling.insert(wave).second) {
+        return;
+    }
+    row_write status = m_forms.wave_status(wave, completed);
+    row_transaction transaction;
+    if (!completed) {
+        // A late one must not undo what a later one has told.
+        transaction.conditions.push_back({status.at, absent});
+    }
+    transaction.writes.push_back(std::move(status));
+    m_store.commit(std::move(transaction), m_options.commit_timeout,
+                   [this, wave, completed, alive = m_alive](const commit_result& result) {
+                       if (!*alive) {
+                           return;
+                       }
+                       m_telling.erase(wave);
+                       wave_log.info(fmt::format("wave {} told as {}: {}", wave,
+                                                 completed ? "completed" : "running",
+                                                 name_of(result.outcome)));
+                       if (result.outcome == commit_outcome::applied) {
+                           m_told_completed[wave] = completed;
+                       }
+                   });
+}
+
+} // namespace plantaindoor::fleet
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -73,6 +73,20 @@
     milliseconds wait{0};
 };
 
+/// What a service's jobs ask of its workers, in thousandths of a core.
+struct service_load {
+    /// Of all tasks that last.
+    double lasting = 0;
+    /// Of the other tasks that run.
+    double running = 0;
+    /// Work that has not begun, times seconds.
+    double waiting_work = 0;
+    /// Work of all jobs ever submitted, times seconds.
+    double submitted_work = 0;
+    /// Fewest workers that the steps which last can be spread over.
+    std::uint32_t least_workers = 0;
+};
+
 /// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
 /// Not synchronised.
 class scheduler {
@@ -132,6 +146,8 @@
     {
         return m_workers;
     }
+    /// The present load of each service that has jobs.
+    [[nodiscard]] std::map<service_id, service_load> loads() const;
     /// Whether a worker should be looked at: it is listed, or something may run there.
     [[nodiscard]] bool watched(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
@@ -183,6 +199,7 @@
 
     scheduler_options m_options;
     time_point m_started;
+    std::map<service_id, double> m_submitted_work;
     std::map<std::string, queue_policy> m_queues;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -26,6 +26,8 @@
     /// Everything a step may require; the rack among them.
     std::vector<std::string> labels;
     rack_id rack;
+    /// The machine that this is one life of.
+    std::string machine;
     resources capacity;
     bool draining = false;
 
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -10,6 +10,13 @@
 constexpr std::uint32_t failures_before_quarantine = 3;
 constexpr milliseconds quarantine_time{5000};
 
+/// Thousandths of a core, times seconds.
+double work_of(const step_spec& step, std::uint32_t tasks)
+{
+    return double(tasks) * double(step.footprint().cpu_millis) *
+           std::chrono::duration<double>(step.estimate).count();
+}
+
 } // namespace
 
 scheduler::scheduler(scheduler_options options, time_point now) : m_options(options), m_started(now)
@@ -57,6 +64,11 @@
     if (const auto known = m_queues.find(queue); known != m_queues.end()) {
         policy = known->second;
     }
+    double work = 0;
+    for (const step_spec& step : spec->steps) {
+        work += step.lasting ? 0 : work_of(step, step.count);
+    }
+    m_submitted_work[policy.service] += work;
     m_specs.emplace(id, spec);
     m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
     m_open.insert(id);
@@ -264,6 +276,36 @@
     m_keeping.clear();
 }
 
+std::map<service_id, service_load> scheduler::loads() const
+{
+    std::map<service_id, service_load> loads;
+    for (const job_id& id : m_open) {
+        const job_record& job = m_jobs.at(id);
+        service_load& load = loads[job.queue().service];
+        for (const auto& [number, occurrence] : job.occurrences()) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const step_spec& spec = job.spec().steps[step];
+                const step_record& record = occurrence.steps[step];
+                const double cpu = double(spec.footprint().cpu_millis);
+                if (spec.lasting) {
+                    load.lasting += cpu * spec.count;
+                    const std::uint32_t most = spec.most_per_worker;
+                    load.least_workers = std::max(load.least_workers,
+                                                  most == 0 ? 1 : (spec.count + most - 1) / most);
+                    continue;
+                }
+                const std::uint32_t open = spec.count - record.done;
+                load.running += cpu * (open - record.waiting);
+                load.waiting_work += work_of(spec, record.waiting);
+            }
+        }
+    }
+    for (const auto& [service, work] : m_submitted_work) {
+        loads[service].submitted_work = work;
+    }
+    return loads;
+}
+
 std::size_t scheduler::pending(const std::string& queue) const
 {
     std::size_t count = 0;
