job: Keep tasks together, and ask for machines by what could run now

Cause: tasks spread over all machines of a pool kept every machine busy, so none could go where demand had risen; and a job's blocked steps were counted as backlog, which drew ten machines to a pool at its first job. Change: best fit beside lasting tasks; the wanted machines follow from what runs, what could run, and what would wait when a machine had come.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -24,7 +24,7 @@
     milliseconds move_time{1500};
     milliseconds upkeep_time{2000};
     /// Arrivals are counted over this time.
-    milliseconds arrival_window{500};
+    milliseconds arrival_window{800};
     /// The waiting work should be under way within this time.
     milliseconds backlog_time{1000};
     /// Share of a pool's capacity that its load may take, in percent.
@@ -120,6 +120,8 @@
     void plan_pools(time_point now, const job::scheduler& scheduler, machine_orders& out);
     [[nodiscard]] std::map<service_id, pool_state> pool_states(time_point now,
                                                                const job::scheduler& scheduler);
+    /// Machines that serve a pool, or will.
+    [[nodiscard]] std::uint32_t present_of(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, double submitted, time_point now);
     void order_emptied(time_point now, const job::scheduler& scheduler, machine_orders& out);
     void close(machine_record& machine, machine_order purpose, machine_orders& out);
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -12,6 +12,11 @@
 constexpr milliseconds order_retry{400};
 constexpr double percent = 100;
 
+double in_seconds(nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 } // namespace
 
 void machine_planner::set_pools(const std::vector<pool_settings>& pools)
@@ -235,9 +240,9 @@
     while (samples.size() > 2 && now - samples[1].at >= m_options.arrival_window) {
         samples.pop_front();
     }
-    const double passed = std::chrono::duration<double>(now - samples.front().at).count();
-    const double window = std::chrono::duration<double>(m_options.arrival_window).count();
-    return (submitted - samples.front().work) / std::max(passed, window);
+    const double passed = in_seconds(now - samples.front().at);
+    return (submitted - samples.front().work) /
+           std::max(passed, in_seconds(m_options.arrival_window));
 }
 
 std::map<service_id, machine_planner::pool_state>
@@ -263,24 +268,38 @@
         if (each <= 0) {
             continue;
         }
-        const double backlog =
-            load.waiting_work / std::chrono::duration<double>(m_options.backlog_time).count();
         const double arriving = arrival_rate(pool, load.submitted_work, now);
-        const double needed = load.lasting + std::max(load.running, arriving) + backlog;
+        const double present = each * present_of(pool) - load.lasting;
+        // What will wait by the time that a machine could have come.
+        const double later =
+            load.ready_work + (arriving - present) * in_seconds(m_options.move_time);
+        double needed = load.running + load.ready;
+        if (later > 0) {
+            needed =
+                std::min(needed + arriving, arriving + later / in_seconds(m_options.backlog_time));
+        }
+        needed += load.lasting;
         const auto machines =
             static_cast<std::uint32_t>(std::ceil(needed / each * percent / m_options.full_percent));
         states[pool].wanted = std::max(machines, load.least_workers);
     }
-    for (const auto& [name, machine] : m_machines) {
-        const bool leaving = machine.purpose && machine.purpose->task == machine_task::move;
-        if (machine.state == machine_state::down) {
-            continue;
-        }
-        ++states[leaving ? machine.purpose->pool : machine.pool].present;
+    for (const auto& [pool, settings] : m_pools) {
+        states[pool].present = present_of(pool);
     }
     return states;
 }
 
+std::uint32_t machine_planner::present_of(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool leaving = machine.purpose && machine.purpose->task == machine_task::move;
+            return machine.state != machine_state::down &&
+                   (leaving ? machine.purpose->pool : machine.pool) == pool;
+        }));
+}
+
 std::string machine_planner::idle_machine_of(const service_id& pool, time_point now) const
 {
     const std::string* best = nullptr;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -79,8 +79,10 @@
     double lasting = 0;
     /// Of the other tasks that run.
     double running = 0;
-    /// Work that has not begun, times seconds.
-    double waiting_work = 0;
+    /// Of tasks that could run now.
+    double ready = 0;
+    /// Work of tasks that could run now, times seconds.
+    double ready_work = 0;
     /// Work of all jobs ever submitted, times seconds.
     double submitted_work = 0;
     /// Fewest workers that the steps which last can be spread over.
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -85,6 +85,7 @@
 
 struct worker_run {
     run_phase phase = run_phase::ordered;
+    bool lasting = false;
     resources footprint;
     time_point ordered{};
     time_point confirmed{};
@@ -110,6 +111,7 @@
     bool closing = false;
     resources used;
     std::map<run_name, worker_run> runs;
+    std::uint32_t lasting_runs = 0;
     std::uint64_t applied_sequence = 0;
     std::uint64_t committed_sequence = 0;
     std::optional<milliseconds> clock;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -227,6 +227,7 @@
     const auto found = worker.runs.find(run);
     if (found != worker.runs.end()) {
         worker.used -= found->second.footprint;
+        worker.lasting_runs -= found->second.lasting ? 1 : 0;
         worker.runs.erase(found);
     }
     if (job_record* const job = find_job(run.task.job)) {
@@ -296,7 +297,10 @@
                 }
                 const std::uint32_t open = spec.count - record.done;
                 load.running += cpu * (open - record.waiting);
-                load.waiting_work += work_of(spec, record.waiting);
+                if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
+                    load.ready += cpu * record.waiting;
+                    load.ready_work += work_of(spec, record.waiting);
+                }
             }
         }
     }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -21,7 +21,7 @@
 enum tier : std::uint32_t { lasting_tier, timely_tier, late_tier, worthless_tier };
 
 /// How well a worker suits a task; higher is better, compared left to right.
-using suitability = std::tuple<bool, bool, std::int64_t>;
+using suitability = std::tuple<bool, bool, bool, std::int64_t>;
 
 } // namespace
 
@@ -210,7 +210,9 @@
         const bool near =
             (spec.rack.empty() || worker->listing.rack.str() == spec.rack) &&
             (!spec.same_rack || racks.empty() || racks.contains(worker->listing.rack));
-        const suitability suits(!avoided, near, worker->room().cpu_millis);
+        // Tasks are kept together, so that other machines can leave the pool.
+        const suitability suits(!avoided, near, worker->lasting_runs > 0,
+                                -worker->room().cpu_millis);
         if (best == nullptr || suits > best_suits) {
             best = worker;
             best_suits = suits;
@@ -230,6 +232,8 @@
     const run_name run{name, attempt};
     worker_run begun{.footprint = step.footprint(), .ordered = now};
     worker.used += begun.footprint;
+    begun.lasting = step.lasting;
+    worker.lasting_runs += step.lasting ? 1 : 0;
     worker.runs.emplace(run, std::move(begun));
     job.note_started(name, {worker.listing.id, attempt});
     m_orders.starts.push_back({.worker = worker.listing.id,
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -165,10 +165,12 @@
                       task_record& task, time_point now)
 {
     worker_run run{.phase = run_phase::running,
+                   .lasting = job.spec().steps[entry.run.task.step].lasting,
                    .footprint = job.spec().steps[entry.run.task.step].footprint(),
                    .ordered = now,
                    .confirmed = now};
     worker.used += run.footprint;
+    worker.lasting_runs += run.lasting ? 1 : 0;
     worker.runs.emplace(entry.run, std::move(run));
     task.last_attempt = std::max(task.last_attempt, entry.run.attempt);
     job.note_started(entry.run.task, {worker.listing.id, entry.run.attempt});
