fleet: Ignore a listing of a life that an order has ended

After an upkeep was accepted, a late change of the ended worker's entry made the planner think that the machine was up again, so it took one machine more than the wave's cap. Change: the planner remembers the life that its order ended; the watch looks a worker up instead of relying on it.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -94,6 +94,8 @@
         service_id pool;
         machine_state state = machine_state::up;
         instance_id worker;
+        /// The life that the last order ended; its entry may still be listed for a while.
+        instance_id ended_worker;
         rack_id rack;
         /// What it is being emptied for, or has been ordered to do.
         std::optional<machine_order> purpose;
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -39,7 +39,8 @@
     for (const machine_entry& entry : machines) {
         listed.insert(entry.machine);
         machine_record& machine = m_machines[entry.machine];
-        if (machine.changed > asked) {
+        if (machine.changed > asked ||
+            (!entry.worker.empty() && entry.worker == machine.ended_worker)) {
             continue;
         }
         machine.rack = entry.rack;
@@ -76,7 +77,8 @@
 void machine_planner::note_worker(const job::worker_listing& listing)
 {
     const auto found = m_machines.find(listing.machine);
-    if (found == m_machines.end() || found->second.worker == listing.id) {
+    if (found == m_machines.end() || found->second.worker == listing.id ||
+        found->second.ended_worker == listing.id) {
         return;
     }
     machine_record& machine = found->second;
@@ -117,7 +119,7 @@
             machine.state = machine_state::moving;
             machine.pool = order.pool;
         }
-        machine.worker = instance_id();
+        machine.ended_worker = std::exchange(machine.worker, instance_id());
         break;
     case machine_answer::invalid:
     case machine_answer::not_in_wave:
--- a/packages/fleet/src/worker_watch.cpp
+++ b/packages/fleet/src/worker_watch.cpp
@@ -142,9 +142,9 @@
 
 milliseconds worker_watch::pause_after_report(const instance_id& id, watched& at)
 {
-    const auto& worker = m_scheduler.workers().at(id);
-    const bool all_kept =
-        worker.committed_sequence >= worker.applied_sequence || m_scheduler.unkept().empty();
+    const auto worker = m_scheduler.workers().find(id);
+    const bool all_kept = worker == m_scheduler.workers().end() || m_scheduler.unkept().empty() ||
+                          worker->second.committed_sequence >= worker->second.applied_sequence;
     if (all_kept) {
         at.unacknowledged = milliseconds(0);
         return m_options.gap;
--- /dev/null
+++ b/packages/job/tests/spec_test.cpp
@@ -0,0 +1,84 @@
+#include "plantaindoor/job/spec.hpp"
+#include "plantaindoor/job/task_name.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaindoor;
+using namespace plantaindoor::job;
+
+namespace {
+
+job_spec chain_of(std::vector<int> estimates_ms)
+{
+    job_spec spec;
+    for (std::uint32_t step = 0; step < estimates_ms.size(); ++step) {
+        step_spec each{.estimate = milliseconds(estimates_ms[step])};
+        if (step > 0) {
+            each.after = {step - 1};
+        }
+        spec.steps.push_back(each);
+    }
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("a step may only wait for earlier ones")
+{
+    job_spec spec = chain_of({1, 2});
+    CHECK_NOTHROW(check_spec(spec));
+    spec.steps[0].after = {1};
+    CHECK_THROWS_AS(check_spec(spec), spec_error);
+    spec.steps[0].after = {0};
+    CHECK_THROWS_AS(check_spec(spec), spec_error);
+}
+
+TEST_CASE("limits of a specification")
+{
+    job_spec spec = chain_of({1});
+    SECTION("payload")
+    {
+        spec.payload = std::string(max_payload_bytes, 'x');
+        CHECK_NOTHROW(check_spec(spec));
+        spec.payload += 'x';
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+    }
+    SECTION("tasks")
+    {
+        spec.steps[0].count = 0;
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+        spec.steps[0].count = max_tasks_per_step + 1;
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+    }
+    SECTION("steps")
+    {
+        spec.steps.clear();
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+        spec.steps.resize(max_steps + 1);
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+    }
+    SECTION("figures")
+    {
+        spec.steps[0].need.cpu_millis = -1;
+        CHECK_THROWS_AS(check_spec(spec), spec_error);
+    }
+}
+
+TEST_CASE("the longest chain counts the slowest way through the steps")
+{
+    job_spec spec = chain_of({100, 200, 300});
+    CHECK(longest_chain(spec) == milliseconds(600));
+    spec.steps.push_back({.estimate = milliseconds(900), .after = {0}});
+    CHECK(longest_chain(spec) == milliseconds(1000));
+    CHECK(chains_from(spec)[1] == milliseconds(500));
+}
+
+TEST_CASE("a task's name is read back as it was written")
+{
+    const task_name name{job_id("0123456789abcdef"), 3, 1, 17};
+    CHECK(to_string(name) == "0123456789abcdef.3.1.17");
+    CHECK(parse_task_name(to_string(name)) == name);
+    for (const char* const bad : {"", "a", "a.1.2", "a.1.2.3.4", "a.1.2.x", ".1.2.3", "a.1.2.-3"}) {
+        CHECK_FALSE(parse_task_name(bad));
+    }
+}
