fleet: Prove the control duty in a world of its own, and mend what it found

Cause: a holder's feed of jobs waited up to 10 s (11.5 with its slack) on a connection that had gone silent, so cancelled jobs' tasks were started seconds later; and after a pause of its lease it started tasks before it had read what was cancelled meanwhile. The option for a gap between calls of that feed had never been set. Change: feeds wait 1 to 2 s; a renewed lease first catches up; the duty's part of the entry is a class of its own, without the network, and a world in virtual time plays it: entries killed, frozen and restarted, the store silent, refusing, losing answers, late and without history, workers crashed, and orders lost or carried out late; the workers judge each start.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -97,14 +97,16 @@
                                          std::mt19937_64& random)
 {
     fleet::fleet_entry_options options;
-    options.name = settings.entry;
-    options.incarnation = random_incarnation(random);
     options.peers = settings.peers;
-    options.duty.delay = milliseconds(
+    fleet::duty_holder_options& duty = options.duty;
+    duty.name = settings.entry;
+    duty.incarnation = random_incarnation(random);
+    duty.peer_address = settings.peers.str();
+    duty.duty.delay = milliseconds(
         std::uniform_int_distribution<std::int64_t>(0, longest_duty_delay.count())(random));
-    options.scheduling.lease = std::min(worker_lease, settings.longest_lease);
-    options.scheduling.stop_time = settings.stop_time;
-    options.scheduling.notice = settings.notice;
+    duty.scheduling.lease = std::min(worker_lease, settings.longest_lease);
+    duty.scheduling.stop_time = settings.stop_time;
+    duty.scheduling.notice = settings.notice;
     return options;
 }
 
--- a/packages/fleet/include/plantaindoor/fleet/control_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/control_session.hpp
@@ -106,6 +106,8 @@
     timer_id m_tick_timer = timer_id::none;
     time_point m_lease_until{};
     bool m_paused = false;
+    /// What has been cancelled while the store was away must be known before anything starts.
+    bool m_catching_up = false;
     bool m_ready = false;
     bool m_lost = false;
     bool m_workers_read = false;
--- /dev/null
+++ b/packages/fleet/include/plantaindoor/fleet/duty_holder.hpp
@@ -0,0 +1,96 @@
+// An entry's part in the control duty: follows who holds it, takes it when it is vacant, and runs
+// a session while it holds it.
+#pragma once
+
+#include "plantaindoor/common/event_loop.hpp"
+#include "plantaindoor/fleet/control_session.hpp"
+#include "plantaindoor/fleet/duty.hpp"
+#include "plantaindoor/fleet/fleet_config.hpp"
+#include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/table_follower.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantaindoor::fleet {
+
+struct duty_holder_options {
+    std::string name;
+    /// Distinguishes two lives of one entry.
+    std::string incarnation;
+    /// Where other entries reach this one: "10.0.0.1:7000".
+    std::string peer_address;
+    duty_options duty;
+    job::scheduler_options scheduling;
+    machine_planner_options planning;
+};
+
+/// Loop thread only.
+class duty_holder {
+public:
+    using event = std::function<void()>;
+
+    struct observers {
+        /// The session that has begun, or null when it has ended.
+        std::function<void(control_session*)> on_session;
+        /// Another entry holds the duty; nothing where none does, or this one does.
+        std::function<void(const std::optional<duty_claim>&)> on_other_holder;
+        /// The store has answered.
+        event on_store;
+    };
+
+    /// Everything in the context must outlive the holder.
+    duty_holder(const session_context& context, duty_holder_options options, observers told);
+    duty_holder(const duty_holder&) = delete;
+    duty_holder& operator=(const duty_holder&) = delete;
+    ~duty_holder();
+
+    /// The duty is taken only once there is a configuration.
+    void apply(std::shared_ptr<const fleet_config> config);
+    void add_wave(const wave_request& request, time_point seen);
+    /// The process of this incarnation has ended.
+    void note_ended(const std::string& incarnation);
+    /// Gives the duty up and never takes it again.
+    void retire(event done);
+
+    /// Null while this entry doesn't hold the duty.
+    [[nodiscard]] control_session* session() noexcept { return m_session.get(); }
+    [[nodiscard]] const duty_tracker& tracker() const noexcept { return m_duty; }
+
+private:
+    /// A wave, and when it was first read.
+    struct seen_wave {
+        wave_request request;
+        time_point seen{};
+    };
+
+    void follow();
+    void take_row(const stored_row& row);
+    void check();
+    void take();
+    void confirm(time_point sent);
+    void take_confirmation(time_point sent, const std::optional<row_page>& page);
+    void begin_session(const duty_claim& claim, row_version claim_version, time_point sent);
+    void end_session(std::string_view reason);
+    void tick();
+
+    session_context m_context;
+    duty_holder_options m_options;
+    observers m_observers;
+    std::shared_ptr<bool> m_alive;
+    std::shared_ptr<const fleet_config> m_config;
+    std::vector<seen_wave> m_waves;
+    duty_tracker m_duty;
+    std::unique_ptr<table_follower> m_rows;
+    std::unique_ptr<control_session> m_session;
+    timer_id m_tick_timer = timer_id::none;
+    bool m_taking = false;
+    bool m_retiring = false;
+    bool m_store_answers = false;
+};
+
+} // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/table_follower.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_follower.hpp
@@ -49,6 +49,8 @@
     table_follower& operator=(const table_follower&) = delete;
     ~table_follower();
 
+    /// Asks at once for what has changed by now; on_alive follows.
+    void refresh();
     /// Whether a whole reading has been passed on.
     [[nodiscard]] bool complete() const noexcept { return m_complete; }
 
@@ -57,6 +59,7 @@
     void read_page(std::size_t partition, std::string from);
     void take_page(std::size_t partition, const row_page& page);
     void follow();
+    void follow_for(milliseconds wait);
     void take_changes(const feed_result& result);
     void run_later(milliseconds delay, void (table_follower::*what)());
     void forget_absent();
@@ -73,7 +76,7 @@
     std::map<row_address, row_version> m_known;
     std::map<row_address, row_version> m_seen;
     std::size_t m_partitions_left = 0;
-    /// Numbers the whole readings; answers to an earlier one no longer count.
+    /// Numbers the readings and calls of the feed; answers to earlier ones no longer count.
     std::uint64_t m_attempt = 0;
     row_version m_first_version = absent;
 };
--- a/packages/fleet/src/control_session.cpp
+++ b/packages/fleet/src/control_session.cpp
@@ -22,6 +22,9 @@
 /// Several changes share one call of a feed.
 constexpr milliseconds worker_feed_gap{150};
 constexpr milliseconds job_feed_gap{20};
+/// Bounds how long a connection that has gone silent hides new jobs.
+constexpr milliseconds job_feed_wait{1000};
+constexpr milliseconds worker_feed_wait{2000};
 /// A job can't have waited longer than its callers wait; bounds what a wrong clock can do.
 constexpr milliseconds longest_past{60000};
 
@@ -107,19 +110,24 @@
 
 void control_session::read_jobs()
 {
-    follower_options options{.table = std::string(jobs_table), .partitions = all_job_partitions()};
+    follower_options options{.table = std::string(jobs_table),
+                             .partitions = all_job_partitions(),
+                             .wait = job_feed_wait,
+                             .gap = job_feed_gap};
     m_job_rows = std::make_unique<table_follower>(
         m_context.loop, m_context.store, std::move(options),
         table_follower::observers{.on_row = [this](const stored_row& row) { take_job_row(row); },
                                   .on_complete = [this] { become_ready(); },
-                                  .on_alive = [] {},
+                                  .on_alive = [this] { m_catching_up = false; },
                                   .on_failure = [] {}});
 }
 
 void control_session::read_workers()
 {
-    follower_options options{
-        .table = m_context.forms.workers_table, .partitions = {""}, .gap = worker_feed_gap};
+    follower_options options{.table = m_context.forms.workers_table,
+                             .partitions = {""},
+                             .wait = worker_feed_wait,
+                             .gap = worker_feed_gap};
     m_worker_rows = std::make_unique<table_follower>(
         m_context.loop, m_context.store, std::move(options),
         table_follower::observers{.on_row = [this](const stored_row& row) { take_worker_row(row); },
@@ -233,7 +241,7 @@
 void control_session::plan()
 {
     check_lease();
-    if (!m_ready || !m_workers_read || m_paused || m_lost) {
+    if (!m_ready || !m_workers_read || m_paused || m_lost || m_catching_up) {
         return;
     }
     const time_point begun = m_context.loop.now();
@@ -256,6 +264,10 @@
         m_paused = over;
         duty_log.warning(over ? "the lease isn't renewed: no orders" : "the lease is renewed");
         m_watch->set_paused(over);
+        if (!over && m_ready) {
+            m_catching_up = true;
+            m_job_rows->refresh();
+        }
     }
 }
 
--- a/packages/fleet/src/table_follower.cpp
+++ b/packages/fleet/src/table_follower.cpp
@@ -97,9 +97,23 @@
 
 void table_follower::follow()
 {
-    m_store.follow(m_options.table, m_version, m_options.wait,
-                   [this, alive = m_alive](const feed_result& result) {
-                       if (*alive) {
+    follow_for(m_options.wait);
+}
+
+void table_follower::refresh()
+{
+    if (m_complete) {
+        m_loop.cancel(m_timer);
+        follow_for(milliseconds(0));
+    }
+}
+
+void table_follower::follow_for(milliseconds wait)
+{
+    ++m_attempt;
+    m_store.follow(m_options.table, m_version, wait,
+                   [this, alive = m_alive, attempt = m_attempt](const feed_result& result) {
+                       if (*alive && attempt == m_attempt) {
                            take_changes(result);
                        }
                    });
--- a/packages/process/tests/duty_world.hpp
+++ b/packages/process/tests/duty_world.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "fakes/delayed_table.hpp"
+#include "fakes/gated_loop.hpp"
 #include "fakes/virtual_loop.hpp"
 #include "plantaindoor/process/duty_runner.hpp"
 #include "plantaindoor/version/log_rows.hpp"
@@ -34,56 +35,9 @@
 constexpr milliseconds longest_request{1000};
 constexpr milliseconds pause_length{9000};
 
-class world;
-
-/// The loop as one process sees it: nothing runs while it is frozen, or once it is dead.
-class gated_loop final : public event_loop {
-public:
-    explicit gated_loop(fakes::virtual_loop& loop) : m_loop(loop) {}
-
-    [[nodiscard]] time_point now() const override { return m_loop.now(); }
-    [[nodiscard]] wall_time wall_now() const override { return m_loop.wall_now(); }
-    void watch(int, io_interest, io_action) override {}
-    void unwatch(int) override {}
-    timer_id call_after(nanoseconds delay, action on_time) override
-    {
-        return m_loop.call_after(delay, [this, run = std::move(on_time)] { enter(run); });
-    }
-    void cancel(timer_id timer) override { m_loop.cancel(timer); }
-    void post(action on_loop) override { call_after(nanoseconds(0), std::move(on_loop)); }
+using fakes::gated_loop;
 
-    void freeze_for(nanoseconds time)
-    {
-        m_frozen = true;
-        m_loop.call_after(time, [this] {
-            m_frozen = false;
-            while (!m_waiting.empty() && !m_frozen) {
-                auto next = std::move(m_waiting.front());
-                m_waiting.pop_front();
-                enter(next);
-            }
-        });
-    }
-    void kill() { m_dead = true; }
-    [[nodiscard]] bool dead() const { return m_dead; }
-    [[nodiscard]] bool frozen() const { return m_frozen; }
-
-private:
-    void enter(const action& run)
-    {
-        if (m_frozen) {
-            m_waiting.push_back(run);
-        }
-        else if (!m_dead) {
-            run();
-        }
-    }
-
-    fakes::virtual_loop& m_loop;
-    std::deque<action> m_waiting;
-    bool m_frozen = false;
-    bool m_dead = false;
-};
+class world;
 
 /// One entry: its log, its duties, its registration row and its requests.
 class world_entry final : public table,
