--- a/packages/fleet/include/plantaindoor/fleet/job_intake.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_intake.hpp
@@ -26,7 +26,7 @@
 };
 
 struct intake_options {
-    milliseconds commit_timeout{700};
+    milliseconds commit_timeout{1300};
     milliseconds first_retry{30};
     milliseconds longest_retry{250};
     /// Requests that wait for the store; more are refused.
--- a/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
@@ -24,8 +24,9 @@
     std::string body;
 };
 
-/// Accepted jobs are spread over this many partitions by their ids.
-inline constexpr std::size_t job_partitions = 4;
+/// Accepted jobs are spread over this many partitions by their ids: a partition carries out one
+/// transaction after another, so a slow store makes those of one partition wait for each other.
+inline constexpr std::size_t job_partitions = 32;
 [[nodiscard]] std::vector<std::string> all_job_partitions();
 
 [[nodiscard]] row_address accepted_address(const job_id& id);
--- a/packages/fleet/include/plantaindoor/fleet/progress_keeper.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/progress_keeper.hpp
@@ -26,7 +26,7 @@
     /// Collects what changes within this time into one transaction.
     milliseconds gather{12};
     milliseconds renew{800};
-    milliseconds commit_timeout{700};
+    milliseconds commit_timeout{1500};
     milliseconds retry{100};
 };
 
