fleet: Leave alone only the machines that an earlier holder has ordered about

Change: the holder keeps which machines it has ordered about before it gives the orders; a successor leaves only those alone.

--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -26,7 +26,9 @@
     machine_planner_options planning;
     milliseconds busy_list_period{500};
     milliseconds idle_list_period{2000};
-    milliseconds commit_timeout{700};
+    milliseconds commit_timeout{1500};
+    /// Between orders of two holders about one machine; beyond the platform's lease of 3 s.
+    milliseconds handover{3300};
 };
 
 /// Loop thread only.
@@ -50,6 +52,9 @@
 private:
     void read_waves();
     void read_list(time_point now);
+    /// Keeps which machines are ordered about, so that a successor leaves them alone for a while,
+    /// and then gives the orders.
+    void announce(const std::vector<machine_order>& orders, time_point now);
     void carry_out(const machine_order& order);
     void take_answer(const machine_order& order, machine_answer answer);
     void keep_waves();
@@ -68,6 +73,8 @@
     std::map<std::uint64_t, std::set<std::string>> m_kept_begun;
     std::map<std::uint64_t, bool> m_told_completed;
     std::set<std::uint64_t> m_telling;
+    /// Machines that were ordered about lately, and when.
+    std::map<std::string, time_point> m_ordered;
     bool m_waves_read = false;
     bool m_listing = false;
     bool m_keeping = false;
--- a/packages/fleet/src/duty_holder.cpp
+++ b/packages/fleet/src/duty_holder.cpp
@@ -17,8 +17,6 @@
 constexpr milliseconds commit_timeout{700};
 /// Attempts of one holder stay below those of the next.
 constexpr std::uint32_t attempts_per_generation = 1000;
-/// Between the machine orders of two holders, beyond the platform's lease on a machine of 3 s.
-constexpr milliseconds machine_handover{3300};
 
 } // namespace
 
@@ -210,9 +208,6 @@
                             .taken = sent};
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.duty.lease;
-    if (claim.generation > 0) {
-        options.planning.first_order = m_context.loop.now() + machine_handover;
-    }
     m_observers.on_other_holder(std::nullopt);
     m_session = std::make_unique<control_session>(
         m_context, std::move(options), m_config, [this, alive = m_alive] {
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -22,18 +22,24 @@
     return {std::string(waves_table), std::string(control_partition), std::to_string(wave)};
 }
 
-std::set<std::string> parse_begun(const std::string& text)
+/// Lists the machines that the holder has ordered about lately.
+row_address ordered_address()
+{
+    return {std::string(waves_table), std::string(control_partition), "ordered"};
+}
+
+std::set<std::string> parse_machines(const std::string& text)
 {
     const auto read = nlohmann::json::parse(text, nullptr, false);
-    std::set<std::string> begun;
+    std::set<std::string> machines;
     if (read.is_array()) {
         for (const auto& each : read) {
             if (each.is_string()) {
-                begun.insert(each.get<std::string>());
+                machines.insert(each.get<std::string>());
             }
         }
     }
-    return begun;
+    return machines;
 }
 
 } // namespace
@@ -72,7 +78,7 @@
                                           const std::string& key = row.at.key;
                                           std::from_chars(key.data(), key.data() + key.size(),
                                                           number);
-                                          m_kept_begun[number] = parse_begun(row.value);
+                                          m_kept_begun[number] = parse_machines(row.value);
                                       },
                                   .on_complete =
                                       [this] {
@@ -115,12 +121,42 @@
     for (const worker_closing& each : orders.closings) {
         m_scheduler.close_worker(each.worker, each.closing);
     }
-    for (const machine_order& order : orders.orders) {
-        carry_out(order);
+    if (!orders.orders.empty()) {
+        announce(orders.orders, now);
     }
     keep_waves();
 }
 
+void machine_session::announce(const std::vector<machine_order>& orders, time_point now)
+{
+    std::erase_if(m_ordered,
+                  [&](const auto& each) { return now - each.second > m_options.handover; });
+    for (const machine_order& order : orders) {
+        m_ordered[order.machine] = now;
+    }
+    std::set<std::string> machines;
+    for (const auto& [machine, when] : m_ordered) {
+        machines.insert(machine);
+    }
+    row_transaction transaction;
+    transaction.conditions.push_back(m_options.claim);
+    transaction.writes.push_back({ordered_address(), nlohmann::json(machines).dump()});
+    m_store.commit(std::move(transaction), m_options.commit_timeout,
+                   [this, orders, alive = m_alive](const commit_result& result) {
+                       if (!*alive) {
+                           return;
+                       }
+                       for (const machine_order& order : orders) {
+                           if (result.outcome == commit_outcome::applied) {
+                               carry_out(order);
+                           }
+                           else {
+                               m_planner.note_answer(order, machine_answer::refused, m_loop.now());
+                           }
+                       }
+                   });
+}
+
 void machine_session::read_list(time_point now)
 {
     m_listing = true;
