fleet: Ask for machines by the jobs at hand, and empty machines for other pools

Change: arrivals are counted over the time of 6 jobs, growth is at most twice what is at hand, and a pool with more machines than it wants empties the least used one; moves that aren't ordered yet are decided again each round.

Tests name the loads they answer.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -18,19 +18,19 @@
 namespace plantaindoor::fleet {
 
 struct machine_planner_options {
-    /// No machine is ordered about earlier: an earlier holder may have done so just before.
-    time_point first_order{};
     /// How long a machine is away for a move, and for its upkeep.
     milliseconds move_time{1500};
     milliseconds upkeep_time{2000};
-    /// Arrivals are counted over this time.
-    milliseconds arrival_window{800};
+    /// Arrivals are counted over the time of this many jobs, within these bounds.
+    std::uint64_t arrival_jobs = 6;
+    milliseconds least_arrival_window{500};
+    milliseconds most_arrival_window{2500};
     /// The waiting work should be under way within this time.
     milliseconds backlog_time{1000};
     /// Share of a pool's capacity that its load may take, in percent.
     std::uint32_t full_percent = 92;
-    /// A pool gives machines away only when it has had no use for them for so long.
-    milliseconds idle_before_leaving{600};
+    /// Machines that a pool keeps beyond what it wants.
+    std::uint32_t kept_spare = 1;
     /// Reserve for the drains of a wave that can't wait for idle machines.
     milliseconds wave_reserve{6000};
 };
@@ -77,6 +77,8 @@
     void set_pools(const std::vector<pool_settings>& pools);
     /// Takes in a whole list that was asked for at `asked`.
     void note_list(const std::vector<machine_entry>& machines, time_point asked);
+    /// An earlier holder has ordered a machine about just before: it is left alone until then.
+    void block(const std::string& machine, time_point until) { m_blocked[machine] = until; }
     /// A worker has been listed.
     void note_worker(const job::worker_listing& listing);
     void note_wave(const wave_request& request, time_point seen,
@@ -101,8 +103,11 @@
         std::optional<machine_order> purpose;
         bool ordered = false;
         time_point changed{};
-        /// Idle since then; nothing while something runs there.
-        std::optional<time_point> idle_since;
+        /// Thousandths of a core that run there.
+        std::int64_t used = 0;
+        bool idle = true;
+        /// Tasks that last run there.
+        bool lasting = false;
     };
     struct pool_state {
         std::uint32_t wanted = 0;
@@ -112,11 +117,14 @@
     struct arrival_sample {
         time_point at{};
         double work = 0;
+        std::uint64_t jobs = 0;
     };
 
     [[nodiscard]] bool is_standby(const service_id& pool) const;
-    [[nodiscard]] bool is_free(const machine_record& machine) const;
-    void refresh_idle(time_point now, const job::scheduler& scheduler);
+    /// Nothing is meant for it, and it may be ordered about.
+    [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
+                               time_point now) const;
+    void refresh_use(const job::scheduler& scheduler);
     void plan_waves(time_point now, machine_orders& out);
     void take_for_wave(wave_progress& wave, time_point now, machine_orders& out);
     void plan_pools(time_point now, const job::scheduler& scheduler, machine_orders& out);
@@ -124,18 +132,27 @@
                                                                const job::scheduler& scheduler);
     /// Machines that serve a pool, or will.
     [[nodiscard]] std::uint32_t present_of(const service_id& pool) const;
-    [[nodiscard]] double arrival_rate(const service_id& pool, double submitted, time_point now);
+    [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
+                                      time_point now);
+    [[nodiscard]] double needed_by(const service_id& pool, const job::service_load& load,
+                                   double each, time_point now);
     void order_emptied(time_point now, const job::scheduler& scheduler, machine_orders& out);
     void close(machine_record& machine, machine_order purpose, machine_orders& out);
-    [[nodiscard]] std::string idle_machine_of(const service_id& pool, time_point now) const;
+    /// The machine that can leave a pool soonest; empty where none may.
+    [[nodiscard]] std::string leaver_of(const service_id& pool, time_point now) const;
+    void move_machines(time_point now, std::map<service_id, pool_state>& states,
+                       machine_orders& out);
 
     machine_planner_options m_options;
     std::map<service_id, pool_settings> m_pools;
     std::map<std::string, machine_record> m_machines;
+    std::map<std::string, time_point> m_blocked;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
     /// Workers whose machines stay after all.
     std::vector<worker_closing> m_reopened;
+    /// Machines that were to move before this round decides again.
+    std::set<std::string> m_moving_before;
     bool m_listed = false;
 };
 
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -48,7 +48,6 @@
         machine.state = entry.state;
         if (entry.state == machine_state::up && entry.worker != machine.worker) {
             machine.worker = entry.worker;
-            machine.idle_since.reset();
         }
         if (entry.state == machine_state::up && machine.ordered) {
             machine.purpose.reset();
@@ -85,7 +84,6 @@
     machine.worker = listing.id;
     machine.pool = listing.service;
     machine.state = machine_state::up;
-    machine.idle_since.reset();
     machine.purpose.reset();
     machine.ordered = false;
 }
@@ -151,33 +149,33 @@
 {
     machine_orders out;
     out.closings = std::exchange(m_reopened, {});
-    if (!m_listed || now < m_options.first_order) {
+    if (!m_listed) {
         return out;
     }
-    refresh_idle(now, scheduler);
+    refresh_use(scheduler);
     plan_waves(now, out);
     plan_pools(now, scheduler, out);
     order_emptied(now, scheduler, out);
     return out;
 }
 
-void machine_planner::refresh_idle(time_point now, const job::scheduler& scheduler)
+void machine_planner::refresh_use(const job::scheduler& scheduler)
 {
     for (auto& [name, machine] : m_machines) {
         const auto worker = scheduler.workers().find(machine.worker);
-        const bool idle = worker == scheduler.workers().end() || worker->second.runs.empty();
-        if (!idle) {
-            machine.idle_since.reset();
-        }
-        else if (!machine.idle_since) {
-            machine.idle_since = now;
-        }
+        const bool known = worker != scheduler.workers().end();
+        machine.idle = !known || worker->second.runs.empty();
+        machine.used = known ? worker->second.used.cpu_millis : 0;
+        machine.lasting = known && worker->second.lasting_runs > 0;
     }
 }
 
-bool machine_planner::is_free(const machine_record& machine) const
+bool machine_planner::is_free(const std::string& name, const machine_record& machine,
+                              time_point now) const
 {
-    return machine.state == machine_state::up && !machine.purpose;
+    const auto blocked = m_blocked.find(name);
+    return machine.state == machine_state::up && !machine.purpose &&
+           (blocked == m_blocked.end() || now >= blocked->second);
 }
 
 void machine_planner::close(machine_record& machine, machine_order purpose, machine_orders& out)
@@ -185,7 +183,7 @@
     purpose.worker = machine.worker;
     machine.purpose = std::move(purpose);
     machine.ordered = false;
-    if (!machine.worker.empty()) {
+    if (!machine.worker.empty() && !m_moving_before.contains(machine.purpose->machine)) {
         out.closings.push_back({machine.worker, true});
     }
 }
@@ -212,12 +210,12 @@
         const bool for_this = machine.purpose && machine.purpose->wave == wave.request.number &&
                               machine.purpose->task == machine_task::maintain;
         taken += for_this || machine.state == machine_state::upkeep ? 1 : 0;
-        if (!wave.begun.contains(name) && is_free(machine)) {
+        if (!wave.begun.contains(name) && is_free(name, machine, now)) {
             waiting.push_back(name);
         }
     }
     std::sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) {
-        return m_machines[left].idle_since.has_value() > m_machines[right].idle_since.has_value();
+        return m_machines[left].used < m_machines[right].used;
     });
     const auto rounds = (waiting.size() + wave.request.most_down - 1) /
                         std::max<std::uint32_t>(wave.request.most_down, 1);
@@ -226,7 +224,7 @@
                                     m_options.upkeep_time * 2 * static_cast<std::int64_t>(rounds);
     for (const std::string& name : waiting) {
         machine_record& machine = m_machines[name];
-        if (taken >= wave.request.most_down || (!machine.idle_since && !pressed)) {
+        if (taken >= wave.request.most_down || (!machine.idle && !pressed)) {
             break;
         }
         close(machine,
@@ -235,16 +233,41 @@
     }
 }
 
-double machine_planner::arrival_rate(const service_id& pool, double submitted, time_point now)
+double machine_planner::arrival_rate(const service_id& pool, const job::service_load& load,
+                                     time_point now)
 {
     auto& samples = m_arrivals[pool];
-    samples.push_back({now, submitted});
-    while (samples.size() > 2 && now - samples[1].at >= m_options.arrival_window) {
+    samples.push_back({now, load.submitted_work, load.submitted_jobs});
+    const auto long_enough = [&](const arrival_sample& from) {
+        const auto age = now - from.at;
+        return age >= m_options.most_arrival_window ||
+               (age >= m_options.least_arrival_window &&
+                load.submitted_jobs - from.jobs >= m_options.arrival_jobs);
+    };
+    while (samples.size() > 2 && now - samples[1].at >= m_options.most_arrival_window) {
         samples.pop_front();
     }
-    const double passed = in_seconds(now - samples.front().at);
-    return (submitted - samples.front().work) /
-           std::max(passed, in_seconds(m_options.arrival_window));
+    const auto from = std::find_if(samples.rbegin(), samples.rend(), long_enough);
+    const arrival_sample& first = from == samples.rend() ? samples.front() : *from;
+    return (load.submitted_work - first.work) /
+           std::max(in_seconds(now - first.at), in_seconds(m_options.least_arrival_window));
+}
+
+double machine_planner::needed_by(const service_id& pool, const job::service_load& load,
+                                  double each, time_point now)
+{
+    const double arriving = arrival_rate(pool, load, now);
+    const double present = each * present_of(pool) - load.lasting;
+    const double at_hand = load.running + load.ready;
+    // What will wait by the time that a machine could have come.
+    const double later = load.ready_work + (arriving - present) * in_seconds(m_options.move_time);
+    // A few large jobs say little of those to come, so growth is bounded by what is at hand.
+    double needed = std::max(at_hand, std::min(arriving, 2 * at_hand));
+    if (later > 0) {
+        needed =
+            std::min(at_hand + arriving / 2, arriving + later / in_seconds(m_options.backlog_time));
+    }
+    return load.lasting + needed;
 }
 
 std::map<service_id, machine_planner::pool_state>
@@ -270,17 +293,7 @@
         if (each <= 0) {
             continue;
         }
-        const double arriving = arrival_rate(pool, load.submitted_work, now);
-        const double present = each * present_of(pool) - load.lasting;
-        // What will wait by the time that a machine could have come.
-        const double later =
-            load.ready_work + (arriving - present) * in_seconds(m_options.move_time);
-        double needed = load.running + load.ready;
-        if (later > 0) {
-            needed =
-                std::min(needed + arriving, arriving + later / in_seconds(m_options.backlog_time));
-        }
-        needed += load.lasting;
+        const double needed = needed_by(pool, load, each, now);
         const auto machines =
             static_cast<std::uint32_t>(std::ceil(needed / each * percent / m_options.full_percent));
         states[pool].wanted = std::max(machines, load.least_workers);
@@ -302,19 +315,15 @@
         }));
 }
 
-std::string machine_planner::idle_machine_of(const service_id& pool, time_point now) const
+std::string machine_planner::leaver_of(const service_id& pool, time_point now) const
 {
     const std::string* best = nullptr;
-    time_point longest{};
+    std::int64_t least_used = 0;
     for (const auto& [name, machine] : m_machines) {
-        if (machine.pool != pool || !is_free(machine) || !machine.idle_since) {
-            continue;
-        }
-        const bool long_enough =
-            is_standby(pool) || now - *machine.idle_since >= m_options.idle_before_leaving;
-        if (long_enough && (best == nullptr || *machine.idle_since < longest)) {
+        if (machine.pool == pool && is_free(name, machine, now) && !machine.lasting &&
+            (best == nullptr || machine.used < least_used)) {
             best = &name;
-            longest = *machine.idle_since;
+            least_used = machine.used;
         }
     }
     return best == nullptr ? std::string() : *best;
@@ -323,7 +332,29 @@
 void machine_planner::plan_pools(time_point now, const job::scheduler& scheduler,
                                  machine_orders& out)
 {
+    // Moves that haven't been ordered are decided again, since demand may have turned.
+    m_moving_before.clear();
+    for (auto& [name, machine] : m_machines) {
+        if (machine.purpose && machine.purpose->task == machine_task::move && !machine.ordered &&
+            machine.state == machine_state::up) {
+            m_moving_before.insert(name);
+            machine.purpose.reset();
+        }
+    }
     auto states = pool_states(now, scheduler);
+    move_machines(now, states, out);
+    for (const std::string& name : m_moving_before) {
+        const machine_record& machine = m_machines[name];
+        if (!machine.purpose && !machine.worker.empty()) {
+            out.closings.push_back({machine.worker, false});
+        }
+    }
+    m_moving_before.clear();
+}
+
+void machine_planner::move_machines(time_point now, std::map<service_id, pool_state>& states,
+                                    machine_orders& out)
+{
     std::vector<service_id> sources;
     for (const auto& [id, pool] : m_pools) {
         // What is off costs nothing to give, so it goes first.
@@ -336,8 +367,10 @@
         for (const service_id& source : sources) {
             while (source != pool && state.present < state.wanted) {
                 pool_state& giver = states[source];
-                const std::string name = idle_machine_of(source, now);
-                if (name.empty() || (!is_standby(source) && giver.present <= giver.wanted + 1)) {
+                const std::string name = leaver_of(source, now);
+                const bool spares =
+                    is_standby(source) || giver.present > giver.wanted + m_options.kept_spare;
+                if (name.empty() || !spares) {
                     break;
                 }
                 close(m_machines[name], {.machine = name, .task = machine_task::move, .pool = pool},
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -97,10 +97,11 @@
     }
 }
 
-TEST_CASE("no machine is ordered about until an earlier holder's orders are over")
+TEST_CASE("a machine that an earlier holder has ordered about is left alone for a while")
 {
     job::scheduler scheduler({}, start);
-    machine_planner planner({.first_order = start + seconds(3)});
+    machine_planner planner({});
+    planner.block("m1", start + seconds(3));
     planner.set_pools({{.id = checks}});
     planner.note_list({machine_up("m1", checks, "w1")}, start);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20)}, start, {});
@@ -131,3 +132,115 @@
         CHECK(order.pool == checks);
     }
 }
+
+namespace {
+
+constexpr std::int64_t machine_cpu = 16000;
+const service_id orders{"orders"};
+
+/// Two pools of like machines, m0 to m5 in `checks` and m6 to m11 in `orders`.
+struct two_pools {
+    job::scheduler scheduler{{}, start};
+    machine_planner planner{{}};
+    std::uint32_t jobs = 0;
+
+    two_pools()
+    {
+        scheduler.set_queues({{.name = "checks", .service = checks, .max_attempts = 3},
+                              {.name = "orders", .service = orders, .max_attempts = 3}});
+        planner.set_pools({{.id = checks}, {.id = orders}});
+        std::vector<machine_entry> machines;
+        for (int number = 0; number < 12; ++number) {
+            const std::string name = "m" + std::to_string(number);
+            const std::string worker = "w" + std::to_string(number);
+            const service_id pool = number < 6 ? checks : orders;
+            machines.push_back(machine_up(name, pool, worker));
+            job::worker_listing listing = life_of(name, worker);
+            listing.service = pool;
+            listing.address = "10.0.0." + std::to_string(number) + ":80";
+            listing.capacity = {.cpu_millis = machine_cpu, .memory_mb = 64000};
+            scheduler.list_worker(listing, start);
+            scheduler.note_report(listing.id, {.worker_clock = milliseconds(1)}, start, start);
+        }
+        planner.note_list(machines, start);
+    }
+
+    void submit(const std::string& queue, std::uint32_t tasks, std::int64_t cpu,
+                milliseconds estimate, std::uint32_t steps, time_point now)
+    {
+        auto spec = std::make_shared<job::job_spec>();
+        for (std::uint32_t step = 0; step < steps; ++step) {
+            job::step_spec each{
+                .count = tasks, .need = {.cpu_millis = cpu, .memory_mb = 1}, .estimate = estimate};
+            if (step > 0) {
+                each.after = {step - 1};
+            }
+            spec->steps.push_back(each);
+        }
+        scheduler.submit(job_id("job" + std::to_string(++jobs)), queue, spec, now, false);
+    }
+
+    /// One round of both; the closings take effect.
+    machine_orders round(time_point now)
+    {
+        const auto given = planner.plan(now, scheduler);
+        for (const worker_closing& each : given.closings) {
+            scheduler.close_worker(each.worker, each.closing);
+        }
+        static_cast<void>(scheduler.plan(now, wall_time{}));
+        return given;
+    }
+};
+
+} // namespace
+
+TEST_CASE("load: one large job draws no more machines than its tasks can use")
+{
+    two_pools world;
+    static_cast<void>(world.round(start));
+    world.submit("checks", 8, 2500, milliseconds(1700), 2, start + milliseconds(100));
+    CHECK(world.round(start + milliseconds(100)).orders.empty());
+    CHECK(world.round(start + milliseconds(200)).orders.empty());
+}
+
+TEST_CASE("load: a burst beyond its pool draws the machines that another pool doesn't use")
+{
+    two_pools world;
+    static_cast<void>(world.round(start));
+    std::size_t moved = 0;
+    for (int tenth = 1; tenth <= 10; ++tenth) {
+        const time_point now = start + milliseconds(100 * tenth);
+        for (int each = 0; each < 3; ++each) {
+            world.submit("checks", 6, 1100, milliseconds(1000), 2, now);
+        }
+        moved += world.round(now).orders.size();
+    }
+    CHECK(moved >= 4);
+    CHECK(moved <= 5); // One stays as the other pool's spare.
+}
+
+TEST_CASE("load: a machine that is still being emptied stays when its pool needs it again")
+{
+    two_pools world;
+    static_cast<void>(world.round(start));
+    // Something runs on every machine of `orders`, so none can leave at once.
+    for (int number = 0; number < 6; ++number) {
+        world.submit("orders", 1, 9000, milliseconds(1000), 1, start);
+    }
+    static_cast<void>(world.round(start));
+    for (int each = 0; each < 30; ++each) {
+        world.submit("checks", 8, 2000, milliseconds(1000), 1, start + milliseconds(100));
+    }
+    static_cast<void>(world.round(start + milliseconds(600)));
+    const auto closed = [&world] {
+        return std::count_if(world.scheduler.workers().begin(), world.scheduler.workers().end(),
+                             [](const auto& each) { return each.second.closing; });
+    };
+    const auto before = closed();
+    for (int each = 0; each < 30; ++each) {
+        world.submit("orders", 8, 2000, milliseconds(1000), 1, start + milliseconds(700));
+    }
+    static_cast<void>(world.round(start + milliseconds(1200)));
+    CHECK(closed() <= before);
+    CHECK(closed() == 0);
+}
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -85,6 +85,7 @@
     double ready_work = 0;
     /// Work of all jobs ever submitted, times seconds.
     double submitted_work = 0;
+    std::uint64_t submitted_jobs = 0;
     /// Fewest workers that the steps which last can be spread over.
     std::uint32_t least_workers = 0;
 };
@@ -201,7 +202,11 @@
 
     scheduler_options m_options;
     time_point m_started;
-    std::map<service_id, double> m_submitted_work;
+    struct submission_count {
+        double work = 0;
+        std::uint64_t jobs = 0;
+    };
+    std::map<service_id, submission_count> m_submitted;
     std::map<std::string, queue_policy> m_queues;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -68,7 +68,9 @@
     for (const step_spec& step : spec->steps) {
         work += step.lasting ? 0 : work_of(step, step.count);
     }
-    m_submitted_work[policy.service] += work;
+    submission_count& counted = m_submitted[policy.service];
+    counted.work += work;
+    ++counted.jobs;
     m_specs.emplace(id, spec);
     m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
     m_open.insert(id);
@@ -304,8 +306,9 @@
             }
         }
     }
-    for (const auto& [service, work] : m_submitted_work) {
-        loads[service].submitted_work = work;
+    for (const auto& [service, counted] : m_submitted) {
+        loads[service].submitted_work = counted.work;
+        loads[service].submitted_jobs = counted.jobs;
     }
     return loads;
 }
