fleet: Order no machine about whose worker hasn't answered this holder

A new holder took a worker that it hadn't looked at yet, or that wasn't listed, for empty, and ordered its machine's upkeep, which ended lasting tasks. Change: only a worker that has answered under this holder's token and reports nothing is empty; a machine without a worker is idle as before.

The test fails without the change.

--- a/packages/fleet/include/plantaindoor/fleet/job_desk.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_desk.hpp
@@ -51,6 +51,7 @@
     void pending(const std::string& queue, pending_callback done);
 
 private:
+    void keep_cancelling(const job_id& id, time_point deadline, cancel_callback done);
     void state_from_store(const job_id& id, state_callback done);
     void accepted_in_store(const job_id& id, state_callback done);
     [[nodiscard]] bool session_ready() const;
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -105,7 +105,7 @@
         time_point changed{};
         /// Thousandths of a core that run there.
         std::int64_t used = 0;
-        bool idle = true;
+        bool idle = false;
         /// Tasks that last run there.
         bool lasting = false;
     };
@@ -136,7 +136,7 @@
                                       time_point now);
     [[nodiscard]] double needed_by(const service_id& pool, const job::service_load& load,
                                    double each, time_point now);
-    void order_emptied(time_point now, const job::scheduler& scheduler, machine_orders& out);
+    void order_emptied(time_point now, machine_orders& out);
     void close(machine_record& machine, machine_order purpose, machine_orders& out);
     /// The machine that can leave a pool soonest; empty where none may.
     [[nodiscard]] std::string leaver_of(const service_id& pool, time_point now) const;
--- a/packages/fleet/src/job_desk.cpp
+++ b/packages/fleet/src/job_desk.cpp
@@ -68,22 +68,13 @@
 
 void job_desk::cancel(const job_id& id, time_point deadline, cancel_callback done)
 {
-    auto keep = [this, id, deadline, done] {
-        m_intake.cancel(id, deadline, [this, id, done](intake_outcome outcome) {
-            if (outcome == intake_outcome::kept && session_ready()) {
-                m_session->cancel(id);
-            }
-            done(outcome == intake_outcome::kept       ? cancel_outcome::cancelled
-                 : outcome == intake_outcome::not_kept ? cancel_outcome::not_kept
-                                                       : cancel_outcome::unknown);
-        });
-    };
     if (session_ready() && m_session->state_of(id)) {
-        keep();
+        keep_cancelling(id, deadline, std::move(done));
         return;
     }
     m_store.read(rows_of(id), read_timeout,
-                 [keep, done, alive = m_alive](const std::optional<row_page>& page) {
+                 [this, id, deadline, done = std::move(done),
+                  alive = m_alive](const std::optional<row_page>& page) {
                      if (!*alive) {
                          return;
                      }
@@ -94,11 +85,23 @@
                          done(cancel_outcome::no_such_job);
                      }
                      else {
-                         keep();
+                         keep_cancelling(id, deadline, done);
                      }
                  });
 }
 
+void job_desk::keep_cancelling(const job_id& id, time_point deadline, cancel_callback done)
+{
+    m_intake.cancel(id, deadline, [this, id, done = std::move(done)](intake_outcome outcome) {
+        if (outcome == intake_outcome::kept && session_ready()) {
+            m_session->cancel(id);
+        }
+        done(outcome == intake_outcome::kept       ? cancel_outcome::cancelled
+             : outcome == intake_outcome::not_kept ? cancel_outcome::not_kept
+                                                   : cancel_outcome::unknown);
+    });
+}
+
 void job_desk::state(const job_id& id, state_callback done)
 {
     if (session_ready()) {
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -155,7 +155,7 @@
     refresh_use(scheduler);
     plan_waves(now, out);
     plan_pools(now, scheduler, out);
-    order_emptied(now, scheduler, out);
+    order_emptied(now, out);
     return out;
 }
 
@@ -164,7 +164,9 @@
     for (auto& [name, machine] : m_machines) {
         const auto worker = scheduler.workers().find(machine.worker);
         const bool known = worker != scheduler.workers().end();
-        machine.idle = !known || worker->second.runs.empty();
+        // What runs on a worker that hasn't answered this holder isn't known.
+        machine.idle = machine.worker.empty() ||
+                       (known && worker->second.fenced && worker->second.runs.empty());
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.lasting = known && worker->second.lasting_runs > 0;
     }
@@ -382,16 +384,13 @@
     }
 }
 
-void machine_planner::order_emptied(time_point now, const job::scheduler& scheduler,
-                                    machine_orders& out)
+void machine_planner::order_emptied(time_point now, machine_orders& out)
 {
     for (auto& [name, machine] : m_machines) {
         if (!machine.purpose || machine.ordered || now - machine.changed < order_retry) {
             continue;
         }
-        const auto worker = scheduler.workers().find(machine.worker);
-        const bool empty = worker == scheduler.workers().end() || worker->second.runs.empty();
-        if (empty && machine.state == machine_state::up) {
+        if (machine.idle && machine.state == machine_state::up) {
             machine.ordered = true;
             machine.changed = now;
             out.orders.push_back(*machine.purpose);
--- a/packages/fleet/tests/fleet_world.cpp
+++ b/packages/fleet/tests/fleet_world.cpp
@@ -150,7 +150,7 @@
 
 job_id fleet_world::submit(watched_job job)
 {
-    const job_id id(fmt::format("{:016x}", ++m_count));
+    job_id id(fmt::format("{:016x}", ++m_count));
     m_specs[id.str()] = job.spec;
     m_workers.watch(id, std::move(job));
     for (std::size_t tries = 0; tries < entry_count; ++tries) {
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -27,6 +27,23 @@
             .capacity = {.cpu_millis = 1000, .memory_mb = 1000}};
 }
 
+/// A scheduler that has heard of these workers and been answered by them.
+job::scheduler scheduler_with(const std::vector<job::worker_listing>& workers)
+{
+    job::scheduler scheduler({}, start);
+    for (const job::worker_listing& each : workers) {
+        scheduler.list_worker(each, start);
+        scheduler.note_report(each.id, {.worker_clock = milliseconds(1)}, start, start);
+    }
+    return scheduler;
+}
+
+job::worker_listing at_address(job::worker_listing listing, const std::string& address)
+{
+    listing.address = address;
+    return listing;
+}
+
 std::vector<std::string> machines_of(const machine_orders& given)
 {
     std::vector<std::string> names;
@@ -40,7 +57,8 @@
 
 TEST_CASE("a late listing of a life that upkeep has ended doesn't free the wave's place")
 {
-    job::scheduler scheduler({}, start);
+    job::scheduler scheduler =
+        scheduler_with({life_of("m1", "w1"), at_address(life_of("m2", "w2"), "10.0.0.2:80")});
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")}, start);
@@ -63,7 +81,8 @@
 
 TEST_CASE("a wave is completed only when each machine that stays has begun its upkeep")
 {
-    job::scheduler scheduler({}, start);
+    job::scheduler scheduler =
+        scheduler_with({life_of("m1", "w1"), at_address(life_of("m2", "w2"), "10.0.0.2:80")});
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")}, start);
@@ -99,7 +118,7 @@
 
 TEST_CASE("a machine that an earlier holder has ordered about is left alone for a while")
 {
-    job::scheduler scheduler({}, start);
+    job::scheduler scheduler = scheduler_with({life_of("m1", "w1")});
     machine_planner planner({});
     planner.block("m1", start + seconds(3));
     planner.set_pools({{.id = checks}});
@@ -109,6 +128,24 @@
     CHECK(planner.plan(start + milliseconds(3000), scheduler).orders.size() == 1);
 }
 
+TEST_CASE("a machine whose worker hasn't answered a new holder isn't ordered about")
+{
+    // Tasks that the earlier holder started may run there.
+    job::scheduler scheduler({}, start);
+    scheduler.list_worker(life_of("m1", "w1"), start);
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "unlisted")},
+                      start);
+    planner.note_wave(
+        {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(1), .most_down = 2}, start, {});
+    CHECK(planner.plan(start + milliseconds(900), scheduler).orders.empty());
+
+    scheduler.note_report(instance_id("w1"), {.worker_clock = milliseconds(1)}, start, start);
+    CHECK(machines_of(planner.plan(start + milliseconds(1000), scheduler)) ==
+          std::vector<std::string>{"m1"});
+}
+
 TEST_CASE("a pool whose queue rises takes machines that are off first")
 {
     job::scheduler scheduler({}, start);
@@ -183,7 +220,7 @@
     /// One round of both; the closings take effect.
     machine_orders round(time_point now)
     {
-        const auto given = planner.plan(now, scheduler);
+        machine_orders given = planner.plan(now, scheduler);
         for (const worker_closing& each : given.closings) {
             scheduler.close_worker(each.worker, each.closing);
         }
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -188,8 +188,9 @@
     return job::order_answer::accepted;
 }
 
-void model_workers::end_run(life& worker, job::run_name run, job::run_end how)
+void model_workers::end_run(life& worker, const job::run_name& name, job::run_end how)
 {
+    const job::run_name run = name; // The caller's may be the key that is erased here.
     const auto found = worker.running.find(run);
     if (found == worker.running.end()) {
         return;
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -105,7 +105,7 @@
     [[nodiscard]] milliseconds clock_of(const life& worker) const;
     void extend(life& worker, milliseconds deadline);
     void schedule_lapse(life& worker);
-    void end_run(life& worker, job::run_name run, job::run_end how);
+    void end_run(life& worker, const job::run_name& name, job::run_end how);
     /// Ends that weren't noted before the lease lapsed, or the life was over, no longer count.
     void void_ends(const life& worker);
     void note(const life& worker, const job::ended_entry& end);
