fleet: Leave the duty to strong entries, and bound the connections to a worker

Change: entries below 0.25 of a core or 50 Mbit/s wait 0.45 s longer for a vacant duty; at most 4 connections to a worker.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -42,8 +42,15 @@
 
 /// A worker keeps its tasks for so long without hearing of the duty's holder.
 constexpr milliseconds worker_lease{5000};
+/// One waits for a report while the others carry orders.
+constexpr long connections_per_worker = 4;
 /// Entries that want the duty wait for different parts of this.
 constexpr milliseconds longest_duty_delay{120};
+/// An entry with less than this much of a core, or of a link, leaves the duty to stronger ones for
+/// a while.
+constexpr double enough_cores = 0.25;
+constexpr double enough_link_mbps = 50;
+constexpr milliseconds weak_delay{450};
 /// A stopping entry still answers callers until the balancer has noticed.
 constexpr milliseconds notice_of_stop{2500};
 constexpr milliseconds stop_check{100};
@@ -80,6 +87,8 @@
     process::reactor_loop m_loop;
     metrics_registry m_metrics;
     connection::http_client m_client{m_loop};
+    connection::http_client m_worker_connections{
+        m_loop, nullptr, {.connections_per_endpoint = connections_per_worker}};
     platform::store_client m_store;
     platform::worker_client m_workers;
     platform::machine_client m_machines;
@@ -104,6 +113,8 @@
     duty.peer_address = settings.peers.str();
     duty.duty.delay = milliseconds(
         std::uniform_int_distribution<std::int64_t>(0, longest_duty_delay.count())(random));
+    duty.duty.delay += settings.cores < enough_cores ? weak_delay : milliseconds(0);
+    duty.duty.delay += settings.link_mbps < enough_link_mbps ? weak_delay : milliseconds(0);
     duty.scheduling.lease = std::min(worker_lease, settings.longest_lease);
     duty.scheduling.stop_time = settings.stop_time;
     duty.scheduling.notice = settings.notice;
--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -83,6 +83,11 @@
 /// Names a call that has not ended.
 enum class call_id : std::uint64_t { none = 0 };
 
+struct http_client_options {
+    /// Calls beyond so many to one endpoint wait for each other; zero: none wait.
+    long connections_per_endpoint = 0;
+};
+
 /// A pool of connections and the calls on them. Loop thread only.
 class http_client {
 public:
@@ -90,7 +95,8 @@
 
     /// The loop must outlive the client, and so must the tracer, which may be null. With a tracer
     /// each call is a span, and its context is sent in the header "traceparent".
-    explicit http_client(event_loop& loop, tracer* spans = nullptr);
+    explicit http_client(event_loop& loop, tracer* spans = nullptr,
+                         const http_client_options& options = {});
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     /// Ends every call without calling back.
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -23,7 +23,7 @@
 
 class http_client::implementation {
 public:
-    implementation(event_loop& loop, tracer* spans)
+    implementation(event_loop& loop, tracer* spans, const http_client_options& options)
         : m_loop(loop), m_tracer(spans), m_multi(curl_multi_init())
     {
         if (m_multi == nullptr) {
@@ -36,6 +36,7 @@
         curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kept_connections);
         curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+        curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, options.connections_per_endpoint);
     }
 
     implementation(const implementation&) = delete;
@@ -221,8 +222,8 @@
     timer_id m_timer = timer_id::none;
 };
 
-http_client::http_client(event_loop& loop, tracer* spans)
-    : m_implementation(std::make_unique<implementation>(loop, spans))
+http_client::http_client(event_loop& loop, tracer* spans, const http_client_options& options)
+    : m_implementation(std::make_unique<implementation>(loop, spans, options))
 {
 }
 
--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -366,6 +366,8 @@
     async def crash_worker(self, index, down_s):
         """Ends a worker's life; another begins at the same address."""
         worker = self.workers[index]
+        if not worker.alive:
+            return
         port = worker.http.port
         await worker.die()
         await asyncio.sleep(down_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,10 @@
 platform:
   store: 127.0.0.1:{store}
   machines: 127.0.0.1:{machines}
+strength:
+  core_share: 0.5
+  cores: 1
+  link_mbps: 1000
 bounds:
   stop_ms: 300
   longest_lease_ms: 10000
