fleet: Keep places for lasting tasks while a wave takes machines

Change: a machine with lasting tasks is taken only while the pool keeps one machine more than its widest step needs; a pool wants that many beside those under upkeep; and a lasting task that finds no other place runs on one that is still being emptied. A worker's first lease bound counts from the session's start. Decisions about jobs are logged, with metrics.

--- a/packages/fleet/include/plantaindoor/fleet/control_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/control_session.hpp
@@ -84,6 +84,9 @@
     void become_ready();
     void change();
     void plan();
+    void log_decisions();
+    void log_decision(const job::decision& made);
+    void refresh_gauges();
     void renewed(time_point sent);
     void check_lease();
     void lose();
@@ -112,6 +115,10 @@
     bool m_lost = false;
     bool m_workers_read = false;
     metric_summary& m_plan_seconds;
+    metric_summary& m_job_seconds;
+    metric_summary& m_first_start_seconds;
+    metric_gauge& m_open_jobs;
+    metric_gauge& m_usable_workers;
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -125,8 +125,14 @@
     [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
                                time_point now) const;
     void refresh_use(const job::scheduler& scheduler);
-    void plan_waves(time_point now, machine_orders& out);
-    void take_for_wave(wave_progress& wave, time_point now, machine_orders& out);
+    void plan_waves(time_point now, const std::map<service_id, job::service_load>& loads,
+                    machine_orders& out);
+    void take_for_wave(wave_progress& wave, time_point now,
+                       const std::map<service_id, job::service_load>& loads, machine_orders& out);
+    /// Whether the steps that last keep enough machines without one of the pool's.
+    [[nodiscard]] bool can_spare(const service_id& pool,
+                                 const std::map<service_id, job::service_load>& loads) const;
+    [[nodiscard]] std::uint32_t under_upkeep(const service_id& pool) const;
     void plan_pools(time_point now, const job::scheduler& scheduler, machine_orders& out);
     [[nodiscard]] std::map<service_id, pool_state> pool_states(time_point now,
                                                                const job::scheduler& scheduler);
--- a/packages/fleet/src/control_session.cpp
+++ b/packages/fleet/src/control_session.cpp
@@ -47,7 +47,13 @@
       m_on_lost(std::move(on_lost)),
       m_alive(std::make_shared<bool>(true)),
       m_scheduler(m_options.scheduling, context.loop.now()),
-      m_plan_seconds(context.metrics.summary({"plan_seconds", "Rounds of placement", {}}))
+      m_plan_seconds(context.metrics.summary({"plan_seconds", "Rounds of placement", {}})),
+      m_job_seconds(context.metrics.summary({"job_seconds", "From submission to completion", {}})),
+      m_first_start_seconds(context.metrics.summary(
+          {"job_first_start_seconds", "From submission to the first start", {}})),
+      m_open_jobs(context.metrics.gauge({"jobs_open", "Jobs that are not over", {}})),
+      m_usable_workers(
+          context.metrics.gauge({"workers_usable", "Workers that may be given tasks", {}}))
 {
     m_lease_until = m_options.taken + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
@@ -248,9 +254,58 @@
     m_watch->refresh();
     m_watch->send(m_scheduler.plan(begun, m_context.loop.wall_now()));
     m_keeper->refresh();
+    log_decisions();
     m_plan_seconds.record(m_context.loop.now() - begun);
 }
 
+void control_session::log_decisions()
+{
+    for (const job::decision& made : m_scheduler.take_decisions()) {
+        log_decision(made);
+    }
+}
+
+void control_session::log_decision(const job::decision& made)
+{
+    const std::string job = fmt::format("job {} at {} ms of {}", made.job.str(), made.age.count(),
+                                        made.objective.count());
+    switch (made.kind) {
+    case job::decision_kind::first_start:
+        m_first_start_seconds.record(made.age);
+        job_log.info(fmt::format("{}: first start on {}", job, made.worker.str()));
+        break;
+    case job::decision_kind::run_ended:
+        job_log.info(fmt::format("{}: {} attempt {} on {} ended as {}", job,
+                                 to_string(made.run.task), made.run.attempt, made.worker.str(),
+                                 name_of(made.how)));
+        break;
+    case job::decision_kind::run_lost:
+        job_log.info(fmt::format("{}: {} attempt {} lost with {}", job, to_string(made.run.task),
+                                 made.run.attempt, made.worker.str()));
+        break;
+    case job::decision_kind::over:
+        if (made.state == job::job_state::completed) {
+            m_job_seconds.record(made.age);
+        }
+        m_context.metrics
+            .counter({"jobs_over_total",
+                      "Jobs that came to an end",
+                      {{"state", std::string(name_of(made.state))}}})
+            .add();
+        job_log.info(fmt::format("{}: {}", job, name_of(made.state)));
+        break;
+    }
+}
+
+void control_session::refresh_gauges()
+{
+    const time_point now = m_context.loop.now();
+    const auto& workers = m_scheduler.workers();
+    m_usable_workers.set(double(std::count_if(
+        workers.begin(), workers.end(), [now](auto& each) { return each.second.usable(now); })));
+    m_open_jobs.set(double(m_scheduler.open_count()));
+}
+
 void control_session::renewed(time_point sent)
 {
     m_lease_until = sent + m_options.lease;
@@ -278,6 +333,7 @@
             m_machines->tick(m_context.loop.now());
         }
         plan();
+        refresh_gauges();
         tick();
     });
 }
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -153,7 +153,7 @@
         return out;
     }
     refresh_use(scheduler);
-    plan_waves(now, out);
+    plan_waves(now, scheduler.loads(), out);
     plan_pools(now, scheduler, out);
     order_emptied(now, out);
     return out;
@@ -190,16 +190,20 @@
     }
 }
 
-void machine_planner::plan_waves(time_point now, machine_orders& out)
+void machine_planner::plan_waves(time_point now,
+                                 const std::map<service_id, job::service_load>& loads,
+                                 machine_orders& out)
 {
     for (auto& [number, wave] : m_waves) {
         if (!wave.completed()) {
-            take_for_wave(wave, now, out);
+            take_for_wave(wave, now, loads, out);
         }
     }
 }
 
-void machine_planner::take_for_wave(wave_progress& wave, time_point now, machine_orders& out)
+void machine_planner::take_for_wave(wave_progress& wave, time_point now,
+                                    const std::map<service_id, job::service_load>& loads,
+                                    machine_orders& out)
 {
     std::uint32_t taken = 0;
     std::vector<std::string> waiting;
@@ -229,6 +233,9 @@
         if (taken >= wave.request.most_down || (!machine.idle && !pressed)) {
             break;
         }
+        if (machine.lasting && !can_spare(machine.pool, loads)) {
+            continue;
+        }
         close(machine,
               {.machine = name, .task = machine_task::maintain, .wave = wave.request.number}, out);
         ++taken;
@@ -298,7 +305,10 @@
         const double needed = needed_by(pool, load, each, now);
         const auto machines =
             static_cast<std::uint32_t>(std::ceil(needed / each * percent / m_options.full_percent));
-        states[pool].wanted = std::max(machines, load.least_workers);
+        // Steps that last must fit onto machines that stay, also while others have their upkeep.
+        states[pool].wanted = load.least_workers == 0
+                                  ? machines
+                                  : std::max(machines, load.least_workers + 1 + under_upkeep(pool));
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = present_of(pool);
@@ -306,6 +316,31 @@
     return states;
 }
 
+std::uint32_t machine_planner::under_upkeep(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool meant = machine.purpose && machine.purpose->task == machine_task::maintain;
+            return machine.pool == pool && (meant || machine.state == machine_state::upkeep);
+        }));
+}
+
+bool machine_planner::can_spare(const service_id& pool,
+                                const std::map<service_id, job::service_load>& loads) const
+{
+    const auto load = loads.find(pool);
+    if (load == loads.end() || load->second.least_workers == 0) {
+        return true;
+    }
+    const auto open = static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            return machine.pool == pool && machine.state == machine_state::up && !machine.purpose;
+        }));
+    return open > load->second.least_workers + 1;
+}
+
 std::uint32_t machine_planner::present_of(const service_id& pool) const
 {
     return static_cast<std::uint32_t>(
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -281,3 +281,36 @@
     CHECK(closed() <= before);
     CHECK(closed() == 0);
 }
+
+TEST_CASE("a wave leaves machines on which a step that lasts can run meanwhile")
+{
+    const std::vector<job::worker_listing> listed{life_of("m1", "w1"),
+                                                  at_address(life_of("m2", "w2"), "10.0.0.2:80"),
+                                                  at_address(life_of("m3", "w3"), "10.0.0.3:80")};
+    job::scheduler scheduler = scheduler_with(listed);
+    scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
+    auto spec = std::make_shared<job::job_spec>();
+    spec->steps.push_back({.count = 2,
+                           .need = {.cpu_millis = 100, .memory_mb = 1},
+                           .most_per_worker = 1,
+                           .lasting = true,
+                           .may_miss = 1});
+    scheduler.submit(job_id("j"), "q", spec, start, false);
+    REQUIRE(scheduler.plan(start, wall_time{}).starts.size() == 2);
+
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2"),
+                       machine_up("m3", checks, "w3")},
+                      start);
+    planner.note_wave(
+        {.number = 1, .machines = {"m1", "m2", "m3"}, .deadline = seconds(1), .most_down = 3},
+        start, {});
+    const auto given = planner.plan(start + milliseconds(10), scheduler);
+    // Were all three closed, a task that is taken from one would have nowhere to go, and the other
+    // tasks of its step couldn't be taken before it is back.
+    for (const worker_closing& each : given.closings) {
+        CHECK(scheduler.workers().at(each.worker).lasting_runs == 0);
+    }
+    CHECK(given.closings.size() == 1);
+}
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -73,6 +74,26 @@
     milliseconds wait{0};
 };
 
+enum class decision_kind {
+    first_start, ///< the first task of a job has been ordered
+    run_ended,   ///< a run has ended otherwise than done
+    run_lost,    ///< a run's worker is gone, or silent past its lease
+    over,        ///< the job has reached a state that it keeps
+};
+
+/// What an operator needs to see of a decision about one job.
+struct decision {
+    decision_kind kind = decision_kind::over;
+    job_id job;
+    run_name run;
+    instance_id worker;
+    run_end how = run_end::stopped;
+    job_state state = job_state::queued;
+    /// Since the job was submitted, and what its objective allows.
+    milliseconds age{0};
+    milliseconds objective{0};
+};
+
 /// What a service's jobs ask of its workers, in thousandths of a core.
 struct service_load {
     /// Of all tasks that last.
@@ -131,6 +152,9 @@
     /// All orders that are due. Call after events and at least every 100 ms.
     [[nodiscard]] orders plan(time_point now, wall_time wall_now);
 
+    /// The decisions since the last call, in order.
+    [[nodiscard]] std::vector<decision> take_decisions();
+
     /// Jobs whose kept progress is out of date; the caller keeps them, then calls note_kept().
     [[nodiscard]] const std::set<job_id>& unkept() const noexcept { return m_unkept; }
     /// Begins a keeping of all unkept jobs, and returns them.
@@ -154,6 +178,8 @@
     /// Whether a worker should be looked at: it is listed, or something may run there.
     [[nodiscard]] bool watched(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
+    /// Jobs that are not over.
+    [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
 
 private:
     struct candidate {
@@ -164,6 +190,7 @@
 
     job_record* find_job(const job_id& id);
     void keep(const job_id& id) { m_unkept.insert(id); }
+    void note_decision(const job_record& job, decision made);
 
     void apply_end(worker_record& worker, const ended_entry& end, time_point now);
     void apply_running(worker_record& worker, const running_entry& entry, time_point now);
@@ -191,6 +218,10 @@
     [[nodiscard]] worker_record* choose(const job_record& job, const occurrence_record& occurrence,
                                         std::uint32_t step, const task_record& task,
                                         time_point now);
+    /// A worker that is being emptied and waits for lasting tasks elsewhere; nullptr if none suits.
+    [[nodiscard]] worker_record*
+    closing_worker(const service_id& service,
+                   const std::function<bool(const worker_record&)>& suits);
     void order_start(job_record& job, const task_name& name, worker_record& worker,
                      std::uint32_t attempt, time_point now);
     void evacuate(time_point now);
@@ -219,6 +250,23 @@
     std::set<job_id> m_keeping;
     std::map<instance_id, std::uint64_t> m_keeping_sequences;
     orders m_orders;
+    std::vector<decision> m_decisions;
+    /// Of the event that is being taken in.
+    time_point m_now{};
 };
 
 } // namespace plantaindoor::job
+
+namespace plantaindoor {
+
+template<>
+struct enum_names<job::decision_kind> {
+    static constexpr std::array<enum_name<job::decision_kind>, 4> table{{
+        {job::decision_kind::first_start, "first-start"},
+        {job::decision_kind::run_ended, "run-ended"},
+        {job::decision_kind::run_lost, "run-lost"},
+        {job::decision_kind::over, "over"},
+    }};
+};
+
+} // namespace plantaindoor
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -99,8 +99,9 @@
     }
 }
 
-void scheduler::cancel(const job_id& id, time_point /*now*/)
+void scheduler::cancel(const job_id& id, time_point now)
 {
+    m_now = now;
     job_record* const job = find_job(id);
     if (job == nullptr) {
         m_cancelled_early.insert(id);
@@ -122,6 +123,7 @@
 void scheduler::end_job(job_record& job, job_state state)
 {
     job.set_state(state);
+    note_decision(job, {.kind = decision_kind::over, .state = state});
     m_open.erase(job.id());
     keep(job.id());
     for (auto& [number, occurrence] : job.occurrences()) {
@@ -139,6 +141,19 @@
     }
 }
 
+void scheduler::note_decision(const job_record& job, decision made)
+{
+    made.job = job.id();
+    made.age = std::chrono::duration_cast<milliseconds>(m_now - job.submitted());
+    made.objective = std::chrono::duration_cast<milliseconds>(job.objective() - job.submitted());
+    m_decisions.push_back(std::move(made));
+}
+
+std::vector<decision> scheduler::take_decisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
 void scheduler::want_stop(worker_record& worker, const run_name& run)
 {
     const auto found = worker.runs.find(run);
@@ -166,6 +181,12 @@
         return;
     }
     const step_spec& step = job->spec().steps[end.run.task.step];
+    if (end.how != run_end::done) {
+        note_decision(*job, {.kind = decision_kind::run_ended,
+                             .run = end.run,
+                             .worker = worker.listing.id,
+                             .how = end.how});
+    }
     if (end.how == run_end::failed) {
         fail_task(*job, end.run.task, end.run.attempt, worker);
         if (++worker.failures_in_a_row >= failures_before_quarantine) {
@@ -244,6 +265,11 @@
         const run_name run = first->first;
         if (job_record* const job = find_job(run.task.job)) {
             task_record* const task = job->find(run.task);
+            if (!is_over(job->state())) {
+                note_decision(
+                    *job,
+                    {.kind = decision_kind::run_lost, .run = run, .worker = worker.listing.id});
+            }
             if (task != nullptr && !first->second.checkpoint.empty()) {
                 task->checkpoint = first->second.checkpoint;
             }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -28,6 +28,7 @@
 orders scheduler::plan(time_point now, wall_time wall_now)
 {
     m_orders = {};
+    m_now = now;
     reap_silent(now);
     begin_due_occurrences(wall_now);
     evacuate(now);
@@ -192,35 +193,50 @@
             }
         }
     }
-    worker_record* best = nullptr;
-    suitability best_suits;
-    for (worker_record* const worker : m_candidates[job.queue().service]) {
-        if (!worker->usable(now) || !worker->room().holds(need) ||
-            (!spec.required_label.empty() && !worker->listing.has_label(spec.required_label))) {
-            continue;
-        }
-        if (spec.most_per_worker > 0) {
-            const auto count = siblings.find(worker->listing.id);
-            if (count != siblings.end() && count->second >= spec.most_per_worker) {
-                continue;
-            }
+    const auto suits = [&](const worker_record& worker) {
+        if (!worker.room().holds(need) ||
+            (!spec.required_label.empty() && !worker.listing.has_label(spec.required_label))) {
+            return false;
         }
+        const auto count = siblings.find(worker.listing.id);
+        return spec.most_per_worker == 0 || count == siblings.end() ||
+               count->second < spec.most_per_worker;
+    };
+    const auto suitability_of = [&](const worker_record& worker) {
         const bool avoided = std::find(task.avoided.begin(), task.avoided.end(),
-                                       worker->listing.id) != task.avoided.end();
-        const bool near =
-            (spec.rack.empty() || worker->listing.rack.str() == spec.rack) &&
-            (!spec.same_rack || racks.empty() || racks.contains(worker->listing.rack));
+                                       worker.listing.id) != task.avoided.end();
+        const bool near = (spec.rack.empty() || worker.listing.rack.str() == spec.rack) &&
+                          (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Tasks are kept together, so that other machines can leave the pool.
-        const suitability suits(!avoided, near, worker->lasting_runs > 0,
-                                -worker->room().cpu_millis);
-        if (best == nullptr || suits > best_suits) {
+        return suitability(!avoided, near, worker.lasting_runs > 0, -worker.room().cpu_millis);
+    };
+    worker_record* best = nullptr;
+    for (worker_record* const worker : m_candidates[job.queue().service]) {
+        if (worker->usable(now) && suits(*worker) &&
+            (best == nullptr || suitability_of(*worker) > suitability_of(*best))) {
             best = worker;
-            best_suits = suits;
         }
     }
+    if (best == nullptr && spec.lasting) {
+        best = closing_worker(job.queue().service, suits);
+    }
     return best;
 }
 
+worker_record* scheduler::closing_worker(const service_id& service,
+                                         const std::function<bool(const worker_record&)>& suits)
+{
+    for (auto& [id, worker] : m_workers) {
+        // One that still has lasting tasks waits for others to be at work; those may be this one.
+        if (worker.listing.service == service && worker.closing && worker.listed && worker.fenced &&
+            !worker.listing.draining && worker.missed_looks == 0 && worker.lasting_runs > 0 &&
+            suits(worker)) {
+            return &worker;
+        }
+    }
+    return nullptr;
+}
+
 void scheduler::order_start(job_record& job, const task_name& name, worker_record& worker,
                             std::uint32_t attempt, time_point now)
 {
@@ -230,6 +246,10 @@
     }
     const step_spec& step = job.spec().steps[name.step];
     const run_name run{name, attempt};
+    if (job.state() == job_state::queued) {
+        note_decision(
+            job, {.kind = decision_kind::first_start, .run = run, .worker = worker.listing.id});
+    }
     worker_run begun{.footprint = step.footprint(), .ordered = now};
     worker.used += begun.footprint;
     begun.lasting = step.lasting;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -25,6 +25,7 @@
 
 void scheduler::list_worker(worker_listing listing, time_point now)
 {
+    m_now = now;
     for (auto& [id, other] : m_workers) {
         // An address has one instance at a time, so the earlier one's life is over.
         if (id != listing.id && other.listing.address == listing.address) {
@@ -36,7 +37,7 @@
     worker_record& worker = m_workers[id];
     if (worker.listing.id.empty()) {
         // An earlier holder of the duty may have let tasks run there.
-        worker.lease_bound = now + m_options.predecessor_grace + stretched(m_options.lease);
+        worker.lease_bound = m_started + m_options.predecessor_grace + stretched(m_options.lease);
         worker.last_answer = now;
     }
     worker.listing = std::move(listing);
@@ -55,8 +56,9 @@
     }
 }
 
-void scheduler::end_worker(const instance_id& id, time_point /*now*/)
+void scheduler::end_worker(const instance_id& id, time_point now)
 {
+    m_now = now;
     const auto found = m_workers.find(id);
     if (found != m_workers.end()) {
         lose_all_runs(found->second);
@@ -114,6 +116,7 @@
     if (found == m_workers.end()) {
         return;
     }
+    m_now = now;
     worker_record& worker = found->second;
     worker.clock = report.worker_clock;
     worker.clock_read = now;
--- /dev/null
+++ b/packages/job/tests/scheduler_test.cpp
@@ -0,0 +1,202 @@
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace plantaindoor;
+using namespace plantaindoor::job;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours(1)};
+const service_id checks{"checks"};
+
+worker_listing worker_named(const std::string& name)
+{
+    return {.id = instance_id(name),
+            .service = checks,
+            .address = name + ":80",
+            .capacity = {.cpu_millis = 4000, .memory_mb = 4000}};
+}
+
+/// A scheduler with workers that have answered, and a clock.
+struct bench {
+    scheduler subject{{.lease = milliseconds(5000), .predecessor_grace = milliseconds(0)}, start};
+    time_point now = start;
+    std::map<instance_id, std::uint64_t> sequences;
+    std::map<instance_id, std::vector<running_entry>> running;
+
+    explicit bench(std::vector<std::string> workers)
+    {
+        subject.set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
+        for (const std::string& name : workers) {
+            subject.list_worker(worker_named(name), now);
+            report(instance_id(name));
+        }
+    }
+
+    void report(const instance_id& worker, std::vector<ended_entry> ended = {})
+    {
+        now += milliseconds(10);
+        subject.note_report(worker,
+                            {.worker_clock = milliseconds(1000),
+                             .running = running[worker],
+                             .ended = std::move(ended)},
+                            now - milliseconds(5), now);
+    }
+
+    void end(const instance_id& worker, const run_name& run, run_end how)
+    {
+        std::erase_if(running[worker], [&](const auto& each) { return each.run == run; });
+        report(worker, {{.sequence = ++sequences[worker], .run = run, .how = how}});
+    }
+
+    job_id submit(const std::string& id, step_spec step)
+    {
+        auto spec = std::make_shared<job_spec>();
+        spec->steps.push_back(std::move(step));
+        subject.submit(job_id(id), "q", std::move(spec), now, false);
+        return job_id(id);
+    }
+
+    /// Plans, and lets the workers take every start and stop.
+    orders plan()
+    {
+        now += milliseconds(10);
+        orders given = subject.plan(now, wall_time{});
+        for (const start_order& each : given.starts) {
+            running[each.worker].push_back({.run = each.run, .percent = 100});
+            subject.note_start(each.worker, each.run, order_answer::accepted, now);
+        }
+        for (const stop_order& each : given.stops) {
+            subject.note_stop(each.worker, each.run, order_answer::accepted, now);
+        }
+        return given;
+    }
+};
+
+const step_spec one_lasting{.count = 2,
+                            .need = {.cpu_millis = 100, .memory_mb = 1},
+                            .most_per_worker = 1,
+                            .lasting = true,
+                            .may_miss = 1};
+
+} // namespace
+
+TEST_CASE("a lasting task that finds only workers being emptied isn't left waiting")
+{
+    bench world({"w1", "w2"});
+    static_cast<void>(world.submit("j", one_lasting));
+    REQUIRE(world.plan().starts.size() == 2);
+    world.report(instance_id("w1"));
+    world.report(instance_id("w2"));
+    world.subject.close_worker(instance_id("w1"), true);
+    world.subject.close_worker(instance_id("w2"), true);
+    // One of them may be taken; the other then waits for it to be at work again.
+    const auto stops = world.plan().stops;
+    REQUIRE(stops.size() == 1);
+    world.end(stops[0].worker, stops[0].run, run_end::stopped);
+    bool started = false;
+    for (int round = 0; round < 5; ++round) {
+        started = started || !world.plan().starts.empty();
+    }
+    // Neither worker has both: the emptied one has nothing that lasts any more.
+    CHECK_FALSE(started);
+    world.subject.close_worker(stops[0].worker, false);
+    CHECK(world.plan().starts.size() == 1);
+}
+
+TEST_CASE("planned work takes one lasting task of a step at a time")
+{
+    bench world({"w1", "w2", "w3"});
+    static_cast<void>(world.submit("j", one_lasting));
+    REQUIRE(world.plan().starts.size() == 2);
+    world.report(instance_id("w1"));
+    world.report(instance_id("w2"));
+    world.report(instance_id("w3"));
+    std::vector<instance_id> used;
+    for (const auto& [id, worker] : world.subject.workers()) {
+        if (!worker.runs.empty()) {
+            used.push_back(id);
+            world.subject.close_worker(id, true);
+        }
+    }
+    REQUIRE(used.size() == 2);
+    const auto first = world.plan().stops;
+    REQUIRE(first.size() == 1);
+    CHECK(world.plan().stops.empty());
+    world.end(first[0].worker, first[0].run, run_end::stopped);
+    const auto restarted = world.plan().starts;
+    REQUIRE(restarted.size() == 1);
+    CHECK(restarted[0].run.attempt == 2);
+    CHECK(world.plan().stops.empty()); // It isn't known to be at work yet.
+    world.report(restarted[0].worker);
+    CHECK(world.plan().stops.size() == 1);
+}
+
+TEST_CASE("a task that fails as often as its queue allows fails its job, and no more is started")
+{
+    bench world({"w1", "w2"});
+    const job_id id = world.submit("j", {.count = 1, .need = {.cpu_millis = 100}});
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto starts = world.plan().starts;
+        REQUIRE(starts.size() == 1);
+        world.end(starts[0].worker, starts[0].run, run_end::failed);
+    }
+    CHECK(world.plan().starts.empty());
+    REQUIRE(world.subject.find(id) != nullptr);
+    CHECK(world.subject.find(id)->state() == job_state::failed);
+}
+
+TEST_CASE("ends are acknowledged only once they are kept")
+{
+    bench world({"w1"});
+    static_cast<void>(world.submit("j", {.count = 1, .need = {.cpu_millis = 100}}));
+    const auto starts = world.plan().starts;
+    REQUIRE(starts.size() == 1);
+    world.end(starts[0].worker, starts[0].run, run_end::done);
+    CHECK(world.subject.next_look(instance_id("w1"), world.now).acknowledged == 0);
+    CHECK(world.subject.begin_keeping().size() == 1);
+    CHECK(world.subject.next_look(instance_id("w1"), world.now).acknowledged == 0);
+    world.subject.note_kept();
+    CHECK(world.subject.next_look(instance_id("w1"), world.now).acknowledged == 1);
+}
+
+TEST_CASE("a run that wasn't answered is stopped before another is started")
+{
+    bench world({"w1", "w2"});
+    static_cast<void>(world.submit("j", {.count = 1, .need = {.cpu_millis = 100}}));
+    world.now += milliseconds(10);
+    const auto starts = world.subject.plan(world.now, wall_time{}).starts;
+    REQUIRE(starts.size() == 1);
+    const instance_id worker = starts[0].worker;
+    world.subject.note_start(worker, starts[0].run, order_answer::unanswered, world.now);
+    world.report(worker);
+    const auto stops = world.plan();
+    REQUIRE(stops.stops.size() == 1);
+    CHECK(stops.starts.empty());
+    world.now += milliseconds(10);
+    world.report(worker); // Asked for after the stop was answered: it will never run there.
+    const auto again = world.plan().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.attempt == 2);
+}
+
+TEST_CASE("tasks of a silent worker wait until its lease must have lapsed")
+{
+    bench world({"w1"});
+    static_cast<void>(world.submit("j", {.count = 1, .need = {.cpu_millis = 100}}));
+    REQUIRE(world.plan().starts.size() == 1);
+    world.subject.list_worker(worker_named("w2"), world.now);
+    world.report(instance_id("w2"));
+    world.subject.note_missed_look(instance_id("w1"), world.now);
+    const time_point silent = world.now;
+    while (world.now < silent + milliseconds(5000)) {
+        world.now += milliseconds(100);
+        CHECK(world.subject.plan(world.now, wall_time{}).starts.empty());
+        CHECK_FALSE(world.subject.next_look(instance_id("w1"), world.now).deadline);
+    }
+    world.now = silent + milliseconds(6000);
+    CHECK(world.subject.plan(world.now, wall_time{}).starts.size() == 1);
+}
