job: Search a full service once for each size, and don't spend attempts on one worker

Change: needs that no worker had room for are remembered within a round; only workers with runs to stop are looked at; a worker that failed a task gets it again only when no other may take it.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -215,6 +215,8 @@
     void place_job(job_record& job, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
+    /// Whether no worker of the service has had room for as little in this round.
+    [[nodiscard]] bool known_full(const service_id& service, const resources& need) const;
     [[nodiscard]] worker_record* choose(const job_record& job, const occurrence_record& occurrence,
                                         std::uint32_t step, const task_record& task,
                                         time_point now);
@@ -246,6 +248,10 @@
     std::set<job_id> m_cancelled_early;
     std::map<instance_id, worker_record> m_workers;
     std::map<service_id, std::vector<worker_record*>> m_candidates;
+    /// Needs that no worker of a service had room for in this round.
+    std::map<service_id, std::vector<resources>> m_full_for;
+    /// Workers on which some run is to be stopped.
+    std::set<instance_id> m_stopping;
     std::set<job_id> m_unkept;
     std::set<job_id> m_keeping;
     std::map<instance_id, std::uint64_t> m_keeping_sequences;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -159,6 +159,7 @@
     const auto found = worker.runs.find(run);
     if (found != worker.runs.end() && found->second.phase != run_phase::stopping) {
         found->second.phase = run_phase::stopping;
+        m_stopping.insert(worker.listing.id);
         found->second.stop_sent.reset();
         found->second.stop_answered.reset();
     }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -86,6 +86,7 @@
 void scheduler::place_all(time_point now)
 {
     m_candidates.clear();
+    m_full_for.clear();
     for (auto& [id, worker] : m_workers) {
         if (worker.usable(now)) {
             m_candidates[worker.listing.service].push_back(&worker);
@@ -152,6 +153,8 @@
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
     // A gang starts whole or not at all, so the members are tried before any order leaves.
+    auto& full_for = m_full_for[job.queue().service];
+    const std::size_t full_before = full_for.size();
     std::vector<worker_record*> chosen;
     const resources footprint = job.spec().steps[step].footprint();
     for (task_record& task : tasks) {
@@ -168,6 +171,8 @@
         tasks[index].runs.clear();
     }
     if (chosen.size() < tasks.size()) {
+        // The members that were tried have left; what they had taken up is free again.
+        full_for.resize(full_before);
         return;
     }
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -181,6 +186,9 @@
 {
     const step_spec& spec = job.spec().steps[step];
     const resources need = spec.footprint();
+    if (!spec.lasting && known_full(job.queue().service, need)) {
+        return nullptr;
+    }
     std::map<instance_id, std::uint32_t> siblings;
     std::set<rack_id> racks;
     if (spec.most_per_worker > 0 || spec.same_rack) {
@@ -193,7 +201,20 @@
             }
         }
     }
+    const auto is_avoided = [&](const worker_record& worker) {
+        return std::find(task.avoided.begin(), task.avoided.end(), worker.listing.id) !=
+               task.avoided.end();
+    };
+    const auto& candidates = m_candidates[job.queue().service];
+    // A worker that fails what it starts has room soonest; attempts aren't spent on it while
+    // another worker may come free.
+    const bool others =
+        !task.avoided.empty() && std::any_of(candidates.begin(), candidates.end(),
+                                             [&](const auto* each) { return !is_avoided(*each); });
     const auto suits = [&](const worker_record& worker) {
+        if (others && is_avoided(worker)) {
+            return false;
+        }
         if (!worker.room().holds(need) ||
             (!spec.required_label.empty() && !worker.listing.has_label(spec.required_label))) {
             return false;
@@ -203,26 +224,36 @@
                count->second < spec.most_per_worker;
     };
     const auto suitability_of = [&](const worker_record& worker) {
-        const bool avoided = std::find(task.avoided.begin(), task.avoided.end(),
-                                       worker.listing.id) != task.avoided.end();
         const bool near = (spec.rack.empty() || worker.listing.rack.str() == spec.rack) &&
                           (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Tasks are kept together, so that other machines can leave the pool.
-        return suitability(!avoided, near, worker.lasting_runs > 0, -worker.room().cpu_millis);
+        return suitability(!is_avoided(worker), near, worker.lasting_runs > 0,
+                           -worker.room().cpu_millis);
     };
     worker_record* best = nullptr;
-    for (worker_record* const worker : m_candidates[job.queue().service]) {
+    for (worker_record* const worker : candidates) {
         if (worker->usable(now) && suits(*worker) &&
             (best == nullptr || suitability_of(*worker) > suitability_of(*best))) {
             best = worker;
         }
     }
+    if (best == nullptr && spec.required_label.empty() && spec.most_per_worker == 0 && !others) {
+        m_full_for[job.queue().service].push_back(need);
+    }
     if (best == nullptr && spec.lasting) {
         best = closing_worker(job.queue().service, suits);
     }
     return best;
 }
 
+bool scheduler::known_full(const service_id& service, const resources& need) const
+{
+    const auto full = m_full_for.find(service);
+    return full != m_full_for.end() &&
+           std::any_of(full->second.begin(), full->second.end(),
+                       [&](const resources& least) { return need.holds(least); });
+}
+
 worker_record* scheduler::closing_worker(const service_id& service,
                                          const std::function<bool(const worker_record&)>& suits)
 {
@@ -310,15 +341,21 @@
 
 void scheduler::send_stops(time_point now)
 {
-    for (auto& [id, worker] : m_workers) {
-        for (auto& [name, run] : worker.runs) {
-            const bool due = run.phase == run_phase::stopping && !run.stop_answered &&
-                             (!run.stop_sent || now - *run.stop_sent >= stop_resend);
-            if (due && worker.missed_looks == 0) {
-                run.stop_sent = now;
-                m_orders.stops.push_back({id, name});
+    for (auto at = m_stopping.begin(); at != m_stopping.end();) {
+        const auto found = m_workers.find(*at);
+        bool any = false;
+        if (found != m_workers.end()) {
+            for (auto& [name, run] : found->second.runs) {
+                any = any || run.phase == run_phase::stopping;
+                const bool due = run.phase == run_phase::stopping && !run.stop_answered &&
+                                 (!run.stop_sent || now - *run.stop_sent >= stop_resend);
+                if (due && found->second.missed_looks == 0) {
+                    run.stop_sent = now;
+                    m_orders.stops.push_back({*at, name});
+                }
             }
         }
+        at = any ? std::next(at) : m_stopping.erase(at);
     }
 }
 
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -188,6 +188,7 @@
         job != nullptr && run.task.step < job->spec().steps.size()) {
         unknown.footprint = job->spec().steps[run.task.step].footprint();
     }
+    m_stopping.insert(worker.listing.id);
     worker.used += unknown.footprint;
     worker.runs.emplace(run, std::move(unknown));
 }
@@ -212,6 +213,7 @@
         else if (run.phase == run_phase::unconfirmed) {
             // It may still arrive; a stop makes the worker refuse it then.
             run.phase = run_phase::stopping;
+            m_stopping.insert(worker.listing.id);
         }
     }
     for (const run_name& name : absent) {
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -200,3 +200,40 @@
     world.now = silent + milliseconds(6000);
     CHECK(world.subject.plan(world.now, wall_time{}).starts.size() == 1);
 }
+
+TEST_CASE("load: a worker that fails all it starts doesn't get a task again while others are busy")
+{
+    bench world({"w1", "w2"});
+    static_cast<void>(world.submit("busy", {.count = 1, .need = {.cpu_millis = 4000}}));
+    const auto busy = world.plan().starts;
+    REQUIRE(busy.size() == 1);
+    const job_id id = world.submit("j", {.count = 1, .need = {.cpu_millis = 2000}});
+    const auto first = world.plan().starts;
+    REQUIRE(first.size() == 1);
+    REQUIRE(first[0].worker != busy[0].worker);
+    world.end(first[0].worker, first[0].run, run_end::failed);
+    CHECK(world.plan().starts.empty());
+    world.end(busy[0].worker, busy[0].run, run_end::done);
+    const auto second = world.plan().starts;
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker == busy[0].worker);
+    world.end(second[0].worker, second[0].run, run_end::done);
+    CHECK(world.subject.find(id)->state() == job_state::completed);
+}
+
+TEST_CASE("load: a full service costs one search for each size of task, not one for each job")
+{
+    bench world({"w1"});
+    static_cast<void>(world.submit("busy", {.count = 1, .need = {.cpu_millis = 4000}}));
+    REQUIRE(world.plan().starts.size() == 1);
+    static_cast<void>(
+        world.submit("wide", {.count = 3, .need = {.cpu_millis = 2000}, .gang = true}));
+    const job_id small = world.submit("small", {.count = 1, .need = {.cpu_millis = 1000}});
+    CHECK(world.plan().starts.empty());
+    const run_name run{{job_id("busy"), 0, 0, 0}, 1};
+    world.end(instance_id("w1"), run, run_end::done);
+    // What the gang has tried and can't have is free for the others.
+    const auto starts = world.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == small);
+}
