fleet: Empty machines with lasting tasks from a wave's beginning

Machines with lasting tasks are never idle, were taken only when the deadline pressed, and then one after the other. Change: a quarter of the wave's cap may be such machines at any time, and their pools want one machine more while a wave isn't done.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -206,6 +206,7 @@
                                     machine_orders& out)
 {
     std::uint32_t taken = 0;
+    std::uint32_t emptying = 0;
     std::vector<std::string> waiting;
     for (const std::string& name : wave.request.machines) {
         const auto found = m_machines.find(name);
@@ -216,6 +217,7 @@
         const bool for_this = machine.purpose && machine.purpose->wave == wave.request.number &&
                               machine.purpose->task == machine_task::maintain;
         taken += for_this || machine.state == machine_state::upkeep ? 1 : 0;
+        emptying += for_this && machine.lasting ? 1 : 0;
         if (!wave.begun.contains(name) && is_free(name, machine, now)) {
             waiting.push_back(name);
         }
@@ -230,12 +232,16 @@
                                     m_options.upkeep_time * 2 * static_cast<std::int64_t>(rounds);
     for (const std::string& name : waiting) {
         machine_record& machine = m_machines[name];
-        if (taken >= wave.request.most_down || (!machine.idle && !pressed)) {
+        if (taken >= wave.request.most_down) {
             break;
         }
-        if (machine.lasting && !can_spare(machine.pool, loads)) {
+        // Machines with lasting tasks never become idle, so some are emptied from the beginning.
+        const bool early = machine.lasting && emptying < std::max(wave.request.most_down / 4, 1U);
+        if ((!machine.idle && !pressed && !early) ||
+            (machine.lasting && !can_spare(machine.pool, loads))) {
             continue;
         }
+        emptying += machine.lasting ? 1 : 0;
         close(machine,
               {.machine = name, .task = machine_task::maintain, .wave = wave.request.number}, out);
         ++taken;
@@ -296,6 +302,10 @@
         all += counted[pool];
     }
     typical = all == 0 ? 0 : typical / all;
+    const bool waves_left = std::any_of(m_waves.begin(), m_waves.end(),
+                                        [](const auto& each) { return !each.second.completed(); });
+    // One machine to spare, and one that a wave may then take.
+    const std::uint32_t spare = waves_left ? 2 : 1;
     const auto loads = scheduler.loads();
     for (const auto& [pool, load] : loads) {
         const double each = counted[pool] > 0 ? capacity[pool] / counted[pool] : typical;
@@ -306,9 +316,10 @@
         const auto machines =
             static_cast<std::uint32_t>(std::ceil(needed / each * percent / m_options.full_percent));
         // Steps that last must fit onto machines that stay, also while others have their upkeep.
-        states[pool].wanted = load.least_workers == 0
-                                  ? machines
-                                  : std::max(machines, load.least_workers + 1 + under_upkeep(pool));
+        states[pool].wanted =
+            load.least_workers == 0
+                ? machines
+                : std::max(machines, load.least_workers + spare + under_upkeep(pool));
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = present_of(pool);
