job: Take no lasting task while an earlier holder's stop may be under way

The earlier holder had told a task to stop just before its lease was over; the task was still listed as running, so the new holder took another one of its step. Change: a new holder evacuates nothing for twice the time of a stop.

The soak ends all of its entries also when faults overlap (three stayed behind before).

--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -296,6 +296,8 @@
 
 void scheduler::evacuate(time_point now)
 {
+    // A task that an earlier holder has just told to stop is still listed as running.
+    const bool stops_may_be_under_way = now < m_started + 2 * m_options.stop_time;
     for (auto& [id, worker] : m_workers) {
         if (!worker.closing && !worker.listing.draining) {
             continue;
@@ -306,7 +308,8 @@
                 !job->spec().steps[name.task.step].lasting) {
                 continue;
             }
-            if (worker.listing.draining || may_take(*job, name.task, now)) {
+            if (worker.listing.draining ||
+                (!stops_may_be_under_way && may_take(*job, name.task, now))) {
                 want_stop(worker, name);
             }
         }
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -29,6 +29,8 @@
 
     explicit bench(const std::vector<std::string>& workers)
     {
+        // What an earlier holder has begun is over in most tests.
+        now += seconds(60);
         subject.set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
         for (const std::string& name : workers) {
             subject.list_worker(worker_named(name), now);
@@ -237,3 +239,24 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].run.task.job == small);
 }
+
+TEST_CASE("a new holder takes no lasting task while an earlier holder's stop may be under way")
+{
+    bench world({"w1", "w2", "w3"});
+    world.now = start;
+    const job_id id = world.submit("j", one_lasting);
+    // The earlier holder has told one to stop, but both are still listed as running.
+    world.running[instance_id("w1")].push_back({.run = {{id, 0, 0, 0}, 1}, .percent = 100});
+    world.running[instance_id("w2")].push_back({.run = {{id, 0, 0, 1}, 1}, .percent = 100});
+    world.report(instance_id("w1"));
+    world.report(instance_id("w2"));
+    world.subject.close_worker(instance_id("w2"), true);
+    CHECK(world.plan().stops.empty());
+    world.end(instance_id("w1"), {{id, 0, 0, 0}, 1}, run_end::stopped);
+    const auto restarted = world.plan().starts;
+    REQUIRE(restarted.size() == 1);
+    CHECK(world.plan().stops.empty());
+    world.report(restarted[0].worker);
+    world.now = start + seconds(3);
+    CHECK(world.plan().stops.size() == 1);
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,6 +69,8 @@
         self.store = Proxy(platform.store.http.port)
         self.ports = {kind: free_port() for kind in ("callers", "ready", "peers", "metrics")}
         self.process = None
+        self.lock = asyncio.Lock()
+        self.closed = False
 
     async def prepare(self):
         await self.store.start()
@@ -76,10 +78,14 @@
             out.write(SETTINGS.format(name=self.name, store=self.store.port,
                                       machines=self.platform.machines.port, **self.ports))
 
-    async def start(self):
-        with open(self.log, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                self.program, "--config", self.settings, stdout=log, stderr=log)
+    async def ensure(self):
+        """Starts the process unless one runs; overlapping faults may ask for it together."""
+        async with self.lock:
+            if self.alive() or self.closed:
+                return
+            with open(self.log, "ab") as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    self.program, "--config", self.settings, stdout=log, stderr=log)
 
     def alive(self):
         return self.process is not None and self.process.returncode is None
@@ -89,10 +95,12 @@
             self.process.send_signal(number)
 
     async def end(self):
-        if self.alive():
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-            await self.process.wait()
+        self.closed = True
+        async with self.lock:
+            if self.alive():
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+                await self.process.wait()
 
 
 async def request(port, method, path, body=None, timeout=3.0):
@@ -141,7 +149,7 @@
         for index in range(ENTRIES):
             self.entries.append(Entry(f"e{index}", self.program, self.folder, self.platform))
             await self.entries[-1].prepare()
-            await self.entries[-1].start()
+            await self.entries[-1].ensure()
         try:
             await asyncio.sleep(2)
             callers = asyncio.create_task(self.call())
@@ -220,10 +228,8 @@
         await self.revive(entry)
 
     async def revive(self, entry):
-        if entry.process is not None:
-            await entry.process.wait()
-        if not entry.alive():
-            await entry.start()
+        await entry.process.wait()
+        await entry.ensure()
 
     async def kill_all(self):
         for entry in self.entries:
@@ -247,7 +253,8 @@
     async def store_fault(self):
         proxy = self.entry().store
         proxy.mode = self.random.choice(Proxy.MODES[1:])
-        proxy.reset() if proxy.mode == "refuse" else None
+        if proxy.mode == "refuse":
+            proxy.reset()
         await asyncio.sleep(self.random.uniform(0.5, 5.0))
         proxy.mode = "pass"
 
@@ -271,7 +278,7 @@
         for entry in self.entries:
             entry.signal(signal.SIGCONT)
             entry.store.mode = "pass"
-            await self.revive(entry) if not entry.alive() else None
+            await entry.ensure()
         await asyncio.sleep(SETTLE_S)
 
     async def check_ends(self):
