soak: Wait for the process that was signalled, and end the entries when told to end

Two kills of one entry overlapped: the second waited for the process that the first had started in the meantime, which nobody was going to end. Ended by the limit, the soak left its entries behind. Change: a fault waits for the very process that it signalled; SIGTERM ends the soak with its clean-up.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -91,8 +91,10 @@
         return self.process is not None and self.process.returncode is None
 
     def signal(self, number):
+        """Signals the present process and returns it, as another may be started meanwhile."""
         if self.alive():
             self.process.send_signal(number)
+        return self.process
 
     async def end(self):
         self.closed = True
@@ -223,20 +225,19 @@
 
     async def kill(self):
         entry = self.entry()
-        entry.signal(signal.SIGKILL)
+        killed = entry.signal(signal.SIGKILL)
         await asyncio.sleep(self.random.uniform(0.1, 2.0))
-        await self.revive(entry)
+        await self.revive(entry, killed)
 
-    async def revive(self, entry):
-        await entry.process.wait()
+    async def revive(self, entry, ended):
+        await ended.wait()
         await entry.ensure()
 
     async def kill_all(self):
-        for entry in self.entries:
-            entry.signal(signal.SIGKILL)
+        killed = [(entry, entry.signal(signal.SIGKILL)) for entry in self.entries]
         await asyncio.sleep(0.5)
-        for entry in self.entries:
-            await self.revive(entry)
+        for entry, process in killed:
+            await self.revive(entry, process)
 
     async def pause(self):
         entry = self.entry()
@@ -247,8 +248,7 @@
     async def terminate(self):
         entry = self.entry()
         entry.signal(signal.SIGCONT)
-        entry.signal(signal.SIGTERM)
-        await self.revive(entry)
+        await self.revive(entry, entry.signal(signal.SIGTERM))
 
     async def store_fault(self):
         proxy = self.entry().store
@@ -342,6 +342,8 @@
     parser.add_argument("--seconds", type=float, default=20, help="length of the faults")
     parser.add_argument("--keep", action="store_true", help="keeps the logs of good runs too")
     given = parser.parse_args()
+    # So that the entries are ended also when this is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     build = os.environ.get("PLANTAINDOOR_BUILD", "build/release")
     program = os.path.join(build, "apps", "plantaindoor_entry")
     good = [play(given.seed + index, given.seconds, program, given.keep)
