--- a/packages/fleet/src/duty_holder.cpp
+++ b/packages/fleet/src/duty_holder.cpp
@@ -14,7 +14,8 @@
 
 constexpr milliseconds tick_period{50};
 constexpr milliseconds feed_wait{1000};
-constexpr milliseconds commit_timeout{700};
+/// A transaction takes some 0.7 s while the store is slow.
+constexpr milliseconds commit_timeout{1500};
 /// Attempts of one holder stay below those of the next.
 constexpr std::uint32_t attempts_per_generation = 1000;
 
