soak: Take ports that outgoing connections can't have

The ports came from the range that the system gives to outgoing connections, and eight runs went on at a time. Change: ports below that range, from a place that depends on the seed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,21 +53,35 @@
           "services": [{"name": "checks", "healthPath": "/health", "enforceLimits": True}]}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+class Ports:
+    """Hands out ports below those that the system gives to outgoing connections, so that none is
+    taken while an entry is down; runs of different seeds begin at different ones."""
+
+    FIRST, LAST, EACH = 20000, 32000, 24
+
+    def __init__(self, seed):
+        self.next = self.FIRST + seed * self.EACH % (self.LAST - self.FIRST)
+
+    def take(self):
+        while True:
+            port, self.next = self.next, self.next + 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
 
 
 class Entry:
     """One entry: its process, and its own way to the store."""
 
-    def __init__(self, name, program, folder, platform):
+    def __init__(self, name, program, folder, platform, ports):
         self.name, self.program, self.platform = name, program, platform
         self.settings = os.path.join(folder, name + ".yaml")
         self.log = os.path.join(folder, name + ".log")
         self.store = Proxy(platform.store.http.port)
-        self.ports = {kind: free_port() for kind in ("callers", "ready", "peers", "metrics")}
+        self.ports = {kind: ports.take() for kind in ("callers", "ready", "peers", "metrics")}
         self.process = None
         self.lock = asyncio.Lock()
         self.closed = False
@@ -130,6 +144,7 @@
 
     def __init__(self, seed, seconds, program, folder):
         self.random = random.Random(seed)
+        self.ports = Ports(seed)
         self.seconds = seconds
         self.platform = Platform(random.Random(seed + 1), WORKERS)
         self.program, self.folder = program, folder
@@ -149,7 +164,8 @@
         await self.platform.start()
         await self.platform.store.put("op", "config", CONFIG)
         for index in range(ENTRIES):
-            self.entries.append(Entry(f"e{index}", self.program, self.folder, self.platform))
+            self.entries.append(
+                Entry(f"e{index}", self.program, self.folder, self.platform, self.ports))
             await self.entries[-1].prepare()
             await self.entries[-1].ensure()
         try:
