--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -133,9 +133,11 @@
     [[nodiscard]] bool can_spare(const service_id& pool,
                                  const std::map<service_id, job::service_load>& loads) const;
     [[nodiscard]] std::uint32_t under_upkeep(const service_id& pool) const;
-    void plan_pools(time_point now, const job::scheduler& scheduler, machine_orders& out);
-    [[nodiscard]] std::map<service_id, pool_state> pool_states(time_point now,
-                                                               const job::scheduler& scheduler);
+    void plan_pools(time_point now, const job::scheduler& scheduler,
+                    const std::map<service_id, job::service_load>& loads, machine_orders& out);
+    [[nodiscard]] std::map<service_id, pool_state>
+    pool_states(time_point now, const job::scheduler& scheduler,
+                const std::map<service_id, job::service_load>& loads);
     /// Machines that serve a pool, or will.
     [[nodiscard]] std::uint32_t present_of(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -153,8 +153,9 @@
         return out;
     }
     refresh_use(scheduler);
-    plan_waves(now, scheduler.loads(), out);
-    plan_pools(now, scheduler, out);
+    const auto loads = scheduler.loads();
+    plan_waves(now, loads, out);
+    plan_pools(now, scheduler, loads, out);
     order_emptied(now, out);
     return out;
 }
@@ -286,7 +287,8 @@
 }
 
 std::map<service_id, machine_planner::pool_state>
-machine_planner::pool_states(time_point now, const job::scheduler& scheduler)
+machine_planner::pool_states(time_point now, const job::scheduler& scheduler,
+                             const std::map<service_id, job::service_load>& loads)
 {
     std::map<service_id, pool_state> states;
     std::map<service_id, double> capacity;
@@ -306,7 +308,6 @@
                                         [](const auto& each) { return !each.second.completed(); });
     // One machine to spare, and one that a wave may then take.
     const std::uint32_t spare = waves_left ? 2 : 1;
-    const auto loads = scheduler.loads();
     for (const auto& [pool, load] : loads) {
         const double each = counted[pool] > 0 ? capacity[pool] / counted[pool] : typical;
         if (each <= 0) {
@@ -378,6 +379,7 @@
 }
 
 void machine_planner::plan_pools(time_point now, const job::scheduler& scheduler,
+                                 const std::map<service_id, job::service_load>& loads,
                                  machine_orders& out)
 {
     // Moves that haven't been ordered are decided again, since demand may have turned.
@@ -389,7 +391,7 @@
             machine.purpose.reset();
         }
     }
-    auto states = pool_states(now, scheduler);
+    auto states = pool_states(now, scheduler, loads);
     move_machines(now, states, out);
     for (const std::string& name : m_moving_before) {
         const machine_record& machine = m_machines[name];
--- a/packages/fleet/tests/fleet_world_test.cpp
+++ b/packages/fleet/tests/fleet_world_test.cpp
@@ -21,12 +21,11 @@
     return {.spec = std::move(spec), .run_time = run_time};
 }
 
-void check_unbroken(const fleet_world& world, const model_workers& workers)
+void check_unbroken(const model_workers& workers)
 {
     for (const std::string& each : workers.broken()) {
         FAIL_CHECK(each);
     }
-    static_cast<void>(world);
 }
 
 /// One day of jobs under random troubles.
@@ -64,7 +63,7 @@
     }
     world.end_troubles();
     world.run_for(seconds(60));
-    check_unbroken(world, world.workers());
+    check_unbroken(world.workers());
     CHECK(world.workers().running() == 0);
     for (const job_id& id : world.accepted()) {
         const std::string state = world.kept_state(id);
@@ -129,7 +128,7 @@
     world.run_for(seconds(6));
     CHECK(world.kept_state(id) == "completed");
     CHECK(world.workers().starts() == 5);
-    check_unbroken(world, world.workers());
+    check_unbroken(world.workers());
 }
 
 TEST_CASE("a late transaction of progress doesn't undo a later one")
@@ -146,7 +145,7 @@
     world.entry(*first).store().set_trouble(store_trouble::none);
     world.run_for(seconds(10));
     CHECK(world.kept_state(id) == "completed");
-    check_unbroken(world, world.workers());
+    check_unbroken(world.workers());
 }
 
 TEST_CASE("a holder that the store turns away gives way to one that it serves")
