fleet: Let no list free a wave's place while an order is on its way

Cause: a list asked for between an order's planning and its carrying out still shows the machine as up, and the planner took that for the end of the order: the wave had one place too many until the answer came. The keeping of orders in a slow store makes that time long. Ruled out by a trial with log lines: machines that vanish from the list, late listings of ended lives. Also: an answer that comes after the machine's next life was listed no longer hides that life.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -102,6 +102,8 @@
         /// What it is being emptied for, or has been ordered to do.
         std::optional<machine_order> purpose;
         bool ordered = false;
+        /// The order hasn't been answered yet.
+        bool on_its_way = false;
         time_point changed{};
         /// Thousandths of a core that run there.
         std::int64_t used = 0;
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -39,7 +39,7 @@
     for (const machine_entry& entry : machines) {
         listed.insert(entry.machine);
         machine_record& machine = m_machines[entry.machine];
-        if (machine.changed > asked ||
+        if (machine.on_its_way || machine.changed > asked ||
             (!entry.worker.empty() && entry.worker == machine.ended_worker)) {
             continue;
         }
@@ -84,8 +84,10 @@
     machine.worker = listing.id;
     machine.pool = listing.service;
     machine.state = machine_state::up;
-    machine.purpose.reset();
-    machine.ordered = false;
+    if (!machine.on_its_way) {
+        machine.purpose.reset();
+        machine.ordered = false;
+    }
 }
 
 void machine_planner::note_wave(const wave_request& request, time_point seen,
@@ -105,6 +107,7 @@
     }
     machine_record& machine = found->second;
     machine.changed = now;
+    machine.on_its_way = false;
     switch (answer) {
     case machine_answer::accepted:
         if (order.task == machine_task::maintain) {
@@ -117,7 +120,10 @@
             machine.state = machine_state::moving;
             machine.pool = order.pool;
         }
-        machine.ended_worker = std::exchange(machine.worker, instance_id());
+        // A worker that was listed meanwhile may be the next life; the list will tell.
+        if (machine.worker == order.worker) {
+            machine.ended_worker = std::exchange(machine.worker, instance_id());
+        }
         break;
     case machine_answer::invalid:
     case machine_answer::not_in_wave:
@@ -439,7 +445,9 @@
             continue;
         }
         if (machine.idle && machine.state == machine_state::up) {
+            machine.purpose->worker = machine.worker; // It may be another than at the closing.
             machine.ordered = true;
+            machine.on_its_way = true;
             machine.changed = now;
             out.orders.push_back(*machine.purpose);
         }
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -79,6 +79,52 @@
     CHECK(second.orders[0].machine != first.orders[0].machine);
 }
 
+TEST_CASE("a list read while an order is on its way doesn't free the wave's place")
+{
+    // Keeping the order in a slow store takes longer than reading the list.
+    job::scheduler scheduler =
+        scheduler_with({life_of("m1", "w1"), at_address(life_of("m2", "w2"), "10.0.0.2:80")});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    const std::vector listed{machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")};
+    planner.note_list(listed, start);
+    planner.note_wave(
+        {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .most_down = 1}, start,
+        {});
+    const auto first = planner.plan(start, scheduler);
+    REQUIRE(first.orders.size() == 1);
+
+    planner.note_list(listed, start + milliseconds(100));
+    CHECK(planner.plan(start + milliseconds(600), scheduler).orders.empty());
+
+    planner.note_answer(first.orders[0], machine_answer::accepted, start + milliseconds(700));
+    CHECK(planner.plan(start + milliseconds(800), scheduler).orders.empty());
+}
+
+TEST_CASE("an answer that comes after the machine's next life doesn't take that life away")
+{
+    job::scheduler scheduler = scheduler_with({life_of("m1", "w1")});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_wave(
+        {.number = 1, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1}, start, {});
+    const auto given = planner.plan(start, scheduler);
+    REQUIRE(given.orders.size() == 1);
+
+    planner.note_worker(life_of("m1", "w2"));
+    planner.note_answer(given.orders[0], machine_answer::accepted, start + seconds(3));
+    CHECK(planner.waves().at(1).completed());
+
+    planner.note_wave(
+        {.number = 2, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1}, start, {});
+    scheduler.end_worker(instance_id("w1"), start);
+    scheduler.list_worker(life_of("m1", "w2"), start);
+    scheduler.note_report(instance_id("w2"), {.worker_clock = milliseconds(1)}, start, start);
+    planner.note_list({machine_up("m1", checks, "w2")}, start + milliseconds(3500));
+    CHECK(machines_of(planner.plan(start + seconds(4), scheduler)) == std::vector<std::string>{"m1"});
+}
+
 TEST_CASE("a wave is completed only when each machine that stays has begun its upkeep")
 {
     job::scheduler scheduler =
