fleet: Take workers' lives from the list of machines

The platform's list of machines shows a crashed worker as down within a reading, and doesn't for workers that are cut off, mute or unlisted (trials with log lines). Change: the list, read each 0.4 s, ends lives that it shows as over; and a new holder counts every living worker as in doubt, also those whose entry has lapsed.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -88,8 +88,6 @@
     [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
 
     [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
-    /// Whether an order is under way, so that the list is worth reading.
-    [[nodiscard]] bool busy() const;
 
 private:
     struct machine_record {
@@ -166,4 +164,10 @@
     bool m_listed = false;
 };
 
+/// Workers that the scheduler still knows although a list that was asked for at `asked` shows their
+/// machines as down, away or with another life: nothing runs there any more. Thread-safe.
+[[nodiscard]] std::vector<instance_id> lives_over(const std::vector<machine_entry>& machines,
+                                                  time_point asked,
+                                                  const job::scheduler& scheduler);
+
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -24,8 +24,8 @@
     machine_authority authority;
     row_condition claim;
     machine_planner_options planning;
-    milliseconds busy_list_period{500};
-    milliseconds idle_list_period{2000};
+    /// Bounds how long a worker's end goes unnoticed.
+    milliseconds list_period{400};
     milliseconds commit_timeout{1500};
     /// Between orders of two holders about one machine; beyond the platform's lease of 3 s.
     milliseconds handover{3300};
@@ -52,6 +52,7 @@
 private:
     void read_waves();
     void read_list(time_point now);
+    void take_list(const std::vector<machine_entry>& machines, time_point asked);
     /// Keeps which machines are ordered about, so that a successor leaves them alone for a while,
     /// and then gives the orders.
     void announce(const std::vector<machine_order>& orders, time_point now);
@@ -79,6 +80,7 @@
     bool m_listing = false;
     bool m_keeping = false;
     time_point m_next_list{};
+    metric_counter& m_lives_over;
     metric_counter& m_moves;
     metric_counter& m_upkeeps;
 };
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace plantaindoor::fleet {
@@ -144,13 +146,6 @@
     }
 }
 
-bool machine_planner::busy() const
-{
-    return std::any_of(m_machines.begin(), m_machines.end(), [](const auto& each) {
-        return each.second.purpose.has_value() || each.second.state != machine_state::up;
-    });
-}
-
 machine_orders machine_planner::plan(time_point now, const job::scheduler& scheduler)
 {
     machine_orders out;
@@ -454,4 +449,28 @@
     }
 }
 
+std::vector<instance_id> lives_over(const std::vector<machine_entry>& machines, time_point asked,
+                                    const job::scheduler& scheduler)
+{
+    std::unordered_map<std::string_view, const machine_entry*> by_name;
+    for (const machine_entry& machine : machines) {
+        by_name.emplace(machine.machine, &machine);
+    }
+    std::vector<instance_id> over;
+    for (const auto& [id, worker] : scheduler.workers()) {
+        const auto at = by_name.find(worker.listing.machine);
+        // One that was listed, or has answered, since the list was asked for is alive.
+        if (at == by_name.end() || worker.last_answer >= asked) {
+            continue;
+        }
+        const machine_entry& machine = *at->second;
+        const bool none = machine.state != machine_state::up && machine.worker.empty();
+        const bool another = !machine.worker.empty() && machine.worker != id;
+        if (none || another) {
+            over.push_back(id);
+        }
+    }
+    return over;
+}
+
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -55,6 +55,8 @@
       m_options(std::move(options)),
       m_planner(m_options.planning),
       m_alive(std::make_shared<bool>(true)),
+      m_lives_over(metrics.counter(
+          {"worker_lives_over_total", "Workers whose end the list of machines has shown", {}})),
       m_moves(metrics.counter({"machine_moves_total", "Moves ordered", {}})),
       m_upkeeps(metrics.counter({"machine_upkeeps_total", "Upkeeps ordered", {}}))
 {
@@ -160,8 +162,7 @@
 void machine_session::read_list(time_point now)
 {
     m_listing = true;
-    m_next_list =
-        now + (m_planner.busy() ? m_options.busy_list_period : m_options.idle_list_period);
+    m_next_list = now + m_options.list_period;
     m_machines.list(
         [this, now, alive = m_alive](const std::optional<std::vector<machine_entry>>& machines) {
             if (!*alive) {
@@ -169,11 +170,31 @@
             }
             m_listing = false;
             if (machines) {
-                m_planner.note_list(*machines, now);
+                take_list(*machines, now);
             }
         });
 }
 
+void machine_session::take_list(const std::vector<machine_entry>& machines, time_point asked)
+{
+    m_planner.note_list(machines, asked);
+    const time_point now = m_loop.now();
+    for (const instance_id& id : lives_over(machines, asked, m_scheduler)) {
+        machine_log.info(
+            fmt::format("worker {} is over: the list of machines, asked for {} ms ago", id.str(),
+                        std::chrono::duration_cast<milliseconds>(now - asked).count()));
+        m_lives_over.add();
+        m_scheduler.end_worker(id, now);
+    }
+    std::map<instance_id, service_id> lives;
+    for (const machine_entry& machine : machines) {
+        if (!machine.worker.empty()) {
+            lives.emplace(machine.worker, machine.pool);
+        }
+    }
+    m_scheduler.note_lives(std::move(lives));
+}
+
 void machine_session::carry_out(const machine_order& order)
 {
     auto done = [this, order, alive = m_alive](machine_answer answer) {
--- a/packages/fleet/tests/fleet_world.cpp
+++ b/packages/fleet/tests/fleet_world.cpp
@@ -35,8 +35,12 @@
 world_entry::world_entry(fakes::virtual_loop& loop, memory_rows& rows, model_workers& workers,
                          std::mt19937_64& random, const platform_forms& forms,
                          const std::string& name, std::uint32_t life,
-                         std::shared_ptr<const fleet_config> config)
-    : m_loop(loop), m_store(loop, m_loop, rows, random), m_workers(workers, m_loop, name)
+                         std::shared_ptr<const fleet_config> config,
+                         still_machines::lister machines)
+    : m_loop(loop),
+      m_store(loop, m_loop, rows, random),
+      m_workers(workers, m_loop, name),
+      m_machines(m_loop, std::move(machines))
 {
     m_intake = std::make_unique<job_intake>(m_loop, m_store, intake_options{});
     duty_holder_options options{.name = name, .incarnation = fmt::format("{}-{}", name, life)};
@@ -65,8 +69,12 @@
     m_intake.reset();
 }
 
-fleet_world::fleet_world(std::uint64_t seed)
-    : m_random(seed), m_rows(m_loop), m_workers(m_loop, m_random), m_config(one_queue())
+fleet_world::fleet_world(std::uint64_t seed, machine_list machines)
+    : m_random(seed),
+      m_machine_list(machines),
+      m_rows(m_loop),
+      m_workers(m_loop, m_random),
+      m_config(one_queue())
 {
     m_forms.workers_table = "workers";
     m_forms.operator_table = "op";
@@ -78,6 +86,7 @@
         return {{"status", "", std::to_string(wave)}, ""};
     };
     m_lives.resize(worker_count);
+    m_down.resize(worker_count);
     for (std::size_t worker = 0; worker < worker_count; ++worker) {
         begin_worker(worker);
     }
@@ -105,8 +114,10 @@
     job::worker_listing listing{.id = instance_id(id),
                                 .service = pool,
                                 .address = fmt::format("10.0.0.{}:80", worker),
+                                .machine = fmt::format("m{}", worker),
                                 .capacity = {.cpu_millis = 4000, .memory_mb = 4000}};
     m_lives[worker] = listing.id;
+    m_down[worker] = false;
     m_listings[id] = listing;
     m_workers.begin(listing);
     m_rows.put({"workers", "", id}, id);
@@ -116,6 +127,7 @@
 {
     const instance_id old = m_lives[worker];
     m_workers.end(old);
+    m_down[worker] = true;
     m_loop.call_after(down, [this, worker, old] {
         if (m_lives[worker] == old) {
             m_rows.remove({"workers", "", old.str()});
@@ -124,6 +136,29 @@
     });
 }
 
+void fleet_world::lapse_listing(std::size_t worker, milliseconds away)
+{
+    const instance_id id = m_lives[worker];
+    m_rows.remove({"workers", "", id.str()});
+    m_loop.call_after(away, [this, worker, id] {
+        if (m_lives[worker] == id) {
+            m_rows.put({"workers", "", id.str()}, id.str());
+        }
+    });
+}
+
+std::vector<machine_entry> fleet_world::machines() const
+{
+    std::vector<machine_entry> listed;
+    for (std::size_t worker = 0; worker < worker_count; ++worker) {
+        listed.push_back({.machine = fmt::format("m{}", worker),
+                          .pool = pool,
+                          .state = m_down[worker] ? machine_state::down : machine_state::up,
+                          .worker = m_down[worker] ? instance_id() : m_lives[worker]});
+    }
+    return listed;
+}
+
 void fleet_world::kill(std::size_t entry)
 {
     m_entries[entry]->kill();
@@ -136,7 +171,10 @@
     }
     m_entries[entry] =
         std::make_unique<world_entry>(m_loop, m_rows, m_workers, m_random, m_forms,
-                                      fmt::format("e{}", entry), ++m_count, m_config);
+                                      fmt::format("e{}", entry), ++m_count, m_config,
+                                      m_machine_list == machine_list::answers
+                                          ? still_machines::lister([this] { return machines(); })
+                                          : still_machines::lister());
 }
 
 std::optional<std::size_t> fleet_world::holder()
--- a/packages/fleet/tests/fleet_world.hpp
+++ b/packages/fleet/tests/fleet_world.hpp
@@ -20,10 +20,20 @@
 
 namespace plantaindoor::fleet::testing {
 
-/// Machines that never move.
+/// Machines that never move. They answer with a list once they have one.
 class still_machines final : public machine_gateway {
 public:
-    void list(list_callback /*done*/) override {}
+    using lister = std::function<std::vector<machine_entry>()>;
+
+    /// Without a lister the list is never answered.
+    still_machines(event_loop& loop, lister listed) : m_loop(loop), m_lister(std::move(listed)) {}
+
+    void list(list_callback done) override
+    {
+        if (m_lister) {
+            m_loop.call_after(answer_time, [this, done = std::move(done)] { done(m_lister()); });
+        }
+    }
     void move(const machine_authority& /*by*/, const std::string& /*machine*/,
               const service_id& /*pool*/, machine_callback /*done*/) override
     {
@@ -32,6 +42,12 @@
                   std::uint64_t /*wave*/, machine_callback /*done*/) override
     {
     }
+
+private:
+    static constexpr milliseconds answer_time{5};
+
+    event_loop& m_loop;
+    lister m_lister;
 };
 
 /// One life of an entry.
@@ -39,7 +55,8 @@
 public:
     world_entry(fakes::virtual_loop& loop, memory_rows& rows, model_workers& workers,
                 std::mt19937_64& random, const platform_forms& forms, const std::string& name,
-                std::uint32_t life, std::shared_ptr<const fleet_config> config);
+                std::uint32_t life, std::shared_ptr<const fleet_config> config,
+                still_machines::lister machines);
 
     [[nodiscard]] bool alive() const { return m_duty != nullptr; }
     [[nodiscard]] bool holds() { return alive() && m_duty->session() != nullptr; }
@@ -65,7 +82,10 @@
     static constexpr std::size_t worker_count = 4;
     static constexpr seconds kept_state_time{300};
 
-    explicit fleet_world(std::uint64_t seed);
+    /// Whether the platform's list of machines answers.
+    enum class machine_list { silent, answers };
+
+    explicit fleet_world(std::uint64_t seed, machine_list machines = machine_list::silent);
     fleet_world(const fleet_world&) = delete;
     fleet_world& operator=(const fleet_world&) = delete;
     ~fleet_world();
@@ -78,6 +98,8 @@
     void restart(std::size_t entry);
     /// Ends a worker's life and begins another at the same address.
     void crash_worker(std::size_t worker, milliseconds down);
+    /// Takes a living worker's entry out of the store for a time, as when its reports are lost.
+    void lapse_listing(std::size_t worker, milliseconds away);
     void make_trouble();
     void end_troubles();
 
@@ -95,9 +117,11 @@
 
 private:
     void begin_worker(std::size_t worker);
+    [[nodiscard]] std::vector<machine_entry> machines() const;
 
     fakes::virtual_loop m_loop;
     std::mt19937_64 m_random;
+    machine_list m_machine_list;
     memory_rows m_rows;
     model_workers m_workers;
     platform_forms m_forms;
@@ -105,6 +129,8 @@
     std::map<std::string, std::shared_ptr<const job::job_spec>> m_specs;
     std::map<std::string, job::worker_listing> m_listings;
     std::vector<instance_id> m_lives;
+    /// Of each worker, whether its machine is down.
+    std::vector<bool> m_down;
     std::vector<std::unique_ptr<world_entry>> m_entries;
     /// Answers may still be on their way to entries that are dead.
     std::vector<std::unique_ptr<world_entry>> m_dead;
--- a/packages/fleet/tests/fleet_world_test.cpp
+++ b/packages/fleet/tests/fleet_world_test.cpp
@@ -28,11 +28,13 @@
     }
 }
 
-/// One day of jobs under random troubles.
-void play(std::uint64_t seed, std::uint32_t troubles)
+/// One day of jobs under random troubles; entries of living workers lapse where machines are
+/// listed.
+void play(std::uint64_t seed, std::uint32_t troubles,
+          fleet_world::machine_list machines = fleet_world::machine_list::silent)
 {
     INFO("seed " << seed);
-    fleet_world world(seed);
+    fleet_world world(seed, machines);
     world.run_for(seconds(2));
     std::set<job_id> cancelled;
     std::set<job_id> hopeless;
@@ -53,6 +55,10 @@
         }
         if (second < 30 && world.draw(30) < troubles) {
             world.make_trouble();
+            if (machines == fleet_world::machine_list::answers) {
+                world.lapse_listing(world.draw(fleet_world::worker_count),
+                                    milliseconds(500 + world.draw(6000)));
+            }
         }
         world.run_for(milliseconds(1000));
         for (const job_id& id : cancelled) {
@@ -105,16 +111,26 @@
     }
 }
 
+TEST_CASE("random troubles while the machines are listed and entries of living workers lapse")
+{
+    for (std::uint64_t seed = 5000; seed < 5150; ++seed) {
+        play(seed, 12, fleet_world::machine_list::answers);
+    }
+}
+
 TEST_CASE("random troubles, more seeds by hand", "[.][long]")
 {
     for (std::uint64_t seed = 250; seed < 5000; ++seed) {
         play(seed, 12);
     }
+    for (std::uint64_t seed = 5150; seed < 9000; ++seed) {
+        play(seed, 12, fleet_world::machine_list::answers);
+    }
 }
 
 TEST_CASE("a holder that is killed is succeeded within its lease, and what ran goes on")
 {
-    fleet_world world(7);
+    fleet_world world(7, fleet_world::machine_list::answers);
     world.run_for(seconds(2));
     const auto first = world.holder();
     REQUIRE(first);
@@ -131,6 +147,23 @@
     check_unbroken(world.workers());
 }
 
+TEST_CASE("a new holder starts nothing again that runs on a worker whose entry has lapsed")
+{
+    fleet_world world(7, fleet_world::machine_list::answers);
+    world.run_for(seconds(2));
+    const job_id id = world.submit(two_steps(8, milliseconds(9000)));
+    world.run_for(seconds(1));
+    REQUIRE(world.accepted().contains(id));
+    for (std::size_t worker = 0; worker < fleet_world::worker_count; ++worker) {
+        world.lapse_listing(worker, milliseconds(1500));
+    }
+    world.kill(*world.holder());
+    world.run_for(seconds(60));
+
+    check_unbroken(world.workers());
+    CHECK(world.kept_state(id) == "completed");
+}
+
 TEST_CASE("a late transaction of progress doesn't undo a later one")
 {
     fleet_world world(8);
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -107,8 +107,8 @@
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_list({machine_up("m1", checks, "w1")}, start);
-    planner.note_wave(
-        {.number = 1, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1}, start, {});
+    planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1},
+                      start, {});
     const auto given = planner.plan(start, scheduler);
     REQUIRE(given.orders.size() == 1);
 
@@ -116,13 +116,14 @@
     planner.note_answer(given.orders[0], machine_answer::accepted, start + seconds(3));
     CHECK(planner.waves().at(1).completed());
 
-    planner.note_wave(
-        {.number = 2, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1}, start, {});
+    planner.note_wave({.number = 2, .machines = {"m1"}, .deadline = seconds(20), .most_down = 1},
+                      start, {});
     scheduler.end_worker(instance_id("w1"), start);
     scheduler.list_worker(life_of("m1", "w2"), start);
     scheduler.note_report(instance_id("w2"), {.worker_clock = milliseconds(1)}, start, start);
     planner.note_list({machine_up("m1", checks, "w2")}, start + milliseconds(3500));
-    CHECK(machines_of(planner.plan(start + seconds(4), scheduler)) == std::vector<std::string>{"m1"});
+    CHECK(machines_of(planner.plan(start + seconds(4), scheduler)) ==
+          std::vector<std::string>{"m1"});
 }
 
 TEST_CASE("a wave is completed only when each machine that stays has begun its upkeep")
@@ -360,3 +361,35 @@
     }
     CHECK(given.closings.size() == 1);
 }
+
+TEST_CASE("load: tasks of a rack that went dark are placed elsewhere once the list shows it")
+{
+    // A crashed worker's silence alone takes its whole lease, 5 s, to tell.
+    job::scheduler scheduler =
+        scheduler_with({life_of("m1", "w1"), at_address(life_of("m2", "w2"), "10.0.0.2:80")});
+    const auto asked = start + milliseconds(500);
+    auto down = machine_up("m1", checks, "");
+    down.state = machine_state::down;
+    const auto other = machine_up("m2", checks, "w2");
+
+    CHECK(lives_over({down, other}, asked, scheduler) == std::vector{instance_id("w1")});
+
+    SECTION("a worker that has answered since is alive")
+    {
+        scheduler.note_report(instance_id("w1"), {.worker_clock = milliseconds(9)}, asked, asked);
+        CHECK(lives_over({down, other}, asked, scheduler).empty());
+    }
+    SECTION("an earlier life that is still listed is over, so that no job is in doubt for it")
+    {
+        CHECK(lives_over({machine_up("m1", checks, "w9"), other}, asked, scheduler) ==
+              std::vector{instance_id("w1")});
+    }
+    SECTION("a machine that is up without a worker may have this one")
+    {
+        CHECK(lives_over({machine_up("m1", checks, ""), other}, asked, scheduler).empty());
+    }
+    SECTION("a machine that isn't listed says nothing")
+    {
+        CHECK(lives_over({other}, asked, scheduler).empty());
+    }
+}
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -136,6 +136,9 @@
     void unlist_worker(const instance_id& id, time_point now);
     /// The worker's life is over for certain: nothing runs there.
     void end_worker(const instance_id& id, time_point now);
+    /// Takes in which workers live, and their services, also those whose entries are missing. Until
+    /// the first call nothing is certain of workers that haven't answered.
+    void note_lives(std::map<instance_id, service_id> lives) { m_lives = std::move(lives); }
     /// Plans a worker out, or in again.
     void close_worker(const instance_id& id, bool closing);
 
@@ -231,7 +234,8 @@
     [[nodiscard]] bool may_take(job_record& job, const task_name& name, time_point now);
     void send_stops(time_point now);
     void pace_fillers(time_point now);
-    [[nodiscard]] bool in_doubt(const job_id& id, time_point now) const;
+    /// An earlier holder's runs may go on at workers that haven't answered this one yet.
+    [[nodiscard]] bool inherited_in_doubt(time_point now) const;
     [[nodiscard]] std::optional<milliseconds> grant(worker_record& worker, time_point now);
 
     scheduler_options m_options;
@@ -248,6 +252,8 @@
     std::set<job_id> m_inherited;
     std::set<job_id> m_cancelled_early;
     std::map<instance_id, worker_record> m_workers;
+    /// Nothing until the platform has told.
+    std::optional<std::map<instance_id, service_id>> m_lives;
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs that no worker of a service had room for in this round.
     std::map<service_id, std::vector<resources>> m_full_for;
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -52,9 +52,10 @@
 {
     std::vector<candidate> all;
     all.reserve(m_open.size());
+    const bool doubt = inherited_in_doubt(now);
     for (const job_id& id : m_open) {
         job_record& job = m_jobs.at(id);
-        if (in_doubt(id, now)) {
+        if (doubt && m_inherited.contains(id)) {
             continue;
         }
         candidate each{.job = &job, .objective = job.objective()};
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -303,14 +303,19 @@
     }
 }
 
-bool scheduler::in_doubt(const job_id& id, time_point now) const
+bool scheduler::inherited_in_doubt(time_point now) const
 {
-    if (!m_inherited.contains(id)) {
+    const time_point bound = m_started + m_options.predecessor_grace + stretched(m_options.lease);
+    if (now >= bound) {
         return false;
     }
-    const time_point bound = m_started + m_options.predecessor_grace + stretched(m_options.lease);
-    return now < bound && std::any_of(m_workers.begin(), m_workers.end(), [](const auto& each) {
-               return each.second.listed && !each.second.fenced;
+    const bool listed_unfenced =
+        std::any_of(m_workers.begin(), m_workers.end(),
+                    [](const auto& each) { return each.second.listed && !each.second.fenced; });
+    return listed_unfenced || !m_lives ||
+           std::any_of(m_lives->begin(), m_lives->end(), [this](const auto& each) {
+               const auto worker = m_workers.find(each.first);
+               return worker == m_workers.end() || !worker->second.fenced;
            });
 }
 
