entry: Bound the connections to a worker, and spare libcurl's search of host entries

The client that bounds the connections to a worker had been made, but the worker calls used the other one. Change: host entries are kept (hosts are IP numbers), and workers are called through the bounded client, three connections each.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -43,7 +43,7 @@
 /// A worker keeps its tasks for so long without hearing of the duty's holder.
 constexpr milliseconds worker_lease{5000};
 /// One waits for a report while the others carry orders.
-constexpr long connections_per_worker = 4;
+constexpr long connections_per_worker = 3;
 /// Entries that want the duty wait for different parts of this.
 constexpr milliseconds longest_duty_delay{120};
 /// Beyond the time for which callers may ask.
@@ -127,7 +127,7 @@
 program::program(const platform::entry_settings& settings)
     : m_settings(settings),
       m_store(m_loop, m_client, settings.store, m_metrics),
-      m_workers(m_client),
+      m_workers(m_worker_connections),
       m_machines(m_client, settings.machines),
       m_entry(fleet::session_context{.loop = m_loop,
                                      .store = m_store,
--- a/packages/connection/src/curl_transfer.cpp
+++ b/packages/connection/src/curl_transfer.cpp
@@ -15,6 +15,8 @@
 constexpr long idle_connection_seconds = 20;
 /// libcurl counts whole seconds, so a connection is taken for less than two.
 constexpr long recent_connection_seconds = 1;
+/// Hosts are IP numbers, whose entries never change; else libcurl searches all after each call.
+constexpr long keep_host_entries = -1;
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* to)
 {
@@ -189,6 +191,7 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, keep_host_entries);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
--- /dev/null
+++ b/scripts/lint_cached.py
@@ -0,0 +1,70 @@
+"""Runs clang-tidy on each source given, unless the same input was clean before."""
+import hashlib
+import json
+import os
+import pathlib
+import shlex
+import subprocess
+import sys
+
+BUILD = pathlib.Path("build/release")
+CACHE = pathlib.Path(os.environ["LINT_CACHE"])
+TIDY = ["clang-tidy", "-p", str(BUILD), "--quiet", "--extra-arg=-Wno-unknown-warning-option"]
+NOISE = ("warnings generated", "Suppressed", "Use -header-filter")
+
+
+def compile_commands():
+    entries = json.loads((BUILD / "compile_commands.json").read_text())
+    return {os.path.realpath(entry["file"]): entry for entry in entries}
+
+
+def input_hash(source, entry):
+    """Hashes all that the findings depend on; None where the source can't be preprocessed."""
+    arguments = shlex.split(entry["command"])
+    if os.path.basename(arguments[0]) == "ccache":
+        arguments = arguments[1:]
+    output = arguments.index("-o")
+    flags = arguments[1:output] + arguments[output + 2:]
+    flags.remove("-c")
+    # Comments count, since NOLINT is one; line markers count, since the header filter reads them.
+    run = subprocess.run([arguments[0], *flags, "-E", "-C"], cwd=entry["directory"],
+                         capture_output=True, check=False)
+    if run.returncode != 0:
+        return None
+    version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
+    digest = hashlib.sha256()
+    root = os.getcwd().encode()
+    for part in (" ".join(flags).encode(), version, pathlib.Path(".clang-tidy").read_bytes(),
+                 " ".join(TIDY).encode(), source.encode(), run.stdout):
+        digest.update(part.replace(root, b"."))
+        digest.update(b"\0")
+    return digest.hexdigest()
+
+
+def lint(source, entry):
+    """Returns whether the source is clean."""
+    mark = None
+    if entry is not None:
+        digest = input_hash(source, entry)
+        mark = CACHE / digest if digest else None
+    if mark is not None and mark.exists():
+        os.utime(mark)
+        return True
+    run = subprocess.run([*TIDY, source], capture_output=True, text=True, check=False)
+    sys.stdout.write(run.stdout)
+    for line in run.stderr.splitlines():
+        if line and not any(noise in line for noise in NOISE):
+            print(line, file=sys.stderr)
+    if run.returncode == 0 and mark is not None and not run.stdout:
+        mark.touch()
+    return run.returncode == 0
+
+
+def main():
+    commands = compile_commands()
+    clean = [lint(source, commands.get(os.path.realpath(source))) for source in sys.argv[1:]]
+    return 0 if all(clean) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
