--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -210,6 +210,8 @@
                    worker_record& worker);
     void complete_gang(job_record& job, const task_name& name, std::uint32_t attempt);
     void end_job(job_record& job, job_state state);
+    /// Takes a job out of those that are not over, if it is one.
+    void close_job(const job_id& id);
     void want_stop(worker_record& worker, const run_name& run);
 
     void reap_silent(time_point now);
@@ -248,7 +250,10 @@
     std::map<std::string, queue_policy> m_queues;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
-    std::set<job_id> m_open;
+    /// The jobs that are not over; each lives in m_jobs.
+    std::map<job_id, job_record*> m_open;
+    /// How many of them have steps that take unused processor time.
+    std::size_t m_open_with_fillers = 0;
     std::set<job_id> m_inherited;
     std::set<job_id> m_cancelled_early;
     std::map<instance_id, worker_record> m_workers;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -17,6 +17,12 @@
            std::chrono::duration<double>(step.estimate).count();
 }
 
+bool has_filler(const job_spec& spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const step_spec& step) { return step.filler; });
+}
+
 } // namespace
 
 scheduler::scheduler(scheduler_options options, time_point now) : m_options(options), m_started(now)
@@ -72,8 +78,10 @@
     counted.work += work;
     ++counted.jobs;
     m_specs.emplace(id, spec);
-    m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
-    m_open.insert(id);
+    m_open_with_fillers += has_filler(*spec) ? 1 : 0;
+    const auto added =
+        m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
+    m_open.emplace(id, &added.first->second);
     if (inherited) {
         m_inherited.insert(id);
     }
@@ -94,7 +102,7 @@
         job->set_state(job_state::cancelled);
     }
     if (is_over(job->state())) {
-        m_open.erase(id);
+        close_job(id);
         m_specs.erase(id);
     }
 }
@@ -114,17 +122,26 @@
 
 void scheduler::forget(const job_id& id)
 {
+    close_job(id);
     m_jobs.erase(id);
     m_specs.erase(id);
     m_inherited.erase(id);
-    m_open.erase(id);
+}
+
+void scheduler::close_job(const job_id& id)
+{
+    const auto open = m_open.find(id);
+    if (open != m_open.end()) {
+        m_open_with_fillers -= has_filler(open->second->spec()) ? 1 : 0;
+        m_open.erase(open);
+    }
 }
 
 void scheduler::end_job(job_record& job, job_state state)
 {
     job.set_state(state);
     note_decision(job, {.kind = decision_kind::over, .state = state});
-    m_open.erase(job.id());
+    close_job(job.id());
     keep(job.id());
     for (auto& [number, occurrence] : job.occurrences()) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -284,7 +301,9 @@
     m_keeping.swap(m_unkept);
     m_keeping_sequences.clear();
     for (const auto& [id, worker] : m_workers) {
-        m_keeping_sequences.emplace(id, worker.applied_sequence);
+        if (worker.committed_sequence < worker.applied_sequence) {
+            m_keeping_sequences.emplace(id, worker.applied_sequence);
+        }
     }
     return {m_keeping.begin(), m_keeping.end()};
 }
@@ -309,8 +328,8 @@
 std::map<service_id, service_load> scheduler::loads() const
 {
     std::map<service_id, service_load> loads;
-    for (const job_id& id : m_open) {
-        const job_record& job = m_jobs.at(id);
+    for (const auto& [id, unfinished] : m_open) {
+        const job_record& job = *unfinished;
         service_load& load = loads[job.queue().service];
         for (const auto& [number, occurrence] : job.occurrences()) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -343,9 +362,8 @@
 std::size_t scheduler::pending(const std::string& queue) const
 {
     std::size_t count = 0;
-    for (const job_id& id : m_open) {
-        const job_record& job = m_jobs.at(id);
-        if (job.state() == job_state::queued && job.queue().name == queue) {
+    for (const auto& [id, job] : m_open) {
+        if (job->state() == job_state::queued && job->queue().name == queue) {
             ++count;
         }
     }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -40,9 +40,8 @@
 
 void scheduler::begin_due_occurrences(wall_time wall_now)
 {
-    for (const job_id& id : m_open) {
-        job_record& job = m_jobs.at(id);
-        if (job.begin_due(wall_now)) {
+    for (const auto& [id, job] : m_open) {
+        if (job->begin_due(wall_now)) {
             keep(id);
         }
     }
@@ -53,8 +52,8 @@
     std::vector<candidate> all;
     all.reserve(m_open.size());
     const bool doubt = inherited_in_doubt(now);
-    for (const job_id& id : m_open) {
-        job_record& job = m_jobs.at(id);
+    for (const auto& [id, unfinished] : m_open) {
+        job_record& job = *unfinished;
         if (doubt && m_inherited.contains(id)) {
             continue;
         }
@@ -365,6 +364,9 @@
 
 void scheduler::pace_fillers(time_point /*now*/)
 {
+    if (m_open_with_fillers == 0) {
+        return;
+    }
     for (auto& [id, worker] : m_workers) {
         if (!std::exchange(worker.loads_fresh, false)) {
             continue;
