--- a/packages/fleet/include/plantaindoor/fleet/worker_watch.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/worker_watch.hpp
@@ -15,7 +15,7 @@
 struct watch_options {
     fencing_token token = 0;
     /// Between two looks at a worker, so that one look brings several ends.
-    milliseconds gap{40};
+    milliseconds gap{80};
     /// After a look that wasn't answered.
     milliseconds retry{250};
     /// Longest pause while ends can't be acknowledged.
