job: After a takeover, wait only for workers that lived then, service by service

Where the holder was one of the machines that the store turned away at 2.5 s, its successor had 532 inherited jobs waiting up to 8 s, since in a fleet that makes 35 moves a second some new worker always hadn't answered yet. Change: only lives of the first list after the takeover may run what the earlier holder began (it gives no orders any more by then), and a silent worker keeps only the jobs waiting whose queue its service runs, or has run; an entry that has followed the configuration for under 15 s makes no difference by service.

--- a/packages/fleet/include/plantaindoor/fleet/duty_holder.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/duty_holder.hpp
@@ -85,6 +85,8 @@
     observers m_observers;
     std::shared_ptr<bool> m_alive;
     std::shared_ptr<const fleet_config> m_config;
+    /// When the first configuration was read.
+    time_point m_config_since{};
     std::vector<seen_wave> m_waves;
     duty_tracker m_duty;
     std::unique_ptr<table_follower> m_rows;
--- a/packages/fleet/include/plantaindoor/fleet/fleet_config.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_config.hpp
@@ -42,6 +42,9 @@
     [[nodiscard]] const queue_route* find(std::string_view host, std::string_view path) const;
 };
 
+/// Adds to each queue of a version the services that it had in the version before. Thread-safe.
+void carry_former_services(const fleet_config& before, fleet_config& config);
+
 /// A wave of maintenance as the operator asks for it.
 struct wave_request {
     std::uint64_t number = 0;
--- a/packages/fleet/src/duty_holder.cpp
+++ b/packages/fleet/src/duty_holder.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds feed_wait{1000};
 /// A transaction takes some 0.7 s while the store is slow.
 constexpr milliseconds commit_timeout{1500};
+/// Tasks that an earlier holder has started don't run for longer without this one's leave.
+constexpr milliseconds longest_earlier_run{15000};
 /// Attempts of one holder stay below those of the next.
 constexpr std::uint32_t attempts_per_generation = 1000;
 
@@ -41,6 +43,9 @@
 
 void duty_holder::apply(std::shared_ptr<const fleet_config> config)
 {
+    if (!m_config) {
+        m_config_since = m_context.loop.now();
+    }
     m_config = std::move(config);
     if (m_session) {
         m_session->apply(m_config);
@@ -210,6 +215,8 @@
                             .taken = sent};
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.duty.lease;
+    options.scheduling.former_services_known =
+        m_context.loop.now() - m_config_since > longest_earlier_run;
     m_observers.on_other_holder(std::nullopt);
     m_session = std::make_unique<control_session>(
         m_context, std::move(options), m_config, [this, alive = m_alive] {
--- a/packages/fleet/src/fleet_config.cpp
+++ b/packages/fleet/src/fleet_config.cpp
@@ -1,5 +1,8 @@
 #include "plantaindoor/fleet/fleet_config.hpp"
 
+#include <map>
+#include <set>
+
 namespace plantaindoor::fleet {
 
 const queue_route* fleet_config::find(std::string_view host, std::string_view path) const
@@ -14,4 +17,22 @@
     return best;
 }
 
+void carry_former_services(const fleet_config& before, fleet_config& config)
+{
+    std::map<std::string_view, const job::queue_policy*> earlier;
+    for (const queue_route& route : before.routes) {
+        earlier.emplace(route.queue.name, &route.queue);
+    }
+    for (queue_route& route : config.routes) {
+        const auto found = earlier.find(route.queue.name);
+        if (found == earlier.end()) {
+            continue;
+        }
+        std::set<service_id>& former = route.queue.former_services;
+        former = found->second->former_services;
+        former.insert(found->second->service);
+        former.erase(route.queue.service);
+    }
+}
+
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -121,6 +121,9 @@
     }
     config_log.info(fmt::format("version {} in force: {} routes, {} pools", config->version,
                                 config->routes.size(), config->pools.size()));
+    if (m_config) {
+        carry_former_services(*m_config, *config);
+    }
     m_config = std::make_shared<const fleet_config>(std::move(*config));
     m_duty.apply(m_config);
 }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -33,6 +33,8 @@
     milliseconds notice{4500};
     /// Added to attempts, so that they rise from one holder of the duty to the next.
     std::uint32_t attempt_base = 0;
+    /// Whether the queues' former services are known for as long as an earlier holder's runs last.
+    bool former_services_known = false;
 };
 
 /// Starts a run on a worker.
@@ -136,9 +138,9 @@
     void unlist_worker(const instance_id& id, time_point now);
     /// The worker's life is over for certain: nothing runs there.
     void end_worker(const instance_id& id, time_point now);
-    /// Takes in which workers live, and their services, also those whose entries are missing. Until
-    /// the first call nothing is certain of workers that haven't answered.
-    void note_lives(std::map<instance_id, service_id> lives) { m_lives = std::move(lives); }
+    /// Takes in which workers live, and their services, also those whose entries are missing. Those
+    /// of the first call may run what an earlier holder began; later lives can't.
+    void note_lives(const std::map<instance_id, service_id>& lives);
     /// Plans a worker out, or in again.
     void close_worker(const instance_id& id, bool closing);
 
@@ -236,8 +238,10 @@
     [[nodiscard]] bool may_take(job_record& job, const task_name& name, time_point now);
     void send_stops(time_point now);
     void pace_fillers(time_point now);
-    /// An earlier holder's runs may go on at workers that haven't answered this one yet.
-    [[nodiscard]] bool inherited_in_doubt(time_point now) const;
+    void note_fenced(const instance_id& id);
+    void refresh_services_in_doubt();
+    /// Whether a worker that hasn't answered this process may run tasks of an inherited job.
+    [[nodiscard]] bool in_doubt(const job_record& job, time_point now) const;
     [[nodiscard]] std::optional<milliseconds> grant(worker_record& worker, time_point now);
 
     scheduler_options m_options;
@@ -257,8 +261,11 @@
     std::set<job_id> m_inherited;
     std::set<job_id> m_cancelled_early;
     std::map<instance_id, worker_record> m_workers;
-    /// Nothing until the platform has told.
-    std::optional<std::map<instance_id, service_id>> m_lives;
+    /// Workers that lived when this process took over and haven't answered it; nothing until the
+    /// platform has told.
+    std::optional<std::map<instance_id, service_id>> m_unanswering;
+    /// The services of these.
+    std::set<service_id> m_services_in_doubt;
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs that no worker of a service had room for in this round.
     std::map<service_id, std::vector<resources>> m_full_for;
--- a/packages/job/include/plantaindoor/job/spec.hpp
+++ b/packages/job/include/plantaindoor/job/spec.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -144,6 +145,8 @@
     milliseconds target_latency{0};
     /// Whether a start needs a ticket of the queue's advice service.
     bool advised = false;
+    /// Services that ran the queue's tasks under earlier versions of the configuration.
+    std::set<service_id> former_services;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -51,10 +51,9 @@
 {
     std::vector<candidate> all;
     all.reserve(m_open.size());
-    const bool doubt = inherited_in_doubt(now);
     for (const auto& [id, unfinished] : m_open) {
         job_record& job = *unfinished;
-        if (doubt && m_inherited.contains(id)) {
+        if (in_doubt(job, now)) {
             continue;
         }
         candidate each{.job = &job, .objective = job.objective()};
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -123,6 +123,7 @@
     worker.last_answer = now;
     worker.missed_looks = 0;
     worker.fenced = true;
+    note_fenced(id);
     ++worker.reports;
     worker.loads_fresh = true;
     for (const ended_entry& end : report.ended) {
@@ -303,20 +304,52 @@
     }
 }
 
-bool scheduler::inherited_in_doubt(time_point now) const
+void scheduler::note_lives(const std::map<instance_id, service_id>& lives)
+{
+    if (!m_unanswering) {
+        m_unanswering = lives;
+        for (const auto& [id, worker] : m_workers) {
+            if (worker.listed) {
+                m_unanswering->emplace(id, worker.listing.service);
+            }
+        }
+    }
+    std::erase_if(*m_unanswering, [&](const auto& each) {
+        const auto worker = m_workers.find(each.first);
+        const bool known = worker != m_workers.end();
+        return (known && worker->second.fenced) || (!known && !lives.contains(each.first));
+    });
+    refresh_services_in_doubt();
+}
+
+void scheduler::note_fenced(const instance_id& id)
+{
+    if (m_unanswering && m_unanswering->erase(id) != 0) {
+        refresh_services_in_doubt();
+    }
+}
+
+void scheduler::refresh_services_in_doubt()
+{
+    m_services_in_doubt.clear();
+    for (const auto& [id, service] : *m_unanswering) {
+        m_services_in_doubt.insert(service);
+    }
+}
+
+bool scheduler::in_doubt(const job_record& job, time_point now) const
 {
     const time_point bound = m_started + m_options.predecessor_grace + stretched(m_options.lease);
-    if (now >= bound) {
+    if (now >= bound || !m_inherited.contains(job.id())) {
         return false;
     }
-    const bool listed_unfenced =
-        std::any_of(m_workers.begin(), m_workers.end(),
-                    [](const auto& each) { return each.second.listed && !each.second.fenced; });
-    return listed_unfenced || !m_lives ||
-           std::any_of(m_lives->begin(), m_lives->end(), [this](const auto& each) {
-               const auto worker = m_workers.find(each.first);
-               return worker == m_workers.end() || !worker->second.fenced;
-           });
+    if (!m_unanswering || !m_options.former_services_known) {
+        return !m_unanswering || !m_unanswering->empty();
+    }
+    const queue_policy& queue = job.queue();
+    return m_services_in_doubt.contains(queue.service) ||
+           std::any_of(queue.former_services.begin(), queue.former_services.end(),
+                       [this](const auto& each) { return m_services_in_doubt.contains(each); });
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -260,3 +260,46 @@
     world.now = start + seconds(3);
     CHECK(world.plan().stops.size() == 1);
 }
+
+TEST_CASE("load: after a takeover jobs wait for the workers of their own service that lived then")
+{
+    // In a fleet whose machines move all the time, some new worker always hasn't answered yet.
+    const service_id essays{"essays"};
+    scheduler subject({.lease = milliseconds(5000),
+                       .predecessor_grace = milliseconds(2500),
+                       .former_services_known = true},
+                      start);
+    subject.set_queues({{.name = "q", .service = checks},
+                        {.name = "moved", .service = checks, .former_services = {essays}}});
+    auto spec = std::make_shared<job_spec>();
+    spec->steps.push_back({.need = {.cpu_millis = 100, .memory_mb = 100}});
+    subject.submit(job_id("j1"), "q", spec, start, true);
+    subject.submit(job_id("j2"), "moved", spec, start, true);
+    const instance_id own("w1");
+    const instance_id silent("w2");
+    subject.list_worker(worker_named("w1"), start);
+    subject.note_report(own, {.worker_clock = milliseconds(1000)}, start, start);
+    const auto starts_at = [&](milliseconds after) {
+        return subject.plan(start + after, wall_time{}).starts.size();
+    };
+    CHECK(starts_at(milliseconds(100)) == 0);
+
+    SECTION("a worker that began later can't run what an earlier holder started")
+    {
+        subject.note_lives({{own, checks}});
+        subject.note_lives({{own, checks}, {silent, checks}});
+        CHECK(starts_at(milliseconds(600)) == 2);
+    }
+    SECTION("a silent worker of the service keeps both waiting, listed or not")
+    {
+        subject.note_lives({{own, checks}, {silent, checks}});
+        CHECK(starts_at(milliseconds(600)) == 0);
+        subject.note_lives({{own, checks}});
+        CHECK(starts_at(milliseconds(700)) == 2);
+    }
+    SECTION("one of another service only keeps queues waiting that it has run before")
+    {
+        subject.note_lives({{own, checks}, {silent, essays}});
+        CHECK(starts_at(milliseconds(600)) == 1);
+    }
+}
