--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -192,7 +192,7 @@
             lives.emplace(machine.worker, machine.pool);
         }
     }
-    m_scheduler.note_lives(lives);
+    m_scheduler.note_lives(lives, now);
 }
 
 void machine_session::carry_out(const machine_order& order)
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -27,6 +27,9 @@
     /// Longest time in which a predecessor may still have extended leases after this process took
     /// the duty over.
     milliseconds predecessor_grace{2500};
+    /// A predecessor that still lives hears of the takeover with its next renewal, or can't hear of
+    /// new workers either.
+    milliseconds predecessor_notices{1000};
     /// How long a worker takes to stop a run.
     milliseconds stop_time{1000};
     /// A lasting task that is away for so long counts against what planned work may take.
@@ -139,8 +142,8 @@
     /// The worker's life is over for certain: nothing runs there.
     void end_worker(const instance_id& id, time_point now);
     /// Takes in which workers live, and their services, also those whose entries are missing. Those
-    /// of the first call may run what an earlier holder began; later lives can't.
-    void note_lives(const std::map<instance_id, service_id>& lives);
+    /// that begin well after the takeover can't run what an earlier holder began.
+    void note_lives(const std::map<instance_id, service_id>& lives, time_point now);
     /// Plans a worker out, or in again.
     void close_worker(const instance_id& id, bool closing);
 
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -304,9 +304,9 @@
     }
 }
 
-void scheduler::note_lives(const std::map<instance_id, service_id>& lives)
+void scheduler::note_lives(const std::map<instance_id, service_id>& lives, time_point now)
 {
-    if (!m_unanswering) {
+    if (!m_unanswering || now < m_started + m_options.predecessor_notices) {
         m_unanswering = lives;
         for (const auto& [id, worker] : m_workers) {
             if (worker.listed) {
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -286,20 +286,26 @@
 
     SECTION("a worker that began later can't run what an earlier holder started")
     {
-        subject.note_lives({{own, checks}});
-        subject.note_lives({{own, checks}, {silent, checks}});
-        CHECK(starts_at(milliseconds(600)) == 2);
+        subject.note_lives({{own, checks}}, start + milliseconds(1100));
+        subject.note_lives({{own, checks}, {silent, checks}}, start + milliseconds(1500));
+        CHECK(starts_at(milliseconds(1600)) == 2);
+    }
+    SECTION("one that began before the earlier holder can have heard of the takeover may")
+    {
+        subject.note_lives({{own, checks}}, start + milliseconds(200));
+        subject.note_lives({{own, checks}, {silent, checks}}, start + milliseconds(600));
+        CHECK(starts_at(milliseconds(700)) == 0);
     }
     SECTION("a silent worker of the service keeps both waiting, listed or not")
     {
-        subject.note_lives({{own, checks}, {silent, checks}});
+        subject.note_lives({{own, checks}, {silent, checks}}, start + milliseconds(500));
         CHECK(starts_at(milliseconds(600)) == 0);
-        subject.note_lives({{own, checks}});
+        subject.note_lives({{own, checks}}, start + milliseconds(650));
         CHECK(starts_at(milliseconds(700)) == 2);
     }
     SECTION("one of another service only keeps queues waiting that it has run before")
     {
-        subject.note_lives({{own, checks}, {silent, essays}});
+        subject.note_lives({{own, checks}, {silent, essays}}, start + milliseconds(500));
         CHECK(starts_at(milliseconds(600)) == 1);
     }
 }
