job, fleet: Remove an unused parameter and two unread accessors

complete_task passed an attempt on to complete_gang, which ignored it; nobody read job_intake's store_answers and waiting.

--- a/packages/fleet/include/plantaindoor/fleet/job_intake.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_intake.hpp
@@ -49,11 +49,6 @@
     /// Keeps a job's cancelling. Answers by the deadline.
     void cancel(const job_id& id, time_point deadline, callback done);
 
-    /// Whether the last transaction was answered.
-    [[nodiscard]] bool store_answers() const noexcept { return m_store_answers; }
-    /// Requests that have not been answered.
-    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting; }
-
 private:
     struct item {
         row_address at;
@@ -86,7 +81,6 @@
     std::shared_ptr<bool> m_alive;
     std::map<std::string, partition> m_partitions;
     std::size_t m_waiting = 0;
-    bool m_store_answers = true;
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/job_intake.cpp
+++ b/packages/fleet/src/job_intake.cpp
@@ -103,8 +103,6 @@
 {
     partition& part = m_partitions[name];
     part.busy = false;
-    m_store_answers =
-        result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict;
     switch (result.outcome) {
     case commit_outcome::applied:
         for (item& each : std::exchange(part.sent, {})) {
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -210,10 +210,10 @@
     /// Takes a run off its worker and its task.
     void release(worker_record& worker, const run_name& run);
     void lose_all_runs(worker_record& worker);
-    void complete_task(job_record& job, const task_name& name, std::uint32_t attempt);
+    void complete_task(job_record& job, const task_name& name);
     void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
                    worker_record& worker);
-    void complete_gang(job_record& job, const task_name& name, std::uint32_t attempt);
+    void complete_gang(job_record& job, const task_name& name);
     void end_job(job_record& job, job_state state);
     /// Takes a job out of those that are not over, if it is one.
     void close_job(const job_id& id);
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -215,15 +215,15 @@
     else if (end.how == run_end::done) {
         worker.failures_in_a_row = 0;
         if (!step.lasting) {
-            complete_task(*job, end.run.task, end.run.attempt);
+            complete_task(*job, end.run.task);
         }
     }
 }
 
-void scheduler::complete_task(job_record& job, const task_name& name, std::uint32_t attempt)
+void scheduler::complete_task(job_record& job, const task_name& name)
 {
     if (job.spec().steps[name.step].gang) {
-        complete_gang(job, name, attempt);
+        complete_gang(job, name);
     }
     else if (!job.note_done(name)) {
         return;
@@ -241,7 +241,7 @@
     }
 }
 
-void scheduler::complete_gang(job_record& job, const task_name& name, std::uint32_t /*attempt*/)
+void scheduler::complete_gang(job_record& job, const task_name& name)
 {
     // The members end together, and one such end stands for all.
     task_name member = name;
