--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -44,8 +44,6 @@
 constexpr milliseconds worker_lease{5000};
 /// One connection waits for a poll's report while the others carry orders.
 constexpr long max_connections_per_worker = 3;
-/// Upper bound of the random delay that spreads the entries' attempts to claim leadership.
-constexpr milliseconds max_claim_delay{120};
 /// Added to the time for which callers may query a job that has ended.
 constexpr seconds retention_margin{10};
 /// An entry with less processor or link capacity than this delays claiming leadership by
@@ -53,6 +51,9 @@
 constexpr double weak_entry_cores = 0.25;
 constexpr double weak_entry_link_mbps = 50;
 constexpr milliseconds weak_entry_delay{450};
+/// Weak entries are many where there are strong ones, and rarely the next leader, so they probe the
+/// leaders less often.
+constexpr milliseconds weak_entry_probe_interval{1500};
 /// A stopping entry still answers callers for this time, in which the load balancer detects the
 /// stop.
 constexpr milliseconds drain_time{2500};
@@ -111,16 +112,17 @@
 {
     fleet::fleet_entry_options options;
     options.peers = settings.peers;
-    fleet::leader_elector_options& leadership = options.leadership;
+    fleet::leader_elector_options& leadership = options.shards.election;
     leadership.name = settings.entry;
     leadership.incarnation = random_incarnation(random);
     leadership.peer_address = settings.peers.str();
-    leadership.tracking.delay = milliseconds(
-        std::uniform_int_distribution<std::int64_t>(0, max_claim_delay.count())(random));
-    leadership.tracking.delay +=
-        settings.cores < weak_entry_cores ? weak_entry_delay : milliseconds(0);
-    leadership.tracking.delay +=
-        settings.link_mbps < weak_entry_link_mbps ? weak_entry_delay : milliseconds(0);
+    const bool few_cores = settings.cores < weak_entry_cores;
+    const bool slow_link = settings.link_mbps < weak_entry_link_mbps;
+    leadership.tracking.delay += few_cores ? weak_entry_delay : milliseconds(0);
+    leadership.tracking.delay += slow_link ? weak_entry_delay : milliseconds(0);
+    if (few_cores || slow_link) {
+        options.probe_interval = weak_entry_probe_interval;
+    }
     leadership.scheduling.lease = std::min(worker_lease, settings.max_lease);
     leadership.scheduling.stop_time = settings.stop_time;
     leadership.scheduling.unavailable_after = settings.unavailable_after;
@@ -140,7 +142,7 @@
                                      .metrics = m_metrics,
                                      .codec = m_codec,
                                      .clock = &boot_clock_now},
-              m_client, entry_options(settings, m_random)),
+              m_client, entry_options(settings, m_random), [this] { return m_random(); }),
       m_caller_api(m_loop, m_entry, m_metrics),
       m_caller_server(make_server(settings.callers,
                                   [this](const connection::http_request& request,
--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -8,31 +8,34 @@
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/job_request_handler.hpp"
 #include "plantaindoor/fleet/job_writer.hpp"
-#include "plantaindoor/fleet/leader_elector.hpp"
-#include "plantaindoor/fleet/peer_client.hpp"
+#include "plantaindoor/fleet/shard_set.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace plantaindoor::fleet {
 
 struct fleet_entry_options {
     connection::endpoint peers;
-    leader_elector_options leadership;
+    shard_set_options shards;
+    /// How often the process of each leader is probed.
+    milliseconds probe_interval{400};
 };
 
-/// Connects the leader elector, the job request handler and the peer server of one process. Loop
-/// thread only.
+/// Connects the shards, the job request handler and the peer server of one process. Loop thread
+/// only.
 class fleet_entry {
 public:
     using resign_callback = std::function<void()>;
 
-    /// Everything in the context must outlive the entry. Throws connection::listen_error.
+    /// Everything in the context must outlive the entry. `random` returns evenly distributed
+    /// numbers. Throws connection::listen_error.
     fleet_entry(const session_context& context, connection::http_client& client,
-                fleet_entry_options options);
+                fleet_entry_options options, const std::function<std::uint64_t()>& random);
     fleet_entry(const fleet_entry&) = delete;
     fleet_entry& operator=(const fleet_entry&) = delete;
     ~fleet_entry();
@@ -42,32 +45,37 @@
     [[nodiscard]] job_request_handler& jobs() noexcept { return m_jobs; }
     /// Whether the platform should send callers here.
     [[nodiscard]] bool is_ready() const;
-    /// Resigns the leadership; callers are still answered.
-    void resign(resign_callback done);
+    /// Resigns all leaderships; callers are still answered.
+    void resign(const resign_callback& done);
 
 private:
     void listen();
     void watch_operator_rows();
     void handle_operator_row(const stored_row& row);
+    void set_layout(const std::shared_ptr<const shard_layout>& layout);
     /// Sets the leader that is queried and probed; no value while there is none or it is this
     /// entry.
-    void set_other_leader(const std::optional<leader_claim>& claim);
-    void probe_leader();
+    void set_other_leader(shard_number shard, const std::optional<leader_claim>& claim);
+    void probe_leader(shard_number shard);
+    [[nodiscard]] leader_session* ready_session(shard_number shard);
     void tick();
 
     session_context m_context;
     fleet_entry_options m_options;
     std::shared_ptr<bool> m_alive;
     std::shared_ptr<const fleet_config> m_config;
-    peer_client m_peers;
     job_writer m_writer;
     job_request_handler m_jobs;
-    leader_elector m_leadership;
+    shard_set m_shards;
     std::unique_ptr<connection::http_server> m_peer_server;
     std::unique_ptr<table_watcher> m_operator_rows;
     timer_id m_tick_timer = timer_id::none;
-    time_point m_next_probe{};
-    std::uint32_t m_refused_probes = 0;
+    struct leader_probe {
+        time_point next{};
+        std::uint32_t refused = 0;
+    };
+    /// By shard.
+    std::vector<leader_probe> m_probes;
     bool m_resigning = false;
     time_point m_last_store_response{};
 };
--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -1,5 +1,5 @@
-// Answers callers' requests about jobs at any entry: from the leader session if this entry is the
-// leader, else from the leader, or from the store if the leader can't be reached.
+// Answers callers' requests about jobs at any entry: from the leader session if this entry leads
+// the job's shard, else from the shard's leader, or from the store if the leader can't be reached.
 #pragma once
 
 #include "plantaindoor/common/enum_names.hpp"
@@ -9,6 +9,7 @@
 #include "plantaindoor/fleet/leader_session.hpp"
 #include "plantaindoor/fleet/peer_client.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/job/record.hpp"
 
 #include <cstddef>
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace plantaindoor::fleet {
 
@@ -37,33 +39,54 @@
     using state_callback = std::function<void(state_answer)>;
     using pending_callback = std::function<void(std::optional<std::size_t>)>;
 
-    job_request_handler(event_loop& loop, row_store& store, job_writer& writer, peer_client& peers);
+    /// Everything passed must outlive the handler.
+    job_request_handler(event_loop& loop, row_store& store, connection::http_client& client,
+                        job_writer& writer);
     job_request_handler(const job_request_handler&) = delete;
     job_request_handler& operator=(const job_request_handler&) = delete;
     ~job_request_handler();
 
-    /// Sets the session while this entry is the leader, else null.
-    void set_session(leader_session* session) noexcept { m_session = session; }
+    /// Until the layout is set, no job is accepted and no state is available. Call once.
+    void set_layout(std::shared_ptr<const shard_layout> layout);
+    /// Sets the session while this entry leads the shard, else null.
+    void set_session(shard_number shard, leader_session* session);
+    /// The connection to the shard's leader. Requires that the layout is set and has the shard.
+    [[nodiscard]] peer_client& leader_of(shard_number shard) { return m_shards[shard].leader; }
 
     void submit(const job_id& id, const accepted_job& accepted, time_point deadline,
                 submit_callback done);
-    void cancel(const job_id& id, time_point deadline, cancel_callback done);
-    void state(const job_id& id, state_callback done);
-    /// Counts the pending jobs of a queue. No value if the leader can't be asked.
+    void cancel(const std::string& queue, const job_id& id, time_point deadline,
+                cancel_callback done);
+    void state(const std::string& queue, const job_id& id, state_callback done);
+    /// Counts the pending jobs of a queue. No value if a leader can't be asked.
     void pending(const std::string& queue, pending_callback done);
 
 private:
-    void persist_cancellation(const job_id& id, time_point deadline, cancel_callback done);
-    void state_from_store(const job_id& id, state_callback done);
-    void state_from_accepted_rows(const job_id& id, state_callback done);
-    [[nodiscard]] bool session_ready() const;
+    struct shard_access {
+        peer_client leader;
+        leader_session* session = nullptr;
+    };
+    /// A job and the shard that owns it.
+    struct located_job {
+        shard_number shard = 0;
+        job_id id;
+    };
+
+    [[nodiscard]] located_job locate(const std::string& queue, const job_id& id) const;
+    /// Null unless this entry leads the shard and has read its jobs.
+    [[nodiscard]] leader_session* ready_session(shard_number shard) const;
+    void persist_cancellation(const located_job& job, time_point deadline, cancel_callback done);
+    void state_from_store(const located_job& job, state_callback done);
+    void state_from_accepted_rows(const located_job& job, state_callback done);
+    void pending_in(shard_number shard, const std::string& queue, pending_callback done);
 
     event_loop& m_loop;
     row_store& m_store;
+    connection::http_client& m_client;
     job_writer& m_writer;
-    peer_client& m_peers;
     std::shared_ptr<bool> m_alive;
-    leader_session* m_session = nullptr;
+    std::shared_ptr<const shard_layout> m_layout;
+    std::vector<shard_access> m_shards;
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
@@ -4,6 +4,7 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -13,8 +14,9 @@
 
 namespace plantaindoor::fleet {
 
-inline constexpr std::string_view jobs_table = "jobs";
 inline constexpr std::string_view progress_table = "progress";
+/// Each shard's accepted jobs have a table of their own, since a table has one change feed.
+[[nodiscard]] std::string jobs_table(shard_number shard);
 
 /// An accepted job as its caller sent it.
 struct accepted_job {
@@ -24,15 +26,15 @@
     std::string body;
 };
 
-/// Number of partitions that accepted jobs are distributed over by a hash of their ids.
+/// Number of partitions that a shard's accepted jobs are distributed over by a hash of their ids.
 /// Transactions of one partition are executed one after another, so they delay each other when the
 /// store is slow.
 inline constexpr std::size_t job_partitions = 32;
 [[nodiscard]] std::vector<std::string> all_job_partitions();
 
-[[nodiscard]] row_address accepted_address(const job_id& id);
-[[nodiscard]] row_address cancelled_address(const job_id& id);
-[[nodiscard]] row_address progress_address(const job_id& id);
+[[nodiscard]] row_address accepted_address(shard_number shard, const job_id& id);
+[[nodiscard]] row_address cancelled_address(shard_number shard, const job_id& id);
+[[nodiscard]] row_address progress_address(shard_number shard, const job_id& id);
 
 /// Parsed key of a row of the jobs table.
 struct job_row_key {
--- a/packages/fleet/include/plantaindoor/fleet/job_writer.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_writer.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plantaindoor::fleet {
@@ -46,11 +47,15 @@
 
     /// Persists an accepted job. Calls `done` once, by the deadline; a transaction or a retry delay
     /// that is in progress then is awaited first.
-    void accept(const job_id& id, const accepted_job& accepted, time_point deadline, callback done);
+    void accept(shard_number shard, const job_id& id, const accepted_job& accepted,
+                time_point deadline, callback done);
     /// Persists the cancellation of a job. Calls `done` as accept() does.
-    void cancel(const job_id& id, time_point deadline, callback done);
+    void cancel(shard_number shard, const job_id& id, time_point deadline, callback done);
 
 private:
+    /// Table and name of a partition.
+    using partition_key = std::pair<std::string, std::string>;
+
     struct item {
         row_address at;
         std::string value;
@@ -69,20 +74,20 @@
 
     void add(item new_item);
     /// Starts a transaction with as many queued items as fit, unless one is in progress.
-    void send(const std::string& name);
-    void handle_commit(const std::string& name, const commit_result& result);
+    void send(const partition_key& key);
+    void handle_commit(const partition_key& key, const commit_result& result);
     void resolve_conflict(partition& part, const std::vector<stored_row>& present);
     void requeue(partition& part, bool outcome_unknown);
-    void schedule_retry(const std::string& name);
+    void schedule_retry(const partition_key& key);
     /// Answers the queued items whose deadline is too close for another retry.
-    void expire(const std::string& name);
+    void expire(const partition_key& key);
     void answer(item& answered, job_write_outcome outcome);
 
     event_loop& m_loop;
     row_store& m_store;
     job_writer_options m_options;
     std::shared_ptr<bool> m_alive;
-    std::map<std::string, partition> m_partitions;
+    std::map<partition_key, partition> m_partitions;
     std::size_t m_waiting = 0;
 };
 
--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -1,5 +1,5 @@
-// Leader election: tracks the current leader, claims leadership when it is vacant, and runs a
-// session while this entry leads.
+// Leader election of one shard: tracks the current leader, claims leadership when it is vacant, and
+// runs a session while this entry leads.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
@@ -7,7 +7,7 @@
 #include "plantaindoor/fleet/leader_session.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
-#include "plantaindoor/fleet/table_watcher.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 
 #include <functional>
 #include <memory>
@@ -29,6 +29,8 @@
     machine_planner_options planning;
     /// How long callers can query a job's state after its end.
     seconds state_retention{120};
+    /// The configuration was known from then on.
+    time_point first_config_at{};
 };
 
 /// Loop thread only.
@@ -42,25 +44,33 @@
         /// The claim of another entry that leads; no value if there is no leader or this entry
         /// leads.
         std::function<void(const std::optional<leader_claim>&)> on_other_leader;
-        /// The store has responded.
-        event on_store;
     };
 
     /// Everything in the context must outlive the elector.
     leader_elector(const session_context& context, leader_elector_options options,
+                   session_shard shard, std::shared_ptr<const fleet_config> config,
                    event_handlers handlers);
     leader_elector(const leader_elector&) = delete;
     leader_elector& operator=(const leader_elector&) = delete;
     ~leader_elector();
 
-    /// Leadership is claimed only once there is a configuration.
     void apply(std::shared_ptr<const fleet_config> config);
     void add_wave(const wave_request& request, time_point first_seen);
+    /// The state of a row of the shard's partition in the table of leaders.
+    void note_row(const stored_row& row);
+    /// All rows of that table have been passed on.
+    void note_rows_complete();
+    void note_store_reachable();
+    void note_store_unreachable();
+    /// Claims leadership if it has been vacant for long enough. Call every 50 ms or so.
+    void check(milliseconds extra_delay);
     /// The process of this incarnation has ended.
     void note_incarnation_ended(const std::string& incarnation);
     /// Resigns leadership and never claims it again.
     void resign(event done);
 
+    /// Whether this entry leads the shard or has tried to claim it and awaits the outcome.
+    [[nodiscard]] bool is_engaged() const noexcept { return m_session != nullptr || m_claiming; }
     /// Null while this entry does not lead.
     [[nodiscard]] leader_session* session() noexcept { return m_session.get(); }
     [[nodiscard]] const leader_tracker& tracker() const noexcept { return m_leadership; }
@@ -72,31 +82,23 @@
         time_point first_seen{};
     };
 
-    void watch();
-    void handle_row(const stored_row& row);
-    void check_leadership();
     void try_claim();
     void confirm_claim(time_point sent);
     void handle_confirmation(time_point sent, const std::optional<row_page>& page);
     void begin_session(const leader_claim& claim, row_version claim_version, time_point sent);
     void end_session(std::string_view reason);
-    void tick();
 
     session_context m_context;
     leader_elector_options m_options;
+    session_shard m_shard;
     event_handlers m_handlers;
     std::shared_ptr<bool> m_alive;
     std::shared_ptr<const fleet_config> m_config;
-    /// When the first configuration was read.
-    time_point m_first_config_at{};
     std::vector<received_wave> m_waves;
     leader_tracker m_leadership;
-    std::unique_ptr<table_watcher> m_leader_rows;
     std::unique_ptr<leader_session> m_session;
-    timer_id m_tick_timer = timer_id::none;
     bool m_claiming = false;
     bool m_resigning = false;
-    bool m_store_reachable = false;
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -1,5 +1,5 @@
-// Everything that an entry does while it leads: reads the jobs, polls the workers, places tasks,
-// persists progress. Ends when leadership is lost.
+// Everything that an entry does while it leads a shard: reads the jobs, polls the workers, places
+// tasks, persists progress. Ends when leadership is lost.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
@@ -11,6 +11,7 @@
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/progress_writer.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
 #include "plantaindoor/fleet/worker_poller.hpp"
 #include "plantaindoor/job/scheduler.hpp"
@@ -37,8 +38,15 @@
     std::function<time_point()> clock;
 };
 
+/// A shard, and the layout by which it is determined what the shard owns.
+struct session_shard {
+    shard_number number = 0;
+    std::shared_ptr<const shard_layout> layout;
+};
+
 struct session_options {
     std::string entry;
+    session_shard shard;
     leader_claim claim;
     row_condition claim_row;
     row_condition sequence_row;
@@ -84,6 +92,8 @@
     void read_workers();
     void handle_job_row(const stored_row& row);
     void handle_worker_row(const stored_row& row);
+    /// Whether this shard owns the worker's machine.
+    [[nodiscard]] bool owns(const job::worker_listing& listing) const;
     void become_ready();
     void schedule_plan();
     void plan();
--- a/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
@@ -1,14 +1,16 @@
-// Tracks which entry is the leader: its rows in the store, and when another entry may claim
-// leadership.
+// Tracks which entry is the leader of a shard: its rows in the store, and when another entry may
+// claim leadership.
 #pragma once
 
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantaindoor::fleet {
 
@@ -33,12 +35,15 @@
 [[nodiscard]] std::optional<leader_claim> parse_leader_claim(std::string_view text);
 
 inline constexpr std::string_view leader_table = "duty";
-inline constexpr std::string_view control_partition = "control";
 
-[[nodiscard]] row_address leader_claim_address();
-[[nodiscard]] row_address leader_renewal_address();
+/// The partition of everything that a shard's leader writes under its claim.
+[[nodiscard]] std::string control_partition(shard_number shard);
+[[nodiscard]] std::vector<std::string> all_control_partitions(shard_number count);
+
+[[nodiscard]] row_address leader_claim_address(shard_number shard);
+[[nodiscard]] row_address leader_renewal_address(shard_number shard);
 /// Row that orders the leader's transactions; in a table that no entry watches.
-[[nodiscard]] row_address leader_sequence_address();
+[[nodiscard]] row_address leader_sequence_address(shard_number shard);
 
 struct leader_tracker_options {
     /// A leader that hasn't renewed for this long may be replaced.
@@ -71,8 +76,8 @@
     [[nodiscard]] row_version version() const noexcept { return m_version; }
     /// Whether the claim names this process and is not released.
     [[nodiscard]] bool is_leader() const;
-    /// Whether to try to claim leadership now.
-    [[nodiscard]] bool may_claim(time_point now) const;
+    /// Whether to try to claim leadership now, if this attempt is delayed further by `extra_delay`.
+    [[nodiscard]] bool may_claim(time_point now, milliseconds extra_delay) const;
 
 private:
     leader_tracker_options m_options;
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -1,5 +1,5 @@
-// Executes the orders of the machine planner while this entry is the leader, and persists the
-// progress of each wave.
+// Executes the orders of a shard's machine planner while this entry is its leader, and persists the
+// progress of the shard's part of each wave.
 #pragma once
 
 #include "plantaindoor/common/event_loop.hpp"
@@ -8,6 +8,7 @@
 #include "plantaindoor/fleet/machine_planner.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
@@ -15,14 +16,18 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace plantaindoor::fleet {
 
 struct machine_session_options {
     machine_authority authority;
     row_condition claim;
+    shard_number shard = 0;
+    std::shared_ptr<const shard_layout> layout;
     machine_planner_options planning;
     /// Bounds the time until the end of a worker is detected.
     milliseconds list_interval{400};
@@ -52,9 +57,25 @@
     void tick(time_point now);
 
 private:
+    /// A wave that waits until shards with lower numbers have completed their parts.
+    struct waiting_wave {
+        wave_request request;
+        time_point first_seen{};
+        wave_share share;
+        /// When those shards were seen to have completed theirs.
+        std::optional<time_point> turn_began;
+    };
+
     void read_waves();
+    void note_wave_row(const stored_row& row);
+    void begin_wave(const wave_request& request, time_point first_seen);
+    /// Begins the waves whose turn has come.
+    void check_waiting_waves(time_point now);
+    /// Whether these shards have started maintenance of all their machines in the wave.
+    [[nodiscard]] bool completed_by(const wave_request& request, shard_number first,
+                                    shard_number end) const;
     void read_list(time_point now);
-    void handle_machine_list(const std::vector<machine_info>& machines, time_point requested_at);
+    void handle_machine_list(std::vector<machine_info> machines, time_point requested_at);
     /// Persists the affected machines, which a successor should leave alone for handover_delay, and
     /// then sends the orders.
     void persist_and_send(const std::vector<machine_order>& orders, time_point now);
@@ -74,6 +95,9 @@
     std::shared_ptr<bool> m_alive;
     std::unique_ptr<table_watcher> m_wave_rows;
     std::map<std::uint64_t, std::set<std::string>> m_persisted_started;
+    /// Of the other shards: machines whose maintenance has started or that the shard doesn't own.
+    std::map<shard_number, std::map<std::uint64_t, std::set<std::string>>> m_started_elsewhere;
+    std::vector<waiting_wave> m_waiting_waves;
     std::map<std::uint64_t, bool> m_written_completed;
     std::set<std::uint64_t> m_writing_status;
     /// Machines with a recent order, and the time of the order.
--- a/packages/fleet/include/plantaindoor/fleet/peer_client.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/peer_client.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/connection/http_client.hpp"
 #include "plantaindoor/connection/http_server.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/job/record.hpp"
 
 #include <cstddef>
@@ -23,15 +24,15 @@
     unresponsive, ///< no usable answer
 };
 
-/// Sends requests to the leader. Loop thread only. Each callback runs once, after the call has
-/// returned.
+/// Sends requests to the leader of one shard. Loop thread only. Each callback runs once, after the
+/// call has returned.
 class peer_client {
 public:
     using state_callback = std::function<void(std::optional<job::job_state>)>;
     using pending_callback = std::function<void(std::optional<std::size_t>)>;
     using liveness_callback = std::function<void(peer_liveness)>;
 
-    peer_client(event_loop& loop, connection::http_client& client);
+    peer_client(event_loop& loop, connection::http_client& client, shard_number shard);
 
     /// Sets the leader's address and incarnation; both are empty if there is no leader or it is
     /// this process.
@@ -50,6 +51,7 @@
 
     event_loop& m_loop;
     connection::http_client& m_client;
+    shard_number m_shard;
     std::optional<connection::endpoint> m_leader;
     std::string m_incarnation;
 };
@@ -57,10 +59,11 @@
 /// Provides the state for the answers to peers.
 struct peer_state_source {
     std::string incarnation;
-    /// Returns no value if this entry isn't a leader that is ready, or has no such job.
-    std::function<std::optional<job::job_state>(const job_id&)> state;
-    /// Returns no value if this entry isn't a leader that is ready.
-    std::function<std::optional<std::size_t>(const std::string& queue)> pending;
+    /// Returns no value if this entry isn't a leader of the shard that is ready, or has no such
+    /// job.
+    std::function<std::optional<job::job_state>(shard_number, const job_id&)> state;
+    /// Returns no value if this entry isn't a leader of the shard that is ready.
+    std::function<std::optional<std::size_t>(shard_number, const std::string& queue)> pending;
 };
 
 /// Answers a peer's request. Thread-safe if the functions of `source` are.
--- a/packages/fleet/include/plantaindoor/fleet/progress_writer.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/progress_writer.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
+#include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <cstdint>
@@ -22,6 +23,7 @@
     row_condition sequence;
     /// Watched by the other entries, so written only as often as the lease requires.
     row_address renewal;
+    shard_number shard = 0;
     /// Distinguishes this leader's transactions from others'.
     std::string incarnation;
     /// Changes within this time are written in one transaction.
--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -55,8 +55,8 @@
     void refresh();
     /// Whether a full read has been passed on.
     [[nodiscard]] bool is_complete() const noexcept { return m_complete; }
-    /// All changes until this time have been passed on: it is when the latest call that was answered
-    /// was sent, by the event loop's clock.
+    /// All changes until this time have been passed on: it is when the latest call that was
+    /// answered was sent, by the event loop's clock.
     [[nodiscard]] time_point current_as_of() const noexcept { return m_current_as_of; }
 
 private:
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -15,7 +15,6 @@
 constexpr process::log_part leader_log("duty");
 
 constexpr milliseconds tick_interval{50};
-constexpr milliseconds probe_interval{400};
 constexpr milliseconds reprobe_delay{60};
 /// Refused probes after which the leader's process counts as ended. A single one may be caused by
 /// an interrupted network path.
@@ -30,18 +29,21 @@
 } // namespace
 
 fleet_entry::fleet_entry(const session_context& context, connection::http_client& client,
-                         fleet_entry_options options)
+                         fleet_entry_options options, const std::function<std::uint64_t()>& random)
     : m_context(context),
       m_options(std::move(options)),
       m_alive(std::make_shared<bool>(true)),
-      m_peers(context.loop, client),
       m_writer(context.loop, context.store, {}),
-      m_jobs(context.loop, context.store, m_writer, m_peers),
-      m_leadership(
-          context, m_options.leadership,
-          {.on_session = [this](leader_session* session) { m_jobs.set_session(session); },
+      m_jobs(context.loop, context.store, client, m_writer),
+      m_shards(
+          context, m_options.shards, random,
+          {.on_layout = [this](const auto& layout) { set_layout(layout); },
+           .on_session = [this](shard_number shard,
+                                leader_session* session) { m_jobs.set_session(shard, session); },
            .on_other_leader =
-               [this](const std::optional<leader_claim>& claim) { set_other_leader(claim); },
+               [this](shard_number shard, const std::optional<leader_claim>& claim) {
+                   set_other_leader(shard, claim);
+               },
            .on_store = [this] { m_last_store_response = m_context.loop.now(); }})
 {
     listen();
@@ -53,23 +55,26 @@
 {
     *m_alive = false;
     m_context.loop.cancel(m_tick_timer);
-    m_jobs.set_session(nullptr);
+}
+
+leader_session* fleet_entry::ready_session(shard_number shard)
+{
+    leader_elector* const elector = m_shards.elector(shard);
+    leader_session* const session = elector == nullptr ? nullptr : elector->session();
+    return session != nullptr && session->is_ready() ? session : nullptr;
 }
 
 void fleet_entry::listen()
 {
-    const auto ready_session = [this]() -> leader_session* {
-        leader_session* const session = m_leadership.session();
-        return session != nullptr && session->is_ready() ? session : nullptr;
-    };
     peer_state_source source{
-        .incarnation = m_options.leadership.incarnation,
-        .state = [ready_session](const job_id& id) -> std::optional<job::job_state> {
-            leader_session* const session = ready_session();
+        .incarnation = m_options.shards.election.incarnation,
+        .state = [this](shard_number shard, const job_id& id) -> std::optional<job::job_state> {
+            leader_session* const session = ready_session(shard);
             return session == nullptr ? std::nullopt : session->state_of(id);
         },
-        .pending = [ready_session](const std::string& queue) -> std::optional<std::size_t> {
-            leader_session* const session = ready_session();
+        .pending = [this](shard_number shard,
+                          const std::string& queue) -> std::optional<std::size_t> {
+            leader_session* const session = ready_session(shard);
             return session == nullptr ? std::nullopt : std::optional(session->pending(queue));
         }};
     m_peer_server = std::make_unique<connection::http_server>(
@@ -84,9 +89,15 @@
             .on_overflow = [] { return connection::http_response{.status = status_too_large}; }});
 }
 
+void fleet_entry::set_layout(const std::shared_ptr<const shard_layout>& layout)
+{
+    m_jobs.set_layout(layout);
+    m_probes.resize(layout->count());
+}
+
 bool fleet_entry::is_ready() const
 {
-    return m_config != nullptr && !m_resigning &&
+    return m_config != nullptr && m_shards.layout() != nullptr && !m_resigning &&
            m_context.loop.now() - m_last_store_response < max_store_response_age;
 }
 
@@ -111,7 +122,7 @@
     if (const auto* const wave = std::get_if<wave_request>(&parsed)) {
         config_log.info(fmt::format("wave {} requested: {} machines, at most {} down at once",
                                     wave->number, wave->machines.size(), wave->max_down));
-        m_leadership.add_wave(*wave, m_context.loop.now());
+        m_shards.add_wave(*wave, m_context.loop.now());
         return;
     }
     auto* const config = std::get_if<fleet_config>(&parsed);
@@ -129,51 +140,60 @@
         add_former_services(*m_config, *config);
     }
     m_config = std::make_shared<const fleet_config>(std::move(*config));
-    m_leadership.apply(m_config);
+    m_shards.apply(m_config);
 }
 
-void fleet_entry::set_other_leader(const std::optional<leader_claim>& claim)
+void fleet_entry::set_other_leader(shard_number shard, const std::optional<leader_claim>& claim)
 {
-    m_peers.set_leader(claim ? claim->peer_address : "", claim ? claim->incarnation : "");
-    m_refused_probes = 0;
+    m_jobs.leader_of(shard).set_leader(claim ? claim->peer_address : "",
+                                       claim ? claim->incarnation : "");
+    m_probes[shard].refused = 0;
 }
 
 void fleet_entry::tick()
 {
     m_tick_timer = m_context.loop.call_after(tick_interval, [this] {
         const time_point now = m_context.loop.now();
-        if (m_peers.has_leader() && !m_resigning && now >= m_next_probe) {
-            m_next_probe = now + probe_interval;
-            probe_leader();
+        for (shard_number shard = 0; shard < m_probes.size() && !m_resigning; ++shard) {
+            if (m_jobs.leader_of(shard).has_leader() && now >= m_probes[shard].next) {
+                m_probes[shard].next = now + m_options.probe_interval;
+                probe_leader(shard);
+            }
         }
         tick();
     });
 }
 
-void fleet_entry::probe_leader()
+void fleet_entry::probe_leader(shard_number shard)
 {
-    const auto& claim = m_leadership.tracker().claim();
+    leader_elector* const elector = m_shards.elector(shard);
+    if (elector == nullptr) {
+        return;
+    }
+    const auto& claim = elector->tracker().claim();
     const std::string incarnation = claim ? claim->incarnation : "";
-    m_peers.probe([this, incarnation, alive = m_alive](peer_liveness liveness) {
-        if (!*alive) {
-            return;
-        }
-        if (liveness != peer_liveness::ended) {
-            m_refused_probes = 0;
-            return;
-        }
-        m_next_probe = m_context.loop.now() + reprobe_delay;
-        if (++m_refused_probes >= min_refused_probes) {
-            leader_log.info("the leader's process has ended");
-            m_leadership.note_incarnation_ended(incarnation);
-        }
-    });
+    m_jobs.leader_of(shard).probe(
+        [this, shard, elector, incarnation, alive = m_alive](peer_liveness liveness) {
+            if (!*alive) {
+                return;
+            }
+            leader_probe& probe = m_probes[shard];
+            if (liveness != peer_liveness::ended) {
+                probe.refused = 0;
+                return;
+            }
+            probe.next = m_context.loop.now() + reprobe_delay;
+            if (++probe.refused >= min_refused_probes) {
+                leader_log.info(fmt::format("shard {}: the leader's process has ended", shard));
+                elector->note_incarnation_ended(incarnation);
+            }
+        });
 }
 
-void fleet_entry::resign(resign_callback done)
+void fleet_entry::resign(const resign_callback& done)
 {
     m_resigning = true;
-    m_leadership.resign(std::move(done));
+    m_shards.resign(done);
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+std::string jobs_table(shard_number shard)
+{
+    return shard == 0 ? "jobs" : "jobs-" + std::to_string(shard);
+}
+
 std::vector<std::string> all_job_partitions()
 {
     std::vector<std::string> all;
@@ -34,19 +39,19 @@
     return all;
 }
 
-row_address accepted_address(const job_id& id)
+row_address accepted_address(shard_number shard, const job_id& id)
 {
-    return {std::string(jobs_table), partition_of(id), id.str()};
+    return {jobs_table(shard), partition_of(id), id.str()};
 }
 
-row_address cancelled_address(const job_id& id)
+row_address cancelled_address(shard_number shard, const job_id& id)
 {
-    return {std::string(jobs_table), partition_of(id), id.str() + std::string(cancel_suffix)};
+    return {jobs_table(shard), partition_of(id), id.str() + std::string(cancel_suffix)};
 }
 
-row_address progress_address(const job_id& id)
+row_address progress_address(shard_number shard, const job_id& id)
 {
-    return {std::string(progress_table), std::string(control_partition), id.str()};
+    return {std::string(progress_table), control_partition(shard), id.str()};
 }
 
 job_row_key parse_job_row_key(std::string_view key)
--- a/packages/fleet/src/job_writer.cpp
+++ b/packages/fleet/src/job_writer.cpp
@@ -32,23 +32,23 @@
 job_writer::~job_writer()
 {
     *m_alive = false;
-    for (auto& [name, part] : m_partitions) {
+    for (auto& [key, part] : m_partitions) {
         m_loop.cancel(part.timer);
     }
 }
 
-void job_writer::accept(const job_id& id, const accepted_job& accepted, time_point deadline,
-                        callback done)
+void job_writer::accept(shard_number shard, const job_id& id, const accepted_job& accepted,
+                        time_point deadline, callback done)
 {
-    add({.at = accepted_address(id),
+    add({.at = accepted_address(shard, id),
          .value = to_text(accepted),
          .deadline = deadline,
          .done = std::move(done)});
 }
 
-void job_writer::cancel(const job_id& id, time_point deadline, callback done)
+void job_writer::cancel(shard_number shard, const job_id& id, time_point deadline, callback done)
 {
-    add({.at = cancelled_address(id),
+    add({.at = cancelled_address(shard, id),
          .value = std::string(cancel_value),
          .deadline = deadline,
          .done = std::move(done)});
@@ -61,21 +61,21 @@
         answer(new_item, job_write_outcome::not_persisted);
         return;
     }
-    const std::string name = new_item.at.partition;
-    partition& part = m_partitions[name];
+    const partition_key key{new_item.at.table, new_item.at.partition};
+    partition& part = m_partitions[key];
     part.queue.push_back(std::move(new_item));
     if (!part.busy && part.timer == timer_id::none) {
-        send(name);
+        send(key);
     }
 }
 
-void job_writer::send(const std::string& name)
+void job_writer::send(const partition_key& key)
 {
-    if (m_partitions[name].busy) {
+    if (m_partitions[key].busy) {
         return;
     }
-    expire(name);
-    partition& part = m_partitions[name];
+    expire(key);
+    partition& part = m_partitions[key];
     if (part.busy || part.queue.empty()) {
         return;
     }
@@ -92,16 +92,16 @@
     }
     part.busy = true;
     m_store.commit(std::move(transaction), m_options.commit_timeout,
-                   [this, name, alive = m_alive](const commit_result& result) {
+                   [this, key, alive = m_alive](const commit_result& result) {
                        if (*alive) {
-                           handle_commit(name, result);
+                           handle_commit(key, result);
                        }
                    });
 }
 
-void job_writer::handle_commit(const std::string& name, const commit_result& result)
+void job_writer::handle_commit(const partition_key& key, const commit_result& result)
 {
-    partition& part = m_partitions[name];
+    partition& part = m_partitions[key];
     part.busy = false;
     switch (result.outcome) {
     case commit_outcome::applied:
@@ -119,10 +119,10 @@
         // The retry has the same condition, so its conflict shows whether the item was written
         // before.
         requeue(part, result.outcome == commit_outcome::unknown);
-        schedule_retry(name);
+        schedule_retry(key);
         return;
     }
-    send(name);
+    send(key);
 }
 
 void job_writer::resolve_conflict(partition& part, const std::vector<stored_row>& present)
@@ -156,20 +156,20 @@
     }
 }
 
-void job_writer::schedule_retry(const std::string& name)
+void job_writer::schedule_retry(const partition_key& key)
 {
-    partition& part = m_partitions[name];
+    partition& part = m_partitions[key];
     part.retry_delay =
         std::clamp(part.retry_delay * 2, m_options.initial_retry_delay, m_options.max_retry_delay);
-    part.timer = m_loop.call_after(part.retry_delay, [this, name] {
-        m_partitions[name].timer = timer_id::none;
-        send(name);
+    part.timer = m_loop.call_after(part.retry_delay, [this, key] {
+        m_partitions[key].timer = timer_id::none;
+        send(key);
     });
 }
 
-void job_writer::expire(const std::string& name)
+void job_writer::expire(const partition_key& key)
 {
-    partition& part = m_partitions[name];
+    partition& part = m_partitions[key];
     const time_point cutoff = m_loop.now() + m_options.initial_retry_delay;
     std::deque<item> remaining;
     for (item& each : std::exchange(part.queue, {})) {
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -12,8 +12,6 @@
 
 constexpr process::log_part leader_log("duty");
 
-constexpr milliseconds tick_period{50};
-constexpr milliseconds watch_wait{1000};
 /// A transaction takes about 0.7 s while the store is slow.
 constexpr milliseconds commit_timeout{1500};
 /// A task started by a predecessor runs at most this long unless this leader extends it.
@@ -24,28 +22,25 @@
 } // namespace
 
 leader_elector::leader_elector(const session_context& context, leader_elector_options options,
+                               session_shard shard, std::shared_ptr<const fleet_config> config,
                                event_handlers handlers)
     : m_context(context),
       m_options(std::move(options)),
+      m_shard(std::move(shard)),
       m_handlers(std::move(handlers)),
       m_alive(std::make_shared<bool>(true)),
+      m_config(std::move(config)),
       m_leadership(m_options.tracking, m_options.incarnation)
 {
-    watch();
-    tick();
 }
 
 leader_elector::~leader_elector()
 {
     *m_alive = false;
-    m_context.loop.cancel(m_tick_timer);
 }
 
 void leader_elector::apply(std::shared_ptr<const fleet_config> config)
 {
-    if (!m_config) {
-        m_first_config_at = m_context.loop.now();
-    }
     m_config = std::move(config);
     if (m_session) {
         m_session->apply(m_config);
@@ -65,55 +60,40 @@
     m_leadership.note_leader_ended(incarnation, m_context.loop.now());
 }
 
-void leader_elector::watch()
+void leader_elector::note_rows_complete()
+{
+    if (!m_leadership.is_claim_known()) {
+        m_leadership.note_claim(std::nullopt, absent, m_context.loop.now());
+    }
+}
+
+void leader_elector::note_store_reachable()
 {
-    m_leader_rows = std::make_unique<table_watcher>(
-        m_context.loop, m_context.store,
-        table_watcher_options{.table = std::string(leader_table),
-                              .partitions = {std::string(control_partition)},
-                              .wait = watch_wait},
-        table_watcher::event_handlers{
-            .on_row = [this](const stored_row& row) { handle_row(row); },
-            .on_complete =
-                [this] {
-                    if (!m_leadership.is_claim_known()) {
-                        m_leadership.note_claim(std::nullopt, absent, m_context.loop.now());
-                    }
-                },
-            .on_response =
-                [this] {
-                    m_leadership.note_store_reachable(m_context.loop.now());
-                    if (!std::exchange(m_store_reachable, true)) {
-                        leader_log.info("the store is reachable");
-                    }
-                    m_handlers.on_store();
-                },
-            .on_failure =
-                [this] {
-                    m_leadership.note_store_unreachable();
-                    if (std::exchange(m_store_reachable, false)) {
-                        leader_log.warning("the store is unreachable");
-                    }
-                }});
+    m_leadership.note_store_reachable(m_context.loop.now());
 }
 
-void leader_elector::handle_row(const stored_row& row)
+void leader_elector::note_store_unreachable()
+{
+    m_leadership.note_store_unreachable();
+}
+
+void leader_elector::note_row(const stored_row& row)
 {
     const time_point now = m_context.loop.now();
-    if (row.at == leader_renewal_address()) {
+    if (row.at == leader_renewal_address(m_shard.number)) {
         m_leadership.note_renewal(now);
         return;
     }
-    if (row.at != leader_claim_address()) {
+    if (row.at != leader_claim_address(m_shard.number)) {
         return;
     }
     m_leadership.note_claim(row.removed ? std::nullopt : parse_leader_claim(row.value), row.version,
                             now);
     const auto& claim = m_leadership.claim();
     if (claim) {
-        leader_log.info(fmt::format("leader {} generation {}{}, version {}", claim->entry,
-                                    claim->generation, claim->released ? ", released" : "",
-                                    row.version));
+        leader_log.info(fmt::format("shard {}: leader {} generation {}{}, version {}",
+                                    m_shard.number, claim->entry, claim->generation,
+                                    claim->released ? ", released" : "", row.version));
     }
     const bool other = claim && !claim->released && !m_leadership.is_leader();
     m_handlers.on_other_leader(other ? claim : std::nullopt);
@@ -122,17 +102,9 @@
     }
 }
 
-void leader_elector::tick()
+void leader_elector::check(milliseconds extra_delay)
 {
-    m_tick_timer = m_context.loop.call_after(tick_period, [this] {
-        check_leadership();
-        tick();
-    });
-}
-
-void leader_elector::check_leadership()
-{
-    if (m_resigning || m_claiming || m_session || !m_config) {
+    if (m_resigning || m_claiming || m_session) {
         return;
     }
     if (m_leadership.is_leader()) {
@@ -141,7 +113,7 @@
         m_claiming = true;
         confirm_claim(m_context.clock() - m_options.tracking.lease);
     }
-    else if (m_leadership.may_claim(m_context.loop.now())) {
+    else if (m_leadership.may_claim(m_context.loop.now(), extra_delay)) {
         try_claim();
     }
 }
@@ -154,12 +126,14 @@
                              .peer_address = m_options.peer_address,
                              .incarnation = m_options.incarnation,
                              .generation = previous ? previous->generation + 1 : 0};
-    leader_log.info(fmt::format("claiming leadership as generation {}, after version {}",
-                                claim.generation, m_leadership.version()));
+    leader_log.info(fmt::format("shard {}: claiming leadership as generation {}, after version {}",
+                                m_shard.number, claim.generation, m_leadership.version()));
     row_transaction transaction;
-    transaction.conditions.push_back({leader_claim_address(), m_leadership.version()});
-    transaction.writes.push_back({leader_claim_address(), to_text(claim)});
-    transaction.writes.push_back({leader_sequence_address(), m_options.incarnation + " 0"});
+    transaction.conditions.push_back(
+        {leader_claim_address(m_shard.number), m_leadership.version()});
+    transaction.writes.push_back({leader_claim_address(m_shard.number), to_text(claim)});
+    transaction.writes.push_back(
+        {leader_sequence_address(m_shard.number), m_options.incarnation + " 0"});
     const time_point sent = m_context.clock();
     m_context.store.commit(std::move(transaction), commit_timeout,
                            [this, sent, alive = m_alive](const commit_result& result) {
@@ -169,6 +143,9 @@
                                if (result.outcome == commit_outcome::conflict ||
                                    result.outcome == commit_outcome::refused) {
                                    m_claiming = false;
+                                   for (const stored_row& row : result.present) {
+                                       note_row(row);
+                                   }
                                    return;
                                }
                                confirm_claim(sent);
@@ -178,7 +155,7 @@
 void leader_elector::confirm_claim(time_point sent)
 {
     m_context.store.read(
-        {.table = std::string(leader_table), .partition = std::string(control_partition)},
+        {.table = std::string(leader_table), .partition = control_partition(m_shard.number)},
         commit_timeout, [this, sent, alive = m_alive](const std::optional<row_page>& page) {
             if (*alive) {
                 handle_confirmation(sent, page);
@@ -193,7 +170,7 @@
         return;
     }
     for (const stored_row& row : page->rows) {
-        if (row.at == leader_claim_address()) {
+        if (row.at == leader_claim_address(m_shard.number)) {
             const auto claim = parse_leader_claim(row.value);
             m_leadership.note_claim(claim, row.version, m_context.loop.now());
             if (m_leadership.is_leader() && !m_session && !m_resigning) {
@@ -206,21 +183,23 @@
 void leader_elector::begin_session(const leader_claim& claim, row_version claim_version,
                                    time_point sent)
 {
-    session_options options{.entry = m_options.name,
-                            .claim = claim,
-                            .claim_row = {leader_claim_address(), claim_version},
-                            // Written in the claim's transaction; the progress writer reads later
-                            // versions back after a conflict.
-                            .sequence_row = {leader_sequence_address(), claim_version},
-                            .lease = m_options.tracking.lease,
-                            .scheduling = m_options.scheduling,
-                            .planning = m_options.planning,
-                            .state_retention = m_options.state_retention,
-                            .claimed_at = sent};
+    session_options options{
+        .entry = m_options.name,
+        .shard = m_shard,
+        .claim = claim,
+        .claim_row = {leader_claim_address(m_shard.number), claim_version},
+        // Written in the claim's transaction; the progress writer reads later
+        // versions back after a conflict.
+        .sequence_row = {leader_sequence_address(m_shard.number), claim_version},
+        .lease = m_options.tracking.lease,
+        .scheduling = m_options.scheduling,
+        .planning = m_options.planning,
+        .state_retention = m_options.state_retention,
+        .claimed_at = sent};
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.tracking.lease;
     options.scheduling.former_services_known =
-        m_context.loop.now() - m_first_config_at > max_predecessor_run;
+        m_context.loop.now() - m_options.first_config_at > max_predecessor_run;
     m_handlers.on_other_leader(std::nullopt);
     m_session = std::make_unique<leader_session>(
         m_context, std::move(options), m_config, [this, alive = m_alive] {
@@ -238,7 +217,7 @@
 
 void leader_elector::end_session(std::string_view reason)
 {
-    leader_log.info(fmt::format("leader session ended: {}", reason));
+    leader_log.info(fmt::format("shard {}: leader session ended: {}", m_shard.number, reason));
     m_handlers.on_session(nullptr);
     m_session.reset();
 }
@@ -255,16 +234,17 @@
     end_session("resigned");
     claim.released = true;
     row_transaction transaction;
-    transaction.conditions.push_back({leader_claim_address(), version});
-    transaction.writes.push_back({leader_claim_address(), to_text(claim)});
-    m_context.store.commit(
-        std::move(transaction), commit_timeout,
-        [done = std::move(done), alive = m_alive](const commit_result& result) {
-            leader_log.info(fmt::format("resigning leadership: {}", name_of(result.outcome)));
-            if (*alive) {
-                done();
-            }
-        });
+    transaction.conditions.push_back({leader_claim_address(m_shard.number), version});
+    transaction.writes.push_back({leader_claim_address(m_shard.number), to_text(claim)});
+    m_context.store.commit(std::move(transaction), commit_timeout,
+                           [done = std::move(done), shard = m_shard.number,
+                            alive = m_alive](const commit_result& result) {
+                               leader_log.info(fmt::format("shard {}: resigning leadership: {}",
+                                                           shard, name_of(result.outcome)));
+                               if (*alive) {
+                                   done();
+                               }
+                           });
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -32,6 +32,13 @@
 /// No job has waited longer than its callers wait; limits the effect of a wrong clock.
 constexpr milliseconds max_job_age{60000};
 
+metric_options shard_gauge(std::string name, std::string help, shard_number shard)
+{
+    return {.name = std::move(name),
+            .help = std::move(help),
+            .labels = {{"shard", std::to_string(shard)}}};
+}
+
 std::vector<job::queue_policy> queues_of(const fleet_config& config)
 {
     std::vector<job::queue_policy> queues;
@@ -56,9 +63,10 @@
           context.metrics.summary({"job_seconds", "Time from submission to completion", {}})),
       m_first_start_seconds(context.metrics.summary(
           {"job_first_start_seconds", "Time from submission to the first start", {}})),
-      m_open_jobs(context.metrics.gauge({"jobs_open", "Jobs that are not in a final state", {}})),
-      m_usable_workers(
-          context.metrics.gauge({"workers_usable", "Workers available for placement", {}}))
+      m_open_jobs(context.metrics.gauge(
+          shard_gauge("jobs_open", "Jobs that are not in a final state", m_options.shard.number))),
+      m_usable_workers(context.metrics.gauge(
+          shard_gauge("workers_usable", "Workers available for placement", m_options.shard.number)))
 {
     m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
@@ -70,7 +78,8 @@
         m_context.loop, m_context.store, m_scheduler, m_context.metrics,
         progress_writer_options{.claim = m_options.claim_row,
                                 .sequence = m_options.sequence_row,
-                                .renewal = leader_renewal_address(),
+                                .renewal = leader_renewal_address(m_options.shard.number),
+                                .shard = m_options.shard.number,
                                 .incarnation = m_options.claim.incarnation},
         m_context.clock,
         progress_writer::event_handlers{
@@ -83,6 +92,8 @@
         machine_session_options{
             .authority = {.leader = m_options.entry, .token = m_options.claim_row.version},
             .claim = m_options.claim_row,
+            .shard = m_options.shard.number,
+            .layout = m_options.shard.layout,
             .planning = m_options.planning});
     m_machines->set_pools(m_config->pools);
     read_progress();
@@ -100,7 +111,7 @@
 void leader_session::read_progress()
 {
     table_watcher_options options{.table = std::string(progress_table),
-                                  .partitions = {std::string(control_partition)}};
+                                  .partitions = {control_partition(m_options.shard.number)}};
     m_progress_rows = std::make_unique<table_watcher>(
         m_context.loop, m_context.store, std::move(options),
         table_watcher::event_handlers{.on_row =
@@ -124,7 +135,7 @@
 
 void leader_session::read_jobs()
 {
-    table_watcher_options options{.table = std::string(jobs_table),
+    table_watcher_options options{.table = jobs_table(m_options.shard.number),
                                   .partitions = all_job_partitions(),
                                   .wait = job_watch_wait,
                                   .batch_delay = job_batch_delay};
@@ -207,7 +218,9 @@
 {
     const instance_id id(row.at.key);
     if (row.removed) {
-        worker_log.info(fmt::format("worker {} is no longer listed", id.str()));
+        if (m_scheduler.workers().contains(id)) {
+            worker_log.info(fmt::format("worker {} is no longer listed", id.str()));
+        }
         m_scheduler.note_worker_unlisted(id, m_context.loop.now());
         schedule_plan();
         return;
@@ -219,6 +232,10 @@
         m_scheduler.note_worker_unlisted(id, m_context.loop.now());
         return;
     }
+    if (!owns(*listing)) {
+        m_scheduler.note_address_taken(listing->address, id, m_context.loop.now());
+        return;
+    }
     const auto existing = m_scheduler.workers().find(id);
     if (existing != m_scheduler.workers().end() && existing->second.listed &&
         existing->second.listing == *listing) {
@@ -233,6 +250,11 @@
     schedule_plan();
 }
 
+bool leader_session::owns(const job::worker_listing& listing) const
+{
+    return m_options.shard.layout->owner_of(listing.rack) == m_options.shard.number;
+}
+
 void leader_session::become_ready()
 {
     if (m_ready) {
@@ -243,16 +265,17 @@
         const job::job_record* const job = m_scheduler.find(id);
         if (job == nullptr) {
             // A predecessor removed the job's other rows but ended before it removed this one.
-            m_progress_writer->queue_removal(progress_address(id));
+            m_progress_writer->queue_removal(progress_address(m_options.shard.number, id));
         }
         else if (is_terminal(job->state())) {
             m_ended_jobs.push_back({id, m_context.loop.now()});
         }
     }
     m_persisted_progress.clear();
-    leader_log.info(fmt::format("leader session ready: {} jobs, generation {}, token {}",
-                                m_scheduler.job_count(), m_options.claim.generation,
-                                m_options.claim_row.version));
+    leader_log.info(fmt::format(
+        "leader session of shard {} of {} ready: {} jobs, generation {}, token {}",
+        m_options.shard.number, m_options.shard.layout->count(), m_scheduler.job_count(),
+        m_options.claim.generation, m_options.claim_row.version));
     schedule_plan();
 }
 
@@ -287,13 +310,13 @@
 
 bool leader_session::check_job_view(time_point now)
 {
-    const auto age =
-        std::chrono::duration_cast<milliseconds>(now - m_job_rows->current_as_of());
+    const auto age = std::chrono::duration_cast<milliseconds>(now - m_job_rows->current_as_of());
     const bool outdated = age > max_job_view_age;
     if (outdated != std::exchange(m_job_view_outdated, outdated)) {
         leader_log.warning(
-            outdated ? fmt::format("no orders: the view of the jobs is {} ms old", age.count())
-                     : fmt::format("orders resume: the view of the jobs is {} ms old", age.count()));
+            outdated
+                ? fmt::format("no orders: the view of the jobs is {} ms old", age.count())
+                : fmt::format("orders resume: the view of the jobs is {} ms old", age.count()));
     }
     return !outdated;
 }
@@ -360,8 +383,8 @@
 void leader_session::remove_job_rows(const job_id& id)
 {
     row_transaction transaction;
-    transaction.writes.push_back({accepted_address(id), std::nullopt});
-    transaction.writes.push_back({cancelled_address(id), std::nullopt});
+    transaction.writes.push_back({accepted_address(m_options.shard.number, id), std::nullopt});
+    transaction.writes.push_back({cancelled_address(m_options.shard.number, id), std::nullopt});
     m_context.store.commit(std::move(transaction), removal_timeout,
                            [this, id, alive = m_alive](const commit_result& result) {
                                if (!*alive) {
@@ -371,7 +394,8 @@
                                    m_ended_jobs.push_back({id, m_context.loop.now()});
                                    return;
                                }
-                               m_progress_writer->queue_removal(progress_address(id));
+                               m_progress_writer->queue_removal(
+                                   progress_address(m_options.shard.number, id));
                                m_scheduler.remove_job(id);
                            });
 }
--- a/packages/fleet/src/leader_tracker.cpp
+++ b/packages/fleet/src/leader_tracker.cpp
@@ -37,19 +37,33 @@
     }
 }
 
-row_address leader_claim_address()
+std::string control_partition(shard_number shard)
 {
-    return {std::string(leader_table), std::string(control_partition), "claim"};
+    return shard == 0 ? "control" : "control-" + std::to_string(shard);
 }
 
-row_address leader_renewal_address()
+std::vector<std::string> all_control_partitions(shard_number count)
 {
-    return {std::string(leader_table), std::string(control_partition), "renewal"};
+    std::vector<std::string> all;
+    for (shard_number shard = 0; shard < count; ++shard) {
+        all.push_back(control_partition(shard));
+    }
+    return all;
+}
+
+row_address leader_claim_address(shard_number shard)
+{
+    return {std::string(leader_table), control_partition(shard), "claim"};
+}
+
+row_address leader_renewal_address(shard_number shard)
+{
+    return {std::string(leader_table), control_partition(shard), "renewal"};
 }
 
-row_address leader_sequence_address()
+row_address leader_sequence_address(shard_number shard)
 {
-    return {"duty-chain", std::string(control_partition), "chain"};
+    return {"duty-chain", control_partition(shard), "chain"};
 }
 
 leader_tracker::leader_tracker(leader_tracker_options options, std::string incarnation)
@@ -108,15 +122,16 @@
     return m_claim && !m_claim->released && m_claim->incarnation == m_incarnation;
 }
 
-bool leader_tracker::may_claim(time_point now) const
+bool leader_tracker::may_claim(time_point now, milliseconds extra_delay) const
 {
+    const milliseconds delay = m_options.delay + extra_delay;
     if (!m_claim_known || !m_store_reachable || is_leader()) {
         return false;
     }
     if (m_vacant_since) {
-        return now >= *m_vacant_since + m_options.delay;
+        return now >= *m_vacant_since + delay;
     }
-    return now >= m_renewed_at + m_options.lease + m_options.delay;
+    return now >= m_renewed_at + m_options.lease + delay;
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -16,16 +17,24 @@
 constexpr process::log_part machine_log("machine");
 constexpr process::log_part wave_log("wave");
 constexpr std::string_view waves_table = "waves";
+/// The other shards' progress decides when a wave is complete, which may be known a little later.
+constexpr milliseconds wave_batch_delay{300};
+/// A machine is back after this many times its maintenance time, for certain.
+constexpr int last_maintenance_factor = 2;
 
-row_address started_address(std::uint64_t wave)
+constexpr std::string_view recent_orders_key = "ordered";
+/// Delay before a wave is added again whose progress hasn't been read yet.
+constexpr milliseconds add_wave_retry_delay{50};
+
+row_address started_address(shard_number shard, std::uint64_t wave)
 {
-    return {std::string(waves_table), std::string(control_partition), std::to_string(wave)};
+    return {std::string(waves_table), control_partition(shard), std::to_string(wave)};
 }
 
 /// The row that lists the machines with a recent order of the leader.
-row_address recent_orders_address()
+row_address recent_orders_address(shard_number shard)
 {
-    return {std::string(waves_table), std::string(control_partition), "ordered"};
+    return {std::string(waves_table), control_partition(shard), std::string(recent_orders_key)};
 }
 
 std::set<std::string> parse_machines(const std::string& text)
@@ -72,47 +81,126 @@
 
 void machine_session::read_waves()
 {
+    const shard_number shards = m_options.layout->count();
     m_wave_rows = std::make_unique<table_watcher>(
         m_loop, m_store,
         table_watcher_options{.table = std::string(waves_table),
-                              .partitions = {std::string(control_partition)}},
-        table_watcher::event_handlers{.on_row =
-                                          [this](const stored_row& row) {
-                                              std::uint64_t number = 0;
-                                              const std::string& key = row.at.key;
-                                              std::from_chars(key.data(), key.data() + key.size(),
-                                                              number);
-                                              m_persisted_started[number] =
-                                                  parse_machines(row.value);
-                                          },
-                                      .on_complete =
-                                          [this] {
-                                              m_waves_read = true;
-                                              m_loop.post([this, alive = m_alive] {
-                                                  if (*alive) {
-                                                      // From now on only this session writes the
-                                                      // table.
-                                                      m_wave_rows.reset();
-                                                  }
-                                              });
-                                          },
-                                      .on_response = [] {},
-                                      .on_failure = [] {}});
+                              .partitions = all_control_partitions(shards),
+                              .batch_delay = wave_batch_delay},
+        table_watcher::event_handlers{
+            .on_row = [this](const stored_row& row) { note_wave_row(row); },
+            .on_complete =
+                [this, shards] {
+                    m_waves_read = true;
+                    m_loop.post([this, shards, alive = m_alive] {
+                        if (*alive && shards == 1) {
+                            // From now on only this session writes the table.
+                            m_wave_rows.reset();
+                        }
+                    });
+                },
+            .on_response = [] {},
+            .on_failure = [] {}});
+}
+
+void machine_session::note_wave_row(const stored_row& row)
+{
+    const bool own = row.at.partition == control_partition(m_options.shard);
+    if (row.removed || (own && m_waves_read)) {
+        return;
+    }
+    const std::set<std::string> machines = parse_machines(row.value);
+    if (row.at.key == recent_orders_key) {
+        if (own) {
+            const time_point until = m_loop.now() + m_options.handover_delay;
+            for (const std::string& machine : machines) {
+                m_planner.block(machine, until);
+            }
+        }
+        return;
+    }
+    std::uint64_t number = 0;
+    const std::string& key = row.at.key;
+    if (std::from_chars(key.data(), key.data() + key.size(), number).ec != std::errc{}) {
+        wave_log.warning(fmt::format("row {} of the waves has no wave's number as its key", key));
+        return;
+    }
+    if (own) {
+        m_persisted_started[number] = machines;
+        return;
+    }
+    for (shard_number shard = 0; shard < m_options.layout->count(); ++shard) {
+        if (row.at.partition == control_partition(shard)) {
+            m_started_elsewhere[shard][number] = machines;
+        }
+    }
 }
 
 void machine_session::add_wave(const wave_request& request, time_point first_seen)
 {
     // The planner must not get a wave before its progress under previous leaders has been read.
     if (!m_waves_read) {
-        m_loop.call_after(milliseconds(50), [this, request, first_seen, alive = m_alive] {
+        m_loop.call_after(add_wave_retry_delay, [this, request, first_seen, alive = m_alive] {
             if (*alive) {
                 add_wave(request, first_seen);
             }
         });
         return;
     }
+    const wave_share share =
+        share_of_wave(request.max_down, m_options.shard, m_options.layout->count());
+    wave_request part = request;
+    part.max_down = share.max_down;
+    if (share.first_of_turn == 0) {
+        begin_wave(part, first_seen);
+    }
+    else {
+        m_waiting_waves.push_back(
+            {.request = std::move(part), .first_seen = first_seen, .share = share});
+    }
+}
+
+void machine_session::begin_wave(const wave_request& request, time_point first_seen)
+{
     m_planner.note_wave(request, first_seen, m_persisted_started[request.number]);
-    write_wave_status(request.number, false);
+    if (m_options.shard == 0) {
+        write_wave_status(request.number, false);
+    }
+}
+
+bool machine_session::completed_by(const wave_request& request, shard_number first,
+                                   shard_number end) const
+{
+    for (shard_number shard = first; shard < end; ++shard) {
+        const auto waves = m_started_elsewhere.find(shard);
+        if (waves == m_started_elsewhere.end()) {
+            return false;
+        }
+        const auto started = waves->second.find(request.number);
+        if (started == waves->second.end() ||
+            !std::all_of(request.machines.begin(), request.machines.end(),
+                         [&](const auto& each) { return started->second.contains(each); })) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void machine_session::check_waiting_waves(time_point now)
+{
+    std::erase_if(m_waiting_waves, [&](waiting_wave& wave) {
+        if (!wave.turn_began && completed_by(wave.request, 0, wave.share.first_of_turn)) {
+            wave.turn_began = now;
+        }
+        // Their last machines may still be down.
+        const bool begins =
+            wave.turn_began &&
+            now >= *wave.turn_began + last_maintenance_factor * m_options.planning.maintenance_time;
+        if (begins) {
+            begin_wave(wave.request, wave.first_seen);
+        }
+        return begins;
+    });
 }
 
 void machine_session::tick(time_point now)
@@ -123,6 +211,7 @@
     if (!m_list_pending && now >= m_next_list) {
         read_list(now);
     }
+    check_waiting_waves(now);
     const machine_orders orders = m_planner.plan(now, m_scheduler);
     for (const cordon_change& each : orders.cordons) {
         m_scheduler.cordon_worker(each.worker, each.cordoned);
@@ -146,7 +235,8 @@
     }
     row_transaction transaction;
     transaction.conditions.push_back(m_options.claim);
-    transaction.writes.push_back({recent_orders_address(), nlohmann::json(machines).dump()});
+    transaction.writes.push_back(
+        {recent_orders_address(m_options.shard), nlohmann::json(machines).dump()});
     m_store.commit(std::move(transaction), m_options.commit_timeout,
                    [this, orders, alive = m_alive](const commit_result& result) {
                        if (!*alive) {
@@ -168,20 +258,23 @@
     m_list_pending = true;
     m_next_list = now + m_options.list_interval;
     m_machines.list(
-        [this, now, alive = m_alive](const std::optional<std::vector<machine_info>>& machines) {
+        [this, now, alive = m_alive](std::optional<std::vector<machine_info>> machines) {
             if (!*alive) {
                 return;
             }
             m_list_pending = false;
             if (machines) {
-                handle_machine_list(*machines, now);
+                handle_machine_list(std::move(*machines), now);
             }
         });
 }
 
-void machine_session::handle_machine_list(const std::vector<machine_info>& machines,
+void machine_session::handle_machine_list(std::vector<machine_info> machines,
                                           time_point requested_at)
 {
+    std::erase_if(machines, [this](const machine_info& each) {
+        return m_options.layout->owner_of(each.rack) != m_options.shard;
+    });
     m_planner.note_machine_list(machines, requested_at);
     const time_point now = m_loop.now();
     for (const instance_id& id : ended_workers(machines, requested_at, m_scheduler)) {
@@ -238,7 +331,8 @@
         if (wave.started != m_persisted_started[number]) {
             persist_started(number, wave.started);
         }
-        else if (wave.completed() && !m_written_completed[number]) {
+        else if (m_options.shard == 0 && wave.completed() && !m_written_completed[number] &&
+                 completed_by(wave.request, 1, m_options.layout->count())) {
             write_wave_status(number, true);
         }
     }
@@ -251,7 +345,8 @@
     }
     row_transaction transaction;
     transaction.conditions.push_back(m_options.claim);
-    transaction.writes.push_back({started_address(wave), nlohmann::json(started).dump()});
+    transaction.writes.push_back(
+        {started_address(m_options.shard, wave), nlohmann::json(started).dump()});
     m_store.commit(std::move(transaction), m_options.commit_timeout,
                    [this, wave, started, alive = m_alive](const commit_result& result) {
                        if (!*alive) {
--- a/packages/fleet/src/peer_client.cpp
+++ b/packages/fleet/src/peer_client.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/fleet/peer_client.hpp"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -24,6 +26,30 @@
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_not_found = 404;
 
+/// Such as "/state/3/0123456789abcdef".
+std::string path_in_shard(std::string_view path, shard_number shard, const std::string& name)
+{
+    return fmt::format("{}{}/{}", path, shard, name);
+}
+
+/// A shard and a name in it, as in path_in_shard().
+struct name_in_shard {
+    shard_number shard = 0;
+    std::string name;
+};
+
+std::optional<name_in_shard> parse_name_in_shard(std::string_view text)
+{
+    name_in_shard parsed;
+    const auto [rest, error] =
+        std::from_chars(text.data(), text.data() + text.size(), parsed.shard);
+    if (error != std::errc{} || rest == text.data() + text.size() || *rest != '/') {
+        return std::nullopt;
+    }
+    parsed.name = std::string(rest + 1, text.data() + text.size());
+    return parsed;
+}
+
 bool is_ok(const http_result& result)
 {
     return result.fault == transport_fault::none && result.response.status == status_ok;
@@ -31,8 +57,8 @@
 
 } // namespace
 
-peer_client::peer_client(event_loop& loop, connection::http_client& client)
-    : m_loop(loop), m_client(client)
+peer_client::peer_client(event_loop& loop, connection::http_client& client, shard_number shard)
+    : m_loop(loop), m_client(client), m_shard(shard)
 {
 }
 
@@ -60,19 +86,21 @@
 
 void peer_client::state(const job_id& id, state_callback done)
 {
-    call(std::string(state_path) + id.str(), [done = std::move(done)](const http_result& result) {
-        done(is_ok(result) ? parse_enum<job::job_state>(result.response.body) : std::nullopt);
-    });
+    call(path_in_shard(state_path, m_shard, id.str()),
+         [done = std::move(done)](const http_result& result) {
+             done(is_ok(result) ? parse_enum<job::job_state>(result.response.body) : std::nullopt);
+         });
 }
 
 void peer_client::pending(const std::string& queue, pending_callback done)
 {
-    call(std::string(pending_path) + queue, [done = std::move(done)](const http_result& result) {
-        const std::string& body = result.response.body;
-        std::size_t count = 0;
-        const auto parsed = std::from_chars(body.data(), body.data() + body.size(), count);
-        done(is_ok(result) && parsed.ec == std::errc{} ? std::optional(count) : std::nullopt);
-    });
+    call(path_in_shard(pending_path, m_shard, queue),
+         [done = std::move(done)](const http_result& result) {
+             const std::string& body = result.response.body;
+             std::size_t count = 0;
+             const auto parsed = std::from_chars(body.data(), body.data() + body.size(), count);
+             done(is_ok(result) && parsed.ec == std::errc{} ? std::optional(count) : std::nullopt);
+         });
 }
 
 void peer_client::probe(liveness_callback done)
@@ -97,13 +125,15 @@
         return {.status = status_ok, .body = source.incarnation};
     }
     if (target.starts_with(state_path)) {
-        const auto state = source.state(job_id(std::string(target.substr(state_path.size()))));
+        const auto asked = parse_name_in_shard(target.substr(state_path.size()));
+        const auto state = asked ? source.state(asked->shard, job_id(asked->name)) : std::nullopt;
         if (state) {
             return {.status = status_ok, .body = std::string(name_of(*state))};
         }
     }
     if (target.starts_with(pending_path)) {
-        const auto count = source.pending(std::string(target.substr(pending_path.size())));
+        const auto asked = parse_name_in_shard(target.substr(pending_path.size()));
+        const auto count = asked ? source.pending(asked->shard, asked->name) : std::nullopt;
         if (count) {
             return {.status = status_ok, .body = std::to_string(*count)};
         }
--- a/packages/fleet/src/progress_writer.cpp
+++ b/packages/fleet/src/progress_writer.cpp
@@ -79,7 +79,8 @@
            bytes < max_transaction_bytes / 2) {
         const job::job_record* const job = m_scheduler.find(m_unsent.back());
         if (job != nullptr) {
-            transaction.writes.push_back({progress_address(job->id()), job->progress()});
+            transaction.writes.push_back(
+                {progress_address(m_options.shard, job->id()), job->progress()});
             bytes += transaction.writes.back().value->size();
         }
         m_unsent.pop_back();
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -16,6 +16,23 @@
 constexpr auto queue_name = "q";
 constexpr milliseconds entry_delay{40};
 
+rack_id rack_of(std::size_t worker, shard_number shards)
+{
+    return rack_id(fmt::format("r{}", worker % shards));
+}
+
+/// A layout in which each rack of rack_of() is a shard of its own.
+shard_layout layout_of(shard_number shards)
+{
+    nlohmann::json racks;
+    for (shard_number shard = 0; shard < shards; ++shard) {
+        racks[rack_of(shard, shards).str()] = shard;
+    }
+    const nlohmann::json text{
+        {"shards", shards}, {"racks", racks}, {"queues", nlohmann::json::object()}};
+    return parse_shard_layout(text.dump()).value();
+}
+
 std::shared_ptr<const fleet_config> one_queue_config()
 {
     fleet_config config{.version = 1};
@@ -49,7 +66,7 @@
     options.tracking.delay = entry_delay * static_cast<int>(name.back() - '0');
     options.scheduling.lease = milliseconds(5000);
     options.state_retention = fleet_simulation::state_retention_time;
-    m_elector = std::make_unique<leader_elector>(
+    m_shards = std::make_unique<shard_set>(
         session_context{.loop = m_loop,
                         .store = m_store,
                         .workers = m_workers,
@@ -57,23 +74,33 @@
                         .metrics = m_metrics,
                         .codec = codec,
                         .clock = [&loop] { return loop.now(); }},
-        options,
-        leader_elector::event_handlers{.on_session = [](leader_session*) {},
-                                       .on_other_leader = [](const std::optional<leader_claim>&) {},
-                                       .on_store = [] {}});
-    m_elector->apply(std::move(config));
+        shard_set_options{.election = options, .max_claim_delay = milliseconds(0)},
+        [] { return 0; },
+        shard_set::event_handlers{
+            .on_layout = [](const auto&) {},
+            .on_session = [](shard_number, leader_session*) {},
+            .on_other_leader = [](shard_number, const std::optional<leader_claim>&) {},
+            .on_store = [] {}});
+    m_shards->apply(std::move(config));
+}
+
+bool simulated_entry::is_leader(shard_number shard)
+{
+    leader_elector* const elector = alive() ? m_shards->elector(shard) : nullptr;
+    return elector != nullptr && elector->session() != nullptr;
 }
 
 void simulated_entry::kill()
 {
     m_loop.terminate();
-    m_elector.reset();
+    m_shards.reset();
     m_writer.reset();
 }
 
-fleet_simulation::fleet_simulation(std::uint64_t seed, machine_list machines)
+fleet_simulation::fleet_simulation(std::uint64_t seed, machine_list machines, shard_number shards)
     : m_random(seed),
       m_machine_list(machines),
+      m_layout(layout_of(shards)),
       m_rows(m_loop),
       m_workers(m_loop, m_random),
       m_config(one_queue_config())
@@ -87,6 +114,7 @@
     m_codec.wave_status = [](std::uint64_t wave, bool) -> row_write {
         return {{"status", "", std::to_string(wave)}, ""};
     };
+    m_rows.put(shard_layout_address(), to_text(m_layout));
     m_worker_ids.resize(worker_count);
     m_machine_down.resize(worker_count);
     for (std::size_t worker = 0; worker < worker_count; ++worker) {
@@ -116,6 +144,7 @@
     job::worker_listing listing{.id = instance_id(id),
                                 .service = pool,
                                 .address = fmt::format("10.0.0.{}:80", worker),
+                                .rack = rack_of(worker, m_layout.count()),
                                 .machine = fmt::format("m{}", worker),
                                 .capacity = {.cpu_millis = 4000, .memory_mb = 4000}};
     m_worker_ids[worker] = listing.id;
@@ -156,6 +185,7 @@
         listed.push_back({.machine = fmt::format("m{}", worker),
                           .pool = pool,
                           .state = m_machine_down[worker] ? machine_state::down : machine_state::up,
+                          .rack = rack_of(worker, m_layout.count()),
                           .worker = m_machine_down[worker] ? instance_id() : m_worker_ids[worker]});
     }
     return listed;
@@ -179,10 +209,15 @@
             : static_machines::list_provider());
 }
 
-std::optional<std::size_t> fleet_simulation::leader()
+shard_number fleet_simulation::shard_of(const job_id& id) const
+{
+    return m_layout.shard_of(queue_name, id);
+}
+
+std::optional<std::size_t> fleet_simulation::leader(shard_number shard)
 {
     for (std::size_t entry = 0; entry < entry_count; ++entry) {
-        if (m_entries[entry]->is_leader()) {
+        if (m_entries[entry]->is_leader(shard)) {
             return entry;
         }
     }
@@ -201,7 +236,7 @@
         }
         const accepted_job accepted{
             .queue = queue_name, .accepted = m_loop.wall_now(), .body = id.str()};
-        entry.writer().accept(id, accepted, m_loop.now() + seconds(2),
+        entry.writer().accept(shard_of(id), id, accepted, m_loop.now() + seconds(2),
                               [this, id](job_write_outcome outcome) {
                                   if (outcome == job_write_outcome::persisted) {
                                       m_accepted.insert(id);
@@ -216,7 +251,7 @@
 {
     for (auto& entry : m_entries) {
         if (entry->alive() && !entry->loop().suspended()) {
-            entry->writer().cancel(id, m_loop.now() + seconds(2),
+            entry->writer().cancel(shard_of(id), id, m_loop.now() + seconds(2),
                                    [this, id](job_write_outcome outcome) {
                                        if (outcome == job_write_outcome::persisted) {
                                            m_workers.job(id).cancelled = m_loop.now();
@@ -229,7 +264,7 @@
 
 std::string fleet_simulation::stored_state(const job_id& id) const
 {
-    const stored_row* const row = m_rows.find(progress_address(id));
+    const stored_row* const row = m_rows.find(progress_address(shard_of(id), id));
     if (row == nullptr) {
         return "none";
     }
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -9,7 +9,7 @@
 #include "model_workers.hpp"
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/job_writer.hpp"
-#include "plantaindoor/fleet/leader_elector.hpp"
+#include "plantaindoor/fleet/shard_set.hpp"
 
 #include <cstdint>
 #include <map>
@@ -63,12 +63,11 @@
                     std::uint32_t incarnation_number, std::shared_ptr<const fleet_config> config,
                     static_machines::list_provider machines);
 
-    [[nodiscard]] bool alive() const { return m_elector != nullptr; }
-    [[nodiscard]] bool is_leader() { return alive() && m_elector->session() != nullptr; }
+    [[nodiscard]] bool alive() const { return m_shards != nullptr; }
+    [[nodiscard]] bool is_leader(shard_number shard = 0);
     [[nodiscard]] fakes::process_loop& loop() { return m_loop; }
     [[nodiscard]] entry_store& store() { return m_store; }
     [[nodiscard]] job_writer& writer() { return *m_writer; }
-    [[nodiscard]] leader_elector& elector() { return *m_elector; }
     /// Stops the entry at once: nothing more runs on its loop. Can't be undone.
     void kill();
 
@@ -79,10 +78,11 @@
     static_machines m_machines;
     metrics_registry m_metrics;
     std::unique_ptr<job_writer> m_writer;
-    std::unique_ptr<leader_elector> m_elector;
+    std::unique_ptr<shard_set> m_shards;
 };
 
-/// Three entries, four workers and the store. Random choices come from `seed`. Not synchronised.
+/// Three entries, four workers and the store. Each shard owns every n-th worker. Random choices
+/// come from `seed`. Not synchronised.
 class fleet_simulation {
 public:
     static constexpr std::size_t entry_count = 3;
@@ -93,7 +93,8 @@
     enum class machine_list { unresponsive, answers };
 
     explicit fleet_simulation(std::uint64_t seed,
-                              machine_list machines = machine_list::unresponsive);
+                              machine_list machines = machine_list::unresponsive,
+                              shard_number shards = 1);
     fleet_simulation(const fleet_simulation&) = delete;
     fleet_simulation& operator=(const fleet_simulation&) = delete;
     ~fleet_simulation();
@@ -118,8 +119,10 @@
     void clear_faults();
 
     [[nodiscard]] simulated_entry& entry(std::size_t index) { return *m_entries[index]; }
-    /// The first entry that leads by its own view, if any.
-    [[nodiscard]] std::optional<std::size_t> leader();
+    /// The first entry that leads the shard by its own view, if any.
+    [[nodiscard]] std::optional<std::size_t> leader(shard_number shard = 0);
+    [[nodiscard]] const shard_layout& layout() const { return m_layout; }
+    [[nodiscard]] shard_number shard_of(const job_id& id) const;
     [[nodiscard]] model_workers& workers() { return m_workers; }
     [[nodiscard]] memory_rows& rows() { return m_rows; }
     [[nodiscard]] std::mt19937_64& random() { return m_random; }
@@ -137,6 +140,7 @@
     fakes::virtual_loop m_loop;
     std::mt19937_64 m_random;
     machine_list m_machine_list;
+    shard_layout m_layout;
     memory_rows m_rows;
     model_workers m_workers;
     platform_codec m_codec;
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -33,10 +33,11 @@
 /// machines are listed, the row of a random worker is removed for a time with each fault.
 void run_simulation(
     std::uint64_t seed, std::uint32_t fault_rate,
-    fleet_simulation::machine_list machines = fleet_simulation::machine_list::unresponsive)
+    fleet_simulation::machine_list machines = fleet_simulation::machine_list::unresponsive,
+    shard_number shards = 1)
 {
-    INFO("seed " << seed);
-    fleet_simulation world(seed, machines);
+    INFO("seed " << seed << ", " << shards << " shards");
+    fleet_simulation world(seed, machines, shards);
     world.run_for(seconds(2));
     std::set<job_id> cancelled;
     std::set<job_id> failing_jobs;
@@ -123,6 +124,40 @@
     }
 }
 
+TEST_CASE("with control divided into shards, no rule is violated under faults")
+{
+    for (std::uint64_t seed = 9000; seed < 9100; ++seed) {
+        run_simulation(seed, 12, fleet_simulation::machine_list::answers, 2);
+    }
+}
+
+TEST_CASE("shards spread over the entries, and each goes on while another has no leader")
+{
+    fleet_simulation world(11, fleet_simulation::machine_list::answers, 2);
+    world.run_for(seconds(2));
+    REQUIRE(world.leader(0));
+    REQUIRE(world.leader(1));
+    CHECK(world.leader(0) != world.leader(1));
+    std::vector<job_id> of_second;
+    while (of_second.size() < 3) {
+        const job_id id = world.submit(two_step_job(1, milliseconds(300)));
+        if (world.shard_of(id) == 1) {
+            of_second.push_back(id);
+        }
+    }
+    world.kill(*world.leader(0));
+    world.run_for(milliseconds(1500));
+    for (const job_id& id : of_second) {
+        CHECK((!world.accepted().contains(id) || world.stored_state(id) == "completed"));
+    }
+    world.run_for(seconds(8));
+    CHECK(world.leader(0));
+    for (const job_id& id : world.accepted()) {
+        CHECK(world.stored_state(id) == "completed");
+    }
+    check_no_violations(world.workers());
+}
+
 TEST_CASE("under random faults, with more seeds, no rule is violated; to be run by hand",
           "[.][long]")
 {
@@ -132,6 +167,9 @@
     for (std::uint64_t seed = 5150; seed < 9000; ++seed) {
         run_simulation(seed, 12, fleet_simulation::machine_list::answers);
     }
+    for (std::uint64_t seed = 9100; seed < 12000; ++seed) {
+        run_simulation(seed, 12, fleet_simulation::machine_list::answers, 2);
+    }
 }
 
 TEST_CASE("when the leader is killed, another entry leads within 4 s and running tasks go on")
@@ -224,8 +262,8 @@
     world.run_for(fleet_simulation::state_retention_time / 2 + seconds(2));
     for (const job_id& id : {first, cancelled}) {
         CHECK(world.stored_state(id) == "none");
-        CHECK(world.rows().find(accepted_address(id)) == nullptr);
-        CHECK(world.rows().find(cancelled_address(id)) == nullptr);
+        CHECK(world.rows().find(accepted_address(0, id)) == nullptr);
+        CHECK(world.rows().find(cancelled_address(0, id)) == nullptr);
     }
-    CHECK(world.rows().find(accepted_address(open)) != nullptr);
+    CHECK(world.rows().find(accepted_address(0, open)) != nullptr);
 }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -146,6 +146,9 @@
     /// Records that the platform lists a worker, or that it no longer does.
     void note_worker_listed(worker_listing listing, time_point now);
     void note_worker_unlisted(const instance_id& id, time_point now);
+    /// Records that an instance, which need not be a worker of this scheduler, has this address: an
+    /// earlier one at the address has ended.
+    void note_address_taken(const std::string& address, const instance_id& by, time_point now);
     /// Records that the worker has ended for certain: nothing runs there any more.
     void note_worker_ended(const instance_id& id, time_point now);
     /// Records which workers are alive, and their services, including workers that are not listed.
@@ -289,6 +292,8 @@
     /// Jobs that were cancelled before they were submitted.
     std::set<job_id> m_cancelled_early;
     std::map<instance_id, worker_record> m_workers;
+    /// The latest worker listed at each address.
+    std::unordered_map<std::string, instance_id> m_worker_at_address;
     /// Workers that were alive when this process became leader and haven't answered it; nullopt
     /// until live workers were reported.
     std::optional<std::map<instance_id, service_id>> m_unacknowledged_workers;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -28,16 +28,28 @@
 
 } // namespace
 
-void scheduler::note_worker_listed(worker_listing listing, time_point now)
+void scheduler::note_address_taken(const std::string& address, const instance_id& by,
+                                   time_point now)
 {
     m_now = now;
-    for (auto& [id, other] : m_workers) {
-        // An address belongs to one instance at a time, so the earlier one has ended.
-        if (id != listing.id && other.listing.address == listing.address) {
-            mark_runs_lost(other);
-            other.listed = false;
-        }
+    const auto holder = m_worker_at_address.find(address);
+    if (holder == m_worker_at_address.end() || holder->second == by) {
+        return;
     }
+    const auto earlier = m_workers.find(holder->second);
+    m_worker_at_address.erase(holder);
+    // An address belongs to one instance at a time.
+    if (earlier != m_workers.end() && earlier->second.listing.address == address) {
+        mark_runs_lost(earlier->second);
+        earlier->second.listed = false;
+    }
+}
+
+void scheduler::note_worker_listed(worker_listing listing, time_point now)
+{
+    m_now = now;
+    note_address_taken(listing.address, listing.id, now);
+    m_worker_at_address[listing.address] = listing.id;
     const instance_id id = listing.id;
     worker_record& worker = m_workers[id];
     if (worker.listing.id.empty()) {
