fleet: Read a table's partitions to the end while the store fails a part of the calls

With a third of the calls refused such a read practically never ends, so no leader became ready until the trouble was over. Now only the failed page is read again; the change feed still continues from the oldest page. Entries also took one failed call for a store that is away, flapped between both views and granted the old leader more time at each change; now the store counts as unreachable after 700 ms without any answer.

An empty answer now shows that nothing changed during its wait.

--- a/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
@@ -103,6 +103,7 @@
     timer_id m_tick_timer = timer_id::none;
     bool m_resigning = false;
     bool m_store_reachable = false;
+    time_point m_last_response{};
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -55,13 +55,13 @@
     void refresh();
     /// Whether a full read has been passed on.
     [[nodiscard]] bool is_complete() const noexcept { return m_complete; }
-    /// All changes until this time have been passed on: it is when the latest call that was
-    /// answered was sent, by the event loop's clock.
+    /// All changes until this time, by the event loop's clock, have been passed on.
     [[nodiscard]] time_point current_as_of() const noexcept { return m_current_as_of; }
 
 private:
     void read_all();
     void read_page(std::size_t partition, std::string from);
+    void retry_page(std::size_t partition, const std::string& from);
     void handle_page(std::size_t partition, const row_page& page);
     void watch();
     void watch_for(milliseconds wait);
@@ -77,6 +77,8 @@
     timer_id m_timer = timer_id::none;
     /// When the pending full read or watch call was sent.
     time_point m_sent_at{};
+    /// How long the pending watch call waits.
+    milliseconds m_wait{0};
     time_point m_current_as_of{};
     row_version m_version = absent;
     bool m_complete = false;
--- a/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
@@ -16,6 +16,11 @@
     fencing_token token = 0;
     /// Delay between two polls of a worker, so that one poll reports several ended runs.
     milliseconds poll_interval{80};
+    /// Up to which the delay rises while the process can't keep up: then fewer reports, of more
+    /// ended runs each, leave more processor time for starts.
+    milliseconds max_poll_interval{250};
+    /// Lateness of the polls above which the process counts as not keeping up.
+    milliseconds max_lateness{8};
     /// Delay after a poll that wasn't answered.
     milliseconds retry_delay{250};
     /// Maximum delay between polls while ended runs can't be acknowledged.
@@ -41,6 +46,8 @@
     void send(const job::orders& orders);
     /// While paused no polls are sent; the results of polls in flight are still processed.
     void set_paused(bool paused);
+    /// The delay between two polls of a worker at the current load.
+    [[nodiscard]] milliseconds current_interval() const noexcept { return m_interval; }
 
 private:
     struct polled_worker {
@@ -54,6 +61,8 @@
     void handle_poll_result(const instance_id& id, time_point sent, const poll_result& result);
     void poll_after(const instance_id& id, milliseconds delay);
     [[nodiscard]] milliseconds delay_after_report(const instance_id& id, polled_worker& polled);
+    /// Adapts the interval to the lateness of a poll that was due at `due`.
+    void note_lateness(time_point due);
     [[nodiscard]] worker_address address_of(const instance_id& id) const;
 
     event_loop& m_loop;
@@ -64,6 +73,7 @@
     event m_on_stale_token;
     std::shared_ptr<bool> m_alive;
     std::map<instance_id, polled_worker> m_polled;
+    milliseconds m_interval;
     bool m_paused = false;
     metric_counter& m_polls;
     metric_counter& m_missed_polls;
--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds shared_watch_batch_delay{250};
 constexpr milliseconds commit_timeout{1500};
 constexpr milliseconds create_retry_delay{500};
+/// A failed call shows that the store is unreachable only if no call was answered for this long: it
+/// may refuse a part of the calls.
+constexpr milliseconds max_response_gap{700};
 
 } // namespace
 
@@ -235,6 +238,13 @@
 
 void shard_set::note_store(bool reachable)
 {
+    const time_point now = m_context.loop.now();
+    if (reachable) {
+        m_last_response = now;
+    }
+    else if (now - m_last_response < max_response_gap) {
+        return;
+    }
     if (std::exchange(m_store_reachable, reachable) != reachable) {
         if (reachable) {
             leader_log.info("the store is reachable");
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -36,24 +36,33 @@
 
 void table_watcher::read_page(std::size_t partition, std::string from)
 {
-    m_store.read({.table = m_options.table,
-                  .partition = m_options.partitions[partition],
-                  .from = std::move(from)},
-                 m_options.read_timeout,
-                 [this, partition, alive = m_alive,
-                  attempt = m_attempt](const std::optional<row_page>& page) {
-                     if (!*alive || attempt != m_attempt) {
-                         return;
-                     }
-                     if (page) {
-                         handle_page(partition, *page);
-                         return;
-                     }
-                     // Ignores the other partitions' answers to this attempt.
-                     ++m_attempt;
-                     m_handlers.on_failure();
-                     schedule(m_options.retry_delay, &table_watcher::read_all);
-                 });
+    m_store.read(
+        {.table = m_options.table, .partition = m_options.partitions[partition], .from = from},
+        m_options.read_timeout,
+        [this, partition, from, alive = m_alive,
+         attempt = m_attempt](const std::optional<row_page>& page) {
+            if (!*alive || attempt != m_attempt) {
+                return;
+            }
+            if (page) {
+                handle_page(partition, *page);
+                return;
+            }
+            m_handlers.on_failure();
+            retry_page(partition, from);
+        });
+}
+
+void table_watcher::retry_page(std::size_t partition, const std::string& from)
+{
+    // The pages that were read stay valid: the change feed continues from the oldest one. A full
+    // read that starts over with each failure would hardly end while a part of the calls fails.
+    m_loop.call_after(m_options.retry_delay,
+                      [this, partition, from, alive = m_alive, attempt = m_attempt] {
+                          if (*alive && attempt == m_attempt) {
+                              read_page(partition, from);
+                          }
+                      });
 }
 
 void table_watcher::handle_page(std::size_t partition, const row_page& page)
@@ -116,6 +125,7 @@
 {
     ++m_attempt;
     m_sent_at = m_loop.now();
+    m_wait = wait;
     m_store.watch(m_options.table, m_version, wait,
                   [this, alive = m_alive, attempt = m_attempt](const row_watch_result& result) {
                       if (*alive && attempt == m_attempt) {
@@ -146,7 +156,8 @@
             m_handlers.on_row(row);
         }
     }
-    m_current_as_of = m_sent_at;
+    // An answer without changes shows that there were none during the whole wait.
+    m_current_as_of = result.rows.empty() ? std::min(m_sent_at + m_wait, m_loop.now()) : m_sent_at;
     m_handlers.on_response();
     if (result.rows.empty() || m_options.batch_delay == milliseconds(0)) {
         watch();
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr process::log_part worker_log("worker");
+/// Steps by which the interval rises and falls with each poll; slower downwards, to be steady.
+constexpr milliseconds interval_rise{4};
+constexpr milliseconds interval_fall{1};
 
 metric_options counter_named(std::string name, std::string help)
 {
@@ -30,6 +33,7 @@
       m_on_change(std::move(on_change)),
       m_on_stale_token(std::move(on_stale_token)),
       m_alive(std::make_shared<bool>(true)),
+      m_interval(options.poll_interval),
       m_polls(metrics.counter(counter_named("worker_looks_total", "Polls sent to workers"))),
       m_missed_polls(metrics.counter(
           counter_named("worker_looks_missed_total", "Polls that weren't answered"))),
@@ -86,8 +90,9 @@
 {
     polled_worker& polled = m_polled[id];
     m_loop.cancel(polled.timer);
-    polled.timer = m_loop.call_after(delay, [this, id] {
+    polled.timer = m_loop.call_after(delay, [this, id, due = m_loop.now() + delay] {
         m_polled[id].timer = timer_id::none;
+        note_lateness(due);
         poll(id);
     });
 }
@@ -141,6 +146,13 @@
     m_on_change();
 }
 
+void worker_poller::note_lateness(time_point due)
+{
+    const bool late = m_loop.now() - due > m_options.max_lateness;
+    m_interval = std::clamp(m_interval + (late ? interval_rise : -interval_fall),
+                            m_options.poll_interval, m_options.max_poll_interval);
+}
+
 milliseconds worker_poller::delay_after_report(const instance_id& id, polled_worker& polled)
 {
     const auto worker = m_scheduler.workers().find(id);
@@ -149,11 +161,11 @@
                                worker->second.committed_sequence >= worker->second.applied_sequence;
     if (all_persisted) {
         polled.unacknowledged_delay = milliseconds(0);
-        return m_options.poll_interval;
+        return m_interval;
     }
     polled.unacknowledged_delay =
-        std::clamp(polled.unacknowledged_delay * 2, m_options.poll_interval,
-                   m_options.max_unacknowledged_time);
+        std::clamp(polled.unacknowledged_delay * 2, m_interval,
+                   std::max(m_interval, m_options.max_unacknowledged_time));
     return polled.unacknowledged_delay;
 }
 
