--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -193,8 +193,9 @@
 
     void report_all()
     {
-        for (auto& [id, worker] : m_workers) {
-            const poll_order poll = m_scheduler.next_poll(id, m_now);
+        for (auto& entry : m_workers) {
+            simulated_worker& worker = entry.second;
+            const poll_order poll = m_scheduler.next_poll(worker.id, m_now);
             std::erase_if(worker.ended,
                           [&](const ended_run& end) { return end.sequence <= poll.acknowledged; });
             std::erase_if(worker.running, [&worker, this](const simulated_run& each) {
