fleet: Give tasks that fit beside no long-running task a machine, and divide from 276 machines

The scheduler now reports how many empty workers such tasks need, and the pool gets them. Tasks that no worker could hold, or that ask for a label, bring none. The new planner test fails without it (no order).

--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -78,7 +78,7 @@
     void persist_cancellation(const located_job& job, time_point deadline, cancel_callback done);
     void state_from_store(const located_job& job, state_callback done);
     void state_from_accepted_rows(const located_job& job, state_callback done);
-    void pending_in(shard_number shard, const std::string& queue, pending_callback done);
+    void pending_in(shard_number shard, const std::string& queue, const pending_callback& done);
 
     event_loop& m_loop;
     row_store& m_store;
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -143,6 +143,8 @@
                 const std::map<service_id, job::service_load>& loads);
     /// Counts the machines that serve a pool, or will after a planned move.
     [[nodiscard]] std::uint32_t count_present(const service_id& pool) const;
+    /// Counts the machines of the pool that are up and have no planned order.
+    [[nodiscard]] std::uint32_t count_settled(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
                                       time_point now);
     [[nodiscard]] double needed_capacity(const service_id& pool, const job::service_load& load,
--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -60,7 +60,7 @@
 
 private:
     void read_all();
-    void read_page(std::size_t partition, std::string from);
+    void read_page(std::size_t partition, const std::string& from);
     void retry_page(std::size_t partition, const std::string& from);
     void handle_page(std::size_t partition, const row_page& page);
     void watch();
--- a/packages/fleet/src/job_request_handler.cpp
+++ b/packages/fleet/src/job_request_handler.cpp
@@ -242,13 +242,13 @@
 }
 
 void job_request_handler::pending_in(shard_number shard, const std::string& queue,
-                                     pending_callback done)
+                                     const pending_callback& done)
 {
     if (leader_session* const session = ready_session(shard); session != nullptr) {
         done(session->pending(queue));
         return;
     }
-    m_shards[shard].leader.pending(queue, std::move(done));
+    m_shards[shard].leader.pending(queue, done);
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -333,6 +333,11 @@
             load.min_workers == 0
                 ? machines
                 : std::max(machines, load.min_workers + spare + under_maintenance(pool));
+        if (load.blocked_workers > 0) {
+            // All machines of the pool together may have room enough, but none has it for one task.
+            states[pool].wanted =
+                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
+        }
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = count_present(pool);
@@ -359,13 +364,7 @@
     if (load == loads.end() || load->second.min_workers == 0) {
         return true;
     }
-    const auto available = static_cast<std::uint32_t>(
-        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            const machine_record& machine = each.second;
-            return machine.pool == pool && machine.state == machine_state::up &&
-                   !machine.planned_order;
-        }));
-    return available > load->second.min_workers + 1;
+    return count_settled(pool) > load->second.min_workers + 1;
 }
 
 std::uint32_t machine_planner::count_present(const service_id& pool) const
@@ -380,6 +379,15 @@
         }));
 }
 
+std::uint32_t machine_planner::count_settled(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            return each.second.pool == pool && each.second.state == machine_state::up &&
+                   !each.second.planned_order;
+        }));
+}
+
 std::string machine_planner::move_candidate(const service_id& pool, time_point now) const
 {
     const std::string* best = nullptr;
--- a/packages/fleet/src/shard_layout.cpp
+++ b/packages/fleet/src/shard_layout.cpp
@@ -38,7 +38,9 @@
                                   const fleet_config& config, const shard_layout_options& options)
 {
     shard_layout layout;
-    const auto wanted = static_cast<std::uint32_t>(machines.size()) / options.machines_per_shard;
+    const auto machine_count = static_cast<std::uint32_t>(machines.size());
+    const std::uint32_t wanted =
+        (machine_count + options.machines_per_shard - 1) / options.machines_per_shard;
     const bool racks_known = std::none_of(machines.begin(), machines.end(),
                                           [](const auto& each) { return each.rack.empty(); });
     layout.m_count = racks_known ? std::clamp(wanted, 1U, options.max_shards) : 1U;
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-void table_watcher::read_page(std::size_t partition, std::string from)
+void table_watcher::read_page(std::size_t partition, const std::string& from)
 {
     m_store.read(
         {.table = m_options.table, .partition = m_options.partitions[partition], .from = from},
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -44,6 +44,12 @@
     return listing;
 }
 
+job::worker_listing in_pool(job::worker_listing listing, const service_id& pool)
+{
+    listing.service = pool;
+    return listing;
+}
+
 std::vector<std::string> machines_of(const machine_orders& planned)
 {
     std::vector<std::string> names;
@@ -396,3 +402,35 @@
         CHECK(ended_workers({other}, asked, scheduler).empty());
     }
 }
+
+TEST_CASE("a task that fits beside no long-running task gets a machine from another pool")
+{
+    // Each of the two workers of the pool has 800 of its 1,000 left, together more than enough.
+    const std::vector workers{listing_of("m1", "w1"),
+                              at_address(listing_of("m2", "w2"), "10.0.0.2:80"),
+                              in_pool(at_address(listing_of("m3", "w3"), "10.0.0.3:80"), reserve),
+                              in_pool(at_address(listing_of("m4", "w4"), "10.0.0.4:80"), reserve)};
+    job::scheduler scheduler = scheduler_with(workers);
+    scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
+    scheduler.note_live_workers({}, start);
+    const auto submit = [&](const std::string& id, const job::step_spec& step) {
+        auto spec = std::make_shared<job::job_spec>();
+        spec->steps = {step};
+        scheduler.submit(job_id(id), "q", std::move(spec), start, false);
+    };
+    submit("lasting",
+           {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
+    REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
+    submit("wide", {.count = 1, .need = {.cpu_millis = 900}, .estimate = seconds(1)});
+    REQUIRE(scheduler.plan(start, wall_time()).starts.empty());
+
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}, {.id = reserve}});
+    planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2"),
+                               machine_up("m3", reserve, "w3"), machine_up("m4", reserve, "w4")},
+                              start);
+    const auto planned = planner.plan(start, scheduler);
+    REQUIRE(planned.orders.size() == 1);
+    CHECK(planned.orders[0].action == machine_action::move);
+    CHECK(planned.orders[0].pool == checks);
+}
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -119,6 +119,8 @@
     std::uint64_t submitted_jobs = 0;
     /// Smallest number of workers on which each long-running step fits by its max_per_worker.
     std::uint32_t min_workers = 0;
+    /// Further workers needed by ready tasks that fit beside the long-running tasks of no worker.
+    std::uint32_t blocked_workers = 0;
 };
 
 /// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
@@ -265,6 +267,12 @@
     [[nodiscard]] bool may_evict(job_record& job, const task_name& name, time_point now);
     void send_stops(time_point now);
     void throttle_best_effort(time_point now);
+    /// The capacity that long-running tasks leave on each usable worker, by service.
+    [[nodiscard]] std::map<service_id, std::vector<resources>> lasting_room() const;
+    /// The number of empty workers that `tasks` ready tasks of the step need since no worker of the
+    /// service has room for one; 0 if one has, or if no worker at all is large enough.
+    [[nodiscard]] std::uint32_t workers_for_blocked(const step_spec& step, std::uint32_t tasks,
+                                                    const std::vector<resources>& rooms) const;
     void note_token_acknowledged(const instance_id& id);
     void refresh_services_in_doubt();
     /// Whether a worker that hasn't answered this process may still run tasks of an inherited job.
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -327,9 +327,52 @@
     m_persisting.clear();
 }
 
+std::map<service_id, std::vector<resources>> scheduler::lasting_room() const
+{
+    std::map<service_id, std::vector<resources>> rooms;
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker.is_usable(m_now)) {
+            continue;
+        }
+        resources room = worker.listing.capacity;
+        for (const auto& [name, run] : worker.runs) {
+            room -= run.long_running ? run.footprint : resources{};
+        }
+        rooms[worker.listing.service].push_back(room);
+    }
+    return rooms;
+}
+
+std::uint32_t scheduler::workers_for_blocked(const step_spec& step, std::uint32_t tasks,
+                                             const std::vector<resources>& rooms) const
+{
+    const resources need = step.footprint();
+    const auto fits = [&](const resources& room) { return room.can_fit(need); };
+    if (tasks == 0 || !step.required_label.empty() ||
+        std::any_of(rooms.begin(), rooms.end(), fits)) {
+        return 0;
+    }
+    std::int64_t per_worker = 0;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.listing.capacity.can_fit(need)) {
+            const auto& capacity = worker.listing.capacity;
+            const auto by_cpu = capacity.cpu_millis / std::max<std::int64_t>(need.cpu_millis, 1);
+            const auto by_memory = capacity.memory_mb / std::max<std::int64_t>(need.memory_mb, 1);
+            per_worker = std::max(per_worker, std::min(by_cpu, by_memory));
+        }
+    }
+    return per_worker == 0 ? 0 : static_cast<std::uint32_t>((tasks + per_worker - 1) / per_worker);
+}
+
 std::map<service_id, service_load> scheduler::loads() const
 {
     std::map<service_id, service_load> loads;
+    const auto rooms = lasting_room();
+    const auto rooms_of = [&](const service_id& service) -> const std::vector<resources>& {
+        static const std::vector<resources> none;
+        const auto found = rooms.find(service);
+        return found == rooms.end() ? none : found->second;
+    };
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
         service_load& load = loads[job.queue().service];
@@ -350,6 +393,8 @@
                 if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
                     load.ready += cpu * record.waiting;
                     load.ready_work += work_of(spec, record.waiting);
+                    load.blocked_workers +=
+                        workers_for_blocked(spec, record.waiting, rooms_of(job.queue().service));
                 }
             }
         }
