fleet: Notice a released shard within 0.1 s

The entries' shared watch of all leaders' rows waited 0.25 s after each change, which a handover at a SIGTERM waits for too. At 0.1 s an entry makes at most some 10 calls a second, and 2.5 or 5 with two or four leaders.

--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -59,7 +59,7 @@
                 cancel_callback done);
     void state(const std::string& queue, const job_id& id, state_callback done);
     /// Counts the pending jobs of a queue. No value if a leader can't be asked.
-    void pending(const std::string& queue, pending_callback done);
+    void pending(const std::string& queue, const pending_callback& done);
 
 private:
     struct shard_access {
--- a/packages/fleet/src/job_request_handler.cpp
+++ b/packages/fleet/src/job_request_handler.cpp
@@ -218,7 +218,7 @@
                  });
 }
 
-void job_request_handler::pending(const std::string& queue, pending_callback done)
+void job_request_handler::pending(const std::string& queue, const pending_callback& done)
 {
     if (!m_layout) {
         done(std::nullopt);
--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds tick_period{50};
 constexpr milliseconds watch_wait{1000};
 /// With several leaders, their renewals are read in batches.
-constexpr milliseconds shared_watch_batch_delay{250};
+constexpr milliseconds shared_watch_batch_delay{100};
 constexpr milliseconds commit_timeout{1500};
 constexpr milliseconds create_retry_delay{500};
 /// A failed call shows that the store is unreachable only if no call was answered for this long: it
