--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -280,8 +280,9 @@
 }
 
 double machine_planner::needed_capacity(const service_id& pool, const job::service_load& load,
-                                        double machine_capacity, double arrivals) const
+                                        double machine_capacity, time_point now)
 {
+    const double arrivals = arrival_rate(pool, load, now);
     const double present_capacity = machine_capacity * count_present(pool) - load.long_running;
     const double current_load = load.running + load.ready;
     // The backlog by the time that a move could be completed.
@@ -324,24 +325,18 @@
         if (machine_capacity <= 0) {
             continue;
         }
-        const double arrivals = arrival_rate(pool, load, now);
-        const auto machines_for = [&](const job::service_load& demand) {
-            const double needed = needed_capacity(pool, demand, machine_capacity, arrivals);
-            return static_cast<std::uint32_t>(
-                std::ceil(needed / machine_capacity * percent / m_options.max_load_percent));
-        };
+        const double needed = needed_capacity(pool, load, machine_capacity, now);
+        const auto machines = static_cast<std::uint32_t>(
+            std::ceil(needed / machine_capacity * percent / m_options.max_load_percent));
         // Long-running steps must fit onto the remaining machines while others are maintained.
-        const std::uint32_t least =
-            load.min_workers == 0 ? 0 : load.min_workers + spare + under_maintenance(pool);
-        job::service_load with_late = load;
-        with_late.ready += load.late_ready;
-        with_late.ready_work += load.late_ready_work;
-        pool_state& state = states[pool];
-        state.wanted = std::max(machines_for(load), least);
-        state.wanted_with_late = std::max(machines_for(with_late), least);
+        states[pool].wanted =
+            load.min_workers == 0
+                ? machines
+                : std::max(machines, load.min_workers + spare + under_maintenance(pool));
         if (load.blocked_workers > 0) {
             // All machines of the pool together may have room enough, but none has it for one task.
-            state.wanted = std::max(state.wanted, count_settled(pool) + load.blocked_workers);
+            states[pool].wanted =
+                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
         }
     }
     for (const auto& [pool, settings] : m_pools) {
@@ -421,11 +416,6 @@
         }
     }
     auto states = pool_states(now, scheduler, loads);
-    // Jobs that can still meet their objective come before a backlog that is late already.
-    move_machines(now, states, out);
-    for (auto& [pool, state] : states) {
-        state.wanted = std::max(state.wanted, state.wanted_with_late);
-    }
     move_machines(now, states, out);
     for (const std::string& name : m_previous_moves) {
         const machine_record& machine = m_machines[name];
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -109,13 +109,10 @@
     double long_running = 0;
     /// Of the other tasks that are running.
     double running = 0;
-    /// Of tasks that are ready to run, in jobs that aren't late yet.
+    /// Of tasks that are ready to run.
     double ready = 0;
-    /// Estimated work of these tasks, in thousandths of a core times seconds.
+    /// Estimated work of tasks that are ready to run, in thousandths of a core times seconds.
     double ready_work = 0;
-    /// The same for the ready tasks of jobs that are past their objective.
-    double late_ready = 0;
-    double late_ready_work = 0;
     /// Estimated work of all jobs submitted to this scheduler without their long-running steps, in
     /// thousandths of a core times seconds.
     double submitted_work = 0;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -375,7 +375,6 @@
     };
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
-        const bool is_late = !job.is_long_running() && m_now > job.objective();
         service_load& load = loads[job.queue().service];
         for (const auto& [number, occurrence] : job.occurrences()) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -392,9 +391,8 @@
                 const std::uint32_t open = spec.count - record.done;
                 load.running += cpu * (open - record.waiting);
                 if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
-                    (is_late ? load.late_ready : load.ready) += cpu * record.waiting;
-                    (is_late ? load.late_ready_work : load.ready_work) +=
-                        work_of(spec, record.waiting);
+                    load.ready += cpu * record.waiting;
+                    load.ready_work += work_of(spec, record.waiting);
                     load.blocked_workers +=
                         workers_for_blocked(spec, record.waiting, rooms_of(job.queue().service));
                 }
