fleet: Claim leadership only on a recent view of the leaders' rows

The claim is conditioned on the claim row, which renewals leave as it is.

Now nothing is claimed unless the rows were read within 1.3 s (a watch call is renewed each second). Ruled out: load on the test machine; the log shows the claims. The new test fails without it.

--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -26,6 +26,9 @@
 /// A failed call shows that the store is unreachable only if no call was answered for this long: it
 /// may refuse a part of the calls.
 constexpr milliseconds max_response_gap{700};
+/// Nothing is claimed on a view of the leaders' rows that is older than this: an entry that was
+/// frozen hasn't seen their renewals. A watch call is renewed each watch_wait.
+constexpr milliseconds max_leader_view_age{1300};
 
 } // namespace
 
@@ -263,6 +266,10 @@
 
 void shard_set::check_elections()
 {
+    if (!m_leader_rows ||
+        m_context.loop.now() - m_leader_rows->current_as_of() > max_leader_view_age) {
+        return;
+    }
     for (const auto& elector : m_electors) {
         const auto engaged = std::count_if(m_electors.begin(), m_electors.end(),
                                            [](const auto& each) { return each->is_engaged(); });
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -131,6 +131,24 @@
     }
 }
 
+TEST_CASE("an entry that was frozen doesn't claim shards whose leaders have renewed meanwhile")
+{
+    fleet_simulation world(12, fleet_simulation::machine_list::answers, 2);
+    world.run_for(seconds(2));
+    const auto first = world.leader(0);
+    const auto second = world.leader(1);
+    REQUIRE(first);
+    REQUIRE(second);
+    for (std::size_t entry = 0; entry < fleet_simulation::entry_count; ++entry) {
+        if (entry != *first && entry != *second) {
+            world.entry(entry).loop().suspend_for(seconds(5));
+        }
+    }
+    world.run_for(seconds(8));
+    CHECK(world.leader(0) == first);
+    CHECK(world.leader(1) == second);
+}
+
 TEST_CASE("shards spread over the entries, and each goes on while another has no leader")
 {
     fleet_simulation world(11, fleet_simulation::machine_list::answers, 2);
