job: Let a long-running task return to a worker where it failed

With one task per worker and a shard's part of the pool all others had a sibling, so the task didn't run from 28 s on. Long-running tasks have no limit on attempts; they still prefer other workers.

--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -210,10 +210,11 @@
     };
     const auto& candidates = m_candidates[job.queue().service];
     // A worker that fails the tasks it starts is the first to have free capacity again. No further
-    // attempt is spent on it while another worker may become free.
-    const bool others =
-        !task.avoided.empty() && std::any_of(candidates.begin(), candidates.end(),
-                                             [&](const auto* each) { return !is_avoided(*each); });
+    // attempt is spent on it while another worker may become free. Long-running tasks have no limit
+    // on attempts, and with one task per worker the others may never have room.
+    const bool others = !spec.long_running && !task.avoided.empty() &&
+                        std::any_of(candidates.begin(), candidates.end(),
+                                    [&](const auto* each) { return !is_avoided(*each); });
     const auto suits = [&](const worker_record& worker) {
         if (others && is_avoided(worker)) {
             return false;
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -153,6 +153,20 @@
     CHECK(fixture.subject.find(id)->state() == job_state::failed);
 }
 
+TEST_CASE("a long-running task returns to a worker where it failed if the others have no room")
+{
+    scheduler_fixture world({"w1", "w2"});
+    world.submit(
+        "a", {.count = 2, .need = {.cpu_millis = 100}, .max_per_worker = 1, .long_running = true});
+    const orders first = world.plan();
+    REQUIRE(first.starts.size() == 2);
+    const start_order failing = first.starts[0];
+    world.end(failing.worker, failing.run, run_end_reason::failed);
+    const orders second = world.plan();
+    REQUIRE(second.starts.size() == 1);
+    CHECK(second.starts[0].worker == failing.worker);
+}
+
 TEST_CASE("ended runs are acknowledged only after their effects are durable")
 {
     scheduler_fixture fixture({"w1"});
