--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -33,6 +33,12 @@
     time_point first_config_at{};
 };
 
+/// A wave and the time at which it was first read.
+struct received_wave {
+    wave_request request;
+    time_point first_seen{};
+};
+
 /// Loop thread only.
 class leader_elector {
 public:
@@ -76,12 +82,6 @@
     [[nodiscard]] const leader_tracker& tracker() const noexcept { return m_leadership; }
 
 private:
-    /// A wave and the time at which it was first read.
-    struct received_wave {
-        wave_request request;
-        time_point first_seen{};
-    };
-
     void try_claim();
     void confirm_claim(time_point sent);
     void handle_confirmation(time_point sent, const std::optional<row_page>& page);
--- a/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
@@ -66,11 +66,6 @@
     }
 
 private:
-    struct received_wave {
-        wave_request request;
-        time_point first_seen{};
-    };
-
     void read_layout();
     void note_layout(const stored_row& row);
     /// Creates the layout if no other entry has done so for a while.
