job: Compute the room beside long-running tasks only while tasks wait

The planner asks for the loads ten times a second, and each time the room on all workers was summed over all runs, also where no task waited for a place. Behaviour is unchanged: job_test and fleet_test passed, the file is clean in lint.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -270,7 +270,8 @@
     /// The capacity that long-running tasks leave on each usable worker, by service.
     [[nodiscard]] std::map<service_id, std::vector<resources>> lasting_room() const;
     /// The number of empty workers that `tasks` ready tasks of the step need since no worker of the
-    /// service has room for one; 0 if one has, or if no worker at all is large enough.
+    /// service has room for one; 0 if one has, or if no worker at all is large enough. Requires
+    /// that `tasks` is not 0.
     [[nodiscard]] std::uint32_t workers_for_blocked(const step_spec& step, std::uint32_t tasks,
                                                     const std::vector<resources>& rooms) const;
     void note_token_acknowledged(const instance_id& id);
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -348,8 +349,7 @@
 {
     const resources need = step.footprint();
     const auto fits = [&](const resources& room) { return room.can_fit(need); };
-    if (tasks == 0 || !step.required_label.empty() ||
-        std::any_of(rooms.begin(), rooms.end(), fits)) {
+    if (!step.required_label.empty() || std::any_of(rooms.begin(), rooms.end(), fits)) {
         return 0;
     }
     std::int64_t per_worker = 0;
@@ -367,11 +367,13 @@
 std::map<service_id, service_load> scheduler::loads() const
 {
     std::map<service_id, service_load> loads;
-    const auto rooms = lasting_room();
+    // Needed only while tasks wait.
+    std::optional<std::map<service_id, std::vector<resources>>> rooms;
     const auto rooms_of = [&](const service_id& service) -> const std::vector<resources>& {
-        static const std::vector<resources> none;
-        const auto found = rooms.find(service);
-        return found == rooms.end() ? none : found->second;
+        if (!rooms) {
+            rooms = lasting_room();
+        }
+        return (*rooms)[service];
     };
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
@@ -393,8 +395,10 @@
                 if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
                     load.ready += cpu * record.waiting;
                     load.ready_work += work_of(spec, record.waiting);
-                    load.blocked_workers +=
-                        workers_for_blocked(spec, record.waiting, rooms_of(job.queue().service));
+                    if (record.waiting > 0) {
+                        load.blocked_workers += workers_for_blocked(spec, record.waiting,
+                                                                    rooms_of(job.queue().service));
+                    }
                 }
             }
         }
