--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -57,7 +57,6 @@
     /// entry.
     void set_other_leader(shard_number shard, const std::optional<leader_claim>& claim);
     void probe_leader(shard_number shard);
-    [[nodiscard]] leader_session* ready_session(shard_number shard);
     void tick();
 
     session_context m_context;
--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -50,6 +50,8 @@
     void set_layout(std::shared_ptr<const shard_layout> layout);
     /// Sets the session while this entry leads the shard, else null.
     void set_session(shard_number shard, leader_session* session);
+    /// Null unless this entry leads the shard and has read its jobs.
+    [[nodiscard]] leader_session* ready_session(shard_number shard) const;
     /// The connection to the shard's leader. Requires that the layout is set and has the shard.
     [[nodiscard]] peer_client& leader_of(shard_number shard) { return m_shards[shard].leader; }
 
@@ -73,8 +75,6 @@
     };
 
     [[nodiscard]] located_job locate(const std::string& queue, const job_id& id) const;
-    /// Null unless this entry leads the shard and has read its jobs.
-    [[nodiscard]] leader_session* ready_session(shard_number shard) const;
     void persist_cancellation(const located_job& job, time_point deadline, cancel_callback done);
     void state_from_store(const located_job& job, state_callback done);
     void state_from_accepted_rows(const located_job& job, state_callback done);
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -57,24 +57,17 @@
     m_context.loop.cancel(m_tick_timer);
 }
 
-leader_session* fleet_entry::ready_session(shard_number shard)
-{
-    leader_elector* const elector = m_shards.elector(shard);
-    leader_session* const session = elector == nullptr ? nullptr : elector->session();
-    return session != nullptr && session->is_ready() ? session : nullptr;
-}
-
 void fleet_entry::listen()
 {
     peer_state_source source{
         .incarnation = m_options.shards.election.incarnation,
         .state = [this](shard_number shard, const job_id& id) -> std::optional<job::job_state> {
-            leader_session* const session = ready_session(shard);
+            leader_session* const session = m_jobs.ready_session(shard);
             return session == nullptr ? std::nullopt : session->state_of(id);
         },
         .pending = [this](shard_number shard,
                           const std::string& queue) -> std::optional<std::size_t> {
-            leader_session* const session = ready_session(shard);
+            leader_session* const session = m_jobs.ready_session(shard);
             return session == nullptr ? std::nullopt : std::optional(session->pending(queue));
         }};
     m_peer_server = std::make_unique<connection::http_server>(
