store, fleet: Log and count what delays a configuration at an entry

A failed watch call left no trace but a counter over all calls, so the incident's hypotheses could not be told apart.

--- a/packages/connection/include/plantaindoor/connection/http_client.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_client.hpp
@@ -74,6 +74,8 @@
     transport_fault fault = transport_fault::none;
     /// False only if no byte of the request can have reached the other side.
     bool sent = false;
+    /// The request went out on a connection that had carried an earlier call.
+    bool on_kept_connection = false;
     http_response response;
     /// Bytes of the request and of the answer as they were on the wire, heads included.
     std::uint64_t bytes_sent = 0;
--- a/packages/connection/src/curl_transfer.cpp
+++ b/packages/connection/src/curl_transfer.cpp
@@ -128,6 +128,7 @@
         return CURL_PREREQFUNC_ABORT;
     }
     current.result.sent = true;
+    current.result.on_kept_connection = kept;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -58,6 +58,8 @@
     void set_other_leader(shard_number shard, const std::optional<leader_claim>& claim);
     void probe_leader(shard_number shard);
     void tick();
+    void record_delays(time_point now);
+    [[nodiscard]] nanoseconds config_view_age() const;
 
     session_context m_context;
     fleet_entry_options m_options;
@@ -68,7 +70,11 @@
     shard_set m_shards;
     std::unique_ptr<connection::http_server> m_peer_server;
     std::unique_ptr<table_watcher> m_operator_rows;
+    metric_summary& m_loop_delay;
+    metric_gauge& m_config_version;
+    metric_gauge& m_config_view_age;
     timer_id m_tick_timer = timer_id::none;
+    time_point m_tick_due{};
     struct leader_probe {
         time_point next{};
         std::uint32_t refused = 0;
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -13,8 +13,11 @@
 
 constexpr process::log_part config_log("config");
 constexpr process::log_part leader_log("duty");
+constexpr process::log_part loop_log("loop");
 
 constexpr milliseconds tick_interval{50};
+/// A longer delay of the event loop is logged: answers wait that long in the process.
+constexpr milliseconds logged_loop_delay{500};
 constexpr milliseconds reprobe_delay{60};
 /// Refused probes after which the leader's process counts as ended. A single one may be caused by
 /// an interrupted network path.
@@ -44,7 +47,15 @@
                [this](shard_number shard, const std::optional<leader_claim>& claim) {
                    set_other_leader(shard, claim);
                },
-           .on_store = [this] { m_last_store_response = m_context.loop.now(); }})
+           .on_store = [this] { m_last_store_response = m_context.loop.now(); }}),
+      m_loop_delay(context.metrics.summary(
+          {"event_loop_delay_seconds", "How late the event loop runs its timers", {}})),
+      m_config_version(
+          context.metrics.gauge({"configuration_version", "Configuration in force here", {}})),
+      m_config_view_age(
+          context.metrics.gauge({"configuration_view_age_seconds",
+                                 "Time since which a new configuration may not have been received",
+                                 {}}))
 {
     listen();
     watch_operator_rows();
@@ -127,11 +138,14 @@
     if (m_config && config->version <= m_config->version) {
         return;
     }
-    config_log.info(fmt::format("configuration version {} applied: {} routes, {} pools",
-                                config->version, config->routes.size(), config->pools.size()));
+    config_log.info(
+        fmt::format("configuration version {} applied: {} routes, {} pools; the view was {} ms old",
+                    config->version, config->routes.size(), config->pools.size(),
+                    std::chrono::duration_cast<milliseconds>(config_view_age()).count()));
     if (m_config) {
         add_former_services(*m_config, *config);
     }
+    m_config_version.set(static_cast<double>(config->version));
     m_config = std::make_shared<const fleet_config>(std::move(*config));
     m_shards.apply(m_config);
 }
@@ -143,10 +157,27 @@
     m_probes[shard].refused = 0;
 }
 
+nanoseconds fleet_entry::config_view_age() const
+{
+    return m_config ? m_context.loop.now() - m_operator_rows->current_as_of() : nanoseconds(0);
+}
+
+void fleet_entry::record_delays(time_point now)
+{
+    const auto delay = std::chrono::duration_cast<milliseconds>(now - m_tick_due);
+    m_loop_delay.record(delay);
+    if (delay >= logged_loop_delay) {
+        loop_log.warning(fmt::format("the event loop is {} ms late", delay.count()));
+    }
+    m_config_view_age.set(std::chrono::duration<double>(config_view_age()).count());
+}
+
 void fleet_entry::tick()
 {
+    m_tick_due = m_context.loop.now() + tick_interval;
     m_tick_timer = m_context.loop.call_after(tick_interval, [this] {
         const time_point now = m_context.loop.now();
+        record_delays(now);
         for (shard_number shard = 0; shard < m_probes.size() && !m_resigning; ++shard) {
             if (m_jobs.leader_of(shard).has_leader() && now >= m_probes[shard].next) {
                 m_probes[shard].next = now + m_options.probe_interval;
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -1,10 +1,20 @@
 #include "plantaindoor/fleet/table_watcher.hpp"
 
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace plantaindoor::fleet {
 
+namespace {
+
+constexpr process::log_part store_log("store");
+
+} // namespace
+
 table_watcher::table_watcher(event_loop& loop, row_store& store, table_watcher_options options,
                              event_handlers handlers)
     : m_loop(loop),
@@ -142,6 +152,9 @@
         return;
     }
     if (result.outcome == row_watch_outcome::history_lost) {
+        store_log.info(
+            fmt::format("changes of table {} after version {} are lost: reading it again",
+                        m_options.table, m_version));
         read_all();
         return;
     }
