soak: Check that configuration changes are in force, and silence open connections

A new fault silences all open connections to the store; new ones work.

The entry's log shows three watch calls in a row that time out after 2.2 s, each on another kept connection.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -16,6 +16,7 @@
         self.server = None
         self.port = None
         self.writers = set()
+        self.silenced = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -26,6 +27,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence(self):
+        """Drops all further data of the open connections, which stay open. New ones work."""
+        self.silenced |= self.writers
+
     async def serve(self, reader, writer):
         if self.mode == "refuse":
             writer.transport.abort()
@@ -43,13 +48,15 @@
         except asyncio.CancelledError:
             pass  # The event loop is shutting down at the end of the run.
         self.writers -= {writer, target_writer}
+        self.silenced -= {writer, target_writer}
 
     async def forward(self, reader, writer, from_target):
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay_s)
-                if self.mode == "silence" or (self.mode == "cut_answers" and from_target):
+                if (self.mode == "silence" or writer in self.silenced
+                        or (self.mode == "cut_answers" and from_target)):
                     continue  # Dropped: the connection stays open without any further data.
                 writer.write(data)
                 await writer.drain()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 
+from config_check import ConfigCheck
 from platform_stand_in import Platform, now
 from proxy import Proxy
 
@@ -155,6 +156,7 @@
         self.accepted = {}
         self.count = 0
         self.events = []
+        self.config_check = ConfigCheck(self, CONFIG)
 
     @property
     def checker(self):
@@ -174,8 +176,10 @@
         try:
             await asyncio.sleep(2)
             callers = asyncio.create_task(self.run_callers())
+            config_check = asyncio.create_task(self.config_check.run(now() + self.seconds))
             await self.inject_faults()
             await callers
+            await config_check
             await self.settle()
             await self.check_jobs()
         finally:
@@ -225,6 +229,10 @@
                 return
             await asyncio.sleep(0.3)
 
+    async def get_status(self, entry, path):
+        status, _ = await request(entry.ports["callers"], "GET", path)
+        return status
+
     async def inject_faults(self):
         until = now() + self.seconds
         running = []
@@ -235,8 +243,8 @@
 
     async def inject_fault(self):
         faults = [self.kill_entry, self.pause_entry, self.terminate_entry, self.store_fault,
-                  self.store_reset, self.worker_crash, self.worker_delay, self.history_loss,
-                  self.kill_all_entries]
+                  self.store_reset, self.store_silence, self.worker_crash, self.worker_delay,
+                  self.history_loss, self.kill_all_entries]
         fault = self.random.choice(faults)
         self.checker.faults_until = now() + 1000
         self.events.append((round(now(), 2), fault.__name__))
@@ -245,41 +253,54 @@
 
     async def kill_entry(self):
         entry = self.entry()
-        killed = entry.signal_process(signal.SIGKILL)
-        await asyncio.sleep(self.random.uniform(0.1, 2.0))
-        await self.restart(entry, killed)
+        with self.config_check.disturbing(entry):
+            killed = entry.signal_process(signal.SIGKILL)
+            await asyncio.sleep(self.random.uniform(0.1, 2.0))
+            await self.restart(entry, killed)
 
     async def restart(self, entry, ended):
         await ended.wait()
         await entry.ensure_running()
 
     async def kill_all_entries(self):
-        killed = [(entry, entry.signal_process(signal.SIGKILL)) for entry in self.entries]
-        await asyncio.sleep(0.5)
-        for entry, process in killed:
-            await self.restart(entry, process)
+        with self.config_check.disturbing(*self.entries):
+            killed = [(entry, entry.signal_process(signal.SIGKILL)) for entry in self.entries]
+            await asyncio.sleep(0.5)
+            for entry, process in killed:
+                await self.restart(entry, process)
 
     async def pause_entry(self):
         entry = self.entry()
-        entry.signal_process(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.5, 5.0))
-        entry.signal_process(signal.SIGCONT)
+        with self.config_check.disturbing(entry):
+            entry.signal_process(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.5, 5.0))
+            entry.signal_process(signal.SIGCONT)
 
     async def terminate_entry(self):
         entry = self.entry()
-        entry.signal_process(signal.SIGCONT)
-        await self.restart(entry, entry.signal_process(signal.SIGTERM))
+        with self.config_check.disturbing(entry):
+            entry.signal_process(signal.SIGCONT)
+            await self.restart(entry, entry.signal_process(signal.SIGTERM))
 
     async def store_fault(self):
-        proxy = self.entry().store_proxy
-        proxy.mode = self.random.choice(Proxy.MODES[1:])
-        if proxy.mode == "refuse":
-            proxy.reset()
-        await asyncio.sleep(self.random.uniform(0.5, 5.0))
-        proxy.mode = "pass"
+        entry = self.entry()
+        proxy = entry.store_proxy
+        with self.config_check.disturbing(entry):
+            proxy.mode = self.random.choice(Proxy.MODES[1:])
+            if proxy.mode == "refuse":
+                proxy.reset()
+            await asyncio.sleep(self.random.uniform(0.5, 5.0))
+            proxy.mode = "pass"
 
     async def store_reset(self):
-        self.entry().store_proxy.reset()
+        entry = self.entry()
+        with self.config_check.disturbing(entry):
+            entry.store_proxy.reset()
+
+    async def store_silence(self):
+        with self.config_check.disturbing(*self.entries):
+            for entry in self.entries:
+                entry.store_proxy.silence()
 
     async def worker_crash(self):
         await self.platform.crash_worker(self.random.randrange(WORKERS),
@@ -344,6 +365,7 @@
     violations = asyncio.run(soak.run())
     done = sum(1 for task in soak.checker.tasks.values() if task["ever_done"])
     print(f"seed {seed}: {len(soak.accepted)} of {soak.count} jobs accepted, {done} tasks done, "
+          f"{soak.config_check.probed} probes of the configuration, "
           f"{len(soak.checker.refused)} refused, {len(soak.events)} events, "
           f"{len(violations)} broken", flush=True)
     for violation in violations:
