connection: Don't reuse connections that may have gone silent with another one

What callers saw: after all open connections to the store had gone silent (no reset; new ones work), an entry answered 404 for routes that had been confirmed up to 6 s before.

Cause: a call that timed out closed its own connection only. The next one took another idle connection from the pool, which was as silent, and so on: 2.2 s for each watch call, 1.3 s for each transaction, as often as there were idle connections. The class: a retry that shares the fault of the first try.

Fix: a timeout on a connection makes all connections to the same remote end unusable for new calls until they deliver an answer; a call that meets such a connection opens a new one. This holds for every call of the client, so also for workers, machines and peers.

--- a/packages/connection/src/curl_transfer.cpp
+++ b/packages/connection/src/curl_transfer.cpp
@@ -99,12 +99,12 @@
 }
 
 /// Whether the connection of this call is one that was kept and isn't clean any more.
-bool is_unclean(curl_transfer& current, connection_ends ends)
+bool is_unclean(curl_transfer& current)
 {
     if (current.on_kept()) {
-        return current.sockets->has_unasked_bytes(ends);
+        return !current.sockets->is_reusable(current.ends);
     }
-    current.sockets->add(current.opened, std::move(ends));
+    current.sockets->add(current.opened, current.ends);
     return false;
 }
 
@@ -117,9 +117,8 @@
         current.resend_refused = true;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (is_unclean(
-            current,
-            {.remote_address = remote, .remote_port = remote_port, .local_port = local_port})) {
+    current.ends = {.remote_address = remote, .remote_port = remote_port, .local_port = local_port};
+    if (is_unclean(current)) {
         current.unclean = true;
         return CURL_PREREQFUNC_ABORT;
     }
--- a/packages/connection/src/curl_transfer.hpp
+++ b/packages/connection/src/curl_transfer.hpp
@@ -46,6 +46,8 @@
     /// The socket that was opened for this call, if none was kept.
     curl_socket_t opened = CURL_SOCKET_BAD;
     kept_sockets* sockets = nullptr;
+    /// Of the connection that carried the request; set once it was sent.
+    connection_ends ends;
     time_point started{};
 
     /// Whether the call's connection carried another one before; known once the connection stands.
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -159,6 +159,16 @@
         return true;
     }
 
+    void note_connection(const curl_transfer& ended)
+    {
+        if (ended.result.fault == transport_fault::none) {
+            m_sockets.note_answer(ended.ends);
+        }
+        else if (ended.result.fault == transport_fault::timed_out) {
+            m_sockets.note_timeout(ended.ends);
+        }
+    }
+
     static void count_bytes(CURL* easy, http_result& result)
     {
         long request = 0;
@@ -177,6 +187,7 @@
         auto current = std::move(found->second);
         m_transfers.erase(found);
         current->result.fault = fault_of(code, *current);
+        note_connection(*current);
         current->hop.set("fault", std::string(name_of(current->result.fault)));
         if (current->result.fault == transport_fault::none) {
             current->hop.set("status", std::to_string(current->result.response.status));
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -88,6 +90,94 @@
     std::array<int, 8> m_waiting{};
 };
 
+/// Answers each request with an empty 200 response, but never again on connections that were open
+/// when silence() was called. They stay open, as behind a firewall that has lost their state.
+class silenceable_server {
+public:
+    explicit silenceable_server(reactor_loop& loop) : m_loop(loop)
+    {
+        CHECK(::bind(m_listener, address(), sizeof m_address) == 0);
+        CHECK(::listen(m_listener, SOMAXCONN) == 0);
+        socklen_t size = sizeof m_address;
+        ::getsockname(m_listener, address(), &size);
+        m_loop.watch(m_listener, {.readable = true}, [this](io_interest) { accept(); });
+    }
+    silenceable_server(const silenceable_server&) = delete;
+    silenceable_server& operator=(const silenceable_server&) = delete;
+    ~silenceable_server()
+    {
+        for (const int each : m_open) {
+            m_loop.unwatch(each);
+            ::close(each);
+        }
+        m_loop.unwatch(m_listener);
+        ::close(m_listener);
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return ntohs(m_address.sin_port); }
+    [[nodiscard]] std::size_t open_connections() const { return m_open.size(); }
+    void silence() { m_silent = m_open; }
+
+private:
+    sockaddr* address() { return reinterpret_cast<sockaddr*>(&m_address); }
+
+    void accept()
+    {
+        const int accepted = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+        REQUIRE(accepted >= 0);
+        m_open.insert(accepted);
+        m_loop.watch(accepted, {.readable = true},
+                     [this, accepted](io_interest) { receive(accepted); });
+    }
+
+    void receive(int connection)
+    {
+        std::array<char, 4096> request{};
+        if (::recv(connection, request.data(), request.size(), 0) <= 0) {
+            m_loop.unwatch(connection);
+            m_open.erase(connection);
+            m_silent.erase(connection);
+            ::close(connection);
+        }
+        else if (!m_silent.contains(connection)) {
+            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            CHECK(::send(connection, answer.data(), answer.size(), 0) > 0);
+        }
+    }
+
+    reactor_loop& m_loop;
+    sockaddr_in m_address{.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    int m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    std::set<int> m_open;
+    std::set<int> m_silent;
+};
+
+/// A client of a silenceable_server on one loop.
+struct silenceable_loopback {
+    reactor_loop loop;
+    silenceable_server server{loop};
+    http_client client{loop};
+
+    /// Starts calls at the same time and returns their faults in the order in which they end.
+    std::vector<transport_fault> call(std::size_t count, milliseconds timeout)
+    {
+        std::vector<transport_fault> faults;
+        for (std::size_t number = 0; number < count; ++number) {
+            client.start({.to = {.address = "127.0.0.1", .port = server.port()},
+                          .request = {.method = "GET", .target = "/"},
+                          .timeout = timeout},
+                         [&](const http_result& result) {
+                             faults.push_back(result.fault);
+                             if (faults.size() == count) {
+                                 loop.stop();
+                             }
+                         });
+        }
+        loop.run();
+        return faults;
+    }
+};
+
 } // namespace
 
 TEST_CASE("calls that never connect leave the loop whole", "[http]")
@@ -223,6 +313,23 @@
     CHECK(result.sent);
 }
 
+// Guards against a configuration that takes effect late: when all open connections to the store go
+// silent, each retry of a watch call used to take another silent one, and to wait for it.
+TEST_CASE("after a call without an answer, other silent connections aren't used", "[http]")
+{
+    silenceable_loopback both;
+    const std::vector<transport_fault> answered(4, transport_fault::none);
+    REQUIRE(both.call(answered.size(), milliseconds(5000)) == answered);
+    REQUIRE(both.server.open_connections() == answered.size());
+    both.server.silence();
+
+    CHECK(both.call(1, milliseconds(20)).front() == transport_fault::timed_out);
+    for (int retry = 0; retry < 8; ++retry) {
+        CHECK(both.call(1, milliseconds(2000)).front() == transport_fault::none);
+    }
+    CHECK(both.server.open_connections() <= answered.size());
+}
+
 TEST_CASE("an answer given later than its request is delivered", "[http]")
 {
     loopback both;
