fleet: Bring a configuration into force within 2 s though a watch call is lost

What callers saw: with the fix for silent connections, a version that is acknowledged just after the entry's watch call was lost still took effect up to 2.3 s later: 1.5 s wait, 0.7 s until the call's timeout, 0.1 s until the retry. The users' bound is 2 s.

Cause: the wait was chosen without the timeout and the retry that follow it.

The watch on the operator's rows becomes a class of its own, operator_watcher, which a test drives in virtual time; the simulated store now gives up watch calls as late as the real client.

--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -8,8 +8,8 @@
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/job_request_handler.hpp"
 #include "plantaindoor/fleet/job_writer.hpp"
+#include "plantaindoor/fleet/operator_watcher.hpp"
 #include "plantaindoor/fleet/shard_set.hpp"
-#include "plantaindoor/fleet/table_watcher.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -41,7 +41,10 @@
     ~fleet_entry();
 
     /// Returns null until the first configuration has been read.
-    [[nodiscard]] std::shared_ptr<const fleet_config> config() const noexcept { return m_config; }
+    [[nodiscard]] std::shared_ptr<const fleet_config> config() const noexcept
+    {
+        return m_operator_rows.config();
+    }
     [[nodiscard]] job_request_handler& jobs() noexcept { return m_jobs; }
     /// Whether the platform should send callers here.
     [[nodiscard]] bool is_ready() const;
@@ -50,8 +53,6 @@
 
 private:
     void listen();
-    void watch_operator_rows();
-    void handle_operator_row(const stored_row& row);
     void set_layout(const std::shared_ptr<const shard_layout>& layout);
     /// Sets the leader that is queried and probed; no value while there is none or it is this
     /// entry.
@@ -59,20 +60,16 @@
     void probe_leader(shard_number shard);
     void tick();
     void record_delays(time_point now);
-    [[nodiscard]] nanoseconds config_view_age() const;
 
     session_context m_context;
     fleet_entry_options m_options;
     std::shared_ptr<bool> m_alive;
-    std::shared_ptr<const fleet_config> m_config;
     job_writer m_writer;
     job_request_handler m_jobs;
     shard_set m_shards;
     std::unique_ptr<connection::http_server> m_peer_server;
-    std::unique_ptr<table_watcher> m_operator_rows;
     metric_summary& m_loop_delay;
-    metric_gauge& m_config_version;
-    metric_gauge& m_config_view_age;
+    operator_watcher m_operator_rows;
     timer_id m_tick_timer = timer_id::none;
     time_point m_tick_due{};
     struct leader_probe {
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -5,13 +5,11 @@
 #include <fmt/format.h>
 
 #include <utility>
-#include <variant>
 
 namespace plantaindoor::fleet {
 
 namespace {
 
-constexpr process::log_part config_log("config");
 constexpr process::log_part leader_log("duty");
 constexpr process::log_part loop_log("loop");
 
@@ -22,8 +20,6 @@
 /// Refused probes after which the leader's process counts as ended. A single one may be caused by
 /// an interrupted network path.
 constexpr std::uint32_t min_refused_probes = 2;
-/// Bounds the time for which an unresponsive connection delays a new configuration.
-constexpr milliseconds operator_watch_wait{1500};
 /// An entry without a response of the store for this time reports that it isn't ready, so that the
 /// platform sends callers to other entries.
 constexpr milliseconds max_store_response_age{3000};
@@ -50,15 +46,14 @@
            .on_store = [this] { m_last_store_response = m_context.loop.now(); }}),
       m_loop_delay(context.metrics.summary(
           {"event_loop_delay_seconds", "How late the event loop runs its timers", {}})),
-      m_config_version(
-          context.metrics.gauge({"configuration_version", "Configuration in force here", {}})),
-      m_config_view_age(
-          context.metrics.gauge({"configuration_view_age_seconds",
-                                 "Time since which a new configuration may not have been received",
-                                 {}}))
+      m_operator_rows(
+          context.loop, context.store, m_context.codec, context.metrics,
+          {.on_config = [this](const auto& config) { m_shards.apply(config); },
+           .on_wave =
+               [this](const wave_request& wave) { m_shards.add_wave(wave, m_context.loop.now()); },
+           .on_response = [this] { m_last_store_response = m_context.loop.now(); }})
 {
     listen();
-    watch_operator_rows();
     tick();
 }
 
@@ -101,55 +96,10 @@
 
 bool fleet_entry::is_ready() const
 {
-    return m_config != nullptr && m_shards.layout() != nullptr && !m_resigning &&
+    return config() != nullptr && m_shards.layout() != nullptr && !m_resigning &&
            m_context.loop.now() - m_last_store_response < max_store_response_age;
 }
 
-void fleet_entry::watch_operator_rows()
-{
-    m_operator_rows = std::make_unique<table_watcher>(
-        m_context.loop, m_context.store,
-        table_watcher_options{.table = m_context.codec.operator_table, .wait = operator_watch_wait},
-        table_watcher::event_handlers{
-            .on_row = [this](const stored_row& row) { handle_operator_row(row); },
-            .on_complete = [] {},
-            .on_response = [this] { m_last_store_response = m_context.loop.now(); },
-            .on_failure = [] {}});
-}
-
-void fleet_entry::handle_operator_row(const stored_row& row)
-{
-    if (row.removed) {
-        return;
-    }
-    operator_row parsed = m_context.codec.parse_operator_row(row);
-    if (const auto* const wave = std::get_if<wave_request>(&parsed)) {
-        config_log.info(fmt::format("wave {} requested: {} machines, at most {} down at once",
-                                    wave->number, wave->machines.size(), wave->max_down));
-        m_shards.add_wave(*wave, m_context.loop.now());
-        return;
-    }
-    auto* const config = std::get_if<fleet_config>(&parsed);
-    if (config == nullptr) {
-        config_log.warning(
-            fmt::format("operator row {} ignored: it is invalid or has no content", row.at.key));
-        return;
-    }
-    if (m_config && config->version <= m_config->version) {
-        return;
-    }
-    config_log.info(
-        fmt::format("configuration version {} applied: {} routes, {} pools; the view was {} ms old",
-                    config->version, config->routes.size(), config->pools.size(),
-                    std::chrono::duration_cast<milliseconds>(config_view_age()).count()));
-    if (m_config) {
-        add_former_services(*m_config, *config);
-    }
-    m_config_version.set(static_cast<double>(config->version));
-    m_config = std::make_shared<const fleet_config>(std::move(*config));
-    m_shards.apply(m_config);
-}
-
 void fleet_entry::set_other_leader(shard_number shard, const std::optional<leader_claim>& claim)
 {
     m_jobs.leader_of(shard).set_leader(claim ? claim->peer_address : "",
@@ -157,11 +107,6 @@
     m_probes[shard].refused = 0;
 }
 
-nanoseconds fleet_entry::config_view_age() const
-{
-    return m_config ? m_context.loop.now() - m_operator_rows->current_as_of() : nanoseconds(0);
-}
-
 void fleet_entry::record_delays(time_point now)
 {
     const auto delay = std::chrono::duration_cast<milliseconds>(now - m_tick_due);
@@ -169,7 +114,7 @@
     if (delay >= logged_loop_delay) {
         loop_log.warning(fmt::format("the event loop is {} ms late", delay.count()));
     }
-    m_config_view_age.set(std::chrono::duration<double>(config_view_age()).count());
+    m_operator_rows.refresh_gauges();
 }
 
 void fleet_entry::tick()
--- a/packages/fleet/tests/memory_rows.cpp
+++ b/packages/fleet/tests/memory_rows.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds transaction_time{8};
 constexpr milliseconds min_late_delay{1000};
 constexpr milliseconds max_late_delay{6000};
+/// Time beyond its wait after which a client gives up a watch call.
+constexpr milliseconds watch_timeout_margin{700};
 
 } // namespace
 
@@ -172,7 +174,8 @@
                         row_watch_callback done)
 {
     if (m_fault != store_fault::none) {
-        const nanoseconds delay = m_fault == store_fault::refusing ? 2 * one_way_latency : wait;
+        const nanoseconds delay =
+            m_fault == store_fault::refusing ? 2 * one_way_latency : wait + watch_timeout_margin;
         answer_after(delay, std::move(done), row_watch_result{});
         return;
     }
