fleet: Repeat outdated full reads after a pause, and take no removals from them

After lost history a table is read in full at once, and again at once if that version is lost too: 87 reads a second of each table at each entry, which use up the rate that all entries share, and with it the reads of the configuration. A read that is older than what the change feed had passed on made newer rows seem removed.

Now the next full read waits for the retry delay, and an outdated page starts the read over after that delay. The test failed before: 262 reads in 3 s and a removed row; now at most 30 and none. fleet_test passes.

--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -60,6 +60,8 @@
 
 private:
     void read_all();
+    /// Reads all after the change feed was lost.
+    void read_again();
     void read_page(std::size_t partition, const std::string& from);
     void retry_page(std::size_t partition, const std::string& from);
     void handle_page(std::size_t partition, const row_page& page);
@@ -80,6 +82,8 @@
     /// How long the pending watch call waits.
     milliseconds m_wait{0};
     time_point m_current_as_of{};
+    /// When the last full read was complete.
+    time_point m_full_read_at{};
     row_version m_version = absent;
     bool m_complete = false;
     /// Versions of the rows passed on, so that a full read detects removed rows.
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -44,6 +44,18 @@
     }
 }
 
+void table_watcher::read_again()
+{
+    // A full read may be outdated as soon as it is complete. The next one then waits, since all
+    // entries share the rate of reads.
+    if (m_loop.now() - m_full_read_at < m_options.retry_delay) {
+        schedule(m_options.retry_delay, &table_watcher::read_all);
+    }
+    else {
+        read_all();
+    }
+}
+
 void table_watcher::read_page(std::size_t partition, const std::string& from)
 {
     m_store.read(
@@ -78,6 +90,14 @@
 void table_watcher::handle_page(std::size_t partition, const row_page& page)
 {
     m_handlers.on_response();
+    if (page.version < m_version) {
+        // Rows that are newer than the page would seem removed.
+        store_log.warning(fmt::format("read of table {} at version {} is older than version {}",
+                                      m_options.table, page.version, m_version));
+        ++m_attempt; // Ignores the other pages of this read.
+        schedule(m_options.retry_delay, &table_watcher::read_all);
+        return;
+    }
     // Watching continues from the oldest page, so that the change feed repeats the changes made
     // while the pages were read.
     m_oldest_page_version = m_oldest_page_version == absent
@@ -99,6 +119,7 @@
         m_version = m_oldest_page_version;
         m_complete = true;
         m_current_as_of = m_sent_at;
+        m_full_read_at = m_loop.now();
         m_handlers.on_complete();
         watch();
     }
@@ -155,7 +176,7 @@
         store_log.info(
             fmt::format("changes of table {} after version {} are lost: reading it again",
                         m_options.table, m_version));
-        read_all();
+        read_again();
         return;
     }
     m_version = std::max(m_version, result.version);
--- a/packages/fleet/tests/table_watcher_test.cpp
+++ b/packages/fleet/tests/table_watcher_test.cpp
@@ -57,6 +57,45 @@
     std::bernoulli_distribution m_fails;
 };
 
+/// Has lost its history, and answers reads from a moment before that for a while.
+class stale_store final : public row_store {
+public:
+    static constexpr row_version stale_version = 5;
+    static constexpr row_version newest_version = 9;
+
+    explicit stale_store(event_loop& loop) : m_loop(loop) {}
+
+    void set_stale(bool stale) { m_stale = stale; }
+    [[nodiscard]] std::size_t reads() const { return m_reads; }
+
+    void commit(row_transaction, milliseconds, commit_callback) override {}
+
+    void read(row_query query, milliseconds, read_callback done) override
+    {
+        ++m_reads;
+        row_page page{.version = m_stale ? stale_version : newest_version};
+        if (!m_stale) {
+            page.rows.push_back({.at = {query.table, query.partition, "new"}, .version = 8});
+        }
+        m_loop.call_after(latency, [page, done = std::move(done)] { done(page); });
+    }
+
+    void watch(const std::string&, row_version after, milliseconds wait,
+               row_watch_callback done) override
+    {
+        const bool lost = m_stale || after < newest_version;
+        m_loop.call_after(lost ? latency : wait + latency, [lost, after, done = std::move(done)] {
+            done({.outcome = lost ? row_watch_outcome::history_lost : row_watch_outcome::changed,
+                  .version = after});
+        });
+    }
+
+private:
+    event_loop& m_loop;
+    bool m_stale = false;
+    std::size_t m_reads = 0;
+};
+
 struct watched_table {
     explicit watched_table(double failed_share)
         : store(loop, failed_share),
@@ -97,3 +136,28 @@
         CHECK(table.loop.now() - table.watcher.current_as_of() <= milliseconds(1000) + 2 * latency);
     }
 }
+
+// Guards against rows that seem to be removed, and against reads without a pause.
+TEST_CASE("a read from before what was already seen is repeated after a pause and changes nothing")
+{
+    fakes::virtual_loop loop;
+    stale_store store(loop);
+    std::size_t removed = 0;
+    table_watcher watcher(loop, store, {.table = "t", .wait = milliseconds(1000)},
+                          {.on_row = [&](const stored_row& row) { removed += row.removed ? 1 : 0; },
+                           .on_complete = [] {},
+                           .on_response = [] {},
+                           .on_failure = [] {}});
+    loop.run_for(milliseconds(100));
+    REQUIRE(watcher.is_complete());
+
+    store.set_stale(true);
+    const std::size_t reads_before = store.reads();
+    loop.run_for(seconds(3));
+    CHECK(store.reads() - reads_before <= 30);
+    CHECK(removed == 0);
+
+    store.set_stale(false);
+    loop.run_for(seconds(1));
+    CHECK(loop.now() - watcher.current_as_of() <= milliseconds(1000) + 2 * latency);
+}
