job: Let a task return to a worker where it failed if the others can't hold it

Cause: a task keeps off the workers where it failed while any other candidate exists, even one that its long-running tasks fill for good, or without the required label. Now another worker counts only if it has the label and can hold the task beside its long-running tasks.

The test failed before (no start). job_test and fleet_test pass.

--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -136,6 +136,8 @@
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources free_capacity() const { return listing.capacity - used; }
+    /// What is free once all tasks but the long-running ones have ended.
+    [[nodiscard]] resources capacity_beside_long_running() const;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -332,14 +332,9 @@
 {
     std::map<service_id, std::vector<resources>> rooms;
     for (const auto& [id, worker] : m_workers) {
-        if (!worker.is_usable(m_now)) {
-            continue;
+        if (worker.is_usable(m_now)) {
+            rooms[worker.listing.service].push_back(worker.capacity_beside_long_running());
         }
-        resources room = worker.listing.capacity;
-        for (const auto& [name, run] : worker.runs) {
-            room -= run.long_running ? run.footprint : resources{};
-        }
-        rooms[worker.listing.service].push_back(room);
     }
     return rooms;
 }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -208,19 +208,23 @@
         return std::find(task.avoided.begin(), task.avoided.end(), worker.listing.id) !=
                task.avoided.end();
     };
+    const auto has_label = [&](const worker_record& worker) {
+        return spec.required_label.empty() || worker.listing.has_label(spec.required_label);
+    };
     const auto& candidates = m_candidates[job.queue().service];
     // A worker that fails the tasks it starts is the first to have free capacity again. No further
     // attempt is spent on it while another worker may become free. Long-running tasks have no limit
     // on attempts, and with one task per worker the others may never have room.
     const bool others = !spec.long_running && !task.avoided.empty() &&
-                        std::any_of(candidates.begin(), candidates.end(),
-                                    [&](const auto* each) { return !is_avoided(*each); });
+                        std::any_of(candidates.begin(), candidates.end(), [&](const auto* each) {
+                            return !is_avoided(*each) && has_label(*each) &&
+                                   each->capacity_beside_long_running().can_fit(need);
+                        });
     const auto suits = [&](const worker_record& worker) {
         if (others && is_avoided(worker)) {
             return false;
         }
-        if (!worker.free_capacity().can_fit(need) ||
-            (!spec.required_label.empty() && !worker.listing.has_label(spec.required_label))) {
+        if (!worker.free_capacity().can_fit(need) || !has_label(worker)) {
             return false;
         }
         const auto count = siblings.find(worker.listing.id);
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -15,4 +15,13 @@
            now >= quarantined_until && now >= full_until;
 }
 
+resources worker_record::capacity_beside_long_running() const
+{
+    resources capacity = listing.capacity;
+    for (const auto& [name, run] : runs) {
+        capacity -= run.long_running ? run.footprint : resources{};
+    }
+    return capacity;
+}
+
 } // namespace plantaindoor::job
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -167,6 +167,25 @@
     CHECK(second.starts[0].worker == failing.worker);
 }
 
+// Guards against a task that waits for ever for a worker that long-running tasks fill.
+TEST_CASE("a task returns to a worker where it failed if the others have no room even when idle")
+{
+    scheduler_fixture world({"w1", "w2"});
+    world.submit("filler", {.count = 1, .need = {.cpu_millis = 3000}, .long_running = true});
+    const orders first = world.plan();
+    REQUIRE(first.starts.size() == 1);
+    const instance_id filled = first.starts[0].worker;
+    world.submit("wide", {.count = 1, .need = {.cpu_millis = 2000}});
+    const orders second = world.plan();
+    REQUIRE(second.starts.size() == 1);
+    const start_order failing = second.starts[0];
+    REQUIRE(failing.worker != filled);
+    world.end(failing.worker, failing.run, run_end_reason::failed);
+    const orders third = world.plan();
+    REQUIRE(third.starts.size() == 1);
+    CHECK(third.starts[0].worker == failing.worker);
+}
+
 TEST_CASE("ended runs are acknowledged only after their effects are durable")
 {
     scheduler_fixture fixture({"w1"});
