connection: Deliver answers that arrived in time although the event loop was busy

A call's time was kept by libcurl, which checks it before it reads the socket: an answer that waits in the socket when the time is over was discarded, the call repeated, and a busy process had more to do.

Now the client keeps the time itself, and reads what has arrived before it ends a call.

--- a/packages/connection/src/curl_transfer.cpp
+++ b/packages/connection/src/curl_transfer.cpp
@@ -209,7 +209,6 @@
     current.headers = header_list(call.request.headers);
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, current.headers.get());
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(call.connect_timeout.count()));
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
--- a/packages/connection/src/curl_transfer.hpp
+++ b/packages/connection/src/curl_transfer.hpp
@@ -48,7 +48,8 @@
     kept_sockets* sockets = nullptr;
     /// Of the connection that carried the request; set once it was sent.
     connection_ends ends;
-    time_point started{};
+    /// Ends the call when its time is over.
+    timer_id timer = timer_id::none;
 
     /// Whether the call's connection carried another one before; known once the connection stands.
     [[nodiscard]] bool on_kept() const { return opened == CURL_SOCKET_BAD; }
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -45,6 +45,7 @@
     ~implementation()
     {
         for (auto& [id, current] : m_transfers) {
+            m_loop.cancel(current->timer);
             curl_multi_remove_handle(m_multi.get(), current->easy.get());
         }
         m_transfers.clear();
@@ -59,12 +60,14 @@
         current->id = call_id{++m_last_call};
         current->call = std::move(call);
         current->done = std::move(done);
-        current->started = m_loop.now();
         current->sockets = &m_sockets;
         current->easy = take_handle();
         begin_span(*current);
         prepare(*current);
         const call_id id = current->id;
+        // Not by libcurl, which checks the time before it reads an answer that has arrived.
+        current->timer =
+            m_loop.call_after(current->call.timeout, [this, id] { handle_timeout(id); });
         CURL* const easy = current->easy.get();
         m_transfers.emplace(id, std::move(current));
         curl_multi_add_handle(m_multi.get(), easy);
@@ -78,6 +81,7 @@
             return false;
         }
         const bool sent = found->second->result.sent;
+        m_loop.cancel(found->second->timer);
         curl_multi_remove_handle(m_multi.get(), found->second->easy.get());
         m_transfers.erase(found);
         return sent;
@@ -142,19 +146,39 @@
         }
     }
 
+    /// While the event loop was busy, an answer may have arrived in time.
+    void read_arrived_answer(call_id call)
+    {
+        const auto found = m_transfers.find(call);
+        if (found == m_transfers.end() || !found->second->result.sent) {
+            return;
+        }
+        if (const auto socket = m_sockets.find(found->second->ends)) {
+            act(*socket, CURL_CSELECT_IN);
+        }
+    }
+
+    void handle_timeout(call_id call)
+    {
+        read_arrived_answer(call);
+        const auto found = m_transfers.find(call);
+        if (found != m_transfers.end()) {
+            const auto finished =
+                take_finished(found->second->easy.get(), CURLE_OPERATION_TIMEDOUT);
+            finished->done(std::move(finished->result));
+        }
+    }
+
     /// A call that met an unclean connection begins again on a new one, in the time that is left.
     bool start_anew(CURL* easy)
     {
         curl_transfer& current = transfer_of(easy);
-        const auto left =
-            std::chrono::floor<milliseconds>(current.started + current.call.timeout - m_loop.now());
-        if (!current.unclean || left <= milliseconds(0)) {
+        if (!current.unclean) {
             return false;
         }
         current.unclean = false;
         curl_multi_remove_handle(m_multi.get(), easy);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
         curl_multi_add_handle(m_multi.get(), easy);
         return true;
     }
@@ -186,6 +210,7 @@
         const auto found = m_transfers.find(transfer_of(easy).id);
         auto current = std::move(found->second);
         m_transfers.erase(found);
+        m_loop.cancel(current->timer);
         current->result.fault = fault_of(code, *current);
         note_connection(*current);
         current->hop.set("fault", std::string(name_of(current->result.fault)));
--- a/packages/connection/src/kept_sockets.cpp
+++ b/packages/connection/src/kept_sockets.cpp
@@ -23,6 +23,12 @@
     ::close(descriptor);
 }
 
+std::optional<int> kept_sockets::find(const connection_ends& ends) const
+{
+    const auto found = m_by_ends.find(ends);
+    return found == m_by_ends.end() ? std::nullopt : std::optional(found->second.descriptor);
+}
+
 void kept_sockets::note_timeout(const connection_ends& ends)
 {
     for (auto each = m_by_ends.lower_bound(
--- a/packages/connection/src/kept_sockets.hpp
+++ b/packages/connection/src/kept_sockets.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -30,6 +31,8 @@
     void add(int descriptor, connection_ends ends);
     /// Closes the socket and forgets it.
     void close(int descriptor);
+    /// The socket of a connection, if it is open.
+    [[nodiscard]] std::optional<int> find(const connection_ends& ends) const;
     /// A call on this connection has ended without an answer. The other connections to the same
     /// remote end may be as silent, and aren't reusable until they deliver an answer.
     void note_timeout(const connection_ends& ends);
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -5,8 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -117,6 +119,8 @@
     [[nodiscard]] std::uint16_t port() const { return ntohs(m_address.sin_port); }
     [[nodiscard]] std::size_t open_connections() const { return m_open.size(); }
     void silence() { m_silent = m_open; }
+    /// Calls `action` after each answer.
+    void on_answer(std::function<void()> action) { m_on_answer = std::move(action); }
 
 private:
     sockaddr* address() { return reinterpret_cast<sockaddr*>(&m_address); }
@@ -142,6 +146,7 @@
         else if (!m_silent.contains(connection)) {
             constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
             CHECK(::send(connection, answer.data(), answer.size(), 0) > 0);
+            m_on_answer();
         }
     }
 
@@ -150,6 +155,7 @@
     int m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     std::set<int> m_open;
     std::set<int> m_silent;
+    std::function<void()> m_on_answer = [] {};
 };
 
 /// A client of a silenceable_server on one loop.
@@ -330,6 +336,20 @@
     CHECK(both.server.open_connections() <= answered.size());
 }
 
+// Guards against answers that are lost because a busy event loop reads them after their timeout.
+TEST_CASE("an answer that arrived in time is delivered though the loop was busy", "[http]")
+{
+    constexpr milliseconds timeout{1000};
+    silenceable_loopback both;
+    REQUIRE(both.call(1, milliseconds(5000)).front() == transport_fault::none);
+    both.server.on_answer([&] {
+        const auto until = std::chrono::steady_clock::now() + timeout + timeout / 10;
+        while (std::chrono::steady_clock::now() < until) {
+        }
+    });
+    CHECK(both.call(1, timeout).front() == transport_fault::none);
+}
+
 TEST_CASE("an answer given later than its request is delivered", "[http]")
 {
     loopback both;
