connection: Open a new connection to a peer after an exchange without an answer

An exchange that ends by its deadline now drops the channel, so that the next one connects anew. Weighed against keep-alive pings: they cost bytes on every idle connection, and find out no sooner.

--- a/packages/connection/src/peer_channel.cpp
+++ b/packages/connection/src/peer_channel.cpp
@@ -53,6 +53,7 @@
 
 /// An exchange under way to a peer.
 struct sent_call {
+    endpoint peer;
     grpc::ClientContext context;
     peer::exchange_message request;
     peer::exchange_message answer;
@@ -154,6 +155,7 @@
     void exchange(const endpoint& peer, const peer_message& message, exchange_callback done)
     {
         auto call = std::make_shared<sent_call>();
+        call->peer = peer;
         call->request = to_wire(message, m_options.cluster);
         call->done = std::move(done);
         call->context.set_deadline(std::chrono::system_clock::now() + m_options.timeout);
@@ -231,12 +233,18 @@
         const std::lock_guard held(m_calls->lock);
         auto found = m_calls->sent.extract(id);
         if (!m_calls->closed) {
-            m_loop.post(
-                [this, alive = m_alive, call = found.mapped(), outcome = outcome_of(status)] {
-                    if (*alive) {
-                        report_sent(*call, outcome);
-                    }
-                });
+            const bool timed_out = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+            m_loop.post([this, alive = m_alive, call = found.mapped(), timed_out,
+                         outcome = outcome_of(status)] {
+                if (!*alive) {
+                    return;
+                }
+                if (timed_out) {
+                    // Its connection may have gone silent; the next exchange opens another one.
+                    m_stubs.erase(call->peer);
+                }
+                report_sent(*call, outcome);
+            });
         }
         m_calls->all_ended.notify_all();
     }
--- a/packages/process/tests/peer_channel_test.cpp
+++ b/packages/process/tests/peer_channel_test.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 
 #include <arpa/inet.h>
+#include <array>
+#include <map>
 #include <memory>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -71,12 +73,80 @@
     ~silent_listener() { ::close(m_socket); }
 
     [[nodiscard]] endpoint at() const { return {"127.0.0.1", m_port}; }
+    [[nodiscard]] int descriptor() const { return m_socket; }
 
 private:
     int m_socket;
     std::uint16_t m_port = 0;
 };
 
+/// Forwards connections to a port of this host. Connections that are open when silence() is called
+/// stay open, but nothing passes on them any more.
+class silenceable_relay {
+public:
+    silenceable_relay(process::reactor_loop& loop, std::uint16_t to) : m_loop(loop), m_to(to)
+    {
+        m_loop.watch(m_listener.descriptor(), {.readable = true},
+                     [this](io_interest) { accept(); });
+    }
+    silenceable_relay(const silenceable_relay&) = delete;
+    silenceable_relay& operator=(const silenceable_relay&) = delete;
+    ~silenceable_relay()
+    {
+        for (const auto& [from, to] : m_other_ends) {
+            m_loop.unwatch(from);
+            ::close(from);
+        }
+        m_loop.unwatch(m_listener.descriptor());
+    }
+
+    [[nodiscard]] endpoint at() const { return m_listener.at(); }
+    void silence()
+    {
+        for (const auto& [from, to] : m_other_ends) {
+            m_loop.unwatch(from);
+        }
+    }
+
+private:
+    void accept()
+    {
+        const int from = ::accept(m_listener.descriptor(), nullptr, nullptr);
+        const int to = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address{.sin_family = AF_INET,
+                                  .sin_port = htons(m_to),
+                                  .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+        REQUIRE(::connect(to, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        forward(from, to);
+        forward(to, from);
+    }
+
+    void forward(int from, int to)
+    {
+        m_other_ends[from] = to;
+        m_loop.watch(from, {.readable = true}, [this, from](io_interest) { pass_on(from); });
+    }
+
+    void pass_on(int from)
+    {
+        std::array<char, 4096> data{};
+        const auto size = ::recv(from, data.data(), data.size(), 0);
+        if (size > 0) {
+            ::send(m_other_ends.at(from), data.data(), static_cast<std::size_t>(size),
+                   MSG_NOSIGNAL);
+        }
+        else {
+            m_loop.unwatch(from);
+            ::shutdown(m_other_ends.at(from), SHUT_WR);
+        }
+    }
+
+    process::reactor_loop& m_loop;
+    silent_listener m_listener;
+    std::uint16_t m_to;
+    std::map<int, int> m_other_ends;
+};
+
 } // namespace
 
 TEST_CASE("an exchange carries a message there and an answer back", "[peers]")
@@ -121,6 +191,22 @@
     }
 }
 
+// Guards against a peer that stays unreachable as long as its silent connection stays open.
+TEST_CASE("after an exchange without an answer, the next one opens a new connection", "[peers]")
+{
+    process::reactor_loop loop;
+    peer_channel_options options = named("a");
+    options.timeout = seconds(2);
+    peer_channel a(loop, std::move(options));
+    peer_channel b(loop, named("b"));
+    silenceable_relay relay(loop, b.port());
+    const auto exchange = [&] { return exchanges(loop, a, {{relay.at(), {}}})[0].outcome; };
+    REQUIRE(exchange() == exchange_outcome::answered);
+    relay.silence();
+    CHECK(exchange() == exchange_outcome::unreachable);
+    CHECK(exchange() == exchange_outcome::answered);
+}
+
 TEST_CASE("a channel can end while exchanges are under way in both directions", "[peers]")
 {
     process::reactor_loop loop;
