fleet: Repeat failed claims of leadership at growing intervals

Cause: a claim that was refused or not answered was repeated with the next tick, 20 times a second at each of 147 entries, while a partition commits 150 transactions a second. And the entry didn't count as engaged between two tries, so the pause for shards that it may have claimed already didn't apply.

Now the delay doubles from 0.1 to 0.8 s, until a claim is read. The test failed before: 60 claims in 3 s at each entry, now at most 8. fleet_test passes.

--- a/packages/connection/src/kept_sockets.hpp
+++ b/packages/connection/src/kept_sockets.hpp
@@ -44,7 +44,7 @@
 
 private:
     struct kept_socket {
-        int descriptor;
+        int descriptor = -1;
         bool maybe_silent = false;
     };
 
--- a/packages/connection/tests/kept_sockets_test.cpp
+++ b/packages/connection/tests/kept_sockets_test.cpp
@@ -27,7 +27,7 @@
 
     connection_ends open(int remote_port, int local_port)
     {
-        const connection_ends ends{
+        connection_ends ends{
             .remote_address = "10.0.0.1", .remote_port = remote_port, .local_port = local_port};
         m_descriptors.push_back(::socket(AF_INET, SOCK_DGRAM, 0));
         sockets.add(m_descriptors.back(), ends);
--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -9,6 +9,7 @@
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -75,8 +76,11 @@
     /// Resigns leadership and never claims it again.
     void resign(event done);
 
-    /// Whether this entry leads the shard or has tried to claim it and awaits the outcome.
-    [[nodiscard]] bool is_engaged() const noexcept { return m_session != nullptr || m_claiming; }
+    /// Whether this entry leads the shard, or has tried to claim it and doesn't know yet who leads.
+    [[nodiscard]] bool is_engaged() const noexcept
+    {
+        return m_session != nullptr || m_claiming || m_failed_claims > 0;
+    }
     /// Null while this entry does not lead.
     [[nodiscard]] leader_session* session() noexcept { return m_session.get(); }
     [[nodiscard]] const leader_tracker& tracker() const noexcept { return m_leadership; }
@@ -84,6 +88,8 @@
 private:
     void try_claim();
     void confirm_claim(time_point sent);
+    /// Delays the next claim, for longer with each failure since the last known claim.
+    void note_failed_claim();
     void handle_confirmation(time_point sent, const std::optional<row_page>& page);
     void begin_session(const leader_claim& claim, row_version claim_version, time_point sent);
     void end_session(std::string_view reason);
@@ -98,6 +104,9 @@
     leader_tracker m_leadership;
     std::unique_ptr<leader_session> m_session;
     bool m_claiming = false;
+    /// Claims without a known outcome, or refused, since a claim was last read.
+    std::uint32_t m_failed_claims = 0;
+    time_point m_next_claim{};
     bool m_resigning = false;
 };
 
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace plantaindoor::fleet {
@@ -14,6 +15,9 @@
 
 /// A transaction takes about 0.7 s while the store is slow.
 constexpr milliseconds commit_timeout{1500};
+/// Delay after a claim that failed; doubles with each further one.
+constexpr milliseconds first_claim_retry_delay{100};
+constexpr milliseconds max_claim_retry_delay{800};
 /// A task started by a predecessor runs at most this long unless this leader extends it.
 constexpr milliseconds max_predecessor_run{15000};
 /// Attempt numbers per generation, so that a leader's attempts stay below its successor's.
@@ -87,6 +91,8 @@
     if (row.at != leader_claim_address(m_shard.number)) {
         return;
     }
+    m_failed_claims = 0;
+    m_next_claim = {};
     m_leadership.note_claim(row.removed ? std::nullopt : parse_leader_claim(row.value), row.version,
                             now);
     const auto& claim = m_leadership.claim();
@@ -104,7 +110,7 @@
 
 void leader_elector::check(milliseconds extra_delay)
 {
-    if (m_resigning || m_claiming || m_session) {
+    if (m_resigning || m_claiming || m_session || m_context.loop.now() < m_next_claim) {
         return;
     }
     if (m_leadership.is_leader()) {
@@ -143,6 +149,7 @@
                                if (result.outcome == commit_outcome::conflict ||
                                    result.outcome == commit_outcome::refused) {
                                    m_claiming = false;
+                                   note_failed_claim();
                                    for (const stored_row& row : result.present) {
                                        note_row(row);
                                    }
@@ -152,6 +159,15 @@
                            });
 }
 
+void leader_elector::note_failed_claim()
+{
+    const auto delay = std::min(first_claim_retry_delay * (1U << std::min(m_failed_claims, 8U)),
+                                max_claim_retry_delay);
+    ++m_failed_claims;
+    // The delay of the tracking differs between entries, so that they don't retry at the same time.
+    m_next_claim = m_context.loop.now() + delay + m_options.tracking.delay;
+}
+
 void leader_elector::confirm_claim(time_point sent)
 {
     m_context.store.read(
@@ -167,12 +183,15 @@
 {
     m_claiming = false;
     if (!page) {
+        note_failed_claim();
         return;
     }
     for (const stored_row& row : page->rows) {
         if (row.at == leader_claim_address(m_shard.number)) {
             const auto claim = parse_leader_claim(row.value);
             m_leadership.note_claim(claim, row.version, m_context.loop.now());
+            m_failed_claims = 0;
+            m_next_claim = {};
             if (m_leadership.is_leader() && !m_session && !m_resigning) {
                 begin_session(*claim, row.version, sent);
             }
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -209,6 +209,32 @@
     check_no_violations(world.workers());
 }
 
+// Guards against entries that overload a partition of the store with claims that it refuses.
+TEST_CASE("claims that the store refuses are repeated at growing intervals")
+{
+    constexpr std::size_t max_claims = 8;
+    fleet_simulation world(13, fleet_simulation::machine_list::answers);
+    world.run_for(seconds(2));
+    const auto first = world.leader();
+    REQUIRE(first);
+    for (std::size_t entry = 0; entry < fleet_simulation::entry_count; ++entry) {
+        world.entry(entry).store().set_fault(store_fault::refusing_commits);
+    }
+    world.kill(*first);
+    world.run_for(seconds(3)); // Until the lease has expired.
+    std::vector<std::size_t> before;
+    for (std::size_t entry = 0; entry < fleet_simulation::entry_count; ++entry) {
+        before.push_back(world.entry(entry).store().commits());
+    }
+    world.run_for(seconds(3));
+    for (std::size_t entry = 0; entry < fleet_simulation::entry_count; ++entry) {
+        CHECK(world.entry(entry).store().commits() - before[entry] <= max_claims);
+    }
+    world.clear_faults();
+    world.run_for(seconds(2));
+    CHECK(world.leader());
+}
+
 TEST_CASE("a new leader doesn't restart tasks that run on a worker whose row is missing")
 {
     fleet_simulation world(7, fleet_simulation::machine_list::answers);
--- a/packages/fleet/tests/memory_rows.cpp
+++ b/packages/fleet/tests/memory_rows.cpp
@@ -129,11 +129,13 @@
 
 void entry_store::commit(row_transaction transaction, milliseconds timeout, commit_callback done)
 {
+    ++m_commits;
     switch (m_fault) {
     case store_fault::unresponsive:
         answer_after(timeout, std::move(done), commit_result{.outcome = commit_outcome::unknown});
         return;
     case store_fault::refusing:
+    case store_fault::refusing_commits:
         answer_after(2 * one_way_latency, std::move(done),
                      commit_result{.outcome = commit_outcome::refused});
         return;
@@ -160,7 +162,7 @@
 
 void entry_store::read(row_query query, milliseconds timeout, read_callback done)
 {
-    if (m_fault != store_fault::none) {
+    if (reads_fail()) {
         const nanoseconds delay = m_fault == store_fault::refusing ? 2 * one_way_latency : timeout;
         answer_after(delay, std::move(done), std::optional<row_page>());
         return;
@@ -173,7 +175,7 @@
 void entry_store::watch(const std::string& table, row_version after, milliseconds wait,
                         row_watch_callback done)
 {
-    if (m_fault != store_fault::none) {
+    if (reads_fail()) {
         const nanoseconds delay =
             m_fault == store_fault::refusing ? 2 * one_way_latency : wait + watch_timeout_margin;
         answer_after(delay, std::move(done), row_watch_result{});
@@ -194,7 +196,7 @@
                                const row_watch_callback& done)
 {
     // A fault that was set during the wait makes the watch fail.
-    if (m_fault != store_fault::none) {
+    if (reads_fail()) {
         answer_after(one_way_latency, done, row_watch_result{});
         return;
     }
--- a/packages/fleet/tests/memory_rows.hpp
+++ b/packages/fleet/tests/memory_rows.hpp
@@ -18,10 +18,11 @@
 /// Fault injected into one entry's requests to the store.
 enum class store_fault {
     none,
-    unresponsive, ///< the request is not executed; it times out
-    refusing,     ///< the request is not executed; it fails at once
-    lost_answer,  ///< a commit is applied; every request times out
-    late,         ///< a commit is applied seconds later; every request times out
+    unresponsive,     ///< the request is not executed; it times out
+    refusing,         ///< the request is not executed; it fails at once
+    lost_answer,      ///< a commit is applied; every request times out
+    late,             ///< a commit is applied seconds later; every request times out
+    refusing_commits, ///< commits fail at once; other requests succeed
 };
 
 /// The store's state, shared by all entries. Not synchronised.
@@ -73,6 +74,8 @@
     }
 
     void set_fault(store_fault fault) { m_fault = fault; }
+    /// Number of commits requested so far.
+    [[nodiscard]] std::size_t commits() const { return m_commits; }
 
     void commit(row_transaction transaction, milliseconds timeout, commit_callback done) override;
     void read(row_query query, milliseconds timeout, read_callback done) override;
@@ -89,12 +92,17 @@
         });
     }
     void finish_watch(const std::string& table, row_version after, const row_watch_callback& done);
+    [[nodiscard]] bool reads_fail() const
+    {
+        return m_fault != store_fault::none && m_fault != store_fault::refusing_commits;
+    }
 
     fakes::virtual_loop& m_loop;
     event_loop& m_entry_loop;
     memory_rows& m_rows;
     std::mt19937_64& m_random;
     store_fault m_fault = store_fault::none;
+    std::size_t m_commits = 0;
 };
 
 } // namespace plantaindoor::fleet::testing
