fleet: Let an entry pause after its own claim before it claims another shard

Cause: the pause for shards that an entry leads already was measured from when a shard became vacant. After a long vacancy it had passed for every shard, so the entry that was first took one after the other with the ticks of 50 ms. Now the pause also follows the entry's own last claim, entries go through vacant shards in different orders, and an entry whose claim failed tries again as soon as the store has accepted any claim.

--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -69,8 +69,11 @@
     void note_rows_complete();
     void note_store_reachable();
     void note_store_unreachable();
-    /// Claims leadership if it has been vacant for long enough. Call every 50 ms or so.
-    void check(milliseconds extra_delay);
+    /// Claims leadership if it has been vacant for longer than the tracking's delay and
+    /// extra_delay, and if `may_claim`. Call every 50 ms or so. Returns whether a claim was sent.
+    bool check(milliseconds extra_delay, bool may_claim);
+    /// The store has accepted a claim of some shard, so a failed one needn't wait any longer.
+    void note_claim_accepted();
     /// The process of this incarnation has ended.
     void note_incarnation_ended(const std::string& incarnation);
     /// Resigns leadership and never claims it again.
--- a/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
@@ -41,6 +41,8 @@
 [[nodiscard]] std::vector<std::string> all_control_partitions(shard_number count);
 
 [[nodiscard]] row_address leader_claim_address(shard_number shard);
+/// Whether this is the address of some shard's claim.
+[[nodiscard]] bool is_leader_claim(const row_address& at);
 [[nodiscard]] row_address leader_renewal_address(shard_number shard);
 /// Row that orders the leader's transactions; in a table that no entry watches.
 [[nodiscard]] row_address leader_sequence_address(shard_number shard);
--- a/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/shard_set.hpp
@@ -78,6 +78,8 @@
     void note_leader_row(const stored_row& row);
     void note_store(bool reachable);
     void check_elections();
+    /// The number of other shards that this entry leads or may have claimed.
+    [[nodiscard]] std::int64_t engaged_in_others(shard_number shard) const;
     void tick();
 
     session_context m_context;
@@ -94,6 +96,9 @@
     std::optional<time_point> m_layout_missing_since;
     bool m_creating_layout = false;
     std::vector<std::unique_ptr<leader_elector>> m_electors;
+    /// All shards, in an order that differs between entries.
+    std::vector<shard_number> m_claim_order;
+    time_point m_last_claim{};
     std::unique_ptr<table_watcher> m_leader_rows;
     timer_id m_tick_timer = timer_id::none;
     bool m_resigning = false;
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -108,10 +108,10 @@
     }
 }
 
-void leader_elector::check(milliseconds extra_delay)
+bool leader_elector::check(milliseconds extra_delay, bool may_claim)
 {
     if (m_resigning || m_claiming || m_session || m_context.loop.now() < m_next_claim) {
-        return;
+        return false;
     }
     if (m_leadership.is_leader()) {
         // An earlier attempt to claim was applied after all. Its send time is no longer available,
@@ -119,9 +119,11 @@
         m_claiming = true;
         confirm_claim(m_context.clock() - m_options.tracking.lease);
     }
-    else if (m_leadership.may_claim(m_context.loop.now(), extra_delay)) {
+    else if (may_claim && m_leadership.may_claim(m_context.loop.now(), extra_delay)) {
         try_claim();
+        return true;
     }
+    return false;
 }
 
 void leader_elector::try_claim()
@@ -168,6 +170,11 @@
     m_next_claim = m_context.loop.now() + delay + m_options.tracking.delay;
 }
 
+void leader_elector::note_claim_accepted()
+{
+    m_next_claim = std::min(m_next_claim, m_context.loop.now() + m_options.tracking.delay);
+}
+
 void leader_elector::confirm_claim(time_point sent)
 {
     m_context.store.read(
--- a/packages/fleet/src/leader_tracker.cpp
+++ b/packages/fleet/src/leader_tracker.cpp
@@ -9,6 +9,12 @@
 
 using nlohmann::json;
 
+namespace {
+
+constexpr std::string_view claim_key = "claim";
+
+} // namespace
+
 std::string to_text(const leader_claim& claim)
 {
     return json{{"entry", claim.entry},
@@ -53,7 +59,12 @@
 
 row_address leader_claim_address(shard_number shard)
 {
-    return {std::string(leader_table), control_partition(shard), "claim"};
+    return {std::string(leader_table), control_partition(shard), std::string(claim_key)};
+}
+
+bool is_leader_claim(const row_address& at)
+{
+    return at.table == leader_table && at.key == claim_key;
 }
 
 row_address leader_renewal_address(shard_number shard)
--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace plantaindoor::fleet {
@@ -208,6 +209,13 @@
             m_electors.back()->add_wave(wave.request, wave.first_seen);
         }
     }
+    m_claim_order.resize(m_electors.size());
+    std::iota(m_claim_order.begin(), m_claim_order.end(), shard_number{0});
+    std::stable_sort(m_claim_order.begin(), m_claim_order.end(),
+                     [this](shard_number left, shard_number right) {
+                         return m_claim_delays[left % m_claim_delays.size()] <
+                                m_claim_delays[right % m_claim_delays.size()];
+                     });
     watch_leaders();
 }
 
@@ -236,6 +244,9 @@
 {
     for (const auto& elector : m_electors) {
         elector->note_row(row);
+        if (is_leader_claim(row.at)) {
+            elector->note_claim_accepted();
+        }
     }
 }
 
@@ -270,13 +281,23 @@
         m_context.loop.now() - m_leader_rows->current_as_of() > max_leader_view_age) {
         return;
     }
-    for (const auto& elector : m_electors) {
-        const auto engaged = std::count_if(m_electors.begin(), m_electors.end(),
-                                           [](const auto& each) { return each->is_engaged(); });
-        elector->check(m_options.delay_per_shard_led * engaged);
+    const time_point now = m_context.loop.now();
+    for (const shard_number shard : m_claim_order) {
+        const milliseconds pause = m_options.delay_per_shard_led * engaged_in_others(shard);
+        // A shard may have been vacant for long, so the pause also follows the entry's last claim.
+        if (m_electors[shard]->check(pause, now >= m_last_claim + pause)) {
+            m_last_claim = now;
+        }
     }
 }
 
+std::int64_t shard_set::engaged_in_others(shard_number shard) const
+{
+    const auto engaged = std::count_if(m_electors.begin(), m_electors.end(),
+                                       [](const auto& each) { return each->is_engaged(); });
+    return engaged - (m_electors[shard]->is_engaged() ? 1 : 0);
+}
+
 void shard_set::tick()
 {
     m_tick_timer = m_context.loop.call_after(tick_period, [this] {
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -235,6 +235,28 @@
     CHECK(world.leader());
 }
 
+// Guards against one entry that takes all shards as soon as the store accepts claims again.
+TEST_CASE("shards spread over the entries although all have been vacant for long")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fleet_simulation world(seed, fleet_simulation::machine_list::answers, 2);
+        world.run_for(seconds(2));
+        REQUIRE(world.leader(0));
+        REQUIRE(world.leader(1));
+        for (std::size_t entry = 0; entry < fleet_simulation::entry_count; ++entry) {
+            world.kill(entry);
+            world.restart(entry);
+            world.entry(entry).store().set_fault(store_fault::refusing_commits);
+        }
+        world.run_for(seconds(6));
+        world.clear_faults();
+        world.run_for(seconds(2));
+        REQUIRE(world.leader(0));
+        REQUIRE(world.leader(1));
+        CHECK(world.leader(0) != world.leader(1));
+    }
+}
+
 TEST_CASE("a new leader doesn't restart tasks that run on a worker whose row is missing")
 {
     fleet_simulation world(7, fleet_simulation::machine_list::answers);
