--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -70,8 +70,9 @@
     void note_store_reachable();
     void note_store_unreachable();
     /// Claims leadership if it has been vacant for longer than the tracking's delay and
-    /// extra_delay, and if `may_claim`. Call every 50 ms or so. Returns whether a claim was sent.
-    bool check(milliseconds extra_delay, bool may_claim);
+    /// `extra_delay`, but not before `earliest`. Call every 50 ms or so. Returns whether a claim
+    /// was sent.
+    bool check(milliseconds extra_delay, time_point earliest);
     /// The store has accepted a claim of some shard, so a failed one needn't wait any longer.
     void note_claim_accepted();
     /// The process of this incarnation has ended.
@@ -93,6 +94,8 @@
     void confirm_claim(time_point sent);
     /// Delays the next claim, for longer with each failure since the last known claim.
     void note_failed_claim();
+    /// It is known again who leads.
+    void clear_failed_claims();
     void handle_confirmation(time_point sent, const std::optional<row_page>& page);
     void begin_session(const leader_claim& claim, row_version claim_version, time_point sent);
     void end_session(std::string_view reason);
@@ -109,6 +112,7 @@
     bool m_claiming = false;
     /// Claims without a known outcome, or refused, since a claim was last read.
     std::uint32_t m_failed_claims = 0;
+    /// No claim is sent before this time.
     time_point m_next_claim{};
     bool m_resigning = false;
 };
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -91,8 +91,7 @@
     if (row.at != leader_claim_address(m_shard.number)) {
         return;
     }
-    m_failed_claims = 0;
-    m_next_claim = {};
+    clear_failed_claims();
     m_leadership.note_claim(row.removed ? std::nullopt : parse_leader_claim(row.value), row.version,
                             now);
     const auto& claim = m_leadership.claim();
@@ -108,9 +107,10 @@
     }
 }
 
-bool leader_elector::check(milliseconds extra_delay, bool may_claim)
+bool leader_elector::check(milliseconds extra_delay, time_point earliest)
 {
-    if (m_resigning || m_claiming || m_session || m_context.loop.now() < m_next_claim) {
+    const time_point now = m_context.loop.now();
+    if (m_resigning || m_claiming || m_session || now < m_next_claim) {
         return false;
     }
     if (m_leadership.is_leader()) {
@@ -119,7 +119,7 @@
         m_claiming = true;
         confirm_claim(m_context.clock() - m_options.tracking.lease);
     }
-    else if (may_claim && m_leadership.may_claim(m_context.loop.now(), extra_delay)) {
+    else if (now >= earliest && m_leadership.may_claim(now, extra_delay)) {
         try_claim();
         return true;
     }
@@ -170,6 +170,12 @@
     m_next_claim = m_context.loop.now() + delay + m_options.tracking.delay;
 }
 
+void leader_elector::clear_failed_claims()
+{
+    m_failed_claims = 0;
+    m_next_claim = {};
+}
+
 void leader_elector::note_claim_accepted()
 {
     m_next_claim = std::min(m_next_claim, m_context.loop.now() + m_options.tracking.delay);
@@ -197,8 +203,7 @@
         if (row.at == leader_claim_address(m_shard.number)) {
             const auto claim = parse_leader_claim(row.value);
             m_leadership.note_claim(claim, row.version, m_context.loop.now());
-            m_failed_claims = 0;
-            m_next_claim = {};
+            clear_failed_claims();
             if (m_leadership.is_leader() && !m_session && !m_resigning) {
                 begin_session(*claim, row.version, sent);
             }
--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -285,7 +285,7 @@
     for (const shard_number shard : m_claim_order) {
         const milliseconds pause = m_options.delay_per_shard_led * engaged_in_others(shard);
         // A shard may have been vacant for long, so the pause also follows the entry's last claim.
-        if (m_electors[shard]->check(pause, now >= m_last_claim + pause)) {
+        if (m_electors[shard]->check(pause, m_last_claim + pause)) {
             m_last_claim = now;
         }
     }
