job: Tell how the end of a worker was detected, and how old each lost run was

A line about a lost run named the worker only, so a crash, a move, an expired lease and a reused address looked alike. No decision is changed.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -169,11 +169,11 @@
     bool m_listed = false;
 };
 
-/// Workers in the scheduler that have ended according to a list requested at `requested_at`: their
-/// machine is not up and has no worker, or has a different worker, so nothing runs on them any
-/// more. Thread-safe.
-[[nodiscard]] std::vector<instance_id> ended_workers(const std::vector<machine_info>& machines,
-                                                     time_point requested_at,
-                                                     const job::scheduler& scheduler);
+/// Workers in the scheduler that have ended according to a list requested at `requested_at`, and
+/// how: their machine is not up and has no worker, or has a different worker, so nothing runs on
+/// them any more. Thread-safe.
+[[nodiscard]] std::map<instance_id, job::worker_end>
+ended_workers(const std::vector<machine_info>& machines, time_point requested_at,
+              const job::scheduler& scheduler);
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -343,8 +343,9 @@
                                  name_of(made.end_reason)));
         break;
     case job::decision_kind::run_lost:
-        job_log.info(fmt::format("{}: {} attempt {} lost with worker {}", job,
-                                 to_string(made.run.task), made.run.attempt, made.worker.str()));
+        job_log.info(fmt::format("{}: {} attempt {} lost with worker {}: {}, {} ms after its start",
+                                 job, to_string(made.run.task), made.run.attempt, made.worker.str(),
+                                 name_of(made.worker_end_cause), made.run_age.count()));
         break;
     case job::decision_kind::job_ended:
         m_ended_jobs.push_back({made.job, m_context.loop.now()});
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -474,14 +474,15 @@
     }
 }
 
-std::vector<instance_id> ended_workers(const std::vector<machine_info>& machines,
-                                       time_point requested_at, const job::scheduler& scheduler)
+std::map<instance_id, job::worker_end> ended_workers(const std::vector<machine_info>& machines,
+                                                     time_point requested_at,
+                                                     const job::scheduler& scheduler)
 {
     std::unordered_map<std::string_view, const machine_info*> by_name;
     for (const machine_info& machine : machines) {
         by_name.emplace(machine.machine, &machine);
     }
-    std::vector<instance_id> ended;
+    std::map<instance_id, job::worker_end> ended;
     for (const auto& [id, worker] : scheduler.workers()) {
         const auto at = by_name.find(worker.listing.machine);
         // A worker that was listed or has answered after the list was requested is alive.
@@ -491,9 +492,15 @@
         const machine_info& machine = *at->second;
         const bool has_no_worker = machine.state != machine_state::up && machine.worker.empty();
         const bool has_other_worker = !machine.worker.empty() && machine.worker != id;
-        if (has_no_worker || has_other_worker) {
-            ended.push_back(id);
+        if (!has_no_worker && !has_other_worker) {
+            continue;
         }
+        const bool moved = machine.pool != worker.listing.service ||
+                           machine.state == machine_state::moving ||
+                           machine.state == machine_state::maintenance;
+        ended.emplace(id, moved              ? job::worker_end::machine_moved
+                          : has_other_worker ? job::worker_end::successor
+                                             : job::worker_end::machine_down);
     }
     return ended;
 }
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -277,12 +277,12 @@
     });
     m_planner.note_machine_list(machines, requested_at);
     const time_point now = m_loop.now();
-    for (const instance_id& id : ended_workers(machines, requested_at, m_scheduler)) {
+    for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
-            "worker {} has ended according to the machine list requested {} ms ago", id.str(),
-            std::chrono::duration_cast<milliseconds>(now - requested_at).count()));
+            "worker {} has ended according to the machine list requested {} ms ago: {}", id.str(),
+            std::chrono::duration_cast<milliseconds>(now - requested_at).count(), name_of(cause)));
         m_ended_workers.add();
-        m_scheduler.note_worker_ended(id, now);
+        m_scheduler.note_worker_ended(id, cause, now);
     }
     std::map<instance_id, service_id> live_workers;
     for (const machine_info& machine : machines) {
@@ -319,7 +319,7 @@
                                  what, name_of(answer)));
     const time_point now = m_loop.now();
     if (answer == machine_answer::accepted && !order.worker.empty()) {
-        m_scheduler.note_worker_ended(order.worker, now);
+        m_scheduler.note_worker_ended(order.worker, job::worker_end::order, now);
     }
     m_planner.note_answer(order, answer, now);
     persist_waves();
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -128,7 +128,7 @@
     case job::order_answer::other_instance:
         worker_log.info(
             fmt::format("worker {} has ended: its address belongs to another instance", id.str()));
-        m_scheduler.note_worker_ended(id, now);
+        m_scheduler.note_worker_ended(id, job::worker_end::other_address, now);
         break;
     case job::order_answer::stale_token:
         m_on_stale_token();
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -124,7 +124,7 @@
 
     planner.note_wave({.number = 2, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
                       start, {});
-    scheduler.note_worker_ended(instance_id("w1"), start);
+    scheduler.note_worker_ended(instance_id("w1"), job::worker_end::order, start);
     scheduler.note_worker_listed(listing_of("m1", "w2"), start);
     scheduler.note_report(instance_id("w2"), {.worker_clock = milliseconds(1)}, start, start);
     planner.note_machine_list({machine_up("m1", checks, "w2")}, start + milliseconds(3500));
@@ -380,7 +380,8 @@
     down.state = machine_state::down;
     const auto other = machine_up("m2", checks, "w2");
 
-    CHECK(ended_workers({down, other}, asked, scheduler) == std::vector{instance_id("w1")});
+    CHECK(ended_workers({down, other}, asked, scheduler) ==
+          std::map{std::pair(instance_id("w1"), job::worker_end::machine_down)});
 
     SECTION("a worker that has answered since then is alive")
     {
@@ -391,7 +392,7 @@
             "doubt for it")
     {
         CHECK(ended_workers({machine_up("m1", checks, "w9"), other}, asked, scheduler) ==
-              std::vector{instance_id("w1")});
+              std::map{std::pair(instance_id("w1"), job::worker_end::successor)});
     }
     SECTION("a worker of a machine that is up and listed without a worker may be alive")
     {
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -96,6 +96,10 @@
     run_name run;
     instance_id worker;
     run_end_reason end_reason = run_end_reason::stopped;
+    /// Of a lost run: how the end of its worker was detected, and how long after the run's start
+    /// the worker stopped answering.
+    worker_end worker_end_cause = worker_end::lease_expired;
+    milliseconds run_age{0};
     job_state state = job_state::queued;
     /// Time since the job was submitted.
     milliseconds age{0};
@@ -152,7 +156,7 @@
     /// earlier one at the address has ended.
     void note_address_taken(const std::string& address, const instance_id& by, time_point now);
     /// Records that the worker has ended for certain: nothing runs there any more.
-    void note_worker_ended(const instance_id& id, time_point now);
+    void note_worker_ended(const instance_id& id, worker_end cause, time_point now);
     /// Records which workers are alive, and their services, including workers that are not listed.
     /// Workers that start well after this process became leader can't run what a predecessor
     /// started.
@@ -229,8 +233,10 @@
     void stop_unexpected_run(worker_record& worker, const run_name& run, time_point now);
     /// Removes a run from its worker and its task.
     void release_run(worker_record& worker, const run_name& run);
+    /// Records that an order or a poll was not answered.
+    static void note_no_answer(worker_record& worker, time_point now);
     /// Removes all runs of a worker that has ended or whose lease has expired.
-    void mark_runs_lost(worker_record& worker);
+    void mark_runs_lost(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
     /// Fails the job once the task has failed max_attempts times; long-running tasks don't count.
     void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -76,6 +76,16 @@
     unanswered,     ///< the order may have been executed, or may be later
 };
 
+/// What showed that a worker has ended, or that nothing runs there any more.
+enum class worker_end {
+    machine_down,  ///< its machine is listed as down
+    successor,     ///< its machine has another worker in the same pool
+    machine_moved, ///< its machine is in another pool, or being moved or maintained
+    order,         ///< a move or maintenance of its machine was accepted
+    other_address, ///< its address belongs to another instance
+    lease_expired, ///< it has not answered since before its leases expired
+};
+
 enum class run_phase {
     ordered,     ///< the start is in flight
     running,     ///< the worker has confirmed it
@@ -125,6 +135,10 @@
     time_point lease_bound{};
     time_point last_answer{};
     std::uint32_t missed_polls = 0;
+    /// When the last order or poll was answered.
+    time_point last_contact{};
+    /// When the first order or poll since then failed; nullopt if none has.
+    std::optional<time_point> unresponsive_since;
     /// Number of reports received from the worker.
     std::uint64_t reports = 0;
     /// Loads have been reported since best-effort runs were last throttled.
@@ -156,6 +170,18 @@
     }};
 };
 
+template<>
+struct enum_names<job::worker_end> {
+    static constexpr std::array<enum_name<job::worker_end>, 6> table{{
+        {job::worker_end::machine_down, "machine-down"},
+        {job::worker_end::successor, "successor"},
+        {job::worker_end::machine_moved, "machine-moved"},
+        {job::worker_end::order, "order"},
+        {job::worker_end::other_address, "other-address"},
+        {job::worker_end::lease_expired, "lease-expired"},
+    }};
+};
+
 template<>
 struct enum_names<job::order_answer> {
     static constexpr std::array<enum_name<job::order_answer>, 11> table{{
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -279,17 +279,21 @@
     }
 }
 
-void scheduler::mark_runs_lost(worker_record& worker)
+void scheduler::mark_runs_lost(worker_record& worker, worker_end cause)
 {
+    const time_point last_alive = worker.unresponsive_since.value_or(m_now);
     while (!worker.runs.empty()) {
         const auto first = worker.runs.begin();
         const run_name run = first->first;
         if (job_record* const job = find_job(run.task.job)) {
             task_record* const task = job->find(run.task);
             if (!is_terminal(job->state())) {
-                note_decision(
-                    *job,
-                    {.kind = decision_kind::run_lost, .run = run, .worker = worker.listing.id});
+                note_decision(*job, {.kind = decision_kind::run_lost,
+                                     .run = run,
+                                     .worker = worker.listing.id,
+                                     .worker_end_cause = cause,
+                                     .run_age = std::chrono::duration_cast<milliseconds>(
+                                         last_alive - first->second.ordered)});
             }
             if (task != nullptr && !first->second.checkpoint.empty()) {
                 task->checkpoint = first->second.checkpoint;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -40,7 +40,7 @@
     m_worker_at_address.erase(holder);
     // An address belongs to one instance at a time.
     if (earlier != m_workers.end() && earlier->second.listing.address == address) {
-        mark_runs_lost(earlier->second);
+        mark_runs_lost(earlier->second, worker_end::other_address);
         earlier->second.listed = false;
     }
 }
@@ -74,12 +74,12 @@
     }
 }
 
-void scheduler::note_worker_ended(const instance_id& id, time_point now)
+void scheduler::note_worker_ended(const instance_id& id, worker_end cause, time_point now)
 {
     m_now = now;
     const auto found = m_workers.find(id);
     if (found != m_workers.end()) {
-        mark_runs_lost(found->second);
+        mark_runs_lost(found->second, cause);
         m_workers.erase(found);
     }
 }
@@ -140,6 +140,8 @@
     worker.clock_read_at = now;
     worker.last_answer = now;
     worker.missed_polls = 0;
+    worker.last_contact = now;
+    worker.unresponsive_since.reset();
     worker.token_acknowledged = true;
     note_token_acknowledged(id);
     ++worker.reports;
@@ -239,11 +241,19 @@
     }
 }
 
-void scheduler::note_missed_poll(const instance_id& id, time_point /*now*/)
+void scheduler::note_missed_poll(const instance_id& id, time_point now)
 {
     const auto found = m_workers.find(id);
     if (found != m_workers.end()) {
         ++found->second.missed_polls;
+        note_no_answer(found->second, now);
+    }
+}
+
+void scheduler::note_no_answer(worker_record& worker, time_point now)
+{
+    if (!worker.unresponsive_since) {
+        worker.unresponsive_since = now;
     }
 }
 
@@ -265,14 +275,16 @@
             known->second.phase = run_phase::running;
         }
         known->second.confirmed = now;
+        worker.last_contact = now;
         break;
     case order_answer::unanswered:
+        note_no_answer(worker, now);
         if (known->second.phase == run_phase::ordered) {
             known->second.phase = run_phase::unconfirmed;
         }
         break;
     case order_answer::other_instance:
-        note_worker_ended(id, now);
+        note_worker_ended(id, worker_end::other_address, now);
         break;
     case order_answer::no_capacity:
         worker.full_until = now + no_capacity_backoff;
@@ -281,6 +293,9 @@
     case order_answer::unhealthy:
     case order_answer::unreachable:
     case order_answer::malformed:
+        if (answer == order_answer::unreachable) {
+            note_no_answer(worker, now);
+        }
         worker.quarantined_until = now + failed_start_backoff;
         release_run(worker, run);
         break;
@@ -297,7 +312,7 @@
                           time_point now)
 {
     if (answer == order_answer::other_instance) {
-        note_worker_ended(id, now);
+        note_worker_ended(id, worker_end::other_address, now);
         return;
     }
     const auto found = m_workers.find(id);
@@ -316,7 +331,7 @@
         worker_record& worker = at->second;
         const bool unresponsive = worker.missed_polls > 0 || !worker.listed;
         if (unresponsive && now > worker.lease_bound && !worker.runs.empty()) {
-            mark_runs_lost(worker);
+            mark_runs_lost(worker, worker_end::lease_expired);
         }
         const bool removable = !worker.listed && worker.runs.empty();
         at = removable ? m_workers.erase(at) : std::next(at);
