job: Give up a task that crashes the workers that start it

Cause: mark_runs_lost gave a lost run's task back as it was. Only an end that a worker reports itself counted against a task.

Now the crash of a worker is recorded against the runs that aren't known to have outlived 3 s, in the job's progress row. A task whose worker crashed on its start, or under which two crashed, starts again on a worker without tasks of other jobs, which it keeps for 0.5 s. Two crashes on its start in succession, the second one alone, or four in all, fail its job. A worker that was ordered to move or to maintenance, drained or replaced hasn't crashed; one that was only silent has if a successor appears on its machine.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -145,6 +145,7 @@
     metric_summary& m_plan_seconds;
     metric_summary& m_job_seconds;
     metric_summary& m_first_start_seconds;
+    metric_counter& m_crash_suspicions;
     metric_gauge& m_open_jobs;
     metric_gauge& m_usable_workers;
 };
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -39,6 +39,16 @@
             .labels = {{"shard", std::to_string(shard)}}};
 }
 
+std::string describe(const std::vector<job::task_crash>& crashes)
+{
+    std::string text;
+    for (const job::task_crash& each : crashes) {
+        text += fmt::format("{}{}{}{}", text.empty() ? "" : ", ", each.worker.str(),
+                            each.on_start ? " on its start" : "", each.alone ? " alone" : "");
+    }
+    return text;
+}
+
 std::vector<job::queue_policy> queues_of(const fleet_config& config)
 {
     std::vector<job::queue_policy> queues;
@@ -63,6 +73,10 @@
           context.metrics.summary({"job_seconds", "Time from submission to completion", {}})),
       m_first_start_seconds(context.metrics.summary(
           {"job_first_start_seconds", "Time from submission to the first start", {}})),
+      m_crash_suspicions(
+          context.metrics.counter({"task_crash_suspicions_total",
+                                   "Tasks that may have crashed their worker, once for each crash",
+                                   {}})),
       m_open_jobs(context.metrics.gauge(
           shard_gauge("jobs_open", "Jobs that are not in a final state", m_options.shard.number))),
       m_usable_workers(context.metrics.gauge(
@@ -357,7 +371,16 @@
                       "Jobs that reached a final state",
                       {{"state", std::string(name_of(made.state))}}})
             .add();
-        job_log.info(fmt::format("{}: {}", job, name_of(made.state)));
+        job_log.info(fmt::format("{}: {}{}", job, name_of(made.state),
+                                 made.failure == job::failure_reason::none
+                                     ? ""
+                                     : fmt::format(", {}", name_of(made.failure))));
+        break;
+    case job::decision_kind::crash_noted:
+        m_crash_suspicions.add();
+        job_log.info(fmt::format("{}: {} attempt {} may have crashed its worker: {}", job,
+                                 to_string(made.run.task), made.run.attempt,
+                                 describe(made.crashes)));
         break;
     }
 }
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -22,6 +22,9 @@
 /// A machine is back after this many times its maintenance time, for certain.
 constexpr int last_maintenance_factor = 2;
 
+/// An order whose answer is missing may be carried out this late.
+constexpr seconds max_order_delay{13};
+
 constexpr std::string_view recent_orders_key = "ordered";
 /// Delay before a wave is added again whose progress hasn't been read yet.
 constexpr milliseconds add_wave_retry_delay{50};
@@ -115,6 +118,7 @@
             const time_point until = m_loop.now() + m_options.handover_delay;
             for (const std::string& machine : machines) {
                 m_planner.block(machine, until);
+                m_scheduler.expect_planned_end(machine, until);
             }
         }
         return;
@@ -295,6 +299,7 @@
 
 void machine_session::send_order(const machine_order& order)
 {
+    m_scheduler.expect_planned_end(order.machine, m_loop.now() + max_order_delay);
     auto done = [this, order, alive = m_alive](machine_answer answer) {
         if (*alive) {
             handle_answer(order, answer);
@@ -321,6 +326,9 @@
     if (answer == machine_answer::accepted && !order.worker.empty()) {
         m_scheduler.note_worker_ended(order.worker, job::worker_end::order, now);
     }
+    else if (answer != machine_answer::accepted && answer != machine_answer::unanswered) {
+        m_scheduler.cancel_planned_end(order.machine);
+    }
     m_planner.note_answer(order, answer, now);
     persist_waves();
 }
--- /dev/null
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -0,0 +1,39 @@
+// Decides by the crashes of workers during a task's runs whether the task is to blame for them.
+#pragma once
+
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/time.hpp"
+
+#include <vector>
+
+namespace plantaindoor::job {
+
+/// A run that has outlived this isn't suspected when its worker crashes later.
+inline constexpr milliseconds crash_suspicion_time{3000};
+/// A worker that stops answering within this time of a start may have crashed because of it.
+inline constexpr milliseconds crash_on_start_time{200};
+/// How long a task with a suspicious crash keeps its worker from the tasks of other jobs.
+inline constexpr milliseconds isolation_time{500};
+/// Crashes after which a task isn't started again, whatever else ran on the workers.
+inline constexpr std::size_t max_crashes = 4;
+
+/// A worker that crashed while it ran a task, before the task had outlived crash_suspicion_time.
+struct task_crash {
+    instance_id worker;
+    /// The worker stopped answering within crash_on_start_time of the task's start.
+    bool on_start = false;
+    /// Tasks of no other job were suspected.
+    bool alone = false;
+
+    friend bool operator==(const task_crash&, const task_crash&) = default;
+};
+
+/// Whether the task's next run must not share its worker with tasks of other jobs at first.
+/// Thread-safe.
+[[nodiscard]] bool needs_isolation(const std::vector<task_crash>& crashes) noexcept;
+
+/// Whether the crashes show that the task crashes its workers: two in succession on its start, the
+/// last one alone, or max_crashes in all. Thread-safe.
+[[nodiscard]] bool is_to_blame(const std::vector<task_crash>& crashes) noexcept;
+
+} // namespace plantaindoor::job
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -4,6 +4,7 @@
 #include "plantaindoor/common/enum_names.hpp"
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
+#include "plantaindoor/job/crash_history.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
 
@@ -26,6 +27,12 @@
     return state != job_state::queued && state != job_state::running;
 }
 
+enum class failure_reason {
+    none,
+    attempts_exhausted, ///< a task has failed max_attempts times
+    crashed_workers,    ///< a task crashes the workers that start it
+};
+
 /// One attempt of a task, on a worker where it runs or may run.
 struct task_run {
     instance_id worker;
@@ -43,6 +50,8 @@
     std::vector<task_run> runs;
     /// Workers on which the task has failed.
     std::vector<instance_id> avoided;
+    /// Crashes of workers for which the task may be to blame, oldest first.
+    std::vector<task_crash> crashes;
 
     [[nodiscard]] bool is_waiting() const noexcept { return !done && runs.empty(); }
     [[nodiscard]] bool runs_on(const instance_id& worker, std::uint32_t attempt) const noexcept;
@@ -89,6 +98,9 @@
 
     [[nodiscard]] job_state state() const noexcept { return m_state; }
     void set_state(job_state state) noexcept { m_state = state; }
+    /// Why the job has failed; `none` in any other state.
+    [[nodiscard]] failure_reason failure() const noexcept { return m_failure; }
+    void set_failure(failure_reason reason) noexcept { m_failure = reason; }
 
     /// Occurrences that have started and are not yet removed as complete, by number.
     [[nodiscard]] std::map<std::uint32_t, occurrence_record>& occurrences()
@@ -107,14 +119,21 @@
     /// job is complete.
     bool remove_complete_occurrences();
 
+    /// Whether any task that isn't done needs isolation.
+    [[nodiscard]] bool has_suspects() const;
     /// Returns the task, or nullptr if no current occurrence has one of this name.
     [[nodiscard]] task_record* find(const task_name& name);
     [[nodiscard]] step_record& step_of(const task_name& name);
     /// Whether all steps that this one depends on are complete.
     [[nodiscard]] bool is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const;
 
-    /// note_done() and note_failed() return whether anything changed that must be persisted.
+    /// note_done(), note_failed(), note_crash() and clear_crashes() return whether anything changed
+    /// that must be persisted.
     bool note_done(const task_name& name);
+    /// Records a crash of a worker, once for each worker.
+    bool note_crash(const task_name& name, task_crash crash);
+    /// Forgets the crashes of a task that has proved not to be to blame.
+    bool clear_crashes(const task_name& name);
     bool note_failed(const task_name& name, std::uint32_t attempt, const instance_id& worker);
     void note_started(const task_name& name, task_run run);
     void note_not_running(const task_name& name, const task_run& run);
@@ -136,6 +155,7 @@
     milliseconds m_critical_path{0};
     bool m_long_running = false;
     job_state m_state = job_state::queued;
+    failure_reason m_failure = failure_reason::none;
     std::map<std::uint32_t, occurrence_record> m_occurrences;
     std::uint32_t m_started_occurrences = 0;
 };
@@ -155,4 +175,13 @@
     }};
 };
 
+template<>
+struct enum_names<job::failure_reason> {
+    static constexpr std::array<enum_name<job::failure_reason>, 3> table{{
+        {job::failure_reason::none, "none"},
+        {job::failure_reason::attempts_exhausted, "attempts-exhausted"},
+        {job::failure_reason::crashed_workers, "crashed-workers"},
+    }};
+};
+
 } // namespace plantaindoor
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -87,6 +87,7 @@
     run_ended,   ///< a run has ended without completing its task
     run_lost,    ///< a run's worker has ended, or was unresponsive past its lease
     job_ended,   ///< the job has reached a terminal state
+    crash_noted, ///< a worker has crashed, for which the task may be to blame
 };
 
 /// A decision about one job, with the details that operators need.
@@ -101,6 +102,9 @@
     worker_end worker_end_cause = worker_end::lease_expired;
     milliseconds run_age{0};
     job_state state = job_state::queued;
+    failure_reason failure = failure_reason::none;
+    /// Of a noted crash: all crashes of the task, the last one being the newest.
+    std::vector<task_crash> crashes;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
@@ -157,6 +161,11 @@
     void note_address_taken(const std::string& address, const instance_id& by, time_point now);
     /// Records that the worker has ended for certain: nothing runs there any more.
     void note_worker_ended(const instance_id& id, worker_end cause, time_point now);
+    /// Records that a move or maintenance of the machine has been ordered: until then the end of
+    /// its worker is not a crash.
+    void expect_planned_end(const std::string& machine, time_point until);
+    /// Records that the order was refused.
+    void cancel_planned_end(const std::string& machine) { m_planned_ends.erase(machine); }
     /// Records which workers are alive, and their services, including workers that are not listed.
     /// Workers that start well after this process became leader can't run what a predecessor
     /// started.
@@ -235,6 +244,35 @@
     void release_run(worker_record& worker, const run_name& run);
     /// Records that an order or a poll was not answered.
     static void note_no_answer(worker_record& worker, time_point now);
+    /// A run for which a crash of its worker may be to blame.
+    struct crash_suspect {
+        run_name run;
+        task_crash crash;
+    };
+    /// The end of a worker that is a crash if a successor appears on its machine.
+    struct unexplained_end {
+        service_id service;
+        instance_id worker;
+        std::vector<crash_suspect> suspects;
+        time_point at{};
+    };
+    [[nodiscard]] bool is_planned_end(const worker_record& worker) const;
+    /// The runs that are not known to have outlived crash_suspicion_time. Clears the crashes of the
+    /// tasks of the others.
+    [[nodiscard]] std::vector<crash_suspect> crash_suspects(worker_record& worker);
+    /// Records a crash for each suspect, and fails the jobs of tasks that are to blame.
+    void note_crash(const std::vector<crash_suspect>& suspects);
+    /// Resolves the end of the machine's previous worker.
+    void note_successor(const worker_listing& successor);
+    /// Places the waiting tasks that need isolation, or reserves workers for them.
+    void place_isolated(time_point now);
+    void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
+                             time_point now);
+    /// Returns the worker with the fewest tasks of other jobs, or nullptr if none suits or too many
+    /// are kept from other tasks already.
+    [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
+                                                        const occurrence_record& occurrence,
+                                                        std::uint32_t step);
     /// Removes all runs of a worker that has ended or whose lease has expired.
     void mark_runs_lost(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
@@ -242,7 +280,7 @@
     void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
                    worker_record& worker);
     void complete_gang(job_record& job, const task_name& name);
-    void end_job(job_record& job, job_state state);
+    void end_job(job_record& job, job_state state, failure_reason reason = failure_reason::none);
     /// Removes a job from the open ones, if it is one.
     void close_job(const job_id& id);
     void request_stop(worker_record& worker, const run_name& run);
@@ -265,8 +303,10 @@
     [[nodiscard]] worker_record*
     find_cordoned_worker(const service_id& service,
                          const std::function<bool(const worker_record&)>& suits);
-    void order_start(job_record& job, const task_name& name, worker_record& worker,
-                     std::uint32_t attempt, time_point now);
+    [[nodiscard]] std::uint32_t next_attempt(const task_record& task) const;
+    /// Returns the started run, or nullptr if the worker's lease can't be extended.
+    worker_run* order_start(job_record& job, const task_name& name, worker_record& worker,
+                            std::uint32_t attempt, time_point now);
     /// Requests the stop of long-running tasks on cordoned and draining workers.
     void evacuate(time_point now);
     /// Whether enough other tasks of the step are running at full rate to stop this one.
@@ -317,6 +357,13 @@
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs without other constraints that fitted on no worker of a service in this round.
     std::map<service_id, std::vector<resources>> m_unplaceable;
+    /// Open jobs with tasks that need isolation.
+    std::set<job_id> m_suspect_jobs;
+    /// Workers that are kept free for the isolated tasks of a job in this round.
+    std::map<instance_id, job_id> m_reserved;
+    /// By machine.
+    std::map<std::string, unexplained_end> m_unexplained_ends;
+    std::map<std::string, time_point> m_planned_ends;
     /// Workers with runs to stop.
     std::set<instance_id> m_stopping;
     std::set<job_id> m_dirty;
@@ -334,11 +381,12 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 4> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 5> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
+        {job::decision_kind::crash_noted, "crash-noted"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -112,6 +112,10 @@
     std::uint32_t share_percent = 100;
     /// When the run was first reported at full rate; nullopt before.
     std::optional<time_point> working_since;
+    /// Started by a predecessor, at an unknown time before `ordered`.
+    bool adopted = false;
+    /// Keeps tasks of other jobs off the worker.
+    bool isolated = false;
 };
 
 struct worker_record {
@@ -125,6 +129,7 @@
     resources used;
     std::map<run_name, worker_run> runs;
     std::uint32_t long_running_runs = 0;
+    std::uint32_t isolated_runs = 0;
     /// Last ended run that was applied, and the last whose effects are durable.
     std::uint64_t applied_sequence = 0;
     std::uint64_t committed_sequence = 0;
@@ -150,6 +155,8 @@
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources free_capacity() const { return listing.capacity - used; }
+    /// Whether the worker runs only long-running tasks and tasks of this job.
+    [[nodiscard]] bool is_free_for_isolated(const job_id& job) const;
     /// What is free once all tasks but the long-running ones have ended.
     [[nodiscard]] resources capacity_beside_long_running() const;
 };
--- /dev/null
+++ b/packages/job/src/crash_history.cpp
@@ -0,0 +1,22 @@
+#include "plantaindoor/job/crash_history.hpp"
+
+namespace plantaindoor::job {
+
+bool needs_isolation(const std::vector<task_crash>& crashes) noexcept
+{
+    return crashes.size() > 1 || (crashes.size() == 1 && crashes.back().on_start);
+}
+
+bool is_to_blame(const std::vector<task_crash>& crashes) noexcept
+{
+    if (crashes.size() >= max_crashes) {
+        return true;
+    }
+    if (crashes.size() < 2) {
+        return false;
+    }
+    const task_crash& last = crashes.back();
+    return last.alone && last.on_start && crashes[crashes.size() - 2].on_start;
+}
+
+} // namespace plantaindoor::job
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -15,21 +15,49 @@
 constexpr char done_mark = 'd';
 constexpr char not_done_mark = '.';
 
+json crashes_json(const std::vector<task_crash>& crashes)
+{
+    json result = json::array();
+    for (const task_crash& each : crashes) {
+        result.push_back(
+            {{"worker", each.worker.str()}, {"on_start", each.on_start}, {"alone", each.alone}});
+    }
+    return result;
+}
+
+std::vector<task_crash> crashes_of(const json& from)
+{
+    std::vector<task_crash> crashes;
+    for (const json& each : from) {
+        crashes.push_back({.worker = instance_id(each.at("worker").get<std::string>()),
+                           .on_start = each.at("on_start").get<bool>(),
+                           .alone = each.at("alone").get<bool>()});
+    }
+    return crashes;
+}
+
 json step_json(const step_record& step)
 {
     std::string marks;
     json failures = json::object();
+    json crashes = json::object();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const task_record& task = step.tasks[index];
         marks += task.done ? done_mark : not_done_mark;
         if (!task.failed_attempts.empty()) {
             failures[std::to_string(index)] = task.failed_attempts;
         }
+        if (!task.done && !task.crashes.empty()) {
+            crashes[std::to_string(index)] = crashes_json(task.crashes);
+        }
     }
     json result{{"tasks", marks}};
     if (!failures.empty()) {
         result["failed"] = failures;
     }
+    if (!crashes.empty()) {
+        result["crashes"] = crashes;
+    }
     return result;
 }
 
@@ -46,10 +74,12 @@
             --step.waiting;
         }
     }
-    if (!from.contains("failed")) {
-        return;
+    const json crashes_by_task = from.value("crashes", json::object());
+    for (const auto& [index, crashes] : crashes_by_task.items()) {
+        step.tasks.at(std::stoul(index)).crashes = crashes_of(crashes);
     }
-    for (const auto& [index, attempts] : from.at("failed").items()) {
+    const json failures_by_task = from.value("failed", json::object());
+    for (const auto& [index, attempts] : failures_by_task.items()) {
         task_record& task = step.tasks.at(std::stoul(index));
         task.failed_attempts = attempts.get<std::vector<std::uint32_t>>();
         for (const std::uint32_t attempt : task.failed_attempts) {
@@ -131,6 +161,18 @@
     return m_occurrences.empty() && m_started_occurrences >= m_spec->repeats->count;
 }
 
+bool job_record::has_suspects() const
+{
+    return std::any_of(m_occurrences.begin(), m_occurrences.end(), [](const auto& occurrence) {
+        const auto& steps = occurrence.second.steps;
+        return std::any_of(steps.begin(), steps.end(), [](const step_record& step) {
+            return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_record& task) {
+                return !task.done && needs_isolation(task.crashes);
+            });
+        });
+    });
+}
+
 task_record* job_record::find(const task_name& name)
 {
     const auto occurrence = m_occurrences.find(name.occurrence);
@@ -188,6 +230,31 @@
     return true;
 }
 
+bool job_record::note_crash(const task_name& name, task_crash crash)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || task->done) {
+        return false;
+    }
+    auto& crashes = task->crashes;
+    if (std::any_of(crashes.begin(), crashes.end(),
+                    [&](const task_crash& each) { return each.worker == crash.worker; })) {
+        return false;
+    }
+    crashes.push_back(std::move(crash));
+    return true;
+}
+
+bool job_record::clear_crashes(const task_name& name)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || task->crashes.empty()) {
+        return false;
+    }
+    task->crashes.clear();
+    return true;
+}
+
 void job_record::note_started(const task_name& name, task_run run)
 {
     task_record& task = *find(name);
@@ -216,6 +283,9 @@
 std::string job_record::progress() const
 {
     json result{{"state", name_of(m_state)}};
+    if (m_failure != failure_reason::none) {
+        result["reason"] = name_of(m_failure);
+    }
     if (!is_terminal(m_state)) {
         json occurrences = json::object();
         for (const auto& [number, occurrence] : m_occurrences) {
@@ -240,6 +310,8 @@
     }
     m_state = *state;
     if (is_terminal(m_state)) {
+        m_failure = parse_enum<failure_reason>(parsed.value("reason", std::string()))
+                        .value_or(failure_reason::none);
         return;
     }
     m_started_occurrences = parsed.at("begun").get<std::uint32_t>();
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -106,6 +106,9 @@
         close_job(id);
         m_specs.erase(id);
     }
+    else if (job->has_suspects()) {
+        m_suspect_jobs.insert(id);
+    }
 }
 
 void scheduler::cancel(const job_id& id, time_point now)
@@ -136,12 +139,14 @@
         m_open_with_best_effort -= has_best_effort(open->second->spec()) ? 1 : 0;
         m_open.erase(open);
     }
+    m_suspect_jobs.erase(id);
 }
 
-void scheduler::end_job(job_record& job, job_state state)
+void scheduler::end_job(job_record& job, job_state state, failure_reason reason)
 {
     job.set_state(state);
-    note_decision(job, {.kind = decision_kind::job_ended, .state = state});
+    job.set_failure(reason);
+    note_decision(job, {.kind = decision_kind::job_ended, .state = state, .failure = reason});
     close_job(job.id());
     mark_dirty(job.id());
     for (auto& [number, occurrence] : job.occurrences()) {
@@ -262,7 +267,7 @@
     }
     mark_dirty(job.id());
     if (job.find(name)->failed_attempts.size() >= job.queue().max_attempts) {
-        end_job(job, job_state::failed);
+        end_job(job, job_state::failed, failure_reason::attempts_exhausted);
     }
 }
 
@@ -272,6 +277,7 @@
     if (found != worker.runs.end()) {
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
+        worker.isolated_runs -= found->second.isolated ? 1 : 0;
         worker.runs.erase(found);
     }
     if (job_record* const job = find_job(run.task.job)) {
@@ -282,6 +288,11 @@
 void scheduler::mark_runs_lost(worker_record& worker, worker_end cause)
 {
     const time_point last_alive = worker.unresponsive_since.value_or(m_now);
+    std::vector<crash_suspect> suspects;
+    if (!is_planned_end(worker) && cause != worker_end::order &&
+        cause != worker_end::machine_moved) {
+        suspects = crash_suspects(worker);
+    }
     while (!worker.runs.empty()) {
         const auto first = worker.runs.begin();
         const run_name run = first->first;
@@ -301,6 +312,15 @@
         }
         release_run(worker, run);
     }
+    if (cause == worker_end::machine_down || cause == worker_end::successor) {
+        note_crash(suspects);
+    }
+    else if (!suspects.empty()) {
+        m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
+                                                      .worker = worker.listing.id,
+                                                      .suspects = std::move(suspects),
+                                                      .at = m_now};
+    }
 }
 
 std::vector<job_id> scheduler::begin_persist()
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -94,6 +94,12 @@
             m_candidates[worker.listing.service].push_back(&worker);
         }
     }
+    place_isolated(now);
+    for (auto& [service, workers] : m_candidates) {
+        std::erase_if(workers, [this](const worker_record* each) {
+            return each->isolated_runs > 0 || m_reserved.contains(each->listing.id);
+        });
+    }
     for (const candidate& each : ranked_jobs(now)) {
         place_job(*each.job, now);
     }
@@ -125,7 +131,7 @@
     auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         task_record& task = tasks[index];
-        if (!task.is_waiting()) {
+        if (!task.is_waiting() || needs_isolation(task.crashes)) {
             continue;
         }
         worker_record* const worker =
@@ -133,11 +139,15 @@
         if (worker == nullptr) {
             return;
         }
-        const std::uint32_t attempt = std::max(task.last_attempt, m_options.attempt_base) + 1;
-        order_start(job, {job.id(), occurrence, step, index}, *worker, attempt, now);
+        order_start(job, {job.id(), occurrence, step, index}, *worker, next_attempt(task), now);
     }
 }
 
+std::uint32_t scheduler::next_attempt(const task_record& task) const
+{
+    return std::max(task.last_attempt, m_options.attempt_base) + 1;
+}
+
 void scheduler::place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step,
                            time_point now)
 {
@@ -278,12 +288,12 @@
     return nullptr;
 }
 
-void scheduler::order_start(job_record& job, const task_name& name, worker_record& worker,
-                            std::uint32_t attempt, time_point now)
+worker_run* scheduler::order_start(job_record& job, const task_name& name, worker_record& worker,
+                                   std::uint32_t attempt, time_point now)
 {
     const auto deadline = extend_lease(worker, now);
     if (!deadline) {
-        return;
+        return nullptr;
     }
     const step_spec& step = job.spec().steps[name.step];
     const run_name run{name, attempt};
@@ -295,13 +305,14 @@
     worker.used += started.footprint;
     started.long_running = step.long_running;
     worker.long_running_runs += step.long_running ? 1 : 0;
-    worker.runs.emplace(run, std::move(started));
+    const auto added = worker.runs.emplace(run, std::move(started)).first;
     job.note_started(name, {worker.listing.id, attempt});
     m_orders.starts.push_back({.worker = worker.listing.id,
                                .run = run,
                                .spec = m_specs.at(job.id()),
                                .checkpoint = job.find(name)->checkpoint,
                                .deadline = *deadline});
+    return &added->second;
 }
 
 void scheduler::evacuate(time_point now)
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -51,6 +51,7 @@
     note_address_taken(listing.address, listing.id, now);
     m_worker_at_address[listing.address] = listing.id;
     const instance_id id = listing.id;
+    note_successor(listing);
     worker_record& worker = m_workers[id];
     if (worker.listing.id.empty()) {
         // A predecessor may have started tasks there and extended their leases.
@@ -119,7 +120,9 @@
     }
     poll_order poll{.acknowledged = worker.committed_sequence};
     if (worker.token_acknowledged && worker.missed_polls == 0) {
-        poll.wait = worker.runs.empty() ? idle_poll_wait : busy_poll_wait;
+        poll.wait = worker.runs.empty()         ? idle_poll_wait
+                    : worker.isolated_runs == 0 ? busy_poll_wait
+                                                : isolation_time;
     }
     if (!worker.runs.empty()) {
         poll.deadline = extend_lease(worker, now);
@@ -185,6 +188,10 @@
     if (reported.percent >= full_rate_percent && !run.working_since) {
         run.working_since = now;
     }
+    if (run.isolated && now - run.ordered >= isolation_time) {
+        run.isolated = false;
+        --worker.isolated_runs;
+    }
 }
 
 void scheduler::adopt_run(worker_record& worker, const reported_run& reported, job_record& job,
@@ -194,7 +201,8 @@
                    .long_running = job.spec().steps[reported.run.task.step].long_running,
                    .footprint = job.spec().steps[reported.run.task.step].footprint(),
                    .ordered = now,
-                   .confirmed = now};
+                   .confirmed = now,
+                   .adopted = true};
     worker.used += run.footprint;
     worker.long_running_runs += run.long_running ? 1 : 0;
     worker.runs.emplace(reported.run, std::move(run));
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -15,6 +15,13 @@
            now >= quarantined_until && now >= full_until;
 }
 
+bool worker_record::is_free_for_isolated(const job_id& job) const
+{
+    return std::all_of(runs.begin(), runs.end(), [&](const auto& each) {
+        return each.second.long_running || each.first.task.job == job;
+    });
+}
+
 resources worker_record::capacity_beside_long_running() const
 {
     resources capacity = listing.capacity;
--- /dev/null
+++ b/packages/job/tests/crash_test.cpp
@@ -0,0 +1,388 @@
+#include "plantaindoor/job/crash_history.hpp"
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace plantaindoor;
+using namespace plantaindoor::job;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours(1)};
+constexpr milliseconds plan_interval{100};
+const service_id checks{"checks"};
+
+/// Workers that run every task to its end and crash a moment after the start of a deadly one; each
+/// is replaced by a successor on its machine some seconds later.
+struct crash_fixture {
+    std::optional<scheduler> subject;
+    time_point now = start + seconds(60);
+    std::map<std::string, instance_id> workers;
+    std::map<instance_id, std::vector<std::pair<reported_run, time_point>>> running;
+    std::map<instance_id, std::uint64_t> sequences;
+    std::map<std::string, time_point> back_at;
+    std::set<task_name> deadly;
+    std::map<task_name, std::uint32_t> starts;
+    std::map<task_name, std::uint32_t> crashes;
+    std::vector<std::pair<job_id, std::shared_ptr<const job_spec>>> submitted;
+    std::vector<decision> decisions;
+    milliseconds run_time{800};
+    worker_end detected_as = worker_end::machine_down;
+    std::uint32_t lives = 0;
+    std::uint32_t leaders = 0;
+
+    explicit crash_fixture(std::uint32_t machines)
+    {
+        begin_leader();
+        for (std::uint32_t each = 0; each < machines; ++each) {
+            start_worker("m" + std::to_string(each));
+        }
+    }
+
+    void begin_leader()
+    {
+        subject.emplace(scheduler_options{.lease = milliseconds(5000),
+                                          .predecessor_grace = milliseconds(0),
+                                          .attempt_base = 1000 * leaders++},
+                        now - seconds(60));
+        subject->set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
+    }
+
+    /// Replaces the leader by one that knows only what was persisted.
+    void replace_leader()
+    {
+        std::map<job_id, std::string> rows;
+        for (const auto& [id, spec] : submitted) {
+            rows[id] = subject->find(id)->progress();
+        }
+        begin_leader();
+        for (const auto& [id, spec] : submitted) {
+            subject->submit(id, "q", spec, now, true);
+            subject->restore(id, rows[id]);
+        }
+        for (const auto& [machine, worker] : workers) {
+            subject->note_worker_listed(listing(machine, worker), now);
+            report(worker);
+        }
+    }
+
+    static worker_listing listing(const std::string& machine, const instance_id& worker)
+    {
+        return {.id = worker,
+                .service = checks,
+                .address = machine + ":80",
+                .machine = machine,
+                .capacity = {.cpu_millis = 4000, .memory_mb = 4000}};
+    }
+
+    void start_worker(const std::string& machine)
+    {
+        workers[machine] = instance_id("w" + std::to_string(++lives));
+        subject->note_worker_listed(listing(machine, workers[machine]), now);
+        report(workers[machine]);
+    }
+
+    void report(const instance_id& worker, std::vector<ended_run> ended = {})
+    {
+        worker_report result{.worker_clock = milliseconds(1000), .ended = std::move(ended)};
+        for (const auto& each : running[worker]) {
+            result.running.push_back(each.first);
+        }
+        subject->note_report(worker, result, now, now);
+    }
+
+    job_id submit(const std::string& id, step_spec step)
+    {
+        auto spec = std::make_shared<job_spec>();
+        spec->steps.push_back(std::move(step));
+        submitted.emplace_back(job_id(id), spec);
+        subject->submit(job_id(id), "q", spec, now, false);
+        return job_id(id);
+    }
+
+    void crash(const std::string& machine)
+    {
+        const instance_id worker = workers.at(machine);
+        workers.erase(machine);
+        for (const auto& [run, since] : running[worker]) {
+            ++crashes[run.run.task];
+        }
+        running.erase(worker);
+        back_at[machine] = now + seconds(3);
+        subject->note_missed_poll(worker, now);
+        subject->note_worker_ended(worker, detected_as, now);
+    }
+
+    void plan()
+    {
+        const orders due = subject->plan(now, wall_time{});
+        for (const start_order& each : due.starts) {
+            ++starts[each.run.task];
+            subject->note_start(each.worker, each.run, order_answer::accepted, now);
+            running[each.worker].push_back({{.run = each.run, .percent = 100}, now});
+        }
+        for (const stop_order& each : due.stops) {
+            subject->note_stop(each.worker, each.run, order_answer::accepted, now);
+            std::erase_if(running[each.worker],
+                          [&](const auto& run) { return run.first.run == each.run; });
+        }
+        for (const decision& each : subject->take_decisions()) {
+            decisions.push_back(each);
+        }
+        static_cast<void>(subject->begin_persist());
+        subject->note_persisted();
+    }
+
+    /// Lets the time pass that workers need for the next event.
+    void step()
+    {
+        plan();
+        now += milliseconds(10);
+        const auto living = workers;
+        for (const auto& [machine, worker] : living) {
+            const auto& runs = running[worker];
+            if (std::any_of(runs.begin(), runs.end(), [&](const auto& each) {
+                    return deadly.contains(each.first.run.task);
+                })) {
+                crash(machine);
+            }
+        }
+        now += plan_interval - milliseconds(10);
+        for (const auto& [machine, worker] : workers) {
+            std::vector<ended_run> ended;
+            std::erase_if(running[worker], [&](const auto& each) {
+                const bool over = now - each.second >= run_time;
+                if (over) {
+                    ended.push_back({.sequence = ++sequences[worker],
+                                     .run = each.first.run,
+                                     .end_reason = run_end_reason::done});
+                }
+                return over;
+            });
+            report(worker, std::move(ended));
+        }
+        const auto due = back_at;
+        for (const auto& [machine, at] : due) {
+            if (at <= now) {
+                back_at.erase(machine);
+                start_worker(machine);
+            }
+        }
+    }
+
+    void run_for(milliseconds time)
+    {
+        for (const time_point end = now + time; now < end;) {
+            step();
+        }
+    }
+
+    [[nodiscard]] job_state state(const job_id& id) const { return subject->find(id)->state(); }
+};
+
+const step_spec small_step{.count = 4, .need = {.cpu_millis = 500, .memory_mb = 100}};
+
+} // namespace
+
+// Guards against BUDGET: a task that crashes each worker that starts it was started without end.
+TEST_CASE("a task that crashes its workers fails its job after two crashes, and spares the others")
+{
+    crash_fixture fixture(6);
+    std::vector<job_id> sound;
+    for (int each = 0; each < 6; ++each) {
+        sound.push_back(fixture.submit("sound" + std::to_string(each), small_step));
+    }
+    fixture.run_for(milliseconds(300));
+    const job_id bad = fixture.submit("bad", small_step);
+    const task_name culprit{bad, 0, 0, 1};
+    fixture.deadly.insert(culprit);
+    fixture.run_for(seconds(8));
+    CHECK(fixture.state(bad) == job_state::failed);
+    CHECK(fixture.subject->find(bad)->failure() == failure_reason::crashed_workers);
+    CHECK(fixture.starts[culprit] == 2);
+    for (const job_id& id : sound) {
+        INFO("job " << id);
+        CHECK(fixture.state(id) == job_state::completed);
+    }
+    const auto noted =
+        std::find_if(fixture.decisions.begin(), fixture.decisions.end(), [](const decision& each) {
+            return each.kind == decision_kind::job_ended && each.state == job_state::failed;
+        });
+    REQUIRE(noted != fixture.decisions.end());
+    CHECK(noted->failure == failure_reason::crashed_workers);
+}
+
+// Guards against BUDGET across takeovers: each leader counted the crashes from zero.
+TEST_CASE("what is known of a task's crashes survives a change of the leader")
+{
+    crash_fixture fixture(6);
+    const job_id bad = fixture.submit("bad", small_step);
+    const task_name culprit{bad, 0, 0, 0};
+    fixture.deadly.insert(culprit);
+    while (fixture.crashes[culprit] == 0) {
+        fixture.step();
+    }
+    fixture.replace_leader();
+    fixture.run_for(seconds(8));
+    CHECK(fixture.state(bad) == job_state::failed);
+    CHECK(fixture.starts[culprit] == 2);
+
+    fixture.replace_leader();
+    CHECK(fixture.subject->find(bad)->failure() == failure_reason::crashed_workers);
+}
+
+// Guards against a rule for crashes that gives up sound work: workers that crash by themselves.
+TEST_CASE("plain crashes fail no job, one worker, a rack or all of them at a time")
+{
+    const std::uint32_t machines = 6;
+    const std::uint32_t at_once = GENERATE(1, 3, 6);
+    crash_fixture fixture(machines);
+    std::vector<job_id> jobs;
+    std::uint32_t next = 0;
+    for (std::uint32_t round = 0; round < 12; ++round) {
+        for (int each = 0; each < 3; ++each) {
+            jobs.push_back(fixture.submit("j" + std::to_string(round) + "-" + std::to_string(each),
+                                          small_step));
+        }
+        // Some runs have just been started when their worker crashes, others are at work.
+        fixture.run_for(milliseconds(400));
+        jobs.push_back(fixture.submit("fresh" + std::to_string(round), small_step));
+        fixture.plan();
+        fixture.now += milliseconds(20);
+        for (std::uint32_t each = 0; each < at_once; ++each) {
+            const std::string machine = "m" + std::to_string(next++ % machines);
+            if (fixture.workers.contains(machine)) {
+                fixture.crash(machine);
+            }
+        }
+        fixture.run_for(milliseconds(1600));
+    }
+    fixture.run_for(seconds(20));
+    for (const job_id& id : jobs) {
+        INFO("job " << id);
+        CHECK(fixture.state(id) == job_state::completed);
+    }
+}
+
+// Guards against ends of workers that are no crashes being held against their tasks.
+TEST_CASE("a worker that was moved, drained or silent doesn't count as crashed")
+{
+    crash_fixture fixture(4);
+    const job_id id = fixture.submit("j", {.count = 1, .need = {.cpu_millis = 500}});
+    fixture.run_time = seconds(60);
+    const task_name task{id, 0, 0, 0};
+    const auto worker_of_task = [&] {
+        return fixture.subject->find(id)->occurrences().at(0).steps[0].tasks[0].runs.at(0).worker;
+    };
+    fixture.plan();
+    const instance_id worker = worker_of_task();
+    const std::string machine = fixture.subject->workers().at(worker).listing.machine;
+    const auto crashes = [&] {
+        return fixture.subject->find(id)->occurrences().at(0).steps[0].tasks[0].crashes.size();
+    };
+    const auto end_as = [&](worker_end cause) {
+        fixture.workers.erase(machine);
+        fixture.subject->note_worker_ended(worker, cause, fixture.now + milliseconds(20));
+    };
+
+    SECTION("moved by an order")
+    {
+        end_as(worker_end::order);
+        CHECK(crashes() == 0);
+    }
+    SECTION("in maintenance by an order whose answer is missing")
+    {
+        fixture.subject->expect_planned_end(machine, fixture.now + seconds(13));
+        end_as(worker_end::machine_down);
+        CHECK(crashes() == 0);
+    }
+    SECTION("draining")
+    {
+        auto listing = crash_fixture::listing(machine, worker);
+        listing.draining = true;
+        fixture.subject->note_worker_listed(listing, fixture.now);
+        end_as(worker_end::machine_down);
+        CHECK(crashes() == 0);
+    }
+    SECTION("its address belongs to a worker of another machine")
+    {
+        end_as(worker_end::other_address);
+        fixture.subject->note_worker_listed(crash_fixture::listing("m9", instance_id("w90")),
+                                            fixture.now + seconds(2));
+        CHECK(crashes() == 0);
+    }
+    SECTION("silent, until a worker of another pool is on its machine")
+    {
+        end_as(worker_end::lease_expired);
+        auto moved = crash_fixture::listing(machine, instance_id("w91"));
+        moved.service = service_id("essays");
+        fixture.subject->note_worker_listed(moved, fixture.now + seconds(2));
+        CHECK(crashes() == 0);
+    }
+    SECTION("silent, and replaced on its machine: that was a crash")
+    {
+        end_as(worker_end::lease_expired);
+        CHECK(crashes() == 0);
+        fixture.subject->note_worker_listed(crash_fixture::listing(machine, instance_id("w92")),
+                                            fixture.now + seconds(2));
+        CHECK(crashes() == 1);
+    }
+    SECTION("down without an order: that was a crash")
+    {
+        end_as(worker_end::machine_down);
+        CHECK(crashes() == 1);
+    }
+}
+
+TEST_CASE("a task that has outlived its suspicion is not blamed for a later crash")
+{
+    crash_fixture fixture(2);
+    fixture.run_time = seconds(60);
+    const job_id id = fixture.submit("j", {.count = 1, .need = {.cpu_millis = 500}});
+    for (int round = 0; round < 8; ++round) {
+        fixture.run_for(seconds(4));
+        const auto& task = fixture.subject->find(id)->occurrences().at(0).steps[0].tasks[0];
+        REQUIRE(task.runs.size() == 1);
+        fixture.crash(fixture.subject->workers().at(task.runs[0].worker).listing.machine);
+        CHECK(task.crashes.empty());
+    }
+    CHECK(fixture.state(id) == job_state::running);
+}
+
+TEST_CASE(
+    "a suspected task starts on a worker without tasks of other jobs, and keeps it for a time")
+{
+    crash_fixture fixture(4);
+    fixture.run_time = seconds(2);
+    const job_id busy = fixture.submit("busy", {.count = 16, .need = {.cpu_millis = 500}});
+    const job_id bad = fixture.submit("bad", {.count = 1, .need = {.cpu_millis = 500}});
+    fixture.deadly.insert({bad, 0, 0, 0});
+    while (fixture.crashes[{bad, 0, 0, 0}] == 0) {
+        fixture.step();
+    }
+    fixture.deadly.clear();
+    fixture.run_for(seconds(20));
+    CHECK(fixture.state(busy) == job_state::completed);
+    CHECK(fixture.state(bad) == job_state::completed);
+    // The last start found its worker empty, although there were other tasks to place.
+    CHECK(fixture.starts[{bad, 0, 0, 0}] == 2);
+}
+
+TEST_CASE("a task is to blame after two crashes on its start, the last one alone, or four in all")
+{
+    const task_crash crowd{.worker = instance_id("a"), .on_start = true};
+    const task_crash alone{.worker = instance_id("b"), .on_start = true, .alone = true};
+    const task_crash later{.worker = instance_id("c"), .on_start = false, .alone = true};
+    CHECK_FALSE(is_to_blame({}));
+    CHECK_FALSE(is_to_blame({alone}));
+    CHECK(is_to_blame({crowd, alone}));
+    CHECK_FALSE(is_to_blame({crowd, crowd, crowd}));
+    CHECK_FALSE(is_to_blame({later, alone}));
+    CHECK_FALSE(is_to_blame({alone, later, later}));
+    CHECK(is_to_blame({later, later, later, later}));
+    CHECK(needs_isolation({crowd}));
+    CHECK_FALSE(needs_isolation({later}));
+    CHECK(needs_isolation({later, later}));
+}
