job: Clear other tasks of the crashes of a task that was given up

Cause: a crash stayed counted against every task that it hit after its culprit was known; an isolated long-running task shared its worker with another suspect; and the runs of the last 200 ms were all isolated (58 jobs for 20 culprits).

The crashes of a task that is given up count against no other task any more. An isolated run's worker takes no other suspect; a worker without long-running tasks is preferred. Only the last starts before a crash are held to be on its start.

--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -12,6 +12,8 @@
 inline constexpr milliseconds crash_suspicion_time{3000};
 /// A worker that stops answering within this time of a start may have crashed because of it.
 inline constexpr milliseconds crash_on_start_time{200};
+/// A start that was followed by another one after this time didn't crash the worker at once.
+inline constexpr milliseconds crash_batch_time{40};
 /// How long a task with a suspicious crash keeps its worker from the tasks of other jobs.
 inline constexpr milliseconds isolation_time{500};
 /// Crashes after which a task isn't started again, whatever else ran on the workers.
@@ -20,7 +22,8 @@
 /// A worker that crashed while it ran a task, before the task had outlived crash_suspicion_time.
 struct task_crash {
     instance_id worker;
-    /// The worker stopped answering within crash_on_start_time of the task's start.
+    /// The worker stopped answering within crash_on_start_time of the task's start, which was one
+    /// of the last starts there.
     bool on_start = false;
     /// Tasks of no other job were suspected.
     bool alone = false;
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -119,21 +119,22 @@
     /// job is complete.
     bool remove_complete_occurrences();
 
-    /// Whether any task that isn't done needs isolation.
-    [[nodiscard]] bool has_suspects() const;
+    /// Whether a worker has crashed for which any of the tasks may be to blame.
+    [[nodiscard]] bool has_crashes() const;
     /// Returns the task, or nullptr if no current occurrence has one of this name.
     [[nodiscard]] task_record* find(const task_name& name);
     [[nodiscard]] step_record& step_of(const task_name& name);
     /// Whether all steps that this one depends on are complete.
     [[nodiscard]] bool is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const;
 
-    /// note_done(), note_failed(), note_crash() and clear_crashes() return whether anything changed
-    /// that must be persisted.
+    /// The following return whether anything changed that must be persisted.
     bool note_done(const task_name& name);
     /// Records a crash of a worker, once for each worker.
     bool note_crash(const task_name& name, task_crash crash);
     /// Forgets the crashes of a task that has proved not to be to blame.
     bool clear_crashes(const task_name& name);
+    /// Forgets the crash of a worker for which another job's task is to blame.
+    bool clear_crash_of(const instance_id& worker);
     bool note_failed(const task_name& name, std::uint32_t attempt, const instance_id& worker);
     void note_started(const task_name& name, task_run run);
     void note_not_running(const task_name& name, const task_run& run);
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -262,6 +262,8 @@
     [[nodiscard]] std::vector<crash_suspect> crash_suspects(worker_record& worker);
     /// Records a crash for each suspect, and fails the jobs of tasks that are to blame.
     void note_crash(const std::vector<crash_suspect>& suspects);
+    /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
+    void fail_crashing_task(job_record& job, const task_name& name);
     /// Resolves the end of the machine's previous worker.
     void note_successor(const worker_listing& successor);
     /// Places the waiting tasks that need isolation, or reserves workers for them.
@@ -357,7 +359,7 @@
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs without other constraints that fitted on no worker of a service in this round.
     std::map<service_id, std::vector<resources>> m_unplaceable;
-    /// Open jobs with tasks that need isolation.
+    /// Open jobs with tasks that may be to blame for crashes.
     std::set<job_id> m_suspect_jobs;
     /// Workers that are kept free for the isolated tasks of a job in this round.
     std::map<instance_id, job_id> m_reserved;
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -155,7 +155,7 @@
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources free_capacity() const { return listing.capacity - used; }
-    /// Whether the worker runs only long-running tasks and tasks of this job.
+    /// Whether the worker runs only tasks of this job and long-running tasks that aren't isolated.
     [[nodiscard]] bool is_free_for_isolated(const job_id& job) const;
     /// What is free once all tasks but the long-running ones have ended.
     [[nodiscard]] resources capacity_beside_long_running() const;
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -161,14 +161,13 @@
     return m_occurrences.empty() && m_started_occurrences >= m_spec->repeats->count;
 }
 
-bool job_record::has_suspects() const
+bool job_record::has_crashes() const
 {
     return std::any_of(m_occurrences.begin(), m_occurrences.end(), [](const auto& occurrence) {
         const auto& steps = occurrence.second.steps;
         return std::any_of(steps.begin(), steps.end(), [](const step_record& step) {
-            return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_record& task) {
-                return !task.done && needs_isolation(task.crashes);
-            });
+            return std::any_of(step.tasks.begin(), step.tasks.end(),
+                               [](const task_record& task) { return !task.crashes.empty(); });
         });
     });
 }
@@ -255,6 +254,21 @@
     return true;
 }
 
+bool job_record::clear_crash_of(const instance_id& worker)
+{
+    bool changed = false;
+    for (auto& [number, occurrence] : m_occurrences) {
+        for (step_record& step : occurrence.steps) {
+            for (task_record& task : step.tasks) {
+                const auto cleared = std::erase_if(
+                    task.crashes, [&](const task_crash& each) { return each.worker == worker; });
+                changed = changed || cleared > 0;
+            }
+        }
+    }
+    return changed;
+}
+
 void job_record::note_started(const task_name& name, task_run run)
 {
     task_record& task = *find(name);
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -29,6 +29,10 @@
 std::vector<scheduler::crash_suspect> scheduler::crash_suspects(worker_record& worker)
 {
     const time_point failed = worker.unresponsive_since.value_or(m_now);
+    time_point last_ordered{};
+    for (const auto& [name, run] : worker.runs) {
+        last_ordered = std::max(last_ordered, run.adopted ? time_point{} : run.ordered);
+    }
     std::vector<crash_suspect> suspects;
     for (const auto& [name, run] : worker.runs) {
         if (worker.last_contact - run.ordered >= crash_suspicion_time) {
@@ -38,7 +42,8 @@
             }
             continue;
         }
-        const bool on_start = !run.adopted && failed - run.ordered <= crash_on_start_time;
+        const bool on_start = !run.adopted && failed - run.ordered <= crash_on_start_time &&
+                              last_ordered - run.ordered <= crash_batch_time;
         suspects.push_back({name, {.worker = worker.listing.id, .on_start = on_start}});
     }
     const bool alone = std::all_of(suspects.begin(), suspects.end(), [&](const auto& each) {
@@ -64,11 +69,30 @@
                              .run = each.run,
                              .worker = each.crash.worker,
                              .crashes = crashes});
-        if (is_to_blame(crashes)) {
-            end_job(*job, job_state::failed, failure_reason::crashed_workers);
+        m_suspect_jobs.insert(name.job);
+    }
+    for (const crash_suspect& each : suspects) {
+        job_record* const job = find_job(each.run.task.job);
+        if (job == nullptr || is_terminal(job->state())) {
+            continue;
+        }
+        const task_record* const task = job->find(each.run.task);
+        if (task != nullptr && is_to_blame(task->crashes)) {
+            fail_crashing_task(*job, each.run.task);
         }
-        else if (needs_isolation(crashes)) {
-            m_suspect_jobs.insert(name.job);
+    }
+}
+
+void scheduler::fail_crashing_task(job_record& job, const task_name& name)
+{
+    const std::vector<task_crash> crashes = job.find(name)->crashes;
+    end_job(job, job_state::failed, failure_reason::crashed_workers);
+    for (const job_id& id : m_suspect_jobs) {
+        job_record& other = *m_open.at(id);
+        for (const task_crash& crash : crashes) {
+            if (other.clear_crash_of(crash.worker)) {
+                mark_dirty(id);
+            }
         }
     }
 }
@@ -177,8 +201,8 @@
     };
     const auto cost_of = [&](const worker_record* each) {
         const bool far = !spec.rack.empty() && each->listing.rack.str() != spec.rack;
-        return std::tuple(!is_kept(each), each->runs.size() - each->long_running_runs, far,
-                          each->long_running_runs);
+        return std::tuple(!is_kept(each), each->long_running_runs > 0,
+                          each->runs.size() - each->long_running_runs, far);
     };
     worker_record* best = nullptr;
     for (worker_record* const each : candidates->second) {
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -106,7 +106,7 @@
         close_job(id);
         m_specs.erase(id);
     }
-    else if (job->has_suspects()) {
+    else if (job->has_crashes()) {
         m_suspect_jobs.insert(id);
     }
 }
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -336,6 +336,32 @@
     }
 }
 
+// Guards against giving up sound work beside crashing tasks: seen with a long-running task that
+// lost its workers to four of them.
+TEST_CASE("a crash for which a task was given up counts against no other task")
+{
+    crash_fixture fixture(3);
+    fixture.run_time = seconds(60);
+    std::vector<job_id> sound;
+    for (int each = 0; each < 3; ++each) {
+        sound.push_back(
+            fixture.submit("sound" + std::to_string(each),
+                           {.count = 1, .need = {.cpu_millis = 500}, .long_running = true}));
+    }
+    for (int round = 0; round < 8; ++round) {
+        fixture.run_for(milliseconds(1000));
+        const job_id bad = fixture.submit("bad" + std::to_string(round),
+                                          {.count = 1, .need = {.cpu_millis = 500}});
+        fixture.deadly.insert({bad, 0, 0, 0});
+        fixture.run_for(milliseconds(3000));
+        CHECK(fixture.state(bad) == job_state::failed);
+    }
+    for (const job_id& id : sound) {
+        INFO("job " << id);
+        CHECK(fixture.state(id) == job_state::running);
+    }
+}
+
 TEST_CASE("a task that has outlived its suspicion is not blamed for a later crash")
 {
     crash_fixture fixture(2);
