job: Start fewer isolated tasks while others wait for room

Cause: each isolated start empties a worker and may cost it for 3.3 s; during the burst a quarter of the pool went that way, and jobs that no crash had hit started 1.3 s late on average.

While a task of the service finds no room, a tenth of the workers takes isolated tasks, otherwise a quarter as before. Starts of different jobs on one worker are kept 40 ms apart for 10 s after a crash.

--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -148,6 +148,9 @@
     std::uint64_t reports = 0;
     /// Loads have been reported since best-effort runs were last throttled.
     bool has_new_loads = false;
+    /// When a start was last ordered, and of which job.
+    time_point last_start{};
+    job_id last_start_job;
     std::uint32_t consecutive_failures = 0;
     time_point quarantined_until{};
     time_point full_until{};
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -12,6 +12,10 @@
 constexpr milliseconds successor_wait{15000};
 /// One in this many workers of a service, and at least one, is kept for isolated tasks.
 constexpr std::size_t isolation_divisor = 4;
+/// The same while other tasks of the service wait for room.
+constexpr std::size_t overload_isolation_divisor = 10;
+/// How long after a crash starts of different jobs on one worker are kept apart.
+constexpr milliseconds crash_memory{10000};
 
 } // namespace
 
@@ -55,8 +59,15 @@
     return suspects;
 }
 
+bool scheduler::has_recent_start(const worker_record& worker, const job_id& job) const
+{
+    return m_last_crash && m_now - *m_last_crash < crash_memory &&
+           m_now - worker.last_start <= crash_batch_time && worker.last_start_job != job;
+}
+
 void scheduler::note_crash(const std::vector<crash_suspect>& suspects)
 {
+    m_last_crash = suspects.empty() ? m_last_crash : m_now;
     for (const crash_suspect& each : suspects) {
         const task_name& name = each.run.task;
         job_record* const job = find_job(name.job);
@@ -179,8 +190,9 @@
     };
     const auto kept = static_cast<std::size_t>(
         std::count_if(candidates->second.begin(), candidates->second.end(), is_kept));
-    const bool may_keep_more =
-        kept < std::max<std::size_t>(candidates->second.size() / isolation_divisor, 1);
+    const std::size_t divisor =
+        m_overloaded.contains(job.queue().service) ? overload_isolation_divisor : isolation_divisor;
+    const bool may_keep_more = kept < std::max<std::size_t>(candidates->second.size() / divisor, 1);
     const auto belongs_to_job = [&](const worker_record* each) {
         const auto reserved = m_reserved.find(each->listing.id);
         return reserved != m_reserved.end() ? reserved->second == job.id()
