job: Tell callers why a job failed, and isolate a task's last start for longer

A GET of a failed job now has the reason (attempts-exhausted or crashed-workers), at every entry and after a takeover: it is kept in the job's progress.

The start after the third crash is now isolated until the task isn't suspected any more. Test: 'a task that survives its isolated starts...'.

--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -27,7 +27,7 @@
     /// Whether the state could be determined.
     bool available = false;
     /// No value: there is no such job.
-    std::optional<job::job_state> state;
+    std::optional<job::job_status> state;
 };
 
 /// Submits and cancels jobs and reports their state. Loop thread only. Each callback runs once, and
--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -82,7 +82,7 @@
     /// Whether all jobs have been read.
     [[nodiscard]] bool is_ready() const noexcept { return m_ready; }
     /// The state to report to callers; no value for an unknown job.
-    [[nodiscard]] std::optional<job::job_state> state_of(const job_id& id) const;
+    [[nodiscard]] std::optional<job::job_status> state_of(const job_id& id) const;
     [[nodiscard]] std::size_t pending(const std::string& queue) const;
     [[nodiscard]] const job::scheduler& scheduler() const noexcept { return m_scheduler; }
 
--- a/packages/fleet/include/plantaindoor/fleet/peer_client.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/peer_client.hpp
@@ -28,7 +28,7 @@
 /// call has returned.
 class peer_client {
 public:
-    using state_callback = std::function<void(std::optional<job::job_state>)>;
+    using state_callback = std::function<void(std::optional<job::job_status>)>;
     using pending_callback = std::function<void(std::optional<std::size_t>)>;
     using liveness_callback = std::function<void(peer_liveness)>;
 
@@ -61,7 +61,7 @@
     std::string incarnation;
     /// Returns no value if this entry isn't a leader of the shard that is ready, or has no such
     /// job.
-    std::function<std::optional<job::job_state>(shard_number, const job_id&)> state;
+    std::function<std::optional<job::job_status>(shard_number, const job_id&)> state;
     /// Returns no value if this entry isn't a leader of the shard that is ready.
     std::function<std::optional<std::size_t>(shard_number, const std::string& queue)> pending;
 };
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -67,7 +67,7 @@
 {
     peer_state_source source{
         .incarnation = m_options.shards.election.incarnation,
-        .state = [this](shard_number shard, const job_id& id) -> std::optional<job::job_state> {
+        .state = [this](shard_number shard, const job_id& id) -> std::optional<job::job_status> {
             leader_session* const session = m_jobs.ready_session(shard);
             return session == nullptr ? std::nullopt : session->state_of(id);
         },
--- a/packages/fleet/src/job_request_handler.cpp
+++ b/packages/fleet/src/job_request_handler.cpp
@@ -2,8 +2,6 @@
 
 #include "plantaindoor/fleet/job_rows.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,15 +11,6 @@
 
 constexpr milliseconds read_timeout{700};
 
-std::optional<job::job_state> parse_progress_state(const std::string& progress)
-{
-    const auto parsed = nlohmann::json::parse(progress, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("state") || !parsed["state"].is_string()) {
-        return std::nullopt;
-    }
-    return parse_enum<job::job_state>(parsed["state"].get<std::string>());
-}
-
 /// Selects both rows of a job in the jobs table: the accepted request and the cancellation.
 row_query job_rows_query(shard_number shard, const job_id& id)
 {
@@ -154,7 +143,7 @@
         }
     }
     m_shards[job.shard].leader.state(
-        id, [this, job, done = std::move(done)](std::optional<job::job_state> state) {
+        id, [this, job, done = std::move(done)](std::optional<job::job_status> state) {
             if (state) {
                 done({.available = true, .state = state});
             }
@@ -183,9 +172,10 @@
                 done({});
                 return;
             }
-            const auto state =
-                page->rows.empty() ? std::nullopt : parse_progress_state(page->rows.front().value);
-            if (state && is_terminal(*state)) {
+            const auto state = page->rows.empty()
+                                   ? std::nullopt
+                                   : job::status_of_progress(page->rows.front().value);
+            if (state && is_terminal(state->state)) {
                 done({.available = true, .state = state});
                 return;
             }
@@ -212,9 +202,9 @@
                          std::any_of(page->rows.begin(), page->rows.end(), [](const auto& row) {
                              return parse_job_row_key(row.at.key).cancelling;
                          });
-                     done(
-                         {.available = true,
-                          .state = cancelled ? job::job_state::cancelled : job::job_state::queued});
+                     done({.available = true,
+                           .state = job::job_status{.state = cancelled ? job::job_state::cancelled
+                                                                       : job::job_state::queued}});
                  });
 }
 
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -480,7 +480,7 @@
     m_machines->add_wave(request, first_seen);
 }
 
-std::optional<job::job_state> leader_session::state_of(const job_id& id) const
+std::optional<job::job_status> leader_session::state_of(const job_id& id) const
 {
     const job::job_record* const job = m_scheduler.find(id);
     if (job == nullptr) {
@@ -489,7 +489,7 @@
     // A state that isn't durable yet must not be reported: a successor might report another.
     const bool end_hidden = is_terminal(job->state()) && !m_scheduler.is_durable(id) &&
                             job->state() != job::job_state::cancelled;
-    return end_hidden ? job::job_state::running : job->state();
+    return end_hidden ? job::job_status{.state = job::job_state::running} : job->status();
 }
 
 std::size_t leader_session::pending(const std::string& queue) const
--- a/packages/fleet/src/peer_client.cpp
+++ b/packages/fleet/src/peer_client.cpp
@@ -88,7 +88,7 @@
 {
     call(path_in_shard(state_path, m_shard, id.str()),
          [done = std::move(done)](const http_result& result) {
-             done(is_ok(result) ? parse_enum<job::job_state>(result.response.body) : std::nullopt);
+             done(is_ok(result) ? job::parse_job_status(result.response.body) : std::nullopt);
          });
 }
 
@@ -128,7 +128,7 @@
         const auto asked = parse_name_in_shard(target.substr(state_path.size()));
         const auto state = asked ? source.state(asked->shard, job_id(asked->name)) : std::nullopt;
         if (state) {
-            return {.status = status_ok, .body = std::string(name_of(*state))};
+            return {.status = status_ok, .body = to_text(*state)};
         }
     }
     if (target.starts_with(pending_path)) {
--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -14,8 +14,6 @@
 inline constexpr milliseconds crash_on_start_time{200};
 /// A start that was followed by another one after this time didn't crash the worker at once.
 inline constexpr milliseconds crash_batch_time{40};
-/// How long a task with a suspicious crash keeps its worker from the tasks of other jobs.
-inline constexpr milliseconds isolation_time{500};
 /// Crashes after which a task isn't started again, whatever else ran on the workers.
 inline constexpr std::size_t max_crashes = 4;
 
@@ -35,6 +33,10 @@
 /// Thread-safe.
 [[nodiscard]] bool needs_isolation(const std::vector<task_crash>& crashes) noexcept;
 
+/// How long such a run keeps tasks of other jobs off its worker: the last one before max_crashes
+/// does so until it isn't suspected any more. Thread-safe.
+[[nodiscard]] milliseconds isolation_after(const std::vector<task_crash>& crashes) noexcept;
+
 /// Whether the crashes show that the task crashes its workers: two in succession on its start, the
 /// last one alone, or max_crashes in all. Thread-safe.
 [[nodiscard]] bool is_to_blame(const std::vector<task_crash>& crashes) noexcept;
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,23 @@
     crashed_workers,    ///< a task crashes the workers that start it
 };
 
+/// What callers are told about a job.
+struct job_status {
+    job_state state = job_state::queued;
+    /// `none` unless the job has failed.
+    failure_reason failure = failure_reason::none;
+
+    friend bool operator==(const job_status&, const job_status&) = default;
+};
+
+/// Such as "running" or "failed crashed-workers". Thread-safe.
+[[nodiscard]] std::string to_text(const job_status& status);
+/// Returns nothing if the text is not one of to_text(). Thread-safe.
+[[nodiscard]] std::optional<job_status> parse_job_status(std::string_view text);
+/// The status in the state that job_record::progress() returned; nothing if it can't be read.
+/// Thread-safe.
+[[nodiscard]] std::optional<job_status> status_of_progress(std::string_view progress);
+
 /// One attempt of a task, on a worker where it runs or may run.
 struct task_run {
     instance_id worker;
@@ -98,8 +116,7 @@
 
     [[nodiscard]] job_state state() const noexcept { return m_state; }
     void set_state(job_state state) noexcept { m_state = state; }
-    /// Why the job has failed; `none` in any other state.
-    [[nodiscard]] failure_reason failure() const noexcept { return m_failure; }
+    [[nodiscard]] job_status status() const noexcept { return {m_state, m_failure}; }
     void set_failure(failure_reason reason) noexcept { m_failure = reason; }
 
     /// Occurrences that have started and are not yet removed as complete, by number.
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -275,9 +275,6 @@
     [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
                                                         const occurrence_record& occurrence,
                                                         std::uint32_t step);
-    /// Whether the last start on the worker is so recent that a crash couldn't be told apart from
-    /// one caused by a task of this job. Matters only while workers crash.
-    [[nodiscard]] bool has_recent_start(const worker_record& worker, const job_id& job) const;
     /// Removes all runs of a worker that has ended or whose lease has expired.
     void mark_runs_lost(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
@@ -364,8 +361,6 @@
     std::map<service_id, std::vector<resources>> m_unplaceable;
     /// Open jobs with tasks that may be to blame for crashes.
     std::set<job_id> m_suspect_jobs;
-    /// When a worker last crashed, possibly because of a task; nullopt if none has.
-    std::optional<time_point> m_last_crash;
     /// Workers that are kept free for the isolated tasks of a job in this round.
     std::map<instance_id, job_id> m_reserved;
     /// By machine.
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -114,8 +114,11 @@
     std::optional<time_point> working_since;
     /// Started by a predecessor, at an unknown time before `ordered`.
     bool adopted = false;
-    /// Keeps tasks of other jobs off the worker.
-    bool isolated = false;
+    /// How long after its start the run keeps tasks of other jobs off the worker; zero: it doesn't,
+    /// or that time is over.
+    milliseconds isolation{0};
+
+    [[nodiscard]] bool is_isolated() const noexcept { return isolation > milliseconds(0); }
 };
 
 struct worker_record {
@@ -148,9 +151,6 @@
     std::uint64_t reports = 0;
     /// Loads have been reported since best-effort runs were last throttled.
     bool has_new_loads = false;
-    /// When a start was last ordered, and of which job.
-    time_point last_start{};
-    job_id last_start_job;
     std::uint32_t consecutive_failures = 0;
     time_point quarantined_until{};
     time_point full_until{};
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -7,6 +7,12 @@
     return crashes.size() > 1 || (crashes.size() == 1 && crashes.back().on_start);
 }
 
+milliseconds isolation_after(const std::vector<task_crash>& crashes) noexcept
+{
+    constexpr milliseconds short_isolation{500};
+    return crashes.size() + 1 < max_crashes ? short_isolation : crash_suspicion_time;
+}
+
 bool is_to_blame(const std::vector<task_crash>& crashes) noexcept
 {
     if (crashes.size() >= max_crashes) {
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -90,6 +90,50 @@
 
 } // namespace
 
+std::string to_text(const job_status& status)
+{
+    std::string text(name_of(status.state));
+    if (status.failure != failure_reason::none) {
+        text += ' ';
+        text += name_of(status.failure);
+    }
+    return text;
+}
+
+std::optional<job_status> parse_job_status(std::string_view text)
+{
+    const std::size_t space = text.find(' ');
+    const auto state = parse_enum<job_state>(text.substr(0, space));
+    if (!state) {
+        return std::nullopt;
+    }
+    if (space == std::string_view::npos) {
+        return job_status{.state = *state};
+    }
+    const auto failure = parse_enum<failure_reason>(text.substr(space + 1));
+    return failure ? std::optional(job_status{.state = *state, .failure = *failure}) : std::nullopt;
+}
+
+std::optional<job_status> status_of_progress(std::string_view progress)
+{
+    const json parsed = json::parse(progress, nullptr, false);
+    const auto text_of = [&](const char* name) {
+        const auto found = parsed.find(name);
+        return found != parsed.end() && found->is_string() ? found->get<std::string>()
+                                                           : std::string();
+    };
+    if (!parsed.is_object()) {
+        return std::nullopt;
+    }
+    const auto state = parse_enum<job_state>(text_of("state"));
+    if (!state) {
+        return std::nullopt;
+    }
+    return job_status{
+        .state = *state,
+        .failure = parse_enum<failure_reason>(text_of("reason")).value_or(failure_reason::none)};
+}
+
 bool task_record::runs_on(const instance_id& worker, std::uint32_t attempt) const noexcept
 {
     return std::any_of(runs.begin(), runs.end(), [&](const task_run& run) {
@@ -317,17 +361,16 @@
 
 void job_record::restore(std::string_view progress)
 {
-    const json parsed = json::parse(progress);
-    const auto state = parse_enum<job_state>(parsed.at("state").get<std::string>());
-    if (!state) {
+    const auto status = status_of_progress(progress);
+    if (!status) {
         throw spec_error("progress: state", expected_names<job_state>());
     }
-    m_state = *state;
+    m_state = status->state;
+    m_failure = status->failure;
     if (is_terminal(m_state)) {
-        m_failure = parse_enum<failure_reason>(parsed.value("reason", std::string()))
-                        .value_or(failure_reason::none);
         return;
     }
+    const json parsed = json::parse(progress);
     m_started_occurrences = parsed.at("begun").get<std::uint32_t>();
     m_occurrences.clear();
     for (const auto& [number, steps] : parsed.at("occurrences").items()) {
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t isolation_divisor = 4;
 /// The same while other tasks of the service wait for room.
 constexpr std::size_t overload_isolation_divisor = 10;
-/// How long after a crash starts of different jobs on one worker are kept apart.
-constexpr milliseconds crash_memory{10000};
 
 } // namespace
 
@@ -59,15 +57,8 @@
     return suspects;
 }
 
-bool scheduler::has_recent_start(const worker_record& worker, const job_id& job) const
-{
-    return m_last_crash && m_now - *m_last_crash < crash_memory &&
-           m_now - worker.last_start <= crash_batch_time && worker.last_start_job != job;
-}
-
 void scheduler::note_crash(const std::vector<crash_suspect>& suspects)
 {
-    m_last_crash = suspects.empty() ? m_last_crash : m_now;
     for (const crash_suspect& each : suspects) {
         const task_name& name = each.run.task;
         job_record* const job = find_job(name.job);
@@ -170,7 +161,7 @@
         worker_run* const run =
             order_start(job, {job.id(), occurrence, step, index}, *worker, next_attempt(task), now);
         if (run != nullptr) {
-            run->isolated = true;
+            run->isolation = isolation_after(task.crashes);
             ++worker->isolated_runs;
         }
     }
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -277,7 +277,7 @@
     if (found != worker.runs.end()) {
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
-        worker.isolated_runs -= found->second.isolated ? 1 : 0;
+        worker.isolated_runs -= found->second.is_isolated() ? 1 : 0;
         worker.runs.erase(found);
     }
     if (job_record* const job = find_job(run.task.job)) {
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -22,10 +22,9 @@
 
 enum tier : std::uint32_t { long_running_tier, on_time_tier, late_tier, zero_value_tier };
 
-/// Preference for a worker as the place of a task: not avoided, near, no recent start of another
-/// job while workers crash, has long-running runs, least free processor time. Compared left to
-/// right; higher is better.
-using suitability = std::tuple<bool, bool, bool, bool, std::int64_t>;
+/// Preference for a worker as the place of a task: not avoided, near, has long-running runs, least
+/// free processor time. Compared left to right; higher is better.
+using suitability = std::tuple<bool, bool, bool, std::int64_t>;
 
 } // namespace
 
@@ -252,8 +251,8 @@
         const bool near = (spec.rack.empty() || worker.listing.rack.str() == spec.rack) &&
                           (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Pack tasks on few workers, so that other machines can be moved out of the pool.
-        return suitability(!is_avoided(worker), near, !has_recent_start(worker, job.id()),
-                           worker.long_running_runs > 0, -worker.free_capacity().cpu_millis);
+        return suitability(!is_avoided(worker), near, worker.long_running_runs > 0,
+                           -worker.free_capacity().cpu_millis);
     };
     worker_record* best = nullptr;
     for (worker_record* const worker : candidates) {
@@ -310,8 +309,6 @@
     }
     worker_run started{.footprint = step.footprint(), .ordered = now};
     worker.used += started.footprint;
-    worker.last_start = now;
-    worker.last_start_job = job.id();
     started.long_running = step.long_running;
     worker.long_running_runs += step.long_running ? 1 : 0;
     const auto added = worker.runs.emplace(run, std::move(started)).first;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -14,6 +14,8 @@
 /// How long a worker with runs, or without, may wait for a run to end before it answers a poll.
 constexpr milliseconds busy_poll_wait{1000};
 constexpr milliseconds idle_poll_wait{2000};
+/// The same with isolated runs, whose isolation ends with a report.
+constexpr milliseconds isolating_poll_wait{500};
 /// How long a worker gets no starts after it had no capacity for one, or after one failed
 /// otherwise.
 constexpr milliseconds no_capacity_backoff{200};
@@ -122,7 +124,7 @@
     if (worker.token_acknowledged && worker.missed_polls == 0) {
         poll.wait = worker.runs.empty()         ? idle_poll_wait
                     : worker.isolated_runs == 0 ? busy_poll_wait
-                                                : isolation_time;
+                                                : isolating_poll_wait;
     }
     if (!worker.runs.empty()) {
         poll.deadline = extend_lease(worker, now);
@@ -188,8 +190,8 @@
     if (reported.percent >= full_rate_percent && !run.working_since) {
         run.working_since = now;
     }
-    if (run.isolated && now - run.ordered >= isolation_time) {
-        run.isolated = false;
+    if (run.is_isolated() && now - run.ordered >= run.isolation) {
+        run.isolation = milliseconds(0);
         --worker.isolated_runs;
     }
 }
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -18,7 +18,8 @@
 bool worker_record::is_free_for_isolated(const job_id& job) const
 {
     return std::all_of(runs.begin(), runs.end(), [&](const auto& each) {
-        return each.first.task.job == job || (each.second.long_running && !each.second.isolated);
+        return each.first.task.job == job ||
+               (each.second.long_running && !each.second.is_isolated());
     });
 }
 
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -200,7 +200,7 @@
     fixture.deadly.insert(culprit);
     fixture.run_for(seconds(8));
     CHECK(fixture.state(bad) == job_state::failed);
-    CHECK(fixture.subject->find(bad)->failure() == failure_reason::crashed_workers);
+    CHECK(fixture.subject->find(bad)->status().failure == failure_reason::crashed_workers);
     CHECK(fixture.starts[culprit] == 2);
     for (const job_id& id : sound) {
         INFO("job " << id);
@@ -230,7 +230,7 @@
     CHECK(fixture.starts[culprit] == 2);
 
     fixture.replace_leader();
-    CHECK(fixture.subject->find(bad)->failure() == failure_reason::crashed_workers);
+    CHECK(fixture.subject->find(bad)->status().failure == failure_reason::crashed_workers);
 }
 
 // Guards against a rule for crashes that gives up sound work: workers that crash by themselves.
@@ -362,6 +362,33 @@
     }
 }
 
+// Guards against giving up a sound long-running task whose workers crash under later starts.
+TEST_CASE(
+    "a task that survives its isolated starts is not given up for what starts beside it later")
+{
+    crash_fixture fixture(4);
+    fixture.run_time = seconds(60);
+    const job_id sound =
+        fixture.submit("sound", {.count = 1, .need = {.cpu_millis = 500}, .long_running = true});
+    const auto& task = fixture.subject->find(sound)->occurrences().at(0).steps[0].tasks[0];
+    for (int round = 0; round < 8; ++round) {
+        // Waits for a start, and until others may run beside it.
+        while (task.runs.empty() ||
+               fixture.subject->workers().at(task.runs[0].worker).isolated_runs > 0) {
+            fixture.step();
+        }
+        fixture.run_for(milliseconds(700));
+        const instance_id worker = task.runs[0].worker;
+        const job_id other = fixture.submit("other" + std::to_string(round),
+                                            {.count = 8, .need = {.cpu_millis = 400}});
+        fixture.plan();
+        fixture.now += milliseconds(10);
+        fixture.crash(fixture.subject->workers().at(worker).listing.machine);
+        fixture.subject->cancel(other, fixture.now);
+        REQUIRE(fixture.state(sound) == job_state::running);
+    }
+}
+
 TEST_CASE("a task that has outlived its suspicion is not blamed for a later crash")
 {
     crash_fixture fixture(2);
@@ -408,7 +435,24 @@
     CHECK_FALSE(is_to_blame({later, alone}));
     CHECK_FALSE(is_to_blame({alone, later, later}));
     CHECK(is_to_blame({later, later, later, later}));
+    CHECK(isolation_after({later, later}) < crash_suspicion_time);
+    CHECK(isolation_after({later, later, later}) == crash_suspicion_time);
     CHECK(needs_isolation({crowd}));
     CHECK_FALSE(needs_isolation({later}));
     CHECK(needs_isolation({later, later}));
 }
+
+TEST_CASE("the reason of a failure is kept in a job's progress and in its status text")
+{
+    const job_status failed{.state = job_state::failed, .failure = failure_reason::crashed_workers};
+    CHECK(to_text(failed) == "failed crashed-workers");
+    CHECK(parse_job_status(to_text(failed)) == failed);
+    CHECK(parse_job_status("running") == job_status{.state = job_state::running});
+    CHECK_FALSE(parse_job_status("failed for-fun"));
+    CHECK_FALSE(parse_job_status(""));
+    CHECK(status_of_progress(R"({"state":"failed","reason":"crashed-workers"})") == failed);
+    CHECK(status_of_progress(R"({"state":"failed"})") == job_status{.state = job_state::failed});
+    for (const char* malformed : {"", "[]", "{}", R"({"state":7})", R"({"state":"lost"})"}) {
+        CHECK_FALSE(status_of_progress(malformed));
+    }
+}
