job: Try one suspect of a crash at a time while tasks wait for room

A start counts as one of the last only if no start was accepted there 20 ms later; while tasks wait for room, the suspects of one crash are tried one after the other, so that finding the culprit spares the rest.

--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -12,8 +12,8 @@
 inline constexpr milliseconds crash_suspicion_time{3000};
 /// A worker that stops answering within this time of a start may have crashed because of it.
 inline constexpr milliseconds crash_on_start_time{200};
-/// A start that was followed by another one after this time didn't crash the worker at once.
-inline constexpr milliseconds crash_batch_time{40};
+/// A start that was followed by an accepted one after this time didn't crash the worker at once.
+inline constexpr milliseconds crash_batch_time{20};
 /// Crashes after which a task isn't started again, whatever else ran on the workers.
 inline constexpr std::size_t max_crashes = 4;
 
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -270,6 +270,11 @@
     void place_isolated(time_point now);
     void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
                              time_point now);
+    /// Records that the task's last crash is being examined by an isolated start.
+    void note_trial(const task_name& name);
+    /// Whether the task should wait as another job is suspected of the same crash, is being tried,
+    /// and the workers are needed for other tasks.
+    [[nodiscard]] bool awaits_other_trial(const job_record& job, const task_record& task) const;
     /// Returns the worker with the fewest tasks of other jobs, or nullptr if none suits or too many
     /// are kept from other tasks already.
     [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
@@ -366,6 +371,8 @@
     /// By machine.
     std::map<std::string, unexplained_end> m_unexplained_ends;
     std::map<std::string, time_point> m_planned_ends;
+    /// The crashed workers whose end is being examined, and the job that is tried for it.
+    std::map<instance_id, job_id> m_crashes_on_trial;
     /// Services without room for some task in the previous round.
     std::set<service_id> m_overloaded;
     /// Workers with runs to stop.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -31,9 +31,10 @@
 std::vector<scheduler::crash_suspect> scheduler::crash_suspects(worker_record& worker)
 {
     const time_point failed = worker.unresponsive_since.value_or(m_now);
-    time_point last_ordered{};
+    time_point last_arrived{};
     for (const auto& [name, run] : worker.runs) {
-        last_ordered = std::max(last_ordered, run.adopted ? time_point{} : run.ordered);
+        const bool arrived = run.confirmed != time_point{} && !run.adopted;
+        last_arrived = std::max(last_arrived, arrived ? run.ordered : time_point{});
     }
     std::vector<crash_suspect> suspects;
     for (const auto& [name, run] : worker.runs) {
@@ -45,7 +46,7 @@
             continue;
         }
         const bool on_start = !run.adopted && failed - run.ordered <= crash_on_start_time &&
-                              last_ordered - run.ordered <= crash_batch_time;
+                              last_arrived - run.ordered <= crash_batch_time;
         suspects.push_back({name, {.worker = worker.listing.id, .on_start = on_start}});
     }
     const bool alone = std::all_of(suspects.begin(), suspects.end(), [&](const auto& each) {
@@ -118,9 +119,17 @@
 void scheduler::place_isolated(time_point now)
 {
     m_reserved.clear();
+    m_crashes_on_trial.clear();
     if (m_suspect_jobs.empty()) {
         return;
     }
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [name, run] : worker.runs) {
+            if (worker.isolated_runs > 0 && run.is_isolated()) {
+                note_trial(name.task);
+            }
+        }
+    }
     for (const candidate& each : ranked_jobs(now)) {
         job_record& job = *each.job;
         if (!m_suspect_jobs.contains(job.id())) {
@@ -137,6 +146,22 @@
     }
 }
 
+void scheduler::note_trial(const task_name& name)
+{
+    job_record* const job = find_job(name.job);
+    const task_record* const task = job == nullptr ? nullptr : job->find(name);
+    if (task != nullptr && !task->crashes.empty()) {
+        m_crashes_on_trial.emplace(task->crashes.back().worker, name.job);
+    }
+}
+
+bool scheduler::awaits_other_trial(const job_record& job, const task_record& task) const
+{
+    const auto trial = m_crashes_on_trial.find(task.crashes.back().worker);
+    return m_overloaded.contains(job.queue().service) && trial != m_crashes_on_trial.end() &&
+           trial->second != job.id();
+}
+
 void scheduler::place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
                                     time_point now)
 {
@@ -146,7 +171,8 @@
         task_record& task = tasks[index];
         // A successor must know of earlier crashes before the task can cause a further one.
         const bool may_start = task.crashes.size() < 2 || is_durable(job.id());
-        if (!task.is_waiting() || !needs_isolation(task.crashes) || !may_start) {
+        if (!task.is_waiting() || !needs_isolation(task.crashes) || !may_start ||
+            awaits_other_trial(job, task)) {
             continue;
         }
         worker_record* const worker = choose_isolated_worker(job, current, step);
@@ -154,6 +180,7 @@
             return;
         }
         m_reserved.emplace(worker->listing.id, job.id());
+        note_trial({job.id(), occurrence, step, index});
         if (!worker->is_free_for_isolated(job.id()) ||
             !worker->free_capacity().can_fit(job.spec().steps[step].footprint())) {
             continue; // The worker is kept from other tasks until it is free.
