job: End a worker by what answers at its address, not by another's row

Worker A crashes, B starts at its address, is listed and given work; a late write brings A's row back with a higher version, and note_address_taken took all of B's runs for lost and started them elsewhere.

Cause: a row was believed against the worker's own answers. Now a row ends no run. A worker has ended when another one has answered at its address a poll that was sent after its own last answer, when its own poll is answered by another instance, or by the list of machines; that list isn't believed against a start that was accepted after it was requested either. The end of a silent worker counts as a crash when a successor has answered, not when a row names one.

Test: 'an old row at the address of a worker that answers...'; on the code before no start is possible after A's row, as B is held to have ended.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -247,7 +247,6 @@
         return;
     }
     if (!owns(*listing)) {
-        m_scheduler.note_address_taken(listing->address, id, m_context.loop.now());
         return;
     }
     const auto existing = m_scheduler.workers().find(id);
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -486,7 +486,8 @@
     for (const auto& [id, worker] : scheduler.workers()) {
         const auto at = by_name.find(worker.listing.machine);
         // A worker that was listed or has answered after the list was requested is alive.
-        if (at == by_name.end() || worker.last_answer >= requested_at) {
+        if (at == by_name.end() ||
+            std::max(worker.last_answer, worker.last_contact) >= requested_at) {
             continue;
         }
         const machine_info& machine = *at->second;
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -388,6 +388,19 @@
         scheduler.note_report(instance_id("w1"), {.worker_clock = milliseconds(9)}, asked, asked);
         CHECK(ended_workers({down, other}, asked, scheduler).empty());
     }
+    SECTION("a worker that has accepted a start since then is alive")
+    {
+        auto spec = std::make_shared<job::job_spec>();
+        spec->steps.push_back({.need = {.cpu_millis = 100}});
+        scheduler.set_queues({{.name = "q", .service = checks}});
+        scheduler.submit(job_id("j"), "q", spec, start, false);
+        scheduler.note_report(instance_id("w1"), {.worker_clock = milliseconds(9)}, start, start);
+        const auto starts = scheduler.plan(start, wall_time{}).starts;
+        REQUIRE(starts.size() == 1);
+        scheduler.note_start(starts[0].worker, starts[0].run, job::order_answer::accepted, asked);
+        REQUIRE(starts[0].worker == instance_id("w1"));
+        CHECK(ended_workers({down, other}, asked, scheduler).empty());
+    }
     SECTION("an earlier worker of a machine that is still listed has ended, so that no job is in "
             "doubt for it")
     {
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -110,10 +110,8 @@
             note_crash(explained.suspects);
         }
     }
-    if (!m_workers.contains(successor.id)) {
-        // The planned end of the machine's previous worker has happened.
-        m_planned_ends.erase(successor.machine);
-    }
+    // A planned end of the machine's previous worker has happened.
+    m_planned_ends.erase(successor.machine);
 }
 
 void scheduler::place_isolated(time_point now)
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -315,7 +315,7 @@
     if (cause == worker_end::machine_down || cause == worker_end::successor) {
         note_crash(suspects);
     }
-    else if (!suspects.empty()) {
+    else if (!suspects.empty() && !worker.listing.machine.empty()) {
         m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
                                                       .worker = worker.listing.id,
                                                       .suspects = std::move(suspects),
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -30,18 +30,19 @@
 
 } // namespace
 
-void scheduler::note_address_taken(const std::string& address, const instance_id& by,
-                                   time_point now)
+void scheduler::note_answer_at(const worker_record& worker, time_point sent)
 {
-    m_now = now;
-    const auto holder = m_worker_at_address.find(address);
-    if (holder == m_worker_at_address.end() || holder->second == by) {
+    const std::string& address = worker.listing.address;
+    instance_id& holder = m_worker_at_address[address];
+    const auto earlier = m_workers.find(holder);
+    const bool has_earlier = earlier != m_workers.end() && holder != worker.listing.id &&
+                             earlier->second.listing.address == address;
+    // An answer that was requested before the other's last one may be the older of the two.
+    if (has_earlier && sent <= earlier->second.last_answer) {
         return;
     }
-    const auto earlier = m_workers.find(holder->second);
-    m_worker_at_address.erase(holder);
-    // An address belongs to one instance at a time.
-    if (earlier != m_workers.end() && earlier->second.listing.address == address) {
+    holder = worker.listing.id;
+    if (has_earlier) {
         mark_runs_lost(earlier->second, worker_end::other_address);
         earlier->second.listed = false;
     }
@@ -50,10 +51,7 @@
 void scheduler::note_worker_listed(worker_listing listing, time_point now)
 {
     m_now = now;
-    note_address_taken(listing.address, listing.id, now);
-    m_worker_at_address[listing.address] = listing.id;
     const instance_id id = listing.id;
-    note_successor(listing);
     worker_record& worker = m_workers[id];
     if (worker.listing.id.empty()) {
         // A predecessor may have started tasks there and extended their leases.
@@ -141,6 +139,10 @@
     }
     m_now = now;
     worker_record& worker = found->second;
+    note_answer_at(worker, sent);
+    if (!worker.token_acknowledged) {
+        note_successor(worker.listing);
+    }
     worker.clock = report.worker_clock;
     worker.clock_read_at = now;
     worker.last_answer = now;
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -354,3 +354,47 @@
         CHECK(starts_at(milliseconds(600)) == 1);
     }
 }
+
+// Guards against TWICE: a late write brought back the row of a crashed worker, and the runs of the
+// worker that answered at its address were taken for lost and started again.
+TEST_CASE("an old row at the address of a worker that answers ends none of that worker's runs")
+{
+    scheduler_fixture fixture({"w1"});
+    auto old = worker_named("w0");
+    old.address = "w1:80";
+    static_cast<void>(fixture.submit("j", {.count = 3, .need = {.cpu_millis = 1000}}));
+    REQUIRE(fixture.plan().starts.size() == 3);
+    fixture.subject.note_worker_listed(old, fixture.now);
+    static_cast<void>(fixture.submit("k", {.count = 1, .need = {.cpu_millis = 1000}}));
+    const auto after = fixture.plan().starts;
+    REQUIRE(after.size() == 1);
+    CHECK(after[0].worker == instance_id("w1"));
+    CHECK(fixture.subject.workers().at(instance_id("w1")).runs.size() == 4);
+    CHECK(fixture.subject.workers().at(instance_id("w1")).listed);
+
+    SECTION("the poll of the old one is answered by the other, which shows that it has ended")
+    {
+        fixture.subject.note_worker_ended(old.id, worker_end::other_address, fixture.now);
+        CHECK(fixture.subject.workers().size() == 1);
+    }
+    SECTION("a listed worker that answers at the address has replaced the earlier one")
+    {
+        auto next = worker_named("w2");
+        next.address = "w1:80";
+        fixture.subject.note_worker_listed(next, fixture.now);
+        fixture.report(next.id);
+        CHECK(fixture.subject.workers().at(instance_id("w1")).runs.empty());
+        CHECK(fixture.plan().starts.size() == 4);
+    }
+    SECTION("unless its answer was requested before the earlier one's last answer")
+    {
+        auto next = worker_named("w2");
+        next.address = "w1:80";
+        fixture.subject.note_worker_listed(next, fixture.now);
+        const time_point sent = fixture.now;
+        fixture.report(instance_id("w1"));
+        fixture.subject.note_report(next.id, {.worker_clock = milliseconds(1)}, sent,
+                                    fixture.now + milliseconds(1));
+        CHECK(fixture.subject.workers().at(instance_id("w1")).runs.size() == 4);
+    }
+}
