job: Take a worker's capacity from its own report before its row

So far its row alone told it, which is late, may be outdated, and after a takeover comes before anything the worker has said: a start could exceed what an unguarded worker has (LIMIT).

A run of an unknown job, which is being stopped, now counts as filling its worker, as its size isn't known.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -305,7 +305,7 @@
     std::map<service_id, double> capacity;
     std::map<service_id, std::uint32_t> worker_counts;
     for (const auto& [id, worker] : scheduler.workers()) {
-        capacity[worker.listing.service] += double(worker.listing.capacity.cpu_millis);
+        capacity[worker.listing.service] += double(worker.capacity().cpu_millis);
         ++worker_counts[worker.listing.service];
     }
     double average_capacity = 0;
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -57,6 +57,8 @@
 /// A worker's report of the runs that are active there and those that have ended.
 struct worker_report {
     milliseconds worker_clock{0};
+    /// nullopt if the report doesn't tell.
+    std::optional<resources> capacity;
     std::vector<reported_run> running;
     std::vector<ended_run> ended;
 };
@@ -129,6 +131,9 @@
     /// Awaits planned work: no new task is placed there, except a long-running one that fits on no
     /// usable worker.
     bool cordoned = false;
+    /// As last reported by the worker itself; nullopt if it never was. Goes before the listing,
+    /// whose row may be outdated.
+    std::optional<resources> reported_capacity;
     resources used;
     std::map<run_name, worker_run> runs;
     std::uint32_t long_running_runs = 0;
@@ -157,7 +162,12 @@
 
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
-    [[nodiscard]] resources free_capacity() const { return listing.capacity - used; }
+    [[nodiscard]] resources capacity() const
+    {
+        return reported_capacity.value_or(listing.capacity);
+    }
+    /// Negative if the capacity has shrunk below what runs.
+    [[nodiscard]] resources free_capacity() const { return capacity() - used; }
     /// Whether the worker runs only tasks of this job and long-running tasks that aren't isolated.
     [[nodiscard]] bool is_free_for_isolated(const job_id& job) const;
     /// What is free once all tasks but the long-running ones have ended.
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -144,6 +144,9 @@
         note_successor(worker.listing);
     }
     worker.clock = report.worker_clock;
+    if (report.capacity) {
+        worker.reported_capacity = report.capacity;
+    }
     worker.clock_read_at = now;
     worker.last_answer = now;
     worker.missed_polls = 0;
@@ -224,6 +227,10 @@
         job != nullptr && run.task.step < job->spec().steps.size()) {
         unexpected.footprint = job->spec().steps[run.task.step].footprint();
     }
+    else {
+        // Its size is unknown, so that nothing may start beside it.
+        unexpected.footprint = worker.capacity();
+    }
     m_stopping.insert(worker.listing.id);
     worker.used += unexpected.footprint;
     worker.runs.emplace(run, std::move(unexpected));
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -25,11 +25,11 @@
 
 resources worker_record::capacity_beside_long_running() const
 {
-    resources capacity = listing.capacity;
+    resources left = capacity();
     for (const auto& [name, run] : runs) {
-        capacity -= run.long_running ? run.footprint : resources{};
+        left -= run.long_running ? run.footprint : resources{};
     }
-    return capacity;
+    return left;
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -398,3 +398,71 @@
         CHECK(fixture.subject.workers().at(instance_id("w1")).runs.size() == 4);
     }
 }
+
+// Guards against LIMIT: only a worker's row told its capacity, which shrinks and grows while it
+// runs.
+TEST_CASE("no start exceeds the capacity that the worker itself has reported last")
+{
+    scheduler_fixture fixture({"w1"});
+    const instance_id worker("w1");
+    const auto report_capacity = [&](std::int64_t cpu_millis) {
+        fixture.now += milliseconds(10);
+        fixture.subject.note_report(
+            worker,
+            {.worker_clock = milliseconds(1000),
+             .capacity = resources{.cpu_millis = cpu_millis, .memory_mb = 4000},
+             .running = fixture.running[worker]},
+            fixture.now - milliseconds(5), fixture.now);
+    };
+    const step_spec step{.count = 8, .need = {.cpu_millis = 1000, .memory_mb = 1}};
+    static_cast<void>(fixture.submit("j", step));
+    report_capacity(2000);
+    REQUIRE(fixture.plan().starts.size() == 2);
+    report_capacity(1000); // Below what runs.
+    CHECK(fixture.plan().starts.empty());
+
+    SECTION("an outdated row doesn't enlarge it")
+    {
+        auto outdated = worker_named("w1");
+        outdated.draining = true;
+        fixture.subject.note_worker_listed(outdated, fixture.now);
+        fixture.subject.note_worker_listed(worker_named("w1"), fixture.now);
+        CHECK(fixture.plan().starts.empty());
+    }
+    SECTION("a report without it leaves it as it was")
+    {
+        fixture.report(worker);
+        CHECK(fixture.plan().starts.empty());
+    }
+    SECTION("room that has come back is used")
+    {
+        report_capacity(3000);
+        CHECK(fixture.plan().starts.size() == 1);
+    }
+    SECTION("a run that is being stopped still counts")
+    {
+        fixture.subject.cancel(job_id("j"), fixture.now);
+        static_cast<void>(fixture.plan());
+        report_capacity(2000);
+        static_cast<void>(fixture.submit("k", step));
+        CHECK(fixture.plan().starts.empty());
+    }
+    SECTION("a new leader hears it before its first start")
+    {
+        scheduler successor({.lease = milliseconds(5000), .predecessor_grace = milliseconds(0)},
+                            fixture.now - seconds(60));
+        successor.set_queues({{.name = "q", .service = checks, .max_attempts = 2}});
+        auto spec = std::make_shared<job_spec>();
+        spec->steps.push_back(step);
+        successor.submit(job_id("k"), "q", spec, fixture.now, false);
+        successor.note_worker_listed(worker_named("w1"), fixture.now);
+        CHECK(successor.plan(fixture.now, wall_time{}).starts.empty());
+        successor.note_report(worker,
+                              {.worker_clock = milliseconds(1000),
+                               .capacity = resources{.cpu_millis = 3000, .memory_mb = 4000},
+                               .running = fixture.running[worker]},
+                              fixture.now, fixture.now);
+        // The two unknown runs are to be stopped, and nothing may start beside them before.
+        CHECK(successor.plan(fixture.now, wall_time{}).starts.empty());
+    }
+}
