fleet: Simulate tasks that crash their workers, under faults of everything else

An order to a worker that has ended was answered as by another instance even while its machine was down; now it can't be delivered then.

--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -114,6 +115,13 @@
     m_codec.wave_status = [](std::uint64_t wave, bool) -> row_write {
         return {{"status", "", std::to_string(wave)}, ""};
     };
+    m_workers.on_crashing_start([this](const instance_id& id) {
+        const auto found = std::find(m_worker_ids.begin(), m_worker_ids.end(), id);
+        if (found != m_worker_ids.end()) {
+            crash_worker(static_cast<std::size_t>(found - m_worker_ids.begin()),
+                         milliseconds(1000 + random_below(2000)));
+        }
+    });
     m_rows.put(shard_layout_address(), to_text(m_layout));
     m_worker_ids.resize(worker_count);
     m_machine_down.resize(worker_count);
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -90,6 +90,36 @@
     }
 }
 
+/// Submits sound jobs and jobs with a task that crashes its workers for 30 s, and checks that these
+/// fail, within the limit on their starts, and that the others complete.
+void run_crash_simulation(std::uint64_t seed, std::uint32_t fault_rate)
+{
+    INFO("seed " << seed);
+    fleet_simulation world(seed, fleet_simulation::machine_list::answers);
+    world.run_for(seconds(2));
+    std::set<job_id> crashing_jobs;
+    for (std::uint32_t second = 0; second < 30; ++second) {
+        static_cast<void>(world.submit(
+            two_step_job(1 + world.random_below(4), milliseconds(200 + world.random_below(1000)))));
+        if (world.random_below(5) == 0) {
+            model_job job = two_step_job(2, milliseconds(500));
+            job.crashing_tasks.insert(world.random_below(2));
+            crashing_jobs.insert(world.submit(std::move(job)));
+        }
+        if (second < 20 && world.random_below(30) < fault_rate) {
+            world.inject_fault();
+        }
+        world.run_for(milliseconds(1000));
+    }
+    world.clear_faults();
+    world.run_for(seconds(90));
+    check_no_violations(world.workers());
+    for (const job_id& id : world.accepted()) {
+        INFO("job " << id);
+        CHECK(world.stored_state(id) == (crashing_jobs.contains(id) ? "failed" : "completed"));
+    }
+}
+
 } // namespace
 
 TEST_CASE("without faults accepted jobs end as expected and no rule is violated")
@@ -124,6 +154,14 @@
     }
 }
 
+// Guards against BUDGET: what was known of a task's crashes was lost with a leader or the store.
+TEST_CASE("under faults tasks that crash their workers are given up in time, and no others")
+{
+    for (std::uint64_t seed = 12000; seed < 12060; ++seed) {
+        run_crash_simulation(seed, seed % 3 == 0 ? 0 : 10);
+    }
+}
+
 TEST_CASE("with control divided into shards, no rule is violated under faults")
 {
     for (std::uint64_t seed = 9000; seed < 9100; ++seed) {
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds max_late_delay{12000};
 /// Tasks of a job may be started for this long after its cancellation was acknowledged.
 constexpr milliseconds max_cancel_delay{3000};
+/// How long after a task's start it crashes its worker.
+constexpr milliseconds crash_delay{5};
+/// A task that has crashed this many workers may be started fewer than this many times more.
+constexpr std::uint32_t tolerated_crashes = 3;
 
 } // namespace
 
@@ -22,6 +26,7 @@
 {
     worker_instance& worker = m_instances[listing.id];
     worker.listing = listing;
+    m_addresses[listing.id] = listing.address;
     worker.clock_start = m_loop.now();
     worker.clock_rate = std::uniform_real_distribution<double>(0.98, 1.0)(m_random);
 }
@@ -36,6 +41,7 @@
     m_loop.cancel(worker.lease_timer);
     for (const auto& [run, active] : worker.running) {
         log_event(run, "is lost with worker " + id.str());
+        ++m_tasks[run.task].crashed_workers;
         m_loop.cancel(active.finish);
         --m_tasks[run.task].running;
     }
@@ -58,6 +64,15 @@
     }
 }
 
+job::order_answer model_workers::answer_without(const instance_id& id) const
+{
+    const std::string& address = m_addresses.at(id);
+    const bool taken = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& each) {
+        return each.second.listing.address == address;
+    });
+    return taken ? job::order_answer::other_instance : job::order_answer::unreachable;
+}
+
 std::size_t model_workers::running() const
 {
     std::size_t count = 0;
@@ -132,6 +147,10 @@
     if (task.acknowledged_failures.size() >= job.max_attempts) {
         report_violation("a run beyond the maximum number of attempts", order.run);
     }
+    if (job.crashes_worker(name) && task.crashed_workers >= tolerated_crashes &&
+        when == arrival::prompt && ++task.starts_after_crashes >= tolerated_crashes) {
+        report_violation("a further run of a task that has crashed its workers", order.run);
+    }
     for (const std::uint32_t earlier : job.spec->steps[name.step].depends_on) {
         for (std::uint32_t index = 0; index < job.spec->steps[earlier].count; ++index) {
             if (!m_tasks[{name.job, name.occurrence, earlier, index}].ever_done) {
@@ -152,7 +171,7 @@
 {
     const auto found = m_instances.find(order.worker);
     if (found == m_instances.end()) {
-        return job::order_answer::other_instance;
+        return answer_without(order.worker);
     }
     worker_instance& worker = found->second;
     if (token < worker.token) {
@@ -183,6 +202,9 @@
     const model_job& job = m_jobs.at(order.run.task.job);
     active_run& active = worker.running[order.run];
     active.footprint = need;
+    if (job.crashes_worker(order.run.task)) {
+        m_loop.call_after(crash_delay, [this, id = order.worker] { m_on_crashing_start(id); });
+    }
     if (!order.spec->steps[order.run.task.step].long_running) {
         const auto end_reason = job.failing_tasks.contains(order.run.task.index)
                                     ? job::run_end_reason::failed
@@ -225,7 +247,7 @@
 {
     const auto found = m_instances.find(order.worker);
     if (found == m_instances.end()) {
-        return job::order_answer::other_instance;
+        return answer_without(order.worker);
     }
     worker_instance& worker = found->second;
     if (token < worker.token) {
@@ -258,7 +280,7 @@
 {
     const auto found = m_instances.find(id);
     if (found == m_instances.end()) {
-        return {.answer = job::order_answer::other_instance, .report = {}};
+        return {.answer = answer_without(id), .report = {}};
     }
     worker_instance& worker = found->second;
     if (token < worker.token) {
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -32,7 +32,13 @@
     milliseconds run_time{1000};
     /// Indices of the tasks that fail in every run, in each step.
     std::set<std::uint32_t> failing_tasks;
+    /// Indices of the tasks that crash each worker that starts them, in the first step.
+    std::set<std::uint32_t> crashing_tasks;
     std::uint32_t max_attempts = 3;
+    [[nodiscard]] bool crashes_worker(const job::task_name& task) const
+    {
+        return task.step == 0 && crashing_tasks.contains(task.index);
+    }
     /// When the cancellation was acknowledged to the caller.
     std::optional<time_point> cancelled;
 };
@@ -52,6 +58,11 @@
     /// Sets how a job behaves. Must be called before its first task is started.
     void add_job(const job_id& id, model_job model) { m_jobs[id] = std::move(model); }
     model_job& job(const job_id& id) { return m_jobs.at(id); }
+    /// Calls `handler` a moment after a worker has started a task that crashes it.
+    void on_crashing_start(std::function<void(const instance_id&)> handler)
+    {
+        m_on_crashing_start = std::move(handler);
+    }
     /// Injects a fault between an entry and a worker.
     void set_fault(const std::string& entry, const instance_id& worker, path_fault fault)
     {
@@ -106,12 +117,17 @@
     struct task_history {
         std::uint32_t running = 0;
         std::set<std::uint32_t> acknowledged_failures;
+        std::uint32_t crashed_workers = 0;
+        std::uint32_t starts_after_crashes = 0;
         bool ever_done = false;
         /// A run has ended as done, and that end has been acknowledged or still may be.
         bool done = false;
         bool done_acknowledged = false;
     };
 
+    /// The answer to an order for a worker that has ended: another instance gives it, if there is
+    /// one at the address.
+    [[nodiscard]] job::order_answer answer_without(const instance_id& id) const;
     [[nodiscard]] milliseconds clock_of(const worker_instance& worker) const;
     void extend_lease(worker_instance& worker, milliseconds deadline);
     void schedule_lease_expiry(worker_instance& worker);
@@ -130,12 +146,15 @@
     fakes::virtual_loop& m_loop;
     std::mt19937_64& m_random;
     std::map<instance_id, worker_instance> m_instances;
+    /// Of all instances, including those that have ended.
+    std::map<instance_id, std::string> m_addresses;
     std::map<job_id, model_job> m_jobs;
     std::map<job::task_name, task_history> m_tasks;
     std::map<std::pair<std::string, instance_id>, path_fault> m_path_faults;
     std::map<job::task_name, std::string> m_events;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
+    std::function<void(const instance_id&)> m_on_crashing_start;
 };
 
 /// One entry's client of the workers, subject to the entry's path faults.
