fleet: Let jobs accepted right after a change of the leader wait as inherited ones do

The new leader had read all jobs; a moment later a job was accepted, and the old leader, which hadn't noticed its replacement, started it on a worker whose row was missing. The new leader took the job for its own, as it had been ready before, and started it again without that worker's answer (an order that went out twice around a hand-over).

Cause: only jobs read before the new leader was ready counted as possibly started by its predecessor, which can start new ones until it notices. Now all jobs accepted within the predecessor's grace do, unless there was none.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -115,6 +115,7 @@
     std::shared_ptr<const fleet_config> m_config;
     event m_on_lost;
     std::shared_ptr<bool> m_alive;
+    time_point m_started;
     job::scheduler m_scheduler;
     std::map<job_id, std::string> m_persisted_progress;
     struct ended_job {
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -67,7 +67,8 @@
       m_config(std::move(config)),
       m_on_lost(std::move(on_lost)),
       m_alive(std::make_shared<bool>(true)),
-      m_scheduler(m_options.scheduling, context.loop.now()),
+      m_started(context.loop.now()),
+      m_scheduler(m_options.scheduling, m_started),
       m_plan_seconds(context.metrics.summary({"plan_seconds", "Duration of placement rounds", {}})),
       m_job_seconds(
           context.metrics.summary({"job_seconds", "Time from submission to completion", {}})),
@@ -209,7 +210,12 @@
         const auto spec = m_context.codec.parse_job(accepted->body);
         const auto age = std::clamp(m_context.loop.wall_now() - accepted->accepted, milliseconds(0),
                                     max_job_age);
-        m_scheduler.submit(id, accepted->queue, spec, m_context.loop.now() - age, !m_ready);
+        const time_point now = m_context.loop.now();
+        // A predecessor that hasn't noticed the change of the leader may start new jobs too.
+        const bool predecessor_may_start = m_options.claim.generation > 0 &&
+                                           now < m_started + m_options.scheduling.predecessor_grace;
+        const bool inherited = !m_ready || predecessor_may_start;
+        m_scheduler.submit(id, accepted->queue, spec, now - age, inherited);
         if (const auto progress = m_persisted_progress.find(id);
             progress != m_persisted_progress.end()) {
             m_scheduler.restore(id, progress->second);
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -149,6 +149,9 @@
     }
     // A leader whose watch calls failed while its renewals were applied did the same.
     run_simulation(1268, 12);
+    // A predecessor that hadn't noticed its replacement started a job that was accepted after the
+    // new leader had read all jobs, and that the new leader then started as well.
+    run_simulation(11851, 12, fleet_simulation::machine_list::answers, 2);
 }
 
 TEST_CASE("no rule is violated under faults while machines are listed and worker rows are missing")
