job: Report any unreadable progress as a spec_error

By reading: job_record::restore threw errors of the JSON library and of the standard library too, which leader_session doesn't catch, so one malformed row could end each leader in turn. Test: nine kinds of malformed progress; six of them threw another type before or were taken (by reading, not run on the old code).

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -164,6 +164,8 @@
 
 private:
     occurrence_record make_occurrence() const;
+    /// Throws also other exceptions than spec_error.
+    void restore_occurrences(std::string_view progress);
 
     job_id m_id;
     queue_policy m_queue;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -150,7 +150,8 @@
     /// Cancels a job that is not terminal. A job that isn't known yet is cancelled when it is
     /// submitted.
     void cancel(const job_id& id, time_point now);
-    /// Drops the record of a job; requires that the job is terminal and its end durable.
+    /// Drops the record of a job, which must be terminal with a durable end, or not be loaded
+    /// whole.
     void remove_job(const job_id& id);
 
     /// Records that the platform lists a worker, or that it no longer does.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -1,8 +1,10 @@
 #include "plantaindoor/job/record.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <optional>
+#include <stdexcept>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -370,6 +372,19 @@
     if (is_terminal(m_state)) {
         return;
     }
+    try {
+        restore_occurrences(progress);
+    }
+    catch (const json::exception& failure) {
+        throw spec_error("progress", fmt::format("readable ({})", failure.what()));
+    }
+    catch (const std::logic_error& failure) { // std::stoul(), at()
+        throw spec_error("progress", fmt::format("readable ({})", failure.what()));
+    }
+}
+
+void job_record::restore_occurrences(std::string_view progress)
+{
     const json parsed = json::parse(progress);
     m_started_occurrences = parsed.at("begun").get<std::uint32_t>();
     m_occurrences.clear();
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -480,3 +480,21 @@
         CHECK_FALSE(status_of_progress(malformed));
     }
 }
+
+// Guards against a leader that ends because of one unreadable row.
+TEST_CASE("unreadable progress of a job is reported as a spec_error, whatever is wrong with it")
+{
+    crash_fixture fixture(1);
+    const job_id id = fixture.submit("j", {.count = 2});
+    for (
+        const char* progress :
+        {"", "7", R"({"state":"running"})", R"({"state":"running","begun":"x","occurrences":{}})",
+         R"({"state":"running","begun":1,"occurrences":{"a":[{"tasks":".."}]}})",
+         R"({"state":"running","begun":1,"occurrences":{"0":[]}})",
+         R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"."}]}})",
+         R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"..","failed":{"9":[1]}}]}})",
+         R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"..","crashes":{"0":[1]}}]}})"}) {
+        INFO(progress);
+        CHECK_THROWS_AS(fixture.subject->restore(id, progress), spec_error);
+    }
+}
