--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -272,11 +272,11 @@
     void place_isolated(time_point now);
     void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
                              time_point now);
-    /// Records that the task's last crash is being examined by an isolated start.
-    void note_trial(const task_name& name);
-    /// Whether the task should wait as another job is suspected of the same crash, is being tried,
-    /// and the workers are needed for other tasks.
-    [[nodiscard]] bool awaits_other_trial(const job_record& job, const task_record& task) const;
+    /// Records that the task, a suspect of its last crash, has been started in isolation.
+    void note_isolated_start(const task_name& name);
+    /// Whether the task should wait: another job is suspected of the same crash and has been
+    /// started in isolation, and the workers are needed for other tasks.
+    [[nodiscard]] bool awaits_other_suspect(const job_record& job, const task_record& task) const;
     /// Returns the worker with the fewest tasks of other jobs, or nullptr if none suits or too many
     /// are kept from other tasks already.
     [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
@@ -373,8 +373,9 @@
     /// By machine.
     std::map<std::string, unexplained_end> m_unexplained_ends;
     std::map<std::string, time_point> m_planned_ends;
-    /// The crashed workers whose end is being examined, and the job that is tried for it.
-    std::map<instance_id, job_id> m_crashes_on_trial;
+    /// The crashed workers whose suspects are being told apart by isolated starts, and the job that
+    /// is running now.
+    std::map<instance_id, job_id> m_crashes_examined;
     /// Services without room for some task in the previous round.
     std::set<service_id> m_overloaded;
     /// Workers with runs to stop.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -117,14 +117,17 @@
 void scheduler::place_isolated(time_point now)
 {
     m_reserved.clear();
-    m_crashes_on_trial.clear();
+    m_crashes_examined.clear();
     if (m_suspect_jobs.empty()) {
         return;
     }
     for (const auto& [id, worker] : m_workers) {
+        if (worker.isolated_runs == 0) {
+            continue;
+        }
         for (const auto& [name, run] : worker.runs) {
-            if (worker.isolated_runs > 0 && run.is_isolated()) {
-                note_trial(name.task);
+            if (run.is_isolated()) {
+                note_isolated_start(name.task);
             }
         }
     }
@@ -144,20 +147,20 @@
     }
 }
 
-void scheduler::note_trial(const task_name& name)
+void scheduler::note_isolated_start(const task_name& name)
 {
     job_record* const job = find_job(name.job);
     const task_record* const task = job == nullptr ? nullptr : job->find(name);
     if (task != nullptr && !task->crashes.empty()) {
-        m_crashes_on_trial.emplace(task->crashes.back().worker, name.job);
+        m_crashes_examined.emplace(task->crashes.back().worker, name.job);
     }
 }
 
-bool scheduler::awaits_other_trial(const job_record& job, const task_record& task) const
+bool scheduler::awaits_other_suspect(const job_record& job, const task_record& task) const
 {
-    const auto trial = m_crashes_on_trial.find(task.crashes.back().worker);
-    return m_overloaded.contains(job.queue().service) && trial != m_crashes_on_trial.end() &&
-           trial->second != job.id();
+    const auto examined = m_crashes_examined.find(task.crashes.back().worker);
+    return m_overloaded.contains(job.queue().service) && examined != m_crashes_examined.end() &&
+           examined->second != job.id();
 }
 
 void scheduler::place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
@@ -170,7 +173,7 @@
         // A successor must know of earlier crashes before the task can cause a further one.
         const bool may_start = task.crashes.size() < 2 || is_durable(job.id());
         if (!task.is_waiting() || !needs_isolation(task.crashes) || !may_start ||
-            awaits_other_trial(job, task)) {
+            awaits_other_suspect(job, task)) {
             continue;
         }
         worker_record* const worker = choose_isolated_worker(job, current, step);
@@ -178,7 +181,7 @@
             return;
         }
         m_reserved.emplace(worker->listing.id, job.id());
-        note_trial({job.id(), occurrence, step, index});
+        note_isolated_start({job.id(), occurrence, step, index});
         if (!worker->is_free_for_isolated(job.id()) ||
             !worker->free_capacity().can_fit(job.spec().steps[step].footprint())) {
             continue; // The worker is kept from other tasks until it is free.
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -14,8 +14,8 @@
 constexpr milliseconds plan_interval{100};
 const service_id checks{"checks"};
 
-/// Workers that run every task to its end and crash a moment after the start of a deadly one; each
-/// is replaced by a successor on its machine some seconds later.
+/// Workers that run every task to its end and crash a moment after the start of a task in
+/// `crashing`; each is replaced by a successor on its machine some seconds later.
 struct crash_fixture {
     std::optional<scheduler> subject;
     time_point now = start + seconds(60);
@@ -23,7 +23,7 @@
     std::map<instance_id, std::vector<std::pair<reported_run, time_point>>> running;
     std::map<instance_id, std::uint64_t> sequences;
     std::map<std::string, time_point> back_at;
-    std::set<task_name> deadly;
+    std::set<task_name> crashing;
     std::map<task_name, std::uint32_t> starts;
     std::map<task_name, std::uint32_t> crashes;
     std::vector<std::pair<job_id, std::shared_ptr<const job_spec>>> submitted;
@@ -144,7 +144,7 @@
         for (const auto& [machine, worker] : living) {
             const auto& runs = running[worker];
             if (std::any_of(runs.begin(), runs.end(), [&](const auto& each) {
-                    return deadly.contains(each.first.run.task);
+                    return crashing.contains(each.first.run.task);
                 })) {
                 crash(machine);
             }
@@ -198,7 +198,7 @@
     fixture.run_for(milliseconds(300));
     const job_id bad = fixture.submit("bad", small_step);
     const task_name culprit{bad, 0, 0, 1};
-    fixture.deadly.insert(culprit);
+    fixture.crashing.insert(culprit);
     fixture.run_for(seconds(8));
     CHECK(fixture.state(bad) == job_state::failed);
     CHECK(fixture.subject->find(bad)->status().failure == failure_reason::crashed_workers);
@@ -221,7 +221,7 @@
     crash_fixture fixture(6);
     const job_id bad = fixture.submit("bad", small_step);
     const task_name culprit{bad, 0, 0, 0};
-    fixture.deadly.insert(culprit);
+    fixture.crashing.insert(culprit);
     while (fixture.crashes[culprit] == 0) {
         fixture.step();
     }
@@ -364,7 +364,7 @@
         fixture.run_for(milliseconds(1000));
         const job_id bad = fixture.submit("bad" + std::to_string(round),
                                           {.count = 1, .need = {.cpu_millis = 500}});
-        fixture.deadly.insert({bad, 0, 0, 0});
+        fixture.crashing.insert({bad, 0, 0, 0});
         fixture.run_for(milliseconds(3000));
         CHECK(fixture.state(bad) == job_state::failed);
     }
@@ -375,7 +375,7 @@
     // A task that was started together with the culprit is suspected only until that is found.
     const job_id bad = fixture.submit("last-bad", {.count = 1, .need = {.cpu_millis = 500}});
     const job_id beside = fixture.submit("beside", {.count = 1, .need = {.cpu_millis = 500}});
-    fixture.deadly.insert({bad, 0, 0, 0});
+    fixture.crashing.insert({bad, 0, 0, 0});
     const auto& neighbour = fixture.subject->find(beside)->occurrences().at(0).steps[0].tasks[0];
     while (fixture.crashes[{bad, 0, 0, 0}] == 0) {
         fixture.step();
@@ -435,11 +435,11 @@
     fixture.run_time = seconds(2);
     const job_id busy = fixture.submit("busy", {.count = 16, .need = {.cpu_millis = 500}});
     const job_id bad = fixture.submit("bad", {.count = 1, .need = {.cpu_millis = 500}});
-    fixture.deadly.insert({bad, 0, 0, 0});
+    fixture.crashing.insert({bad, 0, 0, 0});
     while (fixture.crashes[{bad, 0, 0, 0}] == 0) {
         fixture.step();
     }
-    fixture.deadly.clear();
+    fixture.crashing.clear();
     fixture.run_for(seconds(20));
     CHECK(fixture.state(busy) == job_state::completed);
     CHECK(fixture.state(bad) == job_state::completed);
