fleet: Keep the row of a job whose progress can't be read

Found by reading the change once more: a job with an unreadable progress row was left out by the leader, but its row then looked like the rest of a job whose other rows are gone, and was removed. The leader after it began the job anew and ran its done tasks again.

Now that row stays.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -223,8 +223,10 @@
     }
     catch (const job::spec_error& failure) {
         job_log.error(fmt::format("job {} can't be loaded: {}", id.str(), failure.what()));
-        // Without its progress, tasks that are done would run again.
+        // Without its progress, tasks that are done would run again, under any later leader too, so
+        // the row stays.
         m_scheduler.remove_job(id);
+        m_persisted_progress.erase(id);
         return;
     }
     schedule_plan();
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -194,6 +194,31 @@
     CHECK(world.leader(1) == second);
 }
 
+// Guards against TWICE after a row can't be read: it was removed, and the job began anew.
+TEST_CASE("a job whose progress can't be read is not run again, and its row stays")
+{
+    fleet_simulation world(13, fleet_simulation::machine_list::answers);
+    world.run_for(seconds(2));
+    const job_id id = world.submit(two_step_job(2, milliseconds(300)));
+    world.run_for(seconds(3));
+    REQUIRE(world.stored_state(id) == "completed");
+    const std::string unreadable = R"({"state":"running","begun":1})";
+    world.rows().put(progress_address(0, id), unreadable);
+    const std::size_t starts = world.workers().starts();
+    for (int change = 0; change < 2; ++change) {
+        REQUIRE(world.leader());
+        const std::size_t leader = *world.leader();
+        world.kill(leader);
+        world.run_for(seconds(5));
+        world.restart(leader);
+    }
+    CHECK(world.workers().starts() == starts);
+    const stored_row* const row = world.rows().find(progress_address(0, id));
+    REQUIRE(row != nullptr);
+    CHECK(row->value == unreadable);
+    check_no_violations(world.workers());
+}
+
 TEST_CASE("shards spread over the entries, and each goes on while another has no leader")
 {
     fleet_simulation world(11, fleet_simulation::machine_list::answers, 2);
