job: Rank the open jobs once in a placement round

While any task is suspected of a crash, the jobs were sorted twice in each round. Nothing between the two changes their order; job and fleet tests pass with the same number of checks.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -268,8 +268,9 @@
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Resolves the end of the machine's previous worker when a new one has answered.
     void note_successor(const worker_listing& successor);
-    /// Places the waiting tasks that need isolation, or reserves workers for them.
-    void place_isolated(time_point now);
+    /// Places the waiting tasks that need isolation, in the order of their jobs, or reserves
+    /// workers for them.
+    void place_isolated(const std::vector<candidate>& ranked, time_point now);
     void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
                              time_point now);
     /// Records that the task, a suspect of its last crash, has been started in isolation.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -114,7 +114,7 @@
     m_planned_ends.erase(successor.machine);
 }
 
-void scheduler::place_isolated(time_point now)
+void scheduler::place_isolated(const std::vector<candidate>& ranked, time_point now)
 {
     m_reserved.clear();
     m_crashes_examined.clear();
@@ -131,7 +131,7 @@
             }
         }
     }
-    for (const candidate& each : ranked_jobs(now)) {
+    for (const candidate& each : ranked) {
         job_record& job = *each.job;
         if (!m_suspect_jobs.contains(job.id())) {
             continue;
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -100,13 +100,14 @@
             m_candidates[worker.listing.service].push_back(&worker);
         }
     }
-    place_isolated(now);
+    const std::vector<candidate> ranked = ranked_jobs(now);
+    place_isolated(ranked, now);
     for (auto& [service, workers] : m_candidates) {
         std::erase_if(workers, [this](const worker_record* each) {
             return each->isolated_runs > 0 || m_reserved.contains(each->listing.id);
         });
     }
-    for (const candidate& each : ranked_jobs(now)) {
+    for (const candidate& each : ranked) {
         place_job(*each.job, now);
     }
 }
