policy: Add workspaces, their keys and the revocation bound

A route that isn't public admits only calls with a key of the configuration. An entry whose view of the configuration is older than the platform's bound for removed keys refuses such calls until it has heard from the store again: a configuration that it hasn't seen was acknowledged after its last answered read was sent. The time is taken from a clock that advances during suspension, since a frozen entry would otherwise take its view for recent. Deployments without workspaces need no key.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -61,6 +61,11 @@
 /// Reserve between the forced end of the event loop and the kill by the platform.
 constexpr milliseconds stop_reserve{1000};
 
+/// How long the store may hide a change from a watch call, with a margin for rounding.
+constexpr milliseconds store_lag_reserve{1200};
+/// Where the platform doesn't bound how long a removed key may be admitted.
+constexpr milliseconds unbounded_key_age{std::chrono::hours(24)};
+
 /// Includes time during which the system was suspended, unlike the event loop's clock.
 time_point boot_clock_now()
 {
@@ -97,7 +102,7 @@
     platform::store_client m_store;
     platform::worker_client m_workers;
     platform::machine_client m_machines;
-    fleet::platform_codec m_codec = platform::codec();
+    fleet::platform_codec m_codec = platform::codec(m_random());
     fleet::fleet_entry m_entry;
     platform::caller_api m_caller_api;
     connection::http_server m_caller_server;
@@ -112,6 +117,8 @@
 {
     fleet::fleet_entry_options options;
     options.peers = settings.peers;
+    options.keys = {.revocation_bound = settings.key_revocation.value_or(unbounded_key_age),
+                    .reserve = settings.key_revocation ? store_lag_reserve : milliseconds(0)};
     fleet::leader_elector_options& leadership = options.shards.election;
     leadership.name = settings.entry;
     leadership.incarnation = random_incarnation(random);
--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -175,8 +175,9 @@
             spec->steps = {step, step};
             spec->steps[1].depends_on = {0};
             ++m_jobs;
-            m_scheduler.submit(job_id(fmt::format("{:016x}", m_jobs)),
-                               service_name(m_jobs % services), std::move(spec), m_now, false);
+            m_scheduler.submit(
+                job_id(fmt::format("{:016x}", m_jobs)),
+                {.queue = service_name(m_jobs % services), .spec = std::move(spec), .at = m_now});
         }
     }
 
--- a/packages/common/include/plantaindoor/common/ids.hpp
+++ b/packages/common/include/plantaindoor/common/ids.hpp
@@ -35,6 +35,7 @@
 using instance_id = basic_id<struct instance_tag>;
 using pool_id = basic_id<struct pool_tag>;
 using service_id = basic_id<struct service_tag>;
+using workspace_id = basic_id<struct workspace_tag>;
 using team_id = basic_id<struct team_tag>;
 using wave_id = basic_id<struct wave_tag>;
 using job_id = basic_id<struct job_tag>;
--- a/packages/fleet/include/plantaindoor/fleet/fleet_config.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_config.hpp
@@ -4,6 +4,8 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
+#include "plantaindoor/policy/key_directory.hpp"
+#include "plantaindoor/policy/workspace.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +23,8 @@
     job::queue_policy queue;
     /// Maximum time for one request.
     milliseconds timeout{0};
+    /// Whether callers need no key.
+    bool is_public = true;
 };
 
 struct pool_settings {
@@ -36,6 +40,8 @@
     std::uint64_t version = 0;
     std::vector<queue_route> routes;
     std::vector<pool_settings> pools;
+    std::vector<policy::workspace_policy> workspaces;
+    policy::key_directory keys;
     std::size_t max_body_bytes = 0;
 
     /// Returns the route of the host with the longest matching path prefix, or nullptr.
--- a/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/fleet_entry.hpp
@@ -10,10 +10,12 @@
 #include "plantaindoor/fleet/job_writer.hpp"
 #include "plantaindoor/fleet/operator_watcher.hpp"
 #include "plantaindoor/fleet/shard_set.hpp"
+#include "plantaindoor/policy/key_freshness.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,7 @@
     shard_set_options shards;
     /// How often the process of each leader is probed.
     milliseconds probe_interval{400};
+    policy::key_freshness_options keys;
 };
 
 /// Connects the shards, the job request handler and the peer server of one process. Loop thread
@@ -45,6 +48,13 @@
     {
         return m_operator_rows.config();
     }
+    /// Whether the configuration is recent enough to admit its keys.
+    [[nodiscard]] bool admits_keys() const { return m_key_freshness.is_fresh(m_context.clock()); }
+    /// Age of the view of the configuration; nullopt before the first read.
+    [[nodiscard]] std::optional<milliseconds> config_age() const
+    {
+        return m_key_freshness.age(m_context.clock());
+    }
     [[nodiscard]] job_request_handler& jobs() noexcept { return m_jobs; }
     /// Whether the platform should send callers here.
     [[nodiscard]] bool is_ready() const;
@@ -69,6 +79,7 @@
     shard_set m_shards;
     std::unique_ptr<connection::http_server> m_peer_server;
     metric_summary& m_loop_delay;
+    policy::key_freshness m_key_freshness;
     operator_watcher m_operator_rows;
     timer_id m_tick_timer = timer_id::none;
     time_point m_tick_due{};
--- a/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
@@ -21,6 +21,8 @@
 /// An accepted job as its caller sent it.
 struct accepted_job {
     std::string queue;
+    /// Empty for a job of no workspace.
+    workspace_id workspace;
     wall_time accepted{};
     /// The body of the request as the caller sent it.
     std::string body;
--- a/packages/fleet/include/plantaindoor/fleet/operator_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/operator_watcher.hpp
@@ -27,11 +27,15 @@
         wave_callback on_wave;
         /// The store has answered.
         event on_response;
+        /// All that the store acknowledged before `sent` has been applied.
+        std::function<void(time_point sent)> on_read = [](time_point) {};
     };
 
     /// Starts reading at once. All arguments passed by reference must outlive the watcher.
+    /// `clock` is that of on_read; the event loop's where there is none.
     operator_watcher(event_loop& loop, row_store& store, const platform_codec& codec,
-                     metrics_registry& metrics, event_handlers handlers);
+                     metrics_registry& metrics, event_handlers handlers,
+                     std::function<time_point()> clock = {});
     operator_watcher(const operator_watcher&) = delete;
     operator_watcher& operator=(const operator_watcher&) = delete;
     ~operator_watcher() = default;
--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -25,6 +25,8 @@
     milliseconds batch_delay{0};
     /// Delay after a failed call.
     milliseconds retry_delay{100};
+    /// The clock of last_answered_request(); the event loop's where there is none.
+    std::function<time_point()> clock;
 };
 
 /// Watches one table until destroyed. Loop thread only.
@@ -57,8 +59,13 @@
     [[nodiscard]] bool is_complete() const noexcept { return m_complete; }
     /// All changes until this time, by the event loop's clock, have been passed on.
     [[nodiscard]] time_point current_as_of() const noexcept { return m_current_as_of; }
+    /// When the last request that has been answered was sent, by options.clock: what the store
+    /// acknowledged until then has been passed on.
+    [[nodiscard]] time_point last_answered_request() const noexcept { return m_last_answered; }
 
 private:
+    /// Records when a full read or a watch call is sent.
+    void note_sent();
     void read_all();
     /// Reads all after the change feed was lost.
     void read_again();
@@ -79,6 +86,9 @@
     timer_id m_timer = timer_id::none;
     /// When the pending full read or watch call was sent.
     time_point m_sent_at{};
+    /// The same by options.clock.
+    time_point m_sent_at_clock{};
+    time_point m_last_answered{};
     /// How long the pending watch call waits.
     milliseconds m_wait{0};
     time_point m_current_as_of{};
--- a/packages/fleet/src/fleet_entry.cpp
+++ b/packages/fleet/src/fleet_entry.cpp
@@ -46,12 +46,15 @@
            .on_store = [this] { m_last_store_response = m_context.loop.now(); }}),
       m_loop_delay(context.metrics.summary(
           {"event_loop_delay_seconds", "How late the event loop runs its timers", {}})),
+      m_key_freshness(m_options.keys),
       m_operator_rows(
           context.loop, context.store, m_context.codec, context.metrics,
           {.on_config = [this](const auto& config) { m_shards.apply(config); },
            .on_wave =
                [this](const wave_request& wave) { m_shards.add_wave(wave, m_context.loop.now()); },
-           .on_response = [this] { m_last_store_response = m_context.loop.now(); }})
+           .on_response = [this] { m_last_store_response = m_context.loop.now(); },
+           .on_read = [this](time_point sent) { m_key_freshness.note_read(sent); }},
+          m_context.clock)
 {
     listen();
     tick();
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -65,10 +65,13 @@
 
 std::string to_text(const accepted_job& accepted)
 {
-    return json{{"queue", accepted.queue},
-                {"accepted_ms", accepted.accepted.time_since_epoch().count()},
-                {"body", accepted.body}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    json row{{"queue", accepted.queue},
+             {"accepted_ms", accepted.accepted.time_since_epoch().count()},
+             {"body", accepted.body}};
+    if (!accepted.workspace.empty()) {
+        row["workspace"] = accepted.workspace.str();
+    }
+    return row.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<accepted_job> parse_accepted_job(std::string_view text)
@@ -80,6 +83,7 @@
     try {
         return accepted_job{
             .queue = parsed.at("queue"),
+            .workspace = workspace_id(parsed.value("workspace", "")),
             .accepted = wall_time(milliseconds(parsed.at("accepted_ms").get<std::int64_t>())),
             .body = parsed.at("body")};
     }
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -85,6 +85,7 @@
 {
     m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
+    m_scheduler.set_workspaces(m_config->workspaces);
     m_poller = std::make_unique<worker_poller>(
         m_context.loop, m_context.workers, m_scheduler, m_context.metrics,
         worker_poller_options{.token = m_options.claim_row.version}, [this] { schedule_plan(); },
@@ -215,7 +216,11 @@
         const bool predecessor_may_start = m_options.claim.generation > 0 &&
                                            now < m_started + m_options.scheduling.predecessor_grace;
         const bool inherited = !m_ready || predecessor_may_start;
-        m_scheduler.submit(id, accepted->queue, spec, now - age, inherited);
+        m_scheduler.submit(id, {.queue = accepted->queue,
+                                .workspace = accepted->workspace,
+                                .spec = spec,
+                                .at = now - age,
+                                .inherited = inherited});
         if (const auto progress = m_persisted_progress.find(id);
             progress != m_persisted_progress.end()) {
             m_scheduler.restore(id, progress->second);
@@ -480,6 +485,7 @@
 {
     m_config = std::move(config);
     m_scheduler.set_queues(queues_of(*m_config));
+    m_scheduler.set_workspaces(m_config->workspaces);
     m_machines->set_pools(m_config->pools);
     schedule_plan();
 }
--- a/packages/fleet/src/operator_watcher.cpp
+++ b/packages/fleet/src/operator_watcher.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 operator_watcher::operator_watcher(event_loop& loop, row_store& store, const platform_codec& codec,
-                                   metrics_registry& metrics, event_handlers handlers)
+                                   metrics_registry& metrics, event_handlers handlers,
+                                   std::function<time_point()> clock)
     : m_loop(loop),
       m_codec(codec),
       m_handlers(std::move(handlers)),
@@ -28,11 +29,17 @@
       m_view_age(metrics.gauge({"configuration_view_age_seconds",
                                 "Time since which a new configuration may not have been received",
                                 {}})),
-      m_rows(loop, store, table_watcher_options{.table = codec.operator_table, .wait = watch_wait},
+      m_rows(loop, store,
+             table_watcher_options{
+                 .table = codec.operator_table, .wait = watch_wait, .clock = std::move(clock)},
              table_watcher::event_handlers{
                  .on_row = [this](const stored_row& row) { handle_row(row); },
-                 .on_complete = [] {},
-                 .on_response = [this] { m_handlers.on_response(); },
+                 .on_complete = [this] { m_handlers.on_read(m_rows.last_answered_request()); },
+                 .on_response =
+                     [this] {
+                         m_handlers.on_response();
+                         m_handlers.on_read(m_rows.last_answered_request());
+                     },
                  .on_failure = [] {}})
 {
 }
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -32,10 +32,16 @@
     m_loop.cancel(m_timer);
 }
 
+void table_watcher::note_sent()
+{
+    m_sent_at = m_loop.now();
+    m_sent_at_clock = m_options.clock ? m_options.clock() : m_sent_at;
+}
+
 void table_watcher::read_all()
 {
     ++m_attempt;
-    m_sent_at = m_loop.now();
+    note_sent();
     m_read_rows.clear();
     m_oldest_page_version = absent;
     m_partitions_remaining = m_options.partitions.size();
@@ -119,6 +125,7 @@
         m_version = m_oldest_page_version;
         m_complete = true;
         m_current_as_of = m_sent_at;
+        m_last_answered = m_sent_at_clock;
         m_full_read_at = m_loop.now();
         m_handlers.on_complete();
         watch();
@@ -155,7 +162,7 @@
 void table_watcher::watch_for(milliseconds wait)
 {
     ++m_attempt;
-    m_sent_at = m_loop.now();
+    note_sent();
     m_wait = wait;
     m_store.watch(m_options.table, m_version, wait,
                   [this, alive = m_alive, attempt = m_attempt](const row_watch_result& result) {
@@ -192,6 +199,7 @@
     }
     // An answer without changes shows that there were none during the whole wait.
     m_current_as_of = result.rows.empty() ? std::min(m_sent_at + m_wait, m_loop.now()) : m_sent_at;
+    m_last_answered = m_sent_at_clock;
     m_handlers.on_response();
     if (result.rows.empty() || m_options.batch_delay == milliseconds(0)) {
         watch();
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -213,7 +213,7 @@
     auto spec = std::make_shared<job::job_spec>();
     spec->steps.push_back(
         {.count = 60, .need = {.cpu_millis = 100}, .estimate = milliseconds(1000)});
-    scheduler.submit(job_id("0123456789abcdef"), "q", spec, start, false);
+    scheduler.submit(job_id("0123456789abcdef"), {.queue = "q", .spec = spec, .at = start});
 
     const auto planned = planner.plan(start, scheduler);
     auto names = machines_of(planned);
@@ -268,7 +268,8 @@
             }
             spec->steps.push_back(each);
         }
-        scheduler.submit(job_id("job" + std::to_string(++jobs)), queue, spec, now, false);
+        scheduler.submit(job_id("job" + std::to_string(++jobs)),
+                         {.queue = queue, .spec = spec, .at = now});
     }
 
     /// Runs the planner and then the scheduler once; cordons are applied in between.
@@ -350,7 +351,7 @@
                            .max_per_worker = 1,
                            .long_running = true,
                            .max_unavailable = 1});
-    scheduler.submit(job_id("j"), "q", spec, start, false);
+    scheduler.submit(job_id("j"), {.queue = "q", .spec = spec, .at = start});
     REQUIRE(scheduler.plan(start, wall_time{}).starts.size() == 2);
 
     machine_planner planner({});
@@ -393,7 +394,7 @@
         auto spec = std::make_shared<job::job_spec>();
         spec->steps.push_back({.need = {.cpu_millis = 100}});
         scheduler.set_queues({{.name = "q", .service = checks}});
-        scheduler.submit(job_id("j"), "q", spec, start, false);
+        scheduler.submit(job_id("j"), {.queue = "q", .spec = spec, .at = start});
         scheduler.note_report(instance_id("w1"), {.worker_clock = milliseconds(9)}, start, start);
         const auto starts = scheduler.plan(start, wall_time{}).starts;
         REQUIRE(starts.size() == 1);
@@ -430,7 +431,7 @@
     const auto submit = [&](const std::string& id, const job::step_spec& step) {
         auto spec = std::make_shared<job::job_spec>();
         spec->steps = {step};
-        scheduler.submit(job_id(id), "q", std::move(spec), start, false);
+        scheduler.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = start});
     };
     submit("lasting",
            {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -102,6 +102,9 @@
     [[nodiscard]] const job_id& id() const noexcept { return m_id; }
     [[nodiscard]] const queue_policy& queue() const noexcept { return m_queue; }
     void set_queue(queue_policy queue) { m_queue = std::move(queue); }
+    /// Empty for a job of no workspace.
+    [[nodiscard]] const workspace_id& workspace() const noexcept { return m_workspace; }
+    void set_workspace(workspace_id workspace) { m_workspace = std::move(workspace); }
     [[nodiscard]] const job_spec& spec() const noexcept { return *m_spec; }
     [[nodiscard]] time_point submitted() const noexcept { return m_submitted; }
     [[nodiscard]] bool is_long_running() const noexcept { return m_long_running; }
@@ -169,6 +172,7 @@
 
     job_id m_id;
     queue_policy m_queue;
+    workspace_id m_workspace;
     std::shared_ptr<const job_spec> m_spec;
     time_point m_submitted;
     std::vector<milliseconds> m_critical_paths;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
+#include "plantaindoor/policy/workspace.hpp"
 
 #include <array>
 #include <cstdint>
@@ -131,6 +132,18 @@
     std::uint32_t blocked_workers = 0;
 };
 
+/// An accepted job.
+struct submission {
+    std::string queue;
+    /// Empty for a job of no workspace.
+    workspace_id workspace;
+    /// Must have passed check_spec().
+    std::shared_ptr<const job_spec> spec;
+    time_point at{};
+    /// A predecessor may have started the job.
+    bool inherited = false;
+};
+
 /// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
 /// Not thread-safe.
 class scheduler {
@@ -139,11 +152,11 @@
 
     /// Replaces all queues; jobs of a removed queue keep its previous policy.
     void set_queues(const std::vector<queue_policy>& queues);
+    /// Replaces the workspaces; jobs of a removed workspace keep running without its limits.
+    void set_workspaces(const std::vector<policy::workspace_policy>& workspaces);
 
-    /// Adds an accepted job; does nothing if the job was added before. Requires a specification
-    /// that has passed check_spec(). `inherited`: a predecessor may have started the job.
-    void submit(job_id id, const std::string& queue, std::shared_ptr<const job_spec> spec,
-                time_point submitted, bool inherited);
+    /// Adds an accepted job; does nothing if the job was added before.
+    void submit(const job_id& id, submission submitted);
     /// Applies the progress of a job that a predecessor persisted; does nothing for an unknown job.
     /// Throws spec_error where it doesn't fit the specification.
     void restore(const job_id& id, std::string_view progress);
@@ -346,6 +359,7 @@
     };
     std::map<service_id, submission_count> m_submitted;
     std::map<std::string, queue_policy> m_queues;
+    std::map<workspace_id, policy::workspace_policy> m_workspaces;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
     /// The open jobs, which are not terminal; the pointers refer to m_jobs.
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -61,29 +61,37 @@
     return !m_dirty.contains(id) && !m_persisting.contains(id);
 }
 
-void scheduler::submit(job_id id, const std::string& queue, std::shared_ptr<const job_spec> spec,
-                       time_point submitted, bool inherited)
+void scheduler::set_workspaces(const std::vector<policy::workspace_policy>& workspaces)
+{
+    m_workspaces.clear();
+    for (const policy::workspace_policy& each : workspaces) {
+        m_workspaces.emplace(each.id, each);
+    }
+}
+
+void scheduler::submit(const job_id& id, submission submitted)
 {
     if (m_jobs.contains(id)) {
         return;
     }
-    queue_policy policy{.name = queue};
-    if (const auto known = m_queues.find(queue); known != m_queues.end()) {
+    queue_policy policy{.name = submitted.queue};
+    if (const auto known = m_queues.find(submitted.queue); known != m_queues.end()) {
         policy = known->second;
     }
     double work = 0;
-    for (const step_spec& step : spec->steps) {
+    for (const step_spec& step : submitted.spec->steps) {
         work += step.long_running ? 0 : work_of(step, step.count);
     }
     submission_count& counted = m_submitted[policy.service];
     counted.work += work;
     ++counted.jobs;
-    m_specs.emplace(id, spec);
-    m_open_with_best_effort += has_best_effort(*spec) ? 1 : 0;
-    const auto added =
-        m_jobs.emplace(id, job_record(id, std::move(policy), std::move(spec), submitted));
+    m_specs.emplace(id, submitted.spec);
+    m_open_with_best_effort += has_best_effort(*submitted.spec) ? 1 : 0;
+    const auto added = m_jobs.emplace(
+        id, job_record(id, std::move(policy), std::move(submitted.spec), submitted.at));
+    added.first->second.set_workspace(std::move(submitted.workspace));
     m_open.emplace(id, &added.first->second);
-    if (inherited) {
+    if (submitted.inherited) {
         m_inherited.insert(id);
     }
     if (m_cancelled_early.erase(id) != 0) {
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -59,7 +59,7 @@
         }
         begin_leader();
         for (const auto& [id, spec] : submitted) {
-            subject->submit(id, "q", spec, now, true);
+            subject->submit(id, {.queue = "q", .spec = spec, .at = now, .inherited = true});
             subject->restore(id, rows[id]);
         }
         for (const auto& [machine, worker] : workers) {
@@ -98,7 +98,7 @@
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(std::move(step));
         submitted.emplace_back(job_id(id), spec);
-        subject->submit(job_id(id), "q", spec, now, false);
+        subject->submit(job_id(id), {.queue = "q", .spec = spec, .at = now});
         return job_id(id);
     }
 
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -59,7 +59,7 @@
     {
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(std::move(step));
-        subject.submit(job_id(id), "q", std::move(spec), now, false);
+        subject.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = now});
         return job_id(id);
     }
 
@@ -313,8 +313,8 @@
                         {.name = "moved", .service = checks, .former_services = {essays}}});
     auto spec = std::make_shared<job_spec>();
     spec->steps.push_back({.need = {.cpu_millis = 100, .memory_mb = 100}});
-    subject.submit(job_id("j1"), "q", spec, start, true);
-    subject.submit(job_id("j2"), "moved", spec, start, true);
+    subject.submit(job_id("j1"), {.queue = "q", .spec = spec, .at = start, .inherited = true});
+    subject.submit(job_id("j2"), {.queue = "moved", .spec = spec, .at = start, .inherited = true});
     const instance_id own("w1");
     const instance_id unresponsive("w2");
     subject.note_worker_listed(worker_named("w1"), start);
@@ -454,7 +454,7 @@
         successor.set_queues({{.name = "q", .service = checks, .max_attempts = 2}});
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(step);
-        successor.submit(job_id("k"), "q", spec, fixture.now, false);
+        successor.submit(job_id("k"), {.queue = "q", .spec = spec, .at = fixture.now});
         successor.note_worker_listed(worker_named("w1"), fixture.now);
         CHECK(successor.plan(fixture.now, wall_time{}).starts.empty());
         successor.note_report(worker,
