--- a/packages/fleet/src/operator_watcher.cpp
+++ b/packages/fleet/src/operator_watcher.cpp
@@ -82,8 +82,10 @@
         return;
     }
     config_log.info(
-        fmt::format("configuration version {} applied: {} routes, {} pools; the view was {} ms old",
-                    config.version, config.routes.size(), config.pools.size(), view_age().count()));
+        fmt::format("configuration version {} applied: {} routes, {} pools, {} workspaces with {} "
+                    "keys; the view was {} ms old",
+                    config.version, config.routes.size(), config.pools.size(),
+                    config.workspaces.size(), config.keys.size(), view_age().count()));
     if (m_config) {
         add_former_services(*m_config, config);
     }
