policy: Add the workspaces' caps, divided equally between the shards

workspace_quota counts a workspace's runs in one shard with their full need, from the order or the first report until release_run(), and what a predecessor may have started while that is in doubt. A task that would exceed the shard's part of the cap isn't started, doesn't mark its service as out of capacity, and doesn't count as load for which machines are ordered.

The parts add up to the cap exactly.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -10,6 +10,7 @@
 #include "plantaindoor/fleet/machine_session.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/progress_writer.hpp"
+#include "plantaindoor/fleet/quota_reporter.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
@@ -130,6 +131,7 @@
     std::unique_ptr<worker_poller> m_poller;
     std::unique_ptr<progress_writer> m_progress_writer;
     std::unique_ptr<machine_session> m_machines;
+    quota_reporter m_quota_reporter;
     timer_id m_plan_timer = timer_id::none;
     timer_id m_tick_timer = timer_id::none;
     time_point m_lease_until{};
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -231,6 +231,8 @@
     options.scheduling.predecessor_grace = m_options.tracking.lease;
     options.scheduling.former_services_known =
         m_context.loop.now() - m_options.first_config_at > max_predecessor_run;
+    options.scheduling.shard = m_shard.number;
+    options.scheduling.shards = m_shard.layout->count();
     m_handlers.on_other_leader(std::nullopt);
     m_session = std::make_unique<leader_session>(
         m_context, std::move(options), m_config, [this, alive = m_alive] {
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -69,6 +69,7 @@
       m_alive(std::make_shared<bool>(true)),
       m_started(context.loop.now()),
       m_scheduler(m_options.scheduling, m_started),
+      m_quota_reporter(context.metrics, m_options.shard.number),
       m_plan_seconds(context.metrics.summary({"plan_seconds", "Duration of placement rounds", {}})),
       m_job_seconds(
           context.metrics.summary({"job_seconds", "Time from submission to completion", {}})),
@@ -354,6 +355,7 @@
     for (const job::decision& made : m_scheduler.take_decisions()) {
         log_decision(made);
     }
+    m_quota_reporter.log_events(m_scheduler.quota());
 }
 
 void leader_session::log_decision(const job::decision& made)
@@ -406,6 +408,7 @@
     m_usable_workers.set(double(std::count_if(
         workers.begin(), workers.end(), [now](auto& each) { return each.second.is_usable(now); })));
     m_open_jobs.set(double(m_scheduler.open_count()));
+    m_quota_reporter.refresh(m_scheduler.quota(), now);
 }
 
 void leader_session::remove_expired_jobs()
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/workspace.hpp"
+#include "plantaindoor/policy/workspace_quota.hpp"
 
 #include <array>
 #include <cstdint>
@@ -18,6 +19,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace plantaindoor::job {
@@ -40,6 +42,9 @@
     std::uint32_t attempt_base = 0;
     /// Whether queue_policy::former_services reaches back as far as a predecessor's runs can last.
     bool former_services_known = false;
+    /// The shard whose jobs these are, and the number of shards, between which caps are divided.
+    std::uint32_t shard = 0;
+    std::uint32_t shards = 1;
 };
 
 /// Starts a run on a worker.
@@ -225,6 +230,14 @@
     }
     /// Returns the current load of each service that has or had jobs.
     [[nodiscard]] std::map<service_id, service_load> loads() const;
+    /// The use of the workspaces' caps.
+    [[nodiscard]] policy::workspace_quota& quota() noexcept { return m_quota; }
+    [[nodiscard]] const policy::workspace_quota& quota() const noexcept { return m_quota; }
+    /// Whether a task of the job waits because of its workspace's cap.
+    [[nodiscard]] bool waits_at_cap(const job_id& id) const;
+    /// Whether a worker that hasn't answered this process may still run tasks that a predecessor
+    /// started.
+    [[nodiscard]] bool has_predecessor_doubt(time_point now) const;
     /// Whether a worker is to be polled: it is listed, or tasks may run there.
     [[nodiscard]] bool needs_polling(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
@@ -315,6 +328,16 @@
     void place_job(job_record& job, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
+    /// Counts the run against the cap of the job's workspace until release_run().
+    void charge_run(worker_run& run, const job_record& job, std::uint32_t step);
+    /// Counts what a predecessor may have started.
+    void count_possible_runs(time_point now);
+    /// Whether the cap of the job's workspace allows `width` tasks of the step to start together;
+    /// records that the step waits if not.
+    [[nodiscard]] bool cap_allows(const job_record& job, std::uint32_t occurrence,
+                                  std::uint32_t step, std::uint32_t width);
+    /// Whether some worker has room for a task of the step, apart from the cap.
+    [[nodiscard]] bool has_room_for(const job_record& job, std::uint32_t step);
     /// Whether an equal or smaller need found no worker of the service in this round.
     [[nodiscard]] bool is_unplaceable(const service_id& service, const resources& need) const;
     [[nodiscard]] worker_record* choose_worker(const job_record& job,
@@ -345,6 +368,8 @@
                                                     const std::vector<resources>& rooms) const;
     void note_token_acknowledged(const instance_id& id);
     void refresh_services_in_doubt();
+    /// When all leases that a predecessor extended have expired.
+    [[nodiscard]] time_point predecessor_bound() const;
     /// Whether a worker that hasn't answered this process may still run tasks of an inherited job.
     [[nodiscard]] bool in_doubt(const job_record& job, time_point now) const;
     /// Extends the worker's lease; returns its new end on the worker's clock, or nullopt if that
@@ -360,6 +385,11 @@
     std::map<service_id, submission_count> m_submitted;
     std::map<std::string, queue_policy> m_queues;
     std::map<workspace_id, policy::workspace_policy> m_workspaces;
+    policy::workspace_quota m_quota;
+    /// Steps that waited at a cap in the last round, by their first task.
+    std::set<task_name> m_waiting_at_cap;
+    /// Services without room for a task of a workspace that waits at its cap, in this round.
+    std::set<std::pair<workspace_id, service_id>> m_no_room_at_cap;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
     /// The open jobs, which are not terminal; the pointers refer to m_jobs.
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -116,6 +116,9 @@
     std::optional<time_point> working_since;
     /// Started by a predecessor, at an unknown time before `ordered`.
     bool adopted = false;
+    /// The workspace against whose cap the run counts, and its amounts; empty: none.
+    workspace_id workspace;
+    resources need;
     /// How long after its start the run keeps tasks of other jobs off the worker; zero: it doesn't,
     /// or that time is over.
     milliseconds isolation{0};
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -176,6 +176,9 @@
             awaits_other_suspect(job, task)) {
             continue;
         }
+        if (!cap_allows(job, occurrence, step, 1)) {
+            return;
+        }
         worker_record* const worker = choose_isolated_worker(job, current, step);
         if (worker == nullptr) {
             return;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -26,7 +26,10 @@
 
 } // namespace
 
-scheduler::scheduler(scheduler_options options, time_point now) : m_options(options), m_started(now)
+scheduler::scheduler(scheduler_options options, time_point now)
+    : m_options(options),
+      m_started(now),
+      m_quota({.shard = options.shard, .shards = options.shards})
 {
 }
 
@@ -67,6 +70,7 @@
     for (const policy::workspace_policy& each : workspaces) {
         m_workspaces.emplace(each.id, each);
     }
+    m_quota.set_workspaces(workspaces);
 }
 
 void scheduler::submit(const job_id& id, submission submitted)
@@ -286,6 +290,7 @@
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
         worker.isolated_runs -= found->second.is_isolated() ? 1 : 0;
+        m_quota.remove_run(found->second.workspace, found->second.need);
         worker.runs.erase(found);
     }
     if (job_record* const job = find_job(run.task.job)) {
@@ -418,6 +423,10 @@
                 }
                 const std::uint32_t open = spec.count - record.done;
                 load.running += cpu * (open - record.waiting);
+                // More workers wouldn't let a task start that waits at its workspace's cap.
+                if (m_waiting_at_cap.contains({id, number, static_cast<std::uint32_t>(step), 0})) {
+                    continue;
+                }
                 if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
                     load.ready += cpu * record.waiting;
                     load.ready_work += work_of(spec, record.waiting);
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -100,6 +100,7 @@
             m_candidates[worker.listing.service].push_back(&worker);
         }
     }
+    count_possible_runs(now);
     const std::vector<candidate> ranked = ranked_jobs(now);
     place_isolated(ranked, now);
     for (auto& [service, workers] : m_candidates) {
@@ -110,6 +111,7 @@
     for (const candidate& each : ranked) {
         place_job(*each.job, now);
     }
+    m_quota.end_round(now);
 }
 
 void scheduler::place_job(job_record& job, time_point now)
@@ -141,6 +143,9 @@
         if (!task.is_waiting() || needs_isolation(task.crashes)) {
             continue;
         }
+        if (!cap_allows(job, occurrence, step, 1)) {
+            return;
+        }
         worker_record* const worker =
             choose_worker(job, job.occurrences().at(occurrence), step, task, now);
         if (worker == nullptr) {
@@ -162,7 +167,8 @@
     auto& tasks = current.steps[step].tasks;
     const bool all_waiting = std::all_of(tasks.begin(), tasks.end(),
                                          [](const task_record& task) { return task.is_waiting(); });
-    if (!all_waiting) {
+    if (!all_waiting ||
+        !cap_allows(job, occurrence, step, static_cast<std::uint32_t>(tasks.size()))) {
         return;
     }
     std::uint32_t attempt = m_options.attempt_base;
@@ -312,6 +318,7 @@
     worker.used += started.footprint;
     started.long_running = step.long_running;
     worker.long_running_runs += step.long_running ? 1 : 0;
+    charge_run(started, job, name.step);
     const auto added = worker.runs.emplace(run, std::move(started)).first;
     job.note_started(name, {worker.listing.id, attempt});
     m_orders.starts.push_back({.worker = worker.listing.id,
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -212,6 +212,7 @@
                    .adopted = true};
     worker.used += run.footprint;
     worker.long_running_runs += run.long_running ? 1 : 0;
+    charge_run(run, job, reported.run.task.step);
     worker.runs.emplace(reported.run, std::move(run));
     task.last_attempt = std::max(task.last_attempt, reported.run.attempt);
     job.note_started(reported.run.task, {worker.listing.id, reported.run.attempt});
@@ -226,6 +227,7 @@
     if (const job_record* const job = find(run.task.job);
         job != nullptr && run.task.step < job->spec().steps.size()) {
         unexpected.footprint = job->spec().steps[run.task.step].footprint();
+        charge_run(unexpected, *job, run.task.step);
     }
     else {
         // Its size is unknown, so that nothing may start beside it.
@@ -392,11 +394,20 @@
     }
 }
 
+time_point scheduler::predecessor_bound() const
+{
+    return m_started + m_options.predecessor_grace + with_margins(m_options.lease);
+}
+
+bool scheduler::has_predecessor_doubt(time_point now) const
+{
+    return now < predecessor_bound() &&
+           (!m_unacknowledged_workers || !m_unacknowledged_workers->empty());
+}
+
 bool scheduler::in_doubt(const job_record& job, time_point now) const
 {
-    const time_point bound =
-        m_started + m_options.predecessor_grace + with_margins(m_options.lease);
-    if (now >= bound || !m_inherited.contains(job.id())) {
+    if (now >= predecessor_bound() || !m_inherited.contains(job.id())) {
         return false;
     }
     if (!m_unacknowledged_workers || !m_options.former_services_known) {
