job: Rank by workspace rates and shares

A job beyond its workspace's rate ranks behind all others that have value. In a shortage, jobs of workspaces below their weighted dominant share come first among those of one tier and priority. A gang that would starve has its workers held for the round. Without workspaces nothing changes.

--- a/packages/fleet/include/plantaindoor/fleet/shard_layout.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/shard_layout.hpp
@@ -43,6 +43,8 @@
 
     [[nodiscard]] shard_number count() const noexcept { return m_count; }
     [[nodiscard]] shard_number shard_of(const std::string& queue, const job_id& id) const;
+    /// Number of shards that the queue's jobs are distributed over.
+    [[nodiscard]] std::uint32_t shards_of(const std::string& queue) const;
     /// The owner of the machines in the rack and of their workers. A rack that was added later has
     /// an owner too.
     [[nodiscard]] shard_number owner_of(const rack_id& rack) const;
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -229,6 +229,7 @@
         .claimed_at = sent};
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.tracking.lease;
+    options.scheduling.shard_count = m_shard.layout->count();
     options.scheduling.former_services_known =
         m_context.loop.now() - m_options.first_config_at > max_predecessor_run;
     m_handlers.on_other_leader(std::nullopt);
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -216,11 +216,13 @@
         const bool predecessor_may_start = m_options.claim.generation > 0 &&
                                            now < m_started + m_options.scheduling.predecessor_grace;
         const bool inherited = !m_ready || predecessor_may_start;
-        m_scheduler.submit(id, {.queue = accepted->queue,
-                                .workspace = accepted->workspace,
-                                .spec = spec,
-                                .at = now - age,
-                                .inherited = inherited});
+        m_scheduler.submit(id,
+                           {.queue = accepted->queue,
+                            .workspace = accepted->workspace,
+                            .spec = spec,
+                            .at = now - age,
+                            .inherited = inherited,
+                            .queue_shards = m_options.shard.layout->shards_of(accepted->queue)});
         if (const auto progress = m_persisted_progress.find(id);
             progress != m_persisted_progress.end()) {
             m_scheduler.restore(id, progress->second);
--- a/packages/fleet/src/shard_layout.cpp
+++ b/packages/fleet/src/shard_layout.cpp
@@ -96,6 +96,12 @@
     return found->second[hash % found->second.size()];
 }
 
+std::uint32_t shard_layout::shards_of(const std::string& queue) const
+{
+    const auto found = m_queues.find(queue);
+    return found == m_queues.end() ? m_count : static_cast<std::uint32_t>(found->second.size());
+}
+
 shard_number shard_layout::owner_of(const rack_id& rack) const
 {
     const auto found = m_racks.find(rack.str());
--- a/packages/fleet/tests/shard_layout_test.cpp
+++ b/packages/fleet/tests/shard_layout_test.cpp
@@ -118,6 +118,7 @@
     std::map<shard_number, std::uint32_t> sizes;
     for (const auto& [pool, parts] : parts_of(machines, layout)) {
         REQUIRE(parts.size() == 1);
+        CHECK(layout.shards_of("q-" + pool.str()) == 1);
         sizes[parts.begin()->first] += parts.begin()->second;
         for (std::uint32_t number = 0; number < 20; ++number) {
             CHECK(layout.shard_of("q-" + pool.str(), job_number(number)) == parts.begin()->first);
@@ -157,6 +158,7 @@
         shard_layout::divide(machines_of(pools), config_with_queues(pools), {});
     REQUIRE(layout.count() == 4);
     for (const std::string queue : {"q-a", "added later"}) {
+        CHECK(layout.shards_of(queue) == 4);
         std::map<shard_number, int> jobs;
         for (std::uint32_t number = 0; number < 4000; ++number) {
             ++jobs[layout.shard_of(queue, job_number(number))];
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -105,6 +105,9 @@
     /// Empty for a job of no workspace.
     [[nodiscard]] const workspace_id& workspace() const noexcept { return m_workspace; }
     void set_workspace(workspace_id workspace) { m_workspace = std::move(workspace); }
+    /// Whether the workspace submitted the job beyond its rate.
+    [[nodiscard]] bool is_beyond_rate() const noexcept { return m_beyond_rate; }
+    void set_beyond_rate() noexcept { m_beyond_rate = true; }
     [[nodiscard]] const job_spec& spec() const noexcept { return *m_spec; }
     [[nodiscard]] time_point submitted() const noexcept { return m_submitted; }
     [[nodiscard]] bool is_long_running() const noexcept { return m_long_running; }
@@ -173,6 +176,7 @@
     job_id m_id;
     queue_policy m_queue;
     workspace_id m_workspace;
+    bool m_beyond_rate = false;
     std::shared_ptr<const job_spec> m_spec;
     time_point m_submitted;
     std::vector<milliseconds> m_critical_paths;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -8,6 +8,7 @@
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/workspace.hpp"
+#include "plantaindoor/policy/workspace_shares.hpp"
 
 #include <array>
 #include <cstdint>
@@ -40,6 +41,8 @@
     std::uint32_t attempt_base = 0;
     /// Whether queue_policy::former_services reaches back as far as a predecessor's runs can last.
     bool former_services_known = false;
+    /// Number of shards that the jobs are distributed over.
+    std::uint32_t shard_count = 1;
 };
 
 /// Starts a run on a worker.
@@ -142,6 +145,8 @@
     time_point at{};
     /// A predecessor may have started the job.
     bool inherited = false;
+    /// Number of shards that the jobs of its queue are distributed over; 0: over all.
+    std::uint32_t queue_shards = 0;
 };
 
 /// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
@@ -236,6 +241,8 @@
         job_record* job = nullptr;
         std::uint32_t tier = 0;
         time_point objective{};
+        /// Belongs to a workspace that has its share of a service that is short of capacity.
+        bool above_share = false;
     };
 
     job_record* find_job(const job_id& id);
@@ -312,6 +319,16 @@
     void start_due_occurrences(wall_time wall_now);
     void place_all(time_point now);
     [[nodiscard]] std::vector<candidate> ranked_jobs(time_point now);
+    /// Marks the jobs that their workspaces submitted beyond their rates since the last call.
+    void judge_submissions(time_point now);
+    /// Ranks the jobs of workspaces that have their share behind others of the same tier and
+    /// priority, where the service was short of capacity in the previous round.
+    void rank_by_share(std::vector<candidate>& ranked) const;
+    /// Keeps the workers tentatively chosen for some tasks of a gang from lower-ranked tasks for
+    /// the rest of the round, if the gang would otherwise starve.
+    void hold_for_gang(const job_record& job, std::uint32_t step,
+                       const std::vector<worker_record*>& chosen, time_point now);
+    void release_held();
     void place_job(job_record& job, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
@@ -360,6 +377,21 @@
     std::map<service_id, submission_count> m_submitted;
     std::map<std::string, queue_policy> m_queues;
     std::map<workspace_id, policy::workspace_policy> m_workspaces;
+    policy::submission_rates m_submission_rates;
+    struct unjudged_job {
+        time_point submitted{};
+        job_id id;
+        workspace_id workspace;
+        std::uint32_t queue_shards = 1;
+    };
+    /// Submitted since the last round.
+    std::vector<unjudged_job> m_unjudged;
+    /// What is held for gangs in this round, by service.
+    struct held_capacity {
+        resources footprint;
+        std::vector<worker_record*> workers;
+    };
+    std::map<service_id, held_capacity> m_held;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
     /// The open jobs, which are not terminal; the pointers refer to m_jobs.
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -89,6 +89,14 @@
     m_open_with_best_effort += has_best_effort(*submitted.spec) ? 1 : 0;
     const auto added = m_jobs.emplace(
         id, job_record(id, std::move(policy), std::move(submitted.spec), submitted.at));
+    if (!submitted.workspace.str().empty()) {
+        m_unjudged.push_back({.submitted = submitted.at,
+                              .id = id,
+                              .workspace = submitted.workspace,
+                              .queue_shards = submitted.queue_shards == 0
+                                                  ? m_options.shard_count
+                                                  : submitted.queue_shards});
+    }
     added.first->second.set_workspace(std::move(submitted.workspace));
     m_open.emplace(id, &added.first->second);
     if (submitted.inherited) {
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -20,7 +20,15 @@
 constexpr std::uint32_t share_step_up = 25;
 constexpr std::uint32_t min_share_percent = 13;
 
-enum tier : std::uint32_t { long_running_tier, on_time_tier, late_tier, zero_value_tier };
+/// A job beyond its workspace's rate ranks behind all others that have value, but before those that
+/// have none any more: capacity spent on these serves nobody.
+enum tier : std::uint32_t {
+    long_running_tier,
+    on_time_tier,
+    late_tier,
+    beyond_rate_tier,
+    zero_value_tier
+};
 
 /// Preference for a worker as the place of a task: not avoided, near, has long-running runs, least
 /// free processor time. Compared left to right; higher is better.
@@ -52,6 +60,7 @@
 
 std::vector<scheduler::candidate> scheduler::ranked_jobs(time_point now)
 {
+    judge_submissions(now);
     std::vector<candidate> all;
     all.reserve(m_open.size());
     for (const auto& [id, unfinished] : m_open) {
@@ -61,12 +70,18 @@
         }
         candidate each{.job = &job, .objective = job.objective()};
         const auto budget = each.objective - job.submitted();
+        // A long-running job that has started serves users: it isn't made to wait when it moves.
         if (job.is_long_running()) {
-            each.tier = long_running_tier;
+            each.tier = job.is_beyond_rate() && job.state() == job_state::queued
+                            ? beyond_rate_tier
+                            : long_running_tier;
         }
         else if (now + job.critical_path() > job.submitted() + budget * zero_value_factor) {
             each.tier = zero_value_tier;
         }
+        else if (job.is_beyond_rate()) {
+            each.tier = beyond_rate_tier;
+        }
         else if (now > each.objective) {
             each.tier = late_tier;
         }
@@ -82,6 +97,7 @@
         const auto order = rank(left) <=> rank(right);
         return order != 0 ? order < 0 : left.job->id() < right.job->id();
     });
+    rank_by_share(all);
     return all;
 }
 
@@ -110,6 +126,7 @@
     for (const candidate& each : ranked) {
         place_job(*each.job, now);
     }
+    release_held();
 }
 
 void scheduler::place_job(job_record& job, time_point now)
@@ -193,6 +210,7 @@
     if (chosen.size() < tasks.size()) {
         // Needs recorded against the tentative placements may fit now that these are undone.
         unplaceable.resize(unplaceable_before);
+        hold_for_gang(job, step, chosen, now);
         return;
     }
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
