--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -9,6 +9,7 @@
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/workspace.hpp"
 #include "plantaindoor/policy/workspace_quota.hpp"
+#include "plantaindoor/policy/workspace_shares.hpp"
 
 #include <array>
 #include <cstdint>
@@ -42,9 +43,10 @@
     std::uint32_t attempt_base = 0;
     /// Whether queue_policy::former_services reaches back as far as a predecessor's runs can last.
     bool former_services_known = false;
-    /// The shard whose jobs these are, and the number of shards, between which caps are divided.
+    /// The shard whose jobs these are, and the number of shards that jobs and caps are divided
+    /// over.
     std::uint32_t shard = 0;
-    std::uint32_t shards = 1;
+    std::uint32_t shard_count = 1;
 };
 
 /// Starts a run on a worker.
@@ -147,6 +149,8 @@
     time_point at{};
     /// A predecessor may have started the job.
     bool inherited = false;
+    /// Number of shards that the jobs of its queue are distributed over; 0: over all.
+    std::uint32_t queue_shards = 0;
 };
 
 /// Places the tasks of all jobs on the workers of their services. Deterministic; reads no clock.
@@ -249,6 +253,8 @@
         job_record* job = nullptr;
         std::uint32_t tier = 0;
         time_point objective{};
+        /// Belongs to a workspace that has its share of a service that is short of capacity.
+        bool above_share = false;
     };
 
     job_record* find_job(const job_id& id);
@@ -325,6 +331,16 @@
     void start_due_occurrences(wall_time wall_now);
     void place_all(time_point now);
     [[nodiscard]] std::vector<candidate> ranked_jobs(time_point now);
+    /// Marks the jobs that their workspaces submitted beyond their rates since the last call.
+    void judge_submissions(time_point now);
+    /// Ranks the jobs of workspaces that have their share behind others of the same tier and
+    /// priority, where the service was short of capacity in the previous round.
+    void rank_by_share(std::vector<candidate>& ranked) const;
+    /// Keeps the workers tentatively chosen for some tasks of a gang from lower-ranked tasks for
+    /// the rest of the round, if the gang would otherwise starve.
+    void hold_for_gang(const job_record& job, std::uint32_t step,
+                       const std::vector<worker_record*>& chosen, time_point now);
+    void release_held();
     void place_job(job_record& job, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
@@ -390,6 +406,21 @@
     std::set<task_name> m_waiting_at_cap;
     /// Services without room for a task of a workspace that waits at its cap, in this round.
     std::set<std::pair<workspace_id, service_id>> m_no_room_at_cap;
+    policy::submission_rates m_submission_rates;
+    struct unjudged_job {
+        time_point submitted{};
+        job_id id;
+        workspace_id workspace;
+        std::uint32_t queue_shards = 1;
+    };
+    /// Submitted since the last round.
+    std::vector<unjudged_job> m_unjudged;
+    /// What is held for gangs in this round, by service.
+    struct held_capacity {
+        resources footprint;
+        std::vector<worker_record*> workers;
+    };
+    std::map<service_id, held_capacity> m_held;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
     /// The open jobs, which are not terminal; the pointers refer to m_jobs.
--- a/packages/job/tests/quota_test.cpp
+++ b/packages/job/tests/quota_test.cpp
@@ -257,7 +257,7 @@
 {
     std::int64_t started = 0;
     for (std::uint32_t shard = 0; shard < 2; ++shard) {
-        quota_fixture fixture({.cpu_millis = 2000}, {.shard = shard, .shards = 2});
+        quota_fixture fixture({.cpu_millis = 2000}, {.shard = shard, .shard_count = 2});
         fixture.pass_doubt();
         static_cast<void>(fixture.submit("a", tasks(8, 600), alpha));
         started += static_cast<std::int64_t>(fixture.plan().starts.size());
