job: Start suspects of crashes while the pool has room

Callers saw jobs that started once, lost their worker to a crash and never started again, although most of the pool was free.

A worker with a task of another job counted as occupied however long that ran.

policy::crash_isolation now decides about suspects. The bound applies where there is no room for the suspect twice over or where others wait. Suspects of a crash start in groups of at most four while workers are scarce, and these are halved on a further crash. The longer a suspect waits, the more neighbours it may have. A task that outlives the suspicion is cleared at once. The crashes that a culprit explains are persisted with its end, so that a successor clears the others too.

Two culprits in a group explain each other's crashes.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -396,6 +396,12 @@
                                  to_string(made.run.task), made.run.attempt,
                                  describe(made.crashes)));
         break;
+    case job::decision_kind::isolation_awaited:
+        job_log.info(fmt::format("{}: suspected of a crash, waits to start isolated since {} ms at "
+                                 "position {} of {}: {}",
+                                 job, made.isolation.waited.count(), made.isolation.position,
+                                 made.isolation.count, name_of(made.isolation.reason)));
+        break;
     }
 }
 
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -70,7 +71,20 @@
     std::vector<instance_id> avoided;
     /// Crashes of workers for which the task may be to blame, oldest first.
     std::vector<task_crash> crashes;
+    /// Crashes for which another job's task turned out to be to blame.
+    std::uint32_t explained_crashes = 0;
 
+    /// All crashes that the task hasn't outlived, whatever the blame.
+    [[nodiscard]] std::size_t crash_count() const noexcept
+    {
+        return crashes.size() + explained_crashes;
+    }
+    /// Whether the next run must be isolated. Two culprits that crash workers together explain the
+    /// crashes of each other, so explained ones don't count for blame, but do for isolation.
+    [[nodiscard]] bool must_be_isolated() const noexcept
+    {
+        return needs_isolation(crashes) || crash_count() + 1 >= max_crashes;
+    }
     [[nodiscard]] bool is_waiting() const noexcept { return !done && runs.empty(); }
     [[nodiscard]] bool runs_on(const instance_id& worker, std::uint32_t attempt) const noexcept;
     void remove_run(const instance_id& worker, std::uint32_t attempt);
@@ -122,6 +136,13 @@
     [[nodiscard]] job_status status() const noexcept { return {m_state, m_failure}; }
     void set_failure(failure_reason reason) noexcept { m_failure = reason; }
 
+    /// The workers whose crashes a task of this job is to blame for, if it has failed for that.
+    [[nodiscard]] const std::vector<instance_id>& culprit_of() const noexcept
+    {
+        return m_culprit_of;
+    }
+    void set_culprit_of(std::vector<instance_id> workers) { m_culprit_of = std::move(workers); }
+
     /// Occurrences that have started and are not yet removed as complete, by number.
     [[nodiscard]] std::map<std::uint32_t, occurrence_record>& occurrences()
     {
@@ -153,8 +174,8 @@
     bool note_crash(const task_name& name, task_crash crash);
     /// Forgets the crashes of a task that has proved not to be to blame.
     bool clear_crashes(const task_name& name);
-    /// Forgets the crash of a worker for which another job's task is to blame.
-    bool clear_crash_of(const instance_id& worker);
+    /// Forgets the crashes for which `is_explained` returns true: another job's task is to blame.
+    bool clear_crashes_if(const std::function<bool(const task_crash&)>& is_explained);
     bool note_failed(const task_name& name, std::uint32_t attempt, const instance_id& worker);
     void note_started(const task_name& name, task_run run);
     void note_not_running(const task_name& name, const task_run& run);
@@ -180,6 +201,7 @@
     bool m_long_running = false;
     job_state m_state = job_state::queued;
     failure_reason m_failure = failure_reason::none;
+    std::vector<instance_id> m_culprit_of;
     std::map<std::uint32_t, occurrence_record> m_occurrences;
     std::uint32_t m_started_occurrences = 0;
 };
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
+#include "plantaindoor/policy/crash_isolation.hpp"
 #include "plantaindoor/policy/workspace.hpp"
 
 #include <array>
@@ -84,11 +85,12 @@
 };
 
 enum class decision_kind {
-    first_start, ///< the first start of one of the job's tasks has been ordered
-    run_ended,   ///< a run has ended without completing its task
-    run_lost,    ///< a run's worker has ended, or was unresponsive past its lease
-    job_ended,   ///< the job has reached a terminal state
-    crash_noted, ///< a worker has crashed, for which the task may be to blame
+    first_start,       ///< the first start of one of the job's tasks has been ordered
+    run_ended,         ///< a run has ended without completing its task
+    run_lost,          ///< a run's worker has ended, or was unresponsive past its lease
+    job_ended,         ///< the job has reached a terminal state
+    crash_noted,       ///< a worker has crashed, for which the task may be to blame
+    isolation_awaited, ///< a suspected task has waited for some time to be started in isolation
 };
 
 /// A decision about one job, with the details that operators need.
@@ -106,6 +108,8 @@
     failure_reason failure = failure_reason::none;
     /// Of a noted crash: all crashes of the task, the last one being the newest.
     std::vector<task_crash> crashes;
+    /// Of an awaited isolation.
+    policy::suspect_position isolation;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
@@ -217,6 +221,12 @@
     [[nodiscard]] const job_record* find(const job_id& id) const;
     /// Whether the job's current state is durable.
     [[nodiscard]] bool is_durable(const job_id& id) const;
+    /// The position of a job with a suspected task that waits to be started in isolation; nullopt
+    /// for other jobs.
+    [[nodiscard]] std::optional<policy::suspect_position> isolation_position(const job_id& id) const
+    {
+        return m_isolation.position_of(id);
+    }
     /// Number of accepted jobs of a queue of which no task has started.
     [[nodiscard]] std::size_t pending(const std::string& queue) const;
     [[nodiscard]] const std::map<instance_id, worker_record>& workers() const noexcept
@@ -281,21 +291,31 @@
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Resolves the end of the machine's previous worker when a new one has answered.
     void note_successor(const worker_listing& successor);
-    /// Places the waiting tasks that need isolation, in the order of their jobs, or reserves
-    /// workers for them.
+    /// Clears a task that has outlived crash_suspicion_time.
+    void clear_suspicion(const task_name& name);
+    /// Clears the other jobs of the crashes for which a task of this one is to blame.
+    void note_culprit(const job_record& job);
+    void clear_explained_crashes(job_record& job);
+    /// Finds the services in which a task found no room in the last round.
+    void refresh_overloaded_services();
+    /// Places the waiting tasks that need isolation, or reserves workers for them.
     void place_isolated(const std::vector<candidate>& ranked, time_point now);
-    void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
-                             time_point now);
-    /// Records that the task, a suspect of its last crash, has been started in isolation.
-    void note_isolated_start(const task_name& name);
-    /// Whether the task should wait: another job is suspected of the same crash and has been
-    /// started in isolation, and the workers are needed for other tasks.
-    [[nodiscard]] bool awaits_other_suspect(const job_record& job, const task_record& task) const;
-    /// Returns the worker with the fewest tasks of other jobs, or nullptr if none suits or too many
-    /// are kept from other tasks already.
-    [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
-                                                        const occurrence_record& occurrence,
-                                                        std::uint32_t step);
+    [[nodiscard]] std::vector<policy::waiting_suspect>
+    waiting_suspects(const std::vector<candidate>& ranked);
+    [[nodiscard]] static bool may_place_isolated(const job_record& job,
+                                                 const occurrence_record& occurrence,
+                                                 std::uint32_t step);
+    void place_isolated_step(job_record& job, const policy::waiting_suspect& suspect,
+                             std::uint32_t occurrence, std::uint32_t step, time_point now);
+    /// The workers of the job's service on which a task of the step may be isolated.
+    [[nodiscard]] policy::isolation_pool isolation_pool_of(const job_record& job,
+                                                           const occurrence_record& occurrence,
+                                                           std::uint32_t step,
+                                                           time_point now) const;
+    [[nodiscard]] static policy::isolation_host isolation_host_of(const worker_record& worker,
+                                                                  const job_record& job,
+                                                                  const step_spec& spec,
+                                                                  time_point now);
     /// Removes all runs of a worker that has ended or whose lease has expired.
     void mark_runs_lost(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
@@ -383,14 +403,10 @@
     std::map<service_id, std::vector<resources>> m_unplaceable;
     /// Open jobs with tasks that may be to blame for crashes.
     std::set<job_id> m_suspect_jobs;
-    /// Workers that are kept free for the isolated tasks of a job in this round.
-    std::map<instance_id, job_id> m_reserved;
+    policy::crash_isolation m_isolation;
     /// By machine.
     std::map<std::string, unexplained_end> m_unexplained_ends;
     std::map<std::string, time_point> m_planned_ends;
-    /// The crashed workers whose suspects are being told apart by isolated starts, and the job that
-    /// is running now.
-    std::map<instance_id, job_id> m_crashes_examined;
     /// Services without room for some task in the previous round.
     std::set<service_id> m_overloaded;
     /// Workers with runs to stop.
@@ -410,12 +426,13 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 5> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 6> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
         {job::decision_kind::crash_noted, "crash-noted"},
+        {job::decision_kind::isolation_awaited, "isolation-awaited"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -119,6 +119,8 @@
     /// How long after its start the run keeps tasks of other jobs off the worker; zero: it doesn't,
     /// or that time is over.
     milliseconds isolation{0};
+    /// A crash during the isolation is the last one before the task is given up.
+    bool last_start = false;
 
     [[nodiscard]] bool is_isolated() const noexcept { return isolation > milliseconds(0); }
 };
@@ -168,8 +170,6 @@
     }
     /// Negative if the capacity has shrunk below what runs.
     [[nodiscard]] resources free_capacity() const { return capacity() - used; }
-    /// Whether the worker runs only tasks of this job and long-running tasks that aren't isolated.
-    [[nodiscard]] bool is_free_for_isolated(const job_id& job) const;
     /// What is free once all tasks but the long-running ones have ended.
     [[nodiscard]] resources capacity_beside_long_running() const;
 };
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -38,11 +38,27 @@
     return crashes;
 }
 
+/// What can't be read is left out: the job's state is known without it.
+std::vector<instance_id> culprit_of_progress(std::string_view progress)
+{
+    const json parsed = json::parse(progress, nullptr, false);
+    std::vector<instance_id> workers;
+    if (const auto found = parsed.find("culprit_of"); found != parsed.end() && found->is_array()) {
+        for (const json& each : *found) {
+            if (each.is_string()) {
+                workers.emplace_back(each.get<std::string>());
+            }
+        }
+    }
+    return workers;
+}
+
 json step_json(const step_record& step)
 {
     std::string marks;
     json failures = json::object();
     json crashes = json::object();
+    json explained = json::object();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const task_record& task = step.tasks[index];
         marks += task.done ? done_mark : not_done_mark;
@@ -52,6 +68,9 @@
         if (!task.done && !task.crashes.empty()) {
             crashes[std::to_string(index)] = crashes_json(task.crashes);
         }
+        if (!task.done && task.explained_crashes > 0) {
+            explained[std::to_string(index)] = task.explained_crashes;
+        }
     }
     json result{{"tasks", marks}};
     if (!failures.empty()) {
@@ -60,6 +79,9 @@
     if (!crashes.empty()) {
         result["crashes"] = crashes;
     }
+    if (!explained.empty()) {
+        result["explained"] = explained;
+    }
     return result;
 }
 
@@ -80,6 +102,10 @@
     for (const auto& [index, crashes] : crashes_by_task.items()) {
         step.tasks.at(std::stoul(index)).crashes = crashes_of(crashes);
     }
+    const json explained_by_task = from.value("explained", json::object());
+    for (const auto& [index, count] : explained_by_task.items()) {
+        step.tasks.at(std::stoul(index)).explained_crashes = count.get<std::uint32_t>();
+    }
     const json failures_by_task = from.value("failed", json::object());
     for (const auto& [index, attempts] : failures_by_task.items()) {
         task_record& task = step.tasks.at(std::stoul(index));
@@ -213,7 +239,7 @@
         const auto& steps = occurrence.second.steps;
         return std::any_of(steps.begin(), steps.end(), [](const step_record& step) {
             return std::any_of(step.tasks.begin(), step.tasks.end(),
-                               [](const task_record& task) { return !task.crashes.empty(); });
+                               [](const task_record& task) { return task.crash_count() > 0; });
         });
     });
 }
@@ -293,21 +319,22 @@
 bool job_record::clear_crashes(const task_name& name)
 {
     task_record* const task = find(name);
-    if (task == nullptr || task->crashes.empty()) {
+    if (task == nullptr || task->crash_count() == 0) {
         return false;
     }
     task->crashes.clear();
+    task->explained_crashes = 0;
     return true;
 }
 
-bool job_record::clear_crash_of(const instance_id& worker)
+bool job_record::clear_crashes_if(const std::function<bool(const task_crash&)>& is_explained)
 {
     bool changed = false;
     for (auto& [number, occurrence] : m_occurrences) {
         for (step_record& step : occurrence.steps) {
             for (task_record& task : step.tasks) {
-                const auto cleared = std::erase_if(
-                    task.crashes, [&](const task_crash& each) { return each.worker == worker; });
+                const auto cleared = std::erase_if(task.crashes, is_explained);
+                task.explained_crashes += static_cast<std::uint32_t>(cleared);
                 changed = changed || cleared > 0;
             }
         }
@@ -346,6 +373,13 @@
     if (m_failure != failure_reason::none) {
         result["reason"] = name_of(m_failure);
     }
+    if (!m_culprit_of.empty()) {
+        json workers = json::array();
+        for (const instance_id& each : m_culprit_of) {
+            workers.push_back(each.str());
+        }
+        result["culprit_of"] = std::move(workers);
+    }
     if (!is_terminal(m_state)) {
         json occurrences = json::object();
         for (const auto& [number, occurrence] : m_occurrences) {
@@ -370,6 +404,7 @@
     m_state = status->state;
     m_failure = status->failure;
     if (is_terminal(m_state)) {
+        m_culprit_of = culprit_of_progress(progress);
         return;
     }
     try {
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -1,7 +1,6 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -10,10 +9,6 @@
 
 /// How long after the end of a worker its successor explains that end as a crash.
 constexpr milliseconds successor_wait{15000};
-/// One in this many workers of a service, and at least one, is kept for isolated tasks.
-constexpr std::size_t isolation_divisor = 4;
-/// The same while other tasks of the service wait for room.
-constexpr std::size_t overload_isolation_divisor = 10;
 
 } // namespace
 
@@ -39,10 +34,7 @@
     std::vector<crash_suspect> suspects;
     for (const auto& [name, run] : worker.runs) {
         if (worker.last_contact - run.ordered >= crash_suspicion_time) {
-            if (job_record* const job = find_job(name.task.job);
-                job != nullptr && job->clear_crashes(name.task)) {
-                mark_dirty(job->id());
-            }
+            clear_suspicion(name.task);
             continue;
         }
         const bool on_start = !run.adopted && failed - run.ordered <= crash_on_start_time &&
@@ -58,12 +50,23 @@
     return suspects;
 }
 
+void scheduler::clear_suspicion(const task_name& name)
+{
+    if (!m_suspect_jobs.contains(name.job)) {
+        return;
+    }
+    if (m_open.at(name.job)->clear_crashes(name)) {
+        mark_dirty(name.job);
+    }
+}
+
 void scheduler::note_crash(const std::vector<crash_suspect>& suspects)
 {
     for (const crash_suspect& each : suspects) {
         const task_name& name = each.run.task;
         job_record* const job = find_job(name.job);
-        if (job == nullptr || is_terminal(job->state()) || !job->note_crash(name, each.crash)) {
+        if (job == nullptr || is_terminal(job->state()) ||
+            m_isolation.is_explained(each.crash.worker) || !job->note_crash(name, each.crash)) {
             continue;
         }
         mark_dirty(name.job);
@@ -88,15 +91,35 @@
 
 void scheduler::fail_crashing_task(job_record& job, const task_name& name)
 {
-    const std::vector<task_crash> crashes = job.find(name)->crashes;
+    std::vector<instance_id> crashes;
+    for (const task_crash& each : job.find(name)->crashes) {
+        crashes.push_back(each.worker);
+    }
+    // The end of a worker that is found to be a crash only later is explained as well.
+    for (const auto& [machine, end] : m_unexplained_ends) {
+        if (std::any_of(end.suspects.begin(), end.suspects.end(),
+                        [&](const crash_suspect& each) { return each.run.task == name; })) {
+            crashes.push_back(end.worker);
+        }
+    }
+    job.set_culprit_of(crashes);
     end_job(job, job_state::failed, failure_reason::crashed_workers);
+    note_culprit(job);
+}
+
+void scheduler::note_culprit(const job_record& job)
+{
+    m_isolation.note_culprit(job.id(), job.culprit_of());
     for (const job_id& id : m_suspect_jobs) {
-        job_record& other = *m_open.at(id);
-        for (const task_crash& crash : crashes) {
-            if (other.clear_crash_of(crash.worker)) {
-                mark_dirty(id);
-            }
-        }
+        clear_explained_crashes(*m_open.at(id));
+    }
+}
+
+void scheduler::clear_explained_crashes(job_record& job)
+{
+    if (job.clear_crashes_if(
+            [&](const task_crash& crash) { return m_isolation.is_explained(crash.worker); })) {
+        mark_dirty(job.id());
     }
 }
 
@@ -114,109 +137,132 @@
     m_planned_ends.erase(successor.machine);
 }
 
-void scheduler::place_isolated(const std::vector<candidate>& ranked, time_point now)
+void scheduler::refresh_overloaded_services()
 {
-    m_reserved.clear();
-    m_crashes_examined.clear();
-    if (m_suspect_jobs.empty()) {
-        return;
-    }
-    for (const auto& [id, worker] : m_workers) {
-        if (worker.isolated_runs == 0) {
-            continue;
+    m_overloaded.clear();
+    for (const auto& [service, needs] : m_unplaceable) {
+        const auto candidates = m_candidates.find(service);
+        // A need that fits on no worker of the service doesn't show that its pool is full.
+        if (candidates != m_candidates.end() &&
+            std::any_of(needs.begin(), needs.end(), [&](const resources& need) {
+                return std::any_of(candidates->second.begin(), candidates->second.end(),
+                                   [&](const worker_record* each) {
+                                       return each->capacity_beside_long_running().can_fit(need);
+                                   });
+            })) {
+            m_overloaded.insert(service);
         }
-        for (const auto& [name, run] : worker.runs) {
-            if (run.is_isolated()) {
-                note_isolated_start(name.task);
+    }
+}
+
+void scheduler::place_isolated(const std::vector<candidate>& ranked, time_point now)
+{
+    for (const policy::waiting_suspect& each :
+         m_isolation.begin_round(waiting_suspects(ranked), now)) {
+        job_record& job = *find_job(each.job);
+        for (auto& [number, occurrence] : job.occurrences()) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (may_place_isolated(job, occurrence, step)) {
+                    place_isolated_step(job, each, number, step, now);
+                }
             }
         }
     }
+    for (const policy::suspect_position& each : m_isolation.end_round()) {
+        decision awaited;
+        awaited.kind = decision_kind::isolation_awaited;
+        awaited.isolation = each;
+        note_decision(*find_job(each.job), std::move(awaited));
+    }
+}
+
+std::vector<policy::waiting_suspect>
+scheduler::waiting_suspects(const std::vector<candidate>& ranked)
+{
+    std::vector<policy::waiting_suspect> waiting;
+    if (m_suspect_jobs.empty()) {
+        return waiting;
+    }
     for (const candidate& each : ranked) {
-        job_record& job = *each.job;
+        const job_record& job = *each.job;
         if (!m_suspect_jobs.contains(job.id())) {
             continue;
         }
-        for (auto& [number, occurrence] : job.occurrences()) {
+        policy::waiting_suspect suspect{.job = job.id(), .service = job.queue().service};
+        for (const auto& [number, occurrence] : job.occurrences()) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (occurrence.steps[step].waiting > 0 && !job.spec().steps[step].gang &&
-                    job.is_unblocked(occurrence, step)) {
-                    place_isolated_step(job, number, step, now);
+                if (!may_place_isolated(job, occurrence, step)) {
+                    continue;
+                }
+                for (const task_record& task : occurrence.steps[step].tasks) {
+                    if (task.is_waiting() && task.must_be_isolated() &&
+                        task.crash_count() > suspect.crashes) {
+                        suspect.crashes = task.crash_count();
+                        suspect.crash =
+                            task.crashes.empty() ? instance_id{} : task.crashes.back().worker;
+                    }
                 }
             }
         }
+        if (suspect.crashes > 0) {
+            waiting.push_back(std::move(suspect));
+        }
     }
+    return waiting;
 }
 
-void scheduler::note_isolated_start(const task_name& name)
-{
-    job_record* const job = find_job(name.job);
-    const task_record* const task = job == nullptr ? nullptr : job->find(name);
-    if (task != nullptr && !task->crashes.empty()) {
-        m_crashes_examined.emplace(task->crashes.back().worker, name.job);
-    }
-}
-
-bool scheduler::awaits_other_suspect(const job_record& job, const task_record& task) const
+bool scheduler::may_place_isolated(const job_record& job, const occurrence_record& occurrence,
+                                   std::uint32_t step)
 {
-    const auto examined = m_crashes_examined.find(task.crashes.back().worker);
-    return m_overloaded.contains(job.queue().service) && examined != m_crashes_examined.end() &&
-           examined->second != job.id();
+    return occurrence.steps[step].waiting > 0 && !job.spec().steps[step].gang &&
+           job.is_unblocked(occurrence, step);
 }
 
-void scheduler::place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
-                                    time_point now)
+void scheduler::place_isolated_step(job_record& job, const policy::waiting_suspect& suspect,
+                                    std::uint32_t occurrence, std::uint32_t step, time_point now)
 {
     occurrence_record& current = job.occurrences().at(occurrence);
     auto& tasks = current.steps[step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         task_record& task = tasks[index];
+        if (!task.is_waiting() || !task.must_be_isolated()) {
+            continue;
+        }
         // A successor must know of earlier crashes before the task can cause a further one.
-        const bool may_start = task.crashes.size() < 2 || is_durable(job.id());
-        if (!task.is_waiting() || !needs_isolation(task.crashes) || !may_start ||
-            awaits_other_suspect(job, task)) {
+        if (task.crash_count() >= 2 && !is_durable(job.id())) {
+            m_isolation.note_not_durable(suspect);
             continue;
         }
-        worker_record* const worker = choose_isolated_worker(job, current, step);
-        if (worker == nullptr) {
+        const policy::isolation_choice choice =
+            m_isolation.choose(suspect, isolation_pool_of(job, current, step, now));
+        if (!choice.worker) {
             return;
         }
-        m_reserved.emplace(worker->listing.id, job.id());
-        note_isolated_start({job.id(), occurrence, step, index});
-        if (!worker->is_free_for_isolated(job.id()) ||
-            !worker->free_capacity().can_fit(job.spec().steps[step].footprint())) {
-            continue; // The worker is kept from other tasks until it is free.
+        if (!choice.start) {
+            continue;
         }
+        worker_record& worker = m_workers.at(*choice.worker);
         worker_run* const run =
-            order_start(job, {job.id(), occurrence, step, index}, *worker, next_attempt(task), now);
+            order_start(job, {job.id(), occurrence, step, index}, worker, next_attempt(task), now);
         if (run != nullptr) {
             run->isolation = isolation_after(task.crashes);
-            ++worker->isolated_runs;
+            run->last_start = task.crashes.size() + 1 >= max_crashes;
+            ++worker.isolated_runs;
+            m_isolation.note_started(suspect, worker.listing.id);
         }
     }
 }
 
-worker_record* scheduler::choose_isolated_worker(const job_record& job,
-                                                 const occurrence_record& occurrence,
-                                                 std::uint32_t step)
+policy::isolation_pool scheduler::isolation_pool_of(const job_record& job,
+                                                    const occurrence_record& occurrence,
+                                                    std::uint32_t step, time_point now) const
 {
+    policy::isolation_pool pool{.others_wait = m_overloaded.contains(job.queue().service)};
     const auto candidates = m_candidates.find(job.queue().service);
     if (candidates == m_candidates.end()) {
-        return nullptr;
+        return pool;
     }
     const step_spec& spec = job.spec().steps[step];
-    const auto is_kept = [this](const worker_record* each) {
-        return each->isolated_runs > 0 || m_reserved.contains(each->listing.id);
-    };
-    const auto kept = static_cast<std::size_t>(
-        std::count_if(candidates->second.begin(), candidates->second.end(), is_kept));
-    const std::size_t divisor =
-        m_overloaded.contains(job.queue().service) ? overload_isolation_divisor : isolation_divisor;
-    const bool may_keep_more = kept < std::max<std::size_t>(candidates->second.size() / divisor, 1);
-    const auto belongs_to_job = [&](const worker_record* each) {
-        const auto reserved = m_reserved.find(each->listing.id);
-        return reserved != m_reserved.end() ? reserved->second == job.id()
-                                            : each->is_free_for_isolated(job.id());
-    };
     const auto siblings_on = [&](const worker_record* each) {
         const auto& tasks = occurrence.steps[step].tasks;
         return std::count_if(tasks.begin(), tasks.end(), [&](const task_record& task) {
@@ -224,24 +270,50 @@
                                [&](const task_run& run) { return run.worker == each->listing.id; });
         });
     };
-    const auto suits = [&](const worker_record* each) {
-        return (is_kept(each) ? belongs_to_job(each) : may_keep_more) &&
-               each->capacity_beside_long_running().can_fit(spec.footprint()) &&
-               (spec.required_label.empty() || each->listing.has_label(spec.required_label)) &&
-               (spec.max_per_worker == 0 || siblings_on(each) < spec.max_per_worker);
-    };
-    const auto cost_of = [&](const worker_record* each) {
-        const bool far = !spec.rack.empty() && each->listing.rack.str() != spec.rack;
-        return std::tuple(!is_kept(each), each->long_running_runs > 0,
-                          each->runs.size() - each->long_running_runs, far);
-    };
-    worker_record* best = nullptr;
-    for (worker_record* const each : candidates->second) {
-        if (suits(each) && (best == nullptr || cost_of(each) < cost_of(best))) {
-            best = each;
+    pool.workers = candidates->second.size();
+    std::int64_t room = 0;
+    for (const worker_record* const each : candidates->second) {
+        const bool is_kept = each->isolated_runs > 0 || m_isolation.is_reserved(each->listing.id);
+        pool.kept += is_kept ? 1 : 0;
+        if (!spec.required_label.empty() && !each->listing.has_label(spec.required_label)) {
+            continue;
+        }
+        const auto siblings = spec.max_per_worker == 0 ? 0 : siblings_on(each);
+        const auto left = spec.max_per_worker == 0 ? std::int64_t(spec.count) * 2
+                                                   : std::int64_t(spec.max_per_worker) - siblings;
+        room += std::min(left, each->free_capacity().count_fitting(spec.footprint()));
+        if (left > 0 && each->capacity_beside_long_running().can_fit(spec.footprint())) {
+            pool.hosts.push_back(isolation_host_of(*each, job, spec, now));
+        }
+    }
+    pool.full = room < 2 * std::int64_t(occurrence.steps[step].waiting);
+    return pool;
+}
+
+policy::isolation_host scheduler::isolation_host_of(const worker_record& worker,
+                                                    const job_record& job, const step_spec& spec,
+                                                    time_point now)
+{
+    policy::isolation_host host{.worker = worker.listing.id,
+                                .has_room = worker.free_capacity().can_fit(spec.footprint()),
+                                .has_long_running = worker.long_running_runs > 0,
+                                .far =
+                                    !spec.rack.empty() && worker.listing.rack.str() != spec.rack};
+    for (const auto& [name, run] : worker.runs) {
+        if (name.task.job == job.id()) {
+            host.has_own = host.has_own || run.is_isolated();
+            continue;
+        }
+        if (run.is_isolated() ? run.ordered == now : run.long_running) {
+            continue;
         }
+        const auto age = std::chrono::duration_cast<milliseconds>(now - run.ordered);
+        host.youngest_age = host.other_runs == 0 ? age : std::min(host.youngest_age, age);
+        ++host.other_runs;
+        host.has_isolated = host.has_isolated || run.is_isolated();
+        host.has_last_start = host.has_last_start || (run.is_isolated() && run.last_start);
     }
-    return best;
+    return host;
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -113,9 +113,12 @@
     if (is_terminal(job->state())) {
         close_job(id);
         m_specs.erase(id);
+        note_culprit(*job);
     }
     else if (job->has_crashes()) {
         m_suspect_jobs.insert(id);
+        // Its predecessor may have ended before it persisted what the culprit explains.
+        clear_explained_crashes(*job);
     }
 }
 
@@ -135,6 +138,7 @@
 void scheduler::remove_job(const job_id& id)
 {
     close_job(id);
+    m_isolation.forget(id);
     m_jobs.erase(id);
     m_specs.erase(id);
     m_inherited.erase(id);
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -87,24 +87,19 @@
 
 void scheduler::place_all(time_point now)
 {
-    m_overloaded.clear();
-    for (const auto& [service, needs] : m_unplaceable) {
-        if (!needs.empty()) {
-            m_overloaded.insert(service);
-        }
-    }
     m_candidates.clear();
-    m_unplaceable.clear();
     for (auto& [id, worker] : m_workers) {
         if (worker.is_usable(now)) {
             m_candidates[worker.listing.service].push_back(&worker);
         }
     }
+    refresh_overloaded_services();
+    m_unplaceable.clear();
     const std::vector<candidate> ranked = ranked_jobs(now);
     place_isolated(ranked, now);
     for (auto& [service, workers] : m_candidates) {
         std::erase_if(workers, [this](const worker_record* each) {
-            return each->isolated_runs > 0 || m_reserved.contains(each->listing.id);
+            return each->isolated_runs > 0 || m_isolation.is_reserved(each->listing.id);
         });
     }
     for (const candidate& each : ranked) {
@@ -138,7 +133,7 @@
     auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         task_record& task = tasks[index];
-        if (!task.is_waiting() || needs_isolation(task.crashes)) {
+        if (!task.is_waiting() || task.must_be_isolated()) {
             continue;
         }
         worker_record* const worker =
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -199,6 +199,9 @@
         run.isolation = milliseconds(0);
         --worker.isolated_runs;
     }
+    if (now - run.ordered >= crash_suspicion_time) {
+        clear_suspicion(reported.run.task);
+    }
 }
 
 void scheduler::adopt_run(worker_record& worker, const reported_run& reported, job_record& job,
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -15,14 +15,6 @@
            now >= quarantined_until && now >= full_until;
 }
 
-bool worker_record::is_free_for_isolated(const job_id& job) const
-{
-    return std::all_of(runs.begin(), runs.end(), [&](const auto& each) {
-        return each.first.task.job == job ||
-               (each.second.long_running && !each.second.is_isolated());
-    });
-}
-
 resources worker_record::capacity_beside_long_running() const
 {
     resources left = capacity();
--- a/packages/policy/include/plantaindoor/policy/resources.hpp
+++ b/packages/policy/include/plantaindoor/policy/resources.hpp
@@ -1,6 +1,7 @@
 // Amounts of processor time, memory and accelerators.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace plantaindoor::policy {
@@ -18,6 +19,19 @@
                need.accelerators <= accelerators;
     }
 
+    /// How many tasks that need `need` fit into this capacity; at most 1,000,000. Thread-safe.
+    [[nodiscard]] std::int64_t count_fitting(const resources& need) const noexcept
+    {
+        std::int64_t count = 1'000'000;
+        const auto limit = [&](std::int64_t free, std::int64_t needed) {
+            count = needed > 0 ? std::min(count, std::max<std::int64_t>(free, 0) / needed) : count;
+        };
+        limit(cpu_millis, need.cpu_millis);
+        limit(memory_mb, need.memory_mb);
+        limit(accelerators, need.accelerators);
+        return count;
+    }
+
     resources& operator+=(const resources& other) noexcept
     {
         cpu_millis += other.cpu_millis;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/policy/src/crash_history.cpp
@@ -1,6 +1,6 @@
-#include "plantaindoor/job/crash_history.hpp"
+#include "plantaindoor/policy/crash_history.hpp"
 
-namespace plantaindoor::job {
+namespace plantaindoor::policy {
 
 bool needs_isolation(const std::vector<task_crash>& crashes) noexcept
 {
@@ -25,4 +25,4 @@
     return last.alone && last.on_start && crashes[crashes.size() - 2].on_start;
 }
 
-} // namespace plantaindoor::job
+} // namespace plantaindoor::policy
