--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -397,7 +397,7 @@
                                  describe(made.crashes)));
         break;
     case job::decision_kind::isolation_awaited:
-        job_log.info(fmt::format("{}: suspected of a crash, waits to start isolated since {} ms at "
+        job_log.info(fmt::format("{}: suspected of a crash, has waited {} ms to start isolated, "
                                  "position {} of {}: {}",
                                  job, made.isolation.waited.count(), made.isolation.position,
                                  made.isolation.count, name_of(made.isolation.reason)));
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -1,301 +1,12 @@
-#include "plantaindoor/job/scheduler.hpp"
+#include "crash_pool.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <random>
 
 using namespace plantaindoor;
 using namespace plantaindoor::job;
 
-namespace {
-
-constexpr milliseconds plan_interval{100};
-/// An accepted job without a running task for this long, while there is room for it twice over,
-/// counts as lost.
-constexpr milliseconds wait_bound{3000};
-const service_id checks{"checks"};
-const resources worker_capacity{.cpu_millis = 4000, .memory_mb = 4000};
-
-/// A pool whose workers crash a moment after the start of a culprit, or when told to, and that
-/// measures how long each healthy job waits while there is room for it twice over.
-struct crash_pool {
-    struct submitted_job {
-        std::shared_ptr<const job_spec> spec;
-        bool is_culprit = false;
-        milliseconds run_time{0};
-        time_point waiting_since{};
-        milliseconds longest_wait{0};
-    };
-    struct active_run {
-        reported_run run;
-        time_point since;
-    };
-
-    std::optional<scheduler> subject;
-    time_point now{std::chrono::hours(1)};
-    std::map<std::string, instance_id> workers;
-    std::map<instance_id, std::vector<active_run>> running;
-    std::map<instance_id, std::uint64_t> sequences;
-    std::map<std::string, time_point> back_at;
-    std::map<job_id, submitted_job> jobs;
-    std::vector<decision> decisions;
-    std::map<task_name, std::uint32_t> starts;
-    std::map<task_name, std::uint32_t> crashes;
-    std::uint32_t incarnations = 0;
-    std::uint32_t leaders = 0;
-    bool store_answers = true;
-
-    explicit crash_pool(std::uint32_t machines)
-    {
-        begin_leader();
-        for (std::uint32_t each = 0; each < machines; ++each) {
-            start_worker("m" + std::to_string(each));
-        }
-    }
-
-    void begin_leader()
-    {
-        subject.emplace(scheduler_options{.lease = milliseconds(5000),
-                                          .predecessor_grace = milliseconds(0),
-                                          .attempt_base = 1000 * leaders++},
-                        now - seconds(60));
-        subject->set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
-    }
-
-    /// Replaces the leader by one that reads what is persisted.
-    void replace_leader()
-    {
-        std::map<job_id, std::string> rows;
-        for (const auto& [id, job] : jobs) {
-            rows[id] = subject->find(id)->progress();
-        }
-        begin_leader();
-        for (const auto& [id, job] : jobs) {
-            subject->submit(id, {.queue = "q", .spec = job.spec, .at = now, .inherited = true});
-            subject->restore(id, rows[id]);
-        }
-        for (const auto& [machine, worker] : workers) {
-            subject->note_worker_listed(listing(machine, worker), now);
-            report(worker);
-        }
-    }
-
-    static worker_listing listing(const std::string& machine, const instance_id& worker)
-    {
-        return {.id = worker,
-                .service = checks,
-                .address = machine + ":80",
-                .machine = machine,
-                .capacity = worker_capacity};
-    }
-
-    void start_worker(const std::string& machine)
-    {
-        workers[machine] = instance_id("w" + std::to_string(++incarnations));
-        subject->note_worker_listed(listing(machine, workers[machine]), now);
-        report(workers[machine]);
-    }
-
-    void report(const instance_id& worker, std::vector<ended_run> ended = {})
-    {
-        worker_report result{.worker_clock = milliseconds(1000), .ended = std::move(ended)};
-        for (const active_run& each : running[worker]) {
-            result.running.push_back(each.run);
-        }
-        subject->note_report(worker, result, now, now);
-    }
-
-    job_id submit(const std::string& id, step_spec step, milliseconds run_time,
-                  bool is_culprit = false)
-    {
-        auto spec = std::make_shared<job_spec>();
-        spec->steps.push_back(std::move(step));
-        jobs[job_id(id)] = {
-            .spec = spec, .is_culprit = is_culprit, .run_time = run_time, .waiting_since = now};
-        subject->submit(job_id(id), {.queue = "q", .spec = spec, .at = now});
-        return job_id(id);
-    }
-
-    void crash(const std::string& machine, milliseconds down = seconds(3))
-    {
-        const instance_id worker = workers.at(machine);
-        workers.erase(machine);
-        for (const active_run& each : running[worker]) {
-            ++crashes[each.run.run.task];
-        }
-        running.erase(worker);
-        back_at[machine] = now + down;
-        subject->note_missed_poll(worker, now);
-        subject->note_worker_ended(worker, worker_end::machine_down, now);
-    }
-
-    void crash_all()
-    {
-        const auto living = workers;
-        for (const auto& each : living) {
-            crash(each.first);
-        }
-    }
-
-    void plan()
-    {
-        const orders due = subject->plan(now, wall_time{});
-        for (const start_order& each : due.starts) {
-            ++starts[each.run.task];
-            jobs.at(each.run.task.job).waiting_since = now;
-            subject->note_start(each.worker, each.run, order_answer::accepted, now);
-            running[each.worker].push_back({{.run = each.run, .percent = 100}, now});
-        }
-        for (const stop_order& each : due.stops) {
-            subject->note_stop(each.worker, each.run, order_answer::accepted, now);
-            std::erase_if(running[each.worker],
-                          [&](const auto& run) { return run.run.run == each.run; });
-        }
-        for (decision& each : subject->take_decisions()) {
-            decisions.push_back(std::move(each));
-        }
-        if (store_answers) {
-            static_cast<void>(subject->begin_persist());
-            subject->note_persisted();
-        }
-    }
-
-    [[nodiscard]] bool is_culprit(const run_name& run) const
-    {
-        return run.task.index == 0 && jobs.at(run.task.job).is_culprit;
-    }
-
-    /// The number of tasks like this one for which the living workers have room.
-    [[nodiscard]] std::int64_t room_for(const resources& need) const
-    {
-        std::int64_t slots = 0;
-        for (const auto& [machine, worker] : workers) {
-            resources free = worker_capacity;
-            if (const auto active = running.find(worker); active != running.end()) {
-                for (const active_run& each : active->second) {
-                    free -= jobs.at(each.run.run.task.job).spec->steps[0].footprint();
-                }
-            }
-            slots += std::min(free.cpu_millis / std::max<std::int64_t>(need.cpu_millis, 1),
-                              free.memory_mb / std::max<std::int64_t>(need.memory_mb, 1));
-        }
-        return slots;
-    }
-
-    /// Counts the wait of each job while there is room for all waiting jobs twice over.
-    void measure_waits()
-    {
-        std::set<job_id> active;
-        std::int64_t free_cpu = std::int64_t(workers.size()) * worker_capacity.cpu_millis;
-        for (const auto& [worker, runs] : running) {
-            for (const active_run& each : runs) {
-                active.insert(each.run.run.task.job);
-                free_cpu -= jobs.at(each.run.run.task.job).spec->steps[0].footprint().cpu_millis;
-            }
-        }
-        std::int64_t waiting_cpu = 0;
-        for (const auto& [id, job] : jobs) {
-            const step_spec& step = job.spec->steps[0];
-            const bool waits = !active.contains(id) && !is_terminal(state(id)) &&
-                               room_for(step.footprint()) >= step.count;
-            waiting_cpu += waits ? step.footprint().cpu_millis * step.count : 0;
-        }
-        for (auto& [id, job] : jobs) {
-            const step_spec& step = job.spec->steps[0];
-            if (active.contains(id) || is_terminal(state(id)) || free_cpu < 2 * waiting_cpu ||
-                room_for(step.footprint()) < 2 * std::int64_t(step.count)) {
-                job.waiting_since = now;
-                continue;
-            }
-            const auto waited = std::chrono::duration_cast<milliseconds>(now - job.waiting_since);
-            job.longest_wait = std::max(job.longest_wait, waited);
-        }
-    }
-
-    /// Lets the time pass that workers need for the next event.
-    void step()
-    {
-        plan();
-        now += milliseconds(10);
-        const auto living = workers;
-        for (const auto& [machine, worker] : living) {
-            const auto& runs = running[worker];
-            if (std::any_of(runs.begin(), runs.end(),
-                            [&](const active_run& each) { return is_culprit(each.run.run); })) {
-                crash(machine);
-            }
-        }
-        now += plan_interval - milliseconds(10);
-        for (const auto& each : workers) {
-            const instance_id& worker = each.second;
-            std::vector<ended_run> ended;
-            std::erase_if(running[worker], [&](const active_run& run) {
-                const bool over = now - run.since >= jobs.at(run.run.run.task.job).run_time;
-                if (over) {
-                    ended.push_back({.sequence = ++sequences[worker],
-                                     .run = run.run.run,
-                                     .end_reason = run_end_reason::done});
-                }
-                return over;
-            });
-            report(worker, std::move(ended));
-        }
-        const auto due = back_at;
-        for (const auto& [machine, at] : due) {
-            if (at <= now) {
-                back_at.erase(machine);
-                start_worker(machine);
-            }
-        }
-        measure_waits();
-    }
-
-    void run_for(milliseconds time)
-    {
-        for (const time_point end = now + time; now < end;) {
-            step();
-        }
-    }
-
-    [[nodiscard]] job_state state(const job_id& id) const { return subject->find(id)->state(); }
-
-    [[nodiscard]] milliseconds longest_healthy_wait() const
-    {
-        milliseconds longest{0};
-        for (const auto& [id, job] : jobs) {
-            longest = std::max(longest, job.is_culprit ? milliseconds(0) : job.longest_wait);
-        }
-        return longest;
-    }
-
-    /// The most crashes of workers under one task of the job.
-    [[nodiscard]] std::uint32_t crashes_under(const job_id& id) const
-    {
-        std::uint32_t most = 0;
-        for (const auto& [name, count] : crashes) {
-            most = name.job == id ? std::max(most, count) : most;
-        }
-        return most;
-    }
-
-    [[nodiscard]] std::size_t healthy_jobs_not_completed() const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(jobs.begin(), jobs.end(), [&](const auto& job) {
-                return !job.second.is_culprit && !job.second.spec->steps[0].long_running &&
-                       state(job.first) != job_state::completed;
-            }));
-    }
-};
-
-step_spec tasks(std::uint32_t count, std::int64_t cpu_millis)
-{
-    return {.count = count, .need = {.cpu_millis = cpu_millis, .memory_mb = 100}};
-}
-
-} // namespace
-
 // Guards against suspects of a day with many culprits that were not started again although most of
 // the capacity was free: the number of isolated workers was bounded in a pool that wasn't full.
 TEST_CASE("a healthy suspect starts within the bound while the pool has room")
@@ -397,3 +108,112 @@
         }
     }
 }
+
+// Guards against suspects that wait without a trace of it: nothing stated why a job didn't start.
+TEST_CASE("a suspect that waits is reported once for each wait, with its position")
+{
+    crash_pool pool(8);
+    pool.store_answers = false;
+    const job_id suspect = pool.submit("suspect", tasks(1, 300), milliseconds(800));
+    const job_id other = pool.submit("other", tasks(1, 300), milliseconds(800));
+    const auto& task = pool.subject->find(suspect)->occurrences().at(0).steps[0].tasks[0];
+    pool.plan();
+    pool.now += milliseconds(20);
+    pool.crash_all();
+    while (task.runs.empty()) {
+        pool.step();
+    }
+    pool.run_for(milliseconds(300));
+    pool.crash_all();
+    REQUIRE(task.crashes.size() == 2);
+    pool.decisions.clear();
+    // The store is unavailable, so that a task with two crashes must not start.
+    pool.run_for(seconds(5));
+    const auto position = pool.subject->isolation_position(suspect);
+    REQUIRE(position);
+    CHECK(position->count == 2);
+    CHECK(position->reason == policy::isolation_wait::not_durable);
+    CHECK(position->position + pool.subject->isolation_position(other)->position == 3);
+    CHECK(std::count_if(pool.decisions.begin(), pool.decisions.end(), [&](const decision& each) {
+              return each.kind == decision_kind::isolation_awaited && each.job == suspect &&
+                     each.isolation.waited >= policy::reported_wait;
+          }) == 1);
+    pool.store_answers = true;
+    pool.run_for(seconds(4));
+    CHECK(pool.state(suspect) == job_state::completed);
+    CHECK_FALSE(pool.subject->isolation_position(suspect));
+}
+
+// Guards against suspicion that outlives the change of a leader although the culprit is known: the
+// leader ended after it had persisted the culprit's end, and before the progress of the others.
+TEST_CASE("a successor clears what a culprit explains, whichever progress it reads first")
+{
+    const bool culprit_first = GENERATE(true, false);
+    crash_pool pool(6);
+    const job_id bad = pool.submit("bad", tasks(2, 300), milliseconds(800), true);
+    const job_id beside = pool.submit("beside", tasks(1, 300), seconds(60));
+    pool.step();
+    const auto crashes = [&] {
+        return pool.subject->find(beside)->occurrences().at(0).steps[0].tasks[0].crashes.size();
+    };
+    REQUIRE(crashes() == 1);
+    const std::string stale = pool.subject->find(beside)->progress();
+    pool.run_for(seconds(2));
+    REQUIRE(pool.state(bad) == job_state::failed);
+    REQUIRE(crashes() == 0);
+    const std::string ended = pool.subject->find(bad)->progress();
+    pool.begin_leader();
+    for (const auto& [id, job] : pool.jobs) {
+        pool.subject->submit(id, {.queue = "q", .spec = job.spec, .at = pool.now});
+    }
+    for (const bool culprit : {culprit_first, !culprit_first}) {
+        pool.subject->restore(culprit ? bad : beside, culprit ? ended : stale);
+    }
+    CHECK(crashes() == 0);
+    CHECK_FALSE(pool.subject->is_durable(beside));
+}
+
+// Guards against suspicion by a crash of the culprit that is noticed only after it was found.
+TEST_CASE("a crash noted after its culprit was found counts against no other task")
+{
+    crash_pool pool(6);
+    const job_id bad = pool.submit("bad", tasks(1, 300), milliseconds(800));
+    const job_id beside = pool.submit("beside", tasks(1, 300), seconds(60));
+    pool.plan();
+    const auto& task = pool.subject->find(beside)->occurrences().at(0).steps[0].tasks[0];
+    REQUIRE(task.runs.size() == 1);
+    const instance_id worker = task.runs[0].worker;
+    const std::string machine = pool.subject->workers().at(worker).listing.machine;
+    // The end of the worker is a crash only once a successor has answered.
+    pool.now += milliseconds(20);
+    pool.workers.erase(machine);
+    pool.running.erase(worker);
+    pool.subject->note_missed_poll(worker, pool.now);
+    pool.subject->note_worker_ended(worker, worker_end::lease_expired, pool.now);
+    pool.jobs.at(bad).is_culprit = true;
+    pool.run_for(seconds(7));
+    REQUIRE(pool.state(bad) == job_state::failed);
+    pool.start_worker(machine);
+    CHECK(task.crashes.empty());
+    CHECK(pool.subject->find(bad)->culprit_of().size() >= 2);
+}
+
+// Guards against two culprits that clear each other: crashes in a group are explained by the one
+// that is found first, and the other's count started anew.
+TEST_CASE("explained crashes keep a task isolated and are persisted, but don't count for blame")
+{
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(1));
+    const std::string progress =
+        R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","explained":{"0":3}}]}})";
+    pool.subject->restore(id, progress);
+    const auto& task = pool.subject->find(id)->occurrences().at(0).steps[0].tasks[0];
+    CHECK(task.must_be_isolated());
+    CHECK_FALSE(is_to_blame(task.crashes));
+    CHECK(pool.subject->find(id)->progress().find(R"("explained":{"0":3})") != std::string::npos);
+    pool.plan();
+    REQUIRE(task.runs.size() == 1);
+    CHECK(pool.subject->workers().at(task.runs[0].worker).isolated_runs == 1);
+    pool.run_for(seconds(2));
+    CHECK(pool.state(id) == job_state::completed);
+}
