fleet: Divide the workspaces' caps between shards by demand

Shards give parts of caps to each other by cumulative counters, each shard's in one row, written under the conditions of its leader's claim and the row's last version. The donor counts a transfer from its decision on, the recipient once it has read the committed row. A shard that needs more publishes a request; nothing is given while a predecessor is in doubt. There are no rows, reads or writes where no workspace has a cap, or with one shard.

Shares count units of a cap, not amounts: with amounts, a lowered cap could leave the donor with a part below zero and the others with more than the cap.

The extra task that one shard could start beyond its part is dropped. The simulation found that a start elsewhere could then follow while the workspace was above the cap by more than a tenth (2,500 of 2,000 with tasks of 250 to 1,000). A shard may exceed the cap by a task only while it has the whole cap.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -10,6 +10,7 @@
 #include "plantaindoor/fleet/machine_session.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/progress_writer.hpp"
+#include "plantaindoor/fleet/quota_exchange.hpp"
 #include "plantaindoor/fleet/quota_reporter.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
@@ -131,6 +132,7 @@
     std::unique_ptr<worker_poller> m_poller;
     std::unique_ptr<progress_writer> m_progress_writer;
     std::unique_ptr<machine_session> m_machines;
+    std::unique_ptr<quota_exchange> m_quota_exchange;
     quota_reporter m_quota_reporter;
     timer_id m_plan_timer = timer_id::none;
     timer_id m_tick_timer = timer_id::none;
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -87,6 +87,12 @@
     m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
     m_scheduler.set_workspaces(m_config->workspaces);
+    m_quota_exchange = std::make_unique<quota_exchange>(
+        m_context.loop, m_context.store, m_scheduler, m_context.metrics,
+        quota_exchange_options{.claim = m_options.claim_row,
+                               .shard = m_options.shard.number,
+                               .shards = m_options.shard.layout->count()},
+        [this] { schedule_plan(); });
     m_poller = std::make_unique<worker_poller>(
         m_context.loop, m_context.workers, m_scheduler, m_context.metrics,
         worker_poller_options{.token = m_options.claim_row.version}, [this] { schedule_plan(); },
@@ -470,6 +476,9 @@
         }
         m_workers_changed = true; // Lets the poller remove ended workers once per tick.
         plan();
+        if (m_ready && m_workers_read && !m_paused && !m_leadership_lost) {
+            m_quota_exchange->tick();
+        }
         refresh_gauges();
         remove_expired_jobs();
         tick();
@@ -489,6 +498,7 @@
     m_config = std::move(config);
     m_scheduler.set_queues(queues_of(*m_config));
     m_scheduler.set_workspaces(m_config->workspaces);
+    m_quota_exchange->note_workspaces();
     m_machines->set_pools(m_config->pools);
     schedule_plan();
 }
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -34,9 +34,11 @@
     return parse_shard_layout(text.dump()).value();
 }
 
-std::shared_ptr<const fleet_config> one_queue_config()
+std::shared_ptr<const fleet_config>
+one_queue_config(std::vector<policy::workspace_policy> workspaces)
 {
     fleet_config config{.version = 1};
+    config.workspaces = std::move(workspaces);
     config.routes.push_back({.host = "h",
                              .path_prefix = "/q/",
                              .queue = {.name = queue_name,
@@ -98,14 +100,18 @@
     m_writer.reset();
 }
 
-fleet_simulation::fleet_simulation(std::uint64_t seed, machine_list machines, shard_number shards)
+fleet_simulation::fleet_simulation(std::uint64_t seed, machine_list machines, shard_number shards,
+                                   std::vector<policy::workspace_policy> workspaces)
     : m_random(seed),
       m_machine_list(machines),
       m_layout(layout_of(shards)),
       m_rows(m_loop),
       m_workers(m_loop, m_random),
-      m_config(one_queue_config())
+      m_config(one_queue_config(std::move(workspaces)))
 {
+    for (const policy::workspace_policy& each : m_config->workspaces) {
+        m_workers.set_cap(each.id, each.cap);
+    }
     m_codec.workers_table = "workers";
     m_codec.operator_table = "op";
     m_codec.parse_job = [this](std::string_view body) { return m_specs.at(std::string(body)); };
@@ -236,14 +242,17 @@
 {
     job_id id(fmt::format("{:016x}", ++m_last_id));
     m_specs[id.str()] = job.spec;
+    const workspace_id workspace = job.workspace;
     m_workers.add_job(id, std::move(job));
     for (std::size_t tries = 0; tries < entry_count; ++tries) {
         simulated_entry& entry = *m_entries[random_below(entry_count)];
         if (!entry.alive()) {
             continue;
         }
-        const accepted_job accepted{
-            .queue = queue_name, .accepted = m_loop.wall_now(), .body = id.str()};
+        const accepted_job accepted{.queue = queue_name,
+                                    .workspace = workspace,
+                                    .accepted = m_loop.wall_now(),
+                                    .body = id.str()};
         entry.writer().accept(shard_of(id), id, accepted, m_loop.now() + seconds(2),
                               [this, id](job_write_outcome outcome) {
                                   if (outcome == job_write_outcome::persisted) {
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -94,7 +94,8 @@
 
     explicit fleet_simulation(std::uint64_t seed,
                               machine_list machines = machine_list::unresponsive,
-                              shard_number shards = 1);
+                              shard_number shards = 1,
+                              std::vector<policy::workspace_policy> workspaces = {});
     fleet_simulation(const fleet_simulation&) = delete;
     fleet_simulation& operator=(const fleet_simulation&) = delete;
     ~fleet_simulation();
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -175,6 +175,34 @@
     }
 }
 
+std::int64_t model_workers::used_by(const workspace_id& workspace) const
+{
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : m_instances) {
+        for (const auto& [run, active] : worker.running) {
+            const model_job& job = m_jobs.at(run.task.job);
+            used += job.workspace == workspace ? job.spec->steps[run.task.step].need.cpu_millis : 0;
+        }
+    }
+    return used;
+}
+
+void model_workers::check_cap(const job::start_order& order)
+{
+    const workspace_id& workspace = m_jobs.at(order.run.task.job).workspace;
+    const auto cap = m_caps.find(workspace);
+    if (cap == m_caps.end() || cap->second.cpu_millis == 0) {
+        return;
+    }
+    const std::int64_t allowed =
+        cap->second.cpu_millis * 11 / 10 + order.spec->steps[order.run.task.step].need.cpu_millis;
+    if (const std::int64_t used = used_by(workspace); used > allowed) {
+        report_violation("a run above the cap of its workspace: " + std::to_string(used) + " of " +
+                             std::to_string(cap->second.cpu_millis),
+                         order.run);
+    }
+}
+
 job::order_answer model_workers::start(const job::start_order& order, fencing_token token,
                                        arrival when)
 {
@@ -211,6 +239,7 @@
     const model_job& job = m_jobs.at(order.run.task.job);
     active_run& active = worker.running[order.run];
     active.footprint = need;
+    check_cap(order);
     if (job.crashes_worker(order.run.task)) {
         m_loop.call_after(crash_delay, [this, id = order.worker] { m_on_crashing_start(id); });
     }
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -29,6 +29,8 @@
 /// How a job's tasks behave in the model, and when the job was cancelled.
 struct model_job {
     std::shared_ptr<const job::job_spec> spec;
+    /// Empty: none.
+    workspace_id workspace;
     milliseconds run_time{1000};
     /// Indices of the tasks that fail in every run, in each step.
     std::set<std::uint32_t> failing_tasks;
@@ -70,6 +72,13 @@
     {
         m_path_faults[{entry, worker}] = fault;
     }
+    /// Limits what the runs of a workspace use on all workers together.
+    void set_cap(const workspace_id& workspace, const job::resources& cap)
+    {
+        m_caps[workspace] = cap;
+    }
+    /// What the workspace's runs use now, in thousandths of a core.
+    [[nodiscard]] std::int64_t used_by(const workspace_id& workspace) const;
     void clear_path_faults() { m_path_faults.clear(); }
 
     /// Violated rules so far, each with the history of its task.
@@ -142,6 +151,9 @@
     /// Reports a violation if the order breaks a rule.
     void check_start(const worker_instance& worker, const job::start_order& order, arrival when);
     void report_violation(const std::string& what, const job::run_name& run);
+    /// Reports a violation if the run that was just started brings its workspace above its cap, a
+    /// tenth of it, and one task more.
+    void check_cap(const job::start_order& order);
     /// Records an event of a task, to be printed with a violation.
     void log_event(const job::run_name& run, const std::string& event);
 
@@ -151,6 +163,7 @@
     /// Of all instances, including those that have ended.
     std::map<instance_id, std::string> m_addresses;
     std::map<job_id, model_job> m_jobs;
+    std::map<workspace_id, job::resources> m_caps;
     std::map<job::task_name, task_history> m_tasks;
     std::map<std::pair<std::string, instance_id>, path_fault> m_path_faults;
     std::map<job::task_name, std::string> m_events;
--- a/packages/job/tests/quota_test.cpp
+++ b/packages/job/tests/quota_test.cpp
@@ -253,7 +253,7 @@
     CHECK(fixture.used() == 1000);
 }
 
-TEST_CASE("With two shards, one of them has half of the cap and the other may add one task")
+TEST_CASE("With two shards each starts at most half of the cap")
 {
     std::int64_t started = 0;
     for (std::uint32_t shard = 0; shard < 2; ++shard) {
@@ -262,7 +262,7 @@
         static_cast<void>(fixture.submit("a", tasks(8, 600), alpha));
         started += static_cast<std::int64_t>(fixture.plan().starts.size());
     }
-    CHECK(started == 3);
+    CHECK(started == 2);
 }
 
 TEST_CASE("An isolated task at the cap waits without keeping a worker from other tasks")
--- a/packages/policy/include/plantaindoor/policy/quota_share.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_share.hpp
@@ -21,9 +21,6 @@
     std::int64_t cpu = 0;
     std::int64_t memory = 0;
     std::int64_t accelerators = 0;
-    /// The rule for caps allows one task more than the cap. The shard that holds the one unit of
-    /// this may start a task that exceeds its part.
-    std::int64_t extra_task = 0;
 
     quota_share& operator+=(const quota_share& other) noexcept;
     quota_share& operator-=(const quota_share& other) noexcept;
@@ -40,21 +37,17 @@
 /// Whether every count is zero.
 [[nodiscard]] bool is_empty(const quota_share& share) noexcept;
 
-/// A shard's share before any transfer. The shares of all shards add up to all units; the remainder
-/// and the extra task belong to a shard that depends on the workspace. Requires `shard` < `shards`.
+/// A shard's share before any transfer. The shares of all shards add up to all units. Requires
+/// `shard` < `shards`.
 [[nodiscard]] quota_share base_share(const workspace_id& workspace, std::uint32_t shard,
                                      std::uint32_t shards);
 
-/// Whether the amounts, each of which is unlimited where the cap is zero, are within the share.
-[[nodiscard]] bool is_within(const resources& amounts, const quota_share& share,
-                             const resources& cap) noexcept;
-/// Whether `need` can be added to the amounts within the share. An amount that isn't needed doesn't
-/// matter, even if it exceeds the share.
+/// Whether `need` can be added to the amounts. Those that aren't needed or have no cap don't
+/// matter, even if they exceed the share. `may_exceed`: the amounts may exceed the cap by this need
+/// where the share is the whole cap, so that no other shard starts anything, and isn't used up.
 [[nodiscard]] bool can_add(const resources& amounts, const resources& need,
-                           const quota_share& share, const resources& cap) noexcept;
-/// Whether the amounts leave some of the share in each amount that is needed.
-[[nodiscard]] bool leaves_room(const resources& amounts, const resources& need,
-                               const quota_share& share, const resources& cap) noexcept;
+                           const quota_share& share, const resources& cap,
+                           bool may_exceed) noexcept;
 /// The share of the cap that the amounts take up, rounded up; at most the whole of each.
 [[nodiscard]] quota_share units_of(const resources& amounts, const resources& cap) noexcept;
 /// The amounts that a share of the cap stands for, rounded down; zero where the cap is.
--- a/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
+++ b/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
@@ -43,8 +43,6 @@
 
     [[nodiscard]] bool has_cap() const noexcept { return cap != resources{}; }
     [[nodiscard]] resources used() const noexcept;
-    /// Whether the runs exceed the shard's part, as the extra task allows.
-    [[nodiscard]] bool exceeds_share() const noexcept;
     /// What the shard neither uses nor may be using.
     [[nodiscard]] quota_share free_share() const noexcept;
 };
--- a/packages/policy/src/quota_share.cpp
+++ b/packages/policy/src/quota_share.cpp
@@ -25,21 +25,14 @@
     return (used * quota_units + bounded - 1) / bounded;
 }
 
-bool is_within(std::int64_t amount, std::int64_t units, std::int64_t cap) noexcept
+bool can_add(std::int64_t amount, std::int64_t need, std::int64_t units, std::int64_t cap,
+             bool may_exceed) noexcept
 {
-    return cap <= 0 || amount <= amount_of(units, cap);
-}
-
-bool can_add(std::int64_t amount, std::int64_t need, std::int64_t units, std::int64_t cap) noexcept
-{
-    return cap <= 0 || need <= 0 || (need <= cap && amount <= amount_of(units, cap) - need);
-}
-
-/// Compares units, since a share may be worth less than one of the amount.
-bool leaves_room(std::int64_t amount, std::int64_t need, std::int64_t units,
-                 std::int64_t cap) noexcept
-{
-    return cap <= 0 || need <= 0 || (amount <= cap && units_of(amount, cap) < units);
+    if (cap <= 0 || need <= 0) {
+        return true;
+    }
+    return (need <= cap && amount <= amount_of(units, cap) - need) ||
+           (may_exceed && units >= quota_units && amount < cap);
 }
 
 } // namespace
@@ -49,7 +42,6 @@
     cpu += other.cpu;
     memory += other.memory;
     accelerators += other.accelerators;
-    extra_task += other.extra_task;
     return *this;
 }
 
@@ -58,7 +50,6 @@
     cpu -= other.cpu;
     memory -= other.memory;
     accelerators -= other.accelerators;
-    extra_task -= other.extra_task;
     return *this;
 }
 
@@ -66,16 +57,14 @@
 {
     return {.cpu = std::min(left.cpu, right.cpu),
             .memory = std::min(left.memory, right.memory),
-            .accelerators = std::min(left.accelerators, right.accelerators),
-            .extra_task = std::min(left.extra_task, right.extra_task)};
+            .accelerators = std::min(left.accelerators, right.accelerators)};
 }
 
 quota_share larger_of(const quota_share& left, const quota_share& right) noexcept
 {
     return {.cpu = std::max(left.cpu, right.cpu),
             .memory = std::max(left.memory, right.memory),
-            .accelerators = std::max(left.accelerators, right.accelerators),
-            .extra_task = std::max(left.extra_task, right.extra_task)};
+            .accelerators = std::max(left.accelerators, right.accelerators)};
 }
 
 bool is_empty(const quota_share& share) noexcept
@@ -85,35 +74,20 @@
 
 quota_share base_share(const workspace_id& workspace, std::uint32_t shard, std::uint32_t shards)
 {
+    // The remainder goes to different shards for different workspaces.
     const auto first = static_cast<std::uint32_t>(hash64(workspace.str()) % shards);
     const std::uint32_t position = (shard + shards - first) % shards;
     const std::int64_t units = quota_units / shards + (position < quota_units % shards ? 1 : 0);
-    return {
-        .cpu = units, .memory = units, .accelerators = units, .extra_task = position == 0 ? 1 : 0};
-}
-
-bool is_within(const resources& amounts, const quota_share& share, const resources& cap) noexcept
-{
-    return is_within(amounts.cpu_millis, share.cpu, cap.cpu_millis) &&
-           is_within(amounts.memory_mb, share.memory, cap.memory_mb) &&
-           is_within(amounts.accelerators, share.accelerators, cap.accelerators);
+    return {.cpu = units, .memory = units, .accelerators = units};
 }
 
 bool can_add(const resources& amounts, const resources& need, const quota_share& share,
-             const resources& cap) noexcept
-{
-    return can_add(amounts.cpu_millis, need.cpu_millis, share.cpu, cap.cpu_millis) &&
-           can_add(amounts.memory_mb, need.memory_mb, share.memory, cap.memory_mb) &&
-           can_add(amounts.accelerators, need.accelerators, share.accelerators, cap.accelerators);
-}
-
-bool leaves_room(const resources& amounts, const resources& need, const quota_share& share,
-                 const resources& cap) noexcept
+             const resources& cap, bool may_exceed) noexcept
 {
-    return leaves_room(amounts.cpu_millis, need.cpu_millis, share.cpu, cap.cpu_millis) &&
-           leaves_room(amounts.memory_mb, need.memory_mb, share.memory, cap.memory_mb) &&
-           leaves_room(amounts.accelerators, need.accelerators, share.accelerators,
-                       cap.accelerators);
+    return can_add(amounts.cpu_millis, need.cpu_millis, share.cpu, cap.cpu_millis, may_exceed) &&
+           can_add(amounts.memory_mb, need.memory_mb, share.memory, cap.memory_mb, may_exceed) &&
+           can_add(amounts.accelerators, need.accelerators, share.accelerators, cap.accelerators,
+                   may_exceed);
 }
 
 quota_share units_of(const resources& amounts, const resources& cap) noexcept
--- a/packages/policy/src/workspace_quota.cpp
+++ b/packages/policy/src/workspace_quota.cpp
@@ -37,18 +37,9 @@
     return sum;
 }
 
-bool quota_usage::exceeds_share() const noexcept
-{
-    return !is_within(used(), share, cap);
-}
-
 quota_share quota_usage::free_share() const noexcept
 {
-    quota_share left = share - units_of(used(), cap);
-    if (exceeds_share()) {
-        left.extra_task = 0;
-    }
-    return larger_of(left, {});
+    return larger_of(share - units_of(used(), cap), {});
 }
 
 void workspace_quota::set_workspaces(const std::vector<workspace_policy>& workspaces)
@@ -148,14 +139,10 @@
     if (!allows(usage->cap, all)) {
         return quota_verdict::larger_than_cap;
     }
-    const resources used = usage->used();
-    if (can_add(used, all, usage->usable, usage->cap)) {
-        return quota_verdict::allowed;
-    }
-    // The extra task is one task, so that a gang has to fit.
-    const bool may_exceed = tasks == 1 && usage->usable.extra_task > 0 && !usage->exceeds_share() &&
-                            leaves_room(used, all, usage->usable, usage->cap);
-    return may_exceed ? quota_verdict::allowed : quota_verdict::part_in_use;
+    // The rule for caps allows one task more than the cap; a gang has to fit.
+    return can_add(usage->used(), all, usage->usable, usage->cap, tasks == 1)
+               ? quota_verdict::allowed
+               : quota_verdict::part_in_use;
 }
 
 void workspace_quota::add_waiting(const workspace_id& workspace, quota_verdict reason,
--- a/packages/policy/tests/workspace_quota_test.cpp
+++ b/packages/policy/tests/workspace_quota_test.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-// Guards against a sum above the rule's bound: the cap and one task more.
-TEST_CASE("All shards together start at most the cap and one task more")
+// Guards against a start that brings the sum above the rule's bound, the cap and one task more. A
+// shard with a part of the cap doesn't know what the others use.
+TEST_CASE("Shards with parts of a cap together start at most the cap, a single one a task more")
 {
     for (const std::int64_t cap : {1, 2, 3, 5, 7, 10, 100, 1000}) {
         for (std::int64_t task = 1; task <= cap; task += 1 + cap / 10) {
@@ -44,21 +45,27 @@
                     quota.set_workspaces(with_cap({.cpu_millis = cap, .accelerators = cap}));
                     used += task * fill(quota, {.cpu_millis = task, .accelerators = task});
                 }
-                CHECK(used >= 1);
-                CHECK(used <= cap + task);
+                if (shards == 1) {
+                    CHECK(used >= cap);
+                    CHECK(used < cap + task);
+                }
+                else {
+                    CHECK(used <= cap);
+                    CHECK(used > cap - shards * task);
+                }
             }
         }
     }
 }
 
-TEST_CASE("The base shares of all shards add up to the whole, with one extra task")
+TEST_CASE("The base shares of all shards add up to the whole")
 {
     for (std::uint32_t shards = 1; shards <= 64; ++shards) {
         quota_share sum;
         for (std::uint32_t shard = 0; shard < shards; ++shard) {
             sum += base_share(alpha, shard, shards);
         }
-        CHECK(sum == quota_share{quota_units, quota_units, quota_units, 1});
+        CHECK(sum == quota_share{quota_units, quota_units, quota_units});
     }
 }
 
