job: Tell the incarnations of a worker apart by their start

A worker may start again under its id. Callers would see jobs that never complete: the runs of the earlier incarnation stayed counted until the worker missed polls past its lease, the ends of the later one, numbered from 1 again, were skipped as applied before, and a late report of the earlier one ended runs of the later. The scheduler knew a worker by its id only.

Reports and rows now carry the start (`born`). A report with a later one ends the runs of the earlier incarnation, as a crash unless the end was planned; sequences, clock, lease, capacity and token acknowledgement start anew. Reports and rows with an earlier start are ignored. A row alone doesn't end runs, as another writer may have written it: it only suspends starts until the worker answers. While a worker may have restarted, its ends are not acknowledged by old numbers. The lease of a restarted worker is bounded by the platform's longest, since deadlines by the earlier clock may have extended it. Each incarnation counts as one crashed worker of a task; otherwise a task that crashes the incarnations of one id would be started for ever.

Without `born` the behaviour is as before.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -131,6 +131,7 @@
         options.probe_interval = weak_entry_probe_interval;
     }
     leadership.scheduling.lease = std::min(worker_lease, settings.max_lease);
+    leadership.scheduling.max_lease = settings.max_lease;
     leadership.scheduling.stop_time = settings.stop_time;
     leadership.scheduling.unavailable_after = settings.unavailable_after;
     leadership.state_retention = settings.state_retention + retention_margin;
--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -19,6 +19,7 @@
 
 /// A worker that crashed while it ran a task, before the task had outlived crash_suspicion_time.
 struct task_crash {
+    /// worker_record::incarnation() of the worker: each incarnation of an id crashes once.
     instance_id worker;
     /// The worker stopped answering within crash_on_start_time of the task's start, which was one
     /// of the last starts there.
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -25,6 +25,8 @@
 struct scheduler_options {
     /// How long a worker may run tasks without a lease extension by this process.
     milliseconds lease{5000};
+    /// Longest lease that a worker grants, whatever the deadline in an order.
+    milliseconds max_lease{10000};
     /// Longest time for which a predecessor may still have extended leases after this process
     /// became leader.
     milliseconds predecessor_grace{2500};
@@ -167,7 +169,13 @@
     /// whole.
     void remove_job(const job_id& id);
 
-    /// Records that the platform lists a worker, or that it no longer does.
+    /// Whether the listing is of an earlier incarnation of the worker than the latest known one.
+    [[nodiscard]] bool is_outdated(const worker_listing& listing) const;
+    /// Start of the latest known incarnation of a worker; nullopt if it or its start is unknown. An
+    /// answer to what was sent under an earlier start may be of the earlier incarnation.
+    [[nodiscard]] std::optional<wall_time> latest_start(const instance_id& id) const;
+    /// Records that the platform lists a worker, or that it no longer does. An outdated listing is
+    /// ignored.
     void note_worker_listed(worker_listing listing, time_point now);
     void note_worker_unlisted(const instance_id& id, time_point now);
     /// Records that the worker has ended for certain: nothing runs there any more.
@@ -187,7 +195,9 @@
     /// Returns the poll to send to a worker now; extends the lease of a responsive worker with
     /// runs.
     [[nodiscard]] poll_order next_poll(const instance_id& id, time_point now);
-    /// Applies the answer to a poll that was sent at `sent`.
+    /// Applies the answer to a poll that was sent at `sent`. A report of an earlier incarnation
+    /// than the latest known one is ignored; one of a later incarnation ends the runs of the
+    /// earlier.
     void note_report(const instance_id& id, const worker_report& report, time_point sent,
                      time_point now);
     /// Records that a poll was not answered.
@@ -244,6 +254,18 @@
 
     void apply_end(worker_record& worker, const ended_run& end, time_point now);
     void apply_running(worker_record& worker, const reported_run& reported, time_point now);
+    /// Whether the report is of an earlier incarnation of the worker than the latest known one.
+    [[nodiscard]] static bool is_outdated(const worker_record& worker, const worker_report& report,
+                                          time_point sent);
+    /// Records that the worker's row is of a later incarnation: until that one has answered, its
+    /// clock is unknown and this process's fencing token isn't acknowledged.
+    static void note_listed_start(worker_record& worker, const worker_listing& listing,
+                                  time_point now);
+    /// Records which incarnation has sent the report.
+    static void note_reported_start(worker_record& worker, const worker_report& report,
+                                    time_point sent);
+    /// Records that the worker has started again, as its report shows that was requested at `sent`.
+    void begin_incarnation(worker_record& worker, const worker_report& report, time_point sent);
     /// Resolves runs that the latest report doesn't list; `sent` is when it was requested.
     void resolve_unreported_runs(worker_record& worker, time_point sent);
     /// Records a reported run of a waiting task, such as one that a predecessor started.
@@ -280,7 +302,7 @@
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Resolves the end of the machine's previous worker when a new one has answered.
-    void note_successor(const worker_listing& successor);
+    void note_successor(const worker_record& successor);
     /// Places the waiting tasks that need isolation, in the order of their jobs, or reserves
     /// workers for them.
     void place_isolated(const std::vector<candidate>& ranked, time_point now);
@@ -298,6 +320,8 @@
                                                         std::uint32_t step);
     /// Removes all runs of a worker that has ended or whose lease has expired.
     void mark_runs_lost(worker_record& worker, worker_end cause);
+    /// The same without suspecting any task.
+    void remove_lost_runs(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
     /// Fails the job once the task has failed max_attempts times; long-running tasks don't count.
     void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -30,6 +30,9 @@
     std::string machine;
     resources capacity;
     bool draining = false;
+    /// When this incarnation of the worker started: a worker may start again under its id. nullopt
+    /// on a platform that doesn't tell.
+    std::optional<wall_time> started_at;
 
     [[nodiscard]] bool has_label(const std::string& label) const;
     friend bool operator==(const worker_listing&, const worker_listing&) = default;
@@ -57,6 +60,8 @@
 /// A worker's report of the runs that are active there and those that have ended.
 struct worker_report {
     milliseconds worker_clock{0};
+    /// When the reporting incarnation of the worker started; nullopt if the report doesn't tell.
+    std::optional<wall_time> started_at;
     /// nullopt if the report doesn't tell.
     std::optional<resources> capacity;
     std::vector<reported_run> running;
@@ -86,6 +91,7 @@
     order,         ///< a move or maintenance of its machine was accepted
     other_address, ///< its address belongs to another instance
     lease_expired, ///< it has not answered since before its leases expired
+    restarted,     ///< it has started again under its id
 };
 
 enum class run_phase {
@@ -128,6 +134,14 @@
     bool listed = false;
     /// The worker has answered under this process's fencing token.
     bool token_acknowledged = false;
+    /// Start of the incarnation that has answered last; nullopt if its reports don't tell.
+    std::optional<wall_time> started_at;
+    /// Start of a later incarnation that is listed and hasn't answered yet, and when it was listed.
+    std::optional<wall_time> listed_start;
+    time_point listed_start_noted{};
+    /// The later incarnation is listed in another service, or the earlier one was draining: the end
+    /// of the earlier one is not a crash.
+    bool planned_restart = false;
     /// Awaits planned work: no new task is placed there, except a long-running one that fits on no
     /// usable worker.
     bool cordoned = false;
@@ -160,6 +174,13 @@
     time_point quarantined_until{};
     time_point full_until{};
 
+    /// Start of the latest known incarnation; nullopt if the platform doesn't tell.
+    [[nodiscard]] std::optional<wall_time> latest_start() const
+    {
+        return listed_start ? listed_start : started_at;
+    }
+    /// Identifies the incarnation that has answered last: the id, with the start if it is known.
+    [[nodiscard]] instance_id incarnation() const;
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources capacity() const
@@ -192,13 +213,14 @@
 
 template<>
 struct enum_names<job::worker_end> {
-    static constexpr std::array<enum_name<job::worker_end>, 6> table{{
+    static constexpr std::array<enum_name<job::worker_end>, 7> table{{
         {job::worker_end::machine_down, "machine-down"},
         {job::worker_end::successor, "successor"},
         {job::worker_end::machine_moved, "machine-moved"},
         {job::worker_end::order, "order"},
         {job::worker_end::other_address, "other-address"},
         {job::worker_end::lease_expired, "lease-expired"},
+        {job::worker_end::restarted, "restarted"},
     }};
 };
 
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -25,7 +25,8 @@
 bool scheduler::is_planned_end(const worker_record& worker) const
 {
     const auto planned = m_planned_ends.find(worker.listing.machine);
-    return worker.listing.draining || (planned != m_planned_ends.end() && m_now < planned->second);
+    return worker.listing.draining || worker.planned_restart ||
+           (planned != m_planned_ends.end() && m_now < planned->second);
 }
 
 std::vector<scheduler::crash_suspect> scheduler::crash_suspects(worker_record& worker)
@@ -47,7 +48,7 @@
         }
         const bool on_start = !run.adopted && failed - run.ordered <= crash_on_start_time &&
                               last_arrived - run.ordered <= crash_batch_time;
-        suspects.push_back({name, {.worker = worker.listing.id, .on_start = on_start}});
+        suspects.push_back({name, {.worker = worker.incarnation(), .on_start = on_start}});
     }
     const bool alone = std::all_of(suspects.begin(), suspects.end(), [&](const auto& each) {
         return each.run.task.job == suspects.front().run.task.job;
@@ -100,18 +101,19 @@
     }
 }
 
-void scheduler::note_successor(const worker_listing& successor)
+void scheduler::note_successor(const worker_record& successor)
 {
-    const auto end = m_unexplained_ends.find(successor.machine);
-    if (end != m_unexplained_ends.end() && end->second.worker != successor.id) {
+    const auto end = m_unexplained_ends.find(successor.listing.machine);
+    if (end != m_unexplained_ends.end() && end->second.worker != successor.incarnation()) {
         const unexplained_end explained = std::move(end->second);
         m_unexplained_ends.erase(end);
-        if (explained.service == successor.service && m_now - explained.at < successor_wait) {
+        if (explained.service == successor.listing.service &&
+            m_now - explained.at < successor_wait) {
             note_crash(explained.suspects);
         }
     }
     // A planned end of the machine's previous worker has happened.
-    m_planned_ends.erase(successor.machine);
+    m_planned_ends.erase(successor.listing.machine);
 }
 
 void scheduler::place_isolated(const std::vector<candidate>& ranked, time_point now)
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -295,12 +295,26 @@
 
 void scheduler::mark_runs_lost(worker_record& worker, worker_end cause)
 {
-    const time_point last_alive = worker.unresponsive_since.value_or(m_now);
     std::vector<crash_suspect> suspects;
     if (!is_planned_end(worker) && cause != worker_end::order &&
         cause != worker_end::machine_moved) {
         suspects = crash_suspects(worker);
     }
+    remove_lost_runs(worker, cause);
+    if (cause == worker_end::machine_down || cause == worker_end::successor) {
+        note_crash(suspects);
+    }
+    else if (!suspects.empty() && !worker.listing.machine.empty()) {
+        m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
+                                                      .worker = worker.incarnation(),
+                                                      .suspects = std::move(suspects),
+                                                      .at = m_now};
+    }
+}
+
+void scheduler::remove_lost_runs(worker_record& worker, worker_end cause)
+{
+    const time_point last_alive = worker.unresponsive_since.value_or(m_now);
     while (!worker.runs.empty()) {
         const auto first = worker.runs.begin();
         const run_name run = first->first;
@@ -320,15 +334,6 @@
         }
         release_run(worker, run);
     }
-    if (cause == worker_end::machine_down || cause == worker_end::successor) {
-        note_crash(suspects);
-    }
-    else if (!suspects.empty() && !worker.listing.machine.empty()) {
-        m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
-                                                      .worker = worker.listing.id,
-                                                      .suspects = std::move(suspects),
-                                                      .at = m_now};
-    }
 }
 
 std::vector<job_id> scheduler::begin_persist()
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -53,12 +53,18 @@
     m_now = now;
     const instance_id id = listing.id;
     worker_record& worker = m_workers[id];
+    if (is_outdated(listing)) {
+        return;
+    }
     if (worker.listing.id.empty()) {
         // A predecessor may have started tasks there and extended their leases.
         worker.lease_bound =
             m_started + m_options.predecessor_grace + with_margins(m_options.lease);
         worker.last_answer = now;
+        // What is being persisted is of another record of this id.
+        m_persisting_sequences.erase(id);
     }
+    note_listed_start(worker, listing, now);
     worker.listing = std::move(listing);
     worker.listed = true;
 }
@@ -118,7 +124,11 @@
     if (m_dirty.empty() && m_persisting.empty()) {
         worker.committed_sequence = worker.applied_sequence;
     }
-    poll_order poll{.acknowledged = worker.committed_sequence};
+    // A worker that may have started again must not take acknowledgements of its earlier
+    // incarnation's ends for ones of its own.
+    const bool may_have_restarted =
+        worker.latest_start() && (worker.missed_polls > 0 || worker.listed_start);
+    poll_order poll{.acknowledged = may_have_restarted ? 0 : worker.committed_sequence};
     if (worker.token_acknowledged && worker.missed_polls == 0) {
         poll.wait = worker.runs.empty()         ? idle_poll_wait
                     : worker.isolated_runs == 0 ? busy_poll_wait
@@ -139,9 +149,19 @@
     }
     m_now = now;
     worker_record& worker = found->second;
+    if (is_outdated(worker, report, sent)) {
+        return;
+    }
     note_answer_at(worker, sent);
+    if (worker.started_at && report.started_at && *report.started_at > *worker.started_at) {
+        begin_incarnation(worker, report, sent);
+        // Deadlines by the clock of the earlier incarnation may have extended the lease of this
+        // one.
+        worker.lease_bound = now + with_margins(m_options.max_lease);
+    }
+    note_reported_start(worker, report, sent);
     if (!worker.token_acknowledged) {
-        note_successor(worker.listing);
+        note_successor(worker);
     }
     worker.clock = report.worker_clock;
     if (report.capacity) {
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/worker.hpp"
 
 #include <algorithm>
+#include <string>
 
 namespace plantaindoor::job {
 
@@ -9,6 +10,15 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+instance_id worker_record::incarnation() const
+{
+    if (!started_at) {
+        return listing.id;
+    }
+    return instance_id(listing.id.str() + "@" +
+                       std::to_string(started_at->time_since_epoch().count()));
+}
+
 bool worker_record::is_usable(time_point now) const
 {
     return listed && token_acknowledged && !cordoned && !listing.draining && missed_polls == 0 &&
