fleet: Discard answers to what was sent before a worker restarted

Answers to orders and polls that were sent to an earlier incarnation of a worker counted for the later one under the same id: an accepted stop was taken for its own, so that a late start would run after its job's cancellation, and "another instance at this address" removed a worker that had moved. A machine whose worker kept its id over a maintenance or a move was never planned for again, as its worker was taken for the one that the order had ended.

The poller and the machine session now compare the worker's start at sending with the latest known one. An outdated answer to a start leaves the start in doubt, one to a stop or a failed poll is dropped; a higher token still ends the leadership. The planner takes a later start for the machine's next worker. Rows of earlier incarnations are logged and ignored.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -94,8 +94,13 @@
         service_id pool;
         machine_state state = machine_state::up;
         instance_id worker;
-        /// The worker that the last order terminated; it may still be listed for a while.
+        /// Latest known start of the worker, and the same when the last order was given.
+        std::optional<wall_time> worker_start;
+        std::optional<wall_time> ordered_start;
+        /// The worker that the last order terminated, and its start; it may still be listed for a
+        /// while. A worker that starts later under this id is another one.
         instance_id ended_worker;
+        std::optional<wall_time> ended_start;
         rack_id rack;
         /// The order that the machine is being drained for or that has been given.
         std::optional<machine_order> planned_order;
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -80,7 +80,9 @@
     /// then sends the orders.
     void persist_and_send(const std::vector<machine_order>& orders, time_point now);
     void send_order(const machine_order& order);
-    void handle_answer(const machine_order& order, machine_answer answer);
+    /// `start` is the start of the order's worker that was known when the order was sent.
+    void handle_answer(const machine_order& order, const std::optional<wall_time>& start,
+                       machine_answer answer);
     void persist_waves();
     void persist_started(std::uint64_t wave, const std::set<std::string>& started);
     void write_wave_status(std::uint64_t wave, bool completed);
--- a/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace plantaindoor::fleet {
 
@@ -58,7 +59,12 @@
     };
 
     void poll(const instance_id& id);
-    void handle_poll_result(const instance_id& id, time_point sent, const poll_result& result);
+    /// `start` is the worker's latest start that was known when the poll was sent.
+    void handle_poll_result(const instance_id& id, time_point sent,
+                            const std::optional<wall_time>& start, const poll_result& result);
+    /// Whether a later incarnation of the worker is known than the one that started at `start`.
+    [[nodiscard]] bool has_restarted(const instance_id& id,
+                                     const std::optional<wall_time>& start) const;
     void poll_after(const instance_id& id, milliseconds delay);
     [[nodiscard]] milliseconds delay_after_report(const instance_id& id, polled_worker& polled);
     /// Adapts the interval to the lateness of a poll that was due at `due`.
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -269,6 +269,11 @@
         existing->second.listing == *listing) {
         return;
     }
+    if (m_scheduler.is_outdated(*listing)) {
+        worker_log.info(fmt::format("worker {} has a row of an earlier incarnation, version {}",
+                                    id.str(), row.version));
+        return;
+    }
     worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
                                 listing->address, listing->service.str(),
                                 listing->draining ? ", draining" : "", row.version));
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -19,6 +19,11 @@
     return std::chrono::duration<double>(time).count();
 }
 
+bool is_later_start(const std::optional<wall_time>& start, const std::optional<wall_time>& earlier)
+{
+    return start && earlier && *start > *earlier;
+}
+
 } // namespace
 
 void machine_planner::set_pools(const std::vector<pool_settings>& pools)
@@ -79,12 +84,22 @@
 void machine_planner::note_worker(const job::worker_listing& listing)
 {
     const auto found = m_machines.find(listing.machine);
-    if (found == m_machines.end() || found->second.worker == listing.id ||
-        found->second.ended_worker == listing.id) {
+    if (found == m_machines.end()) {
         return;
     }
     machine_record& machine = found->second;
+    if (machine.worker == listing.id) {
+        machine.worker_start = std::max(machine.worker_start, listing.started_at);
+        return;
+    }
+    if (machine.ended_worker == listing.id) {
+        if (!is_later_start(listing.started_at, machine.ended_start)) {
+            return;
+        }
+        machine.ended_worker = instance_id();
+    }
     machine.worker = listing.id;
+    machine.worker_start = listing.started_at;
     machine.pool = listing.service;
     machine.state = machine_state::up;
     if (!machine.in_flight) {
@@ -126,7 +141,9 @@
         }
         // A different worker listed in the meantime may be the machine's next one; the next machine
         // list shows which.
-        if (machine.worker == order.worker) {
+        if (machine.worker == order.worker &&
+            !is_later_start(machine.worker_start, machine.ordered_start)) {
+            machine.ended_start = machine.worker_start;
             machine.ended_worker = std::exchange(machine.worker, instance_id());
         }
         break;
@@ -172,6 +189,9 @@
         // The runs of a worker that hasn't acknowledged this leader's token aren't known.
         machine.idle = machine.worker.empty() ||
                        (known && worker->second.token_acknowledged && worker->second.runs.empty());
+        if (known) {
+            machine.worker_start = worker->second.latest_start();
+        }
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
@@ -466,6 +486,7 @@
         }
         if (machine.idle && machine.state == machine_state::up) {
             machine.planned_order->worker = machine.worker; // It may differ from the cordoned one.
+            machine.ordered_start = machine.worker_start;
             machine.ordered = true;
             machine.in_flight = true;
             machine.changed = now;
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -300,9 +300,10 @@
 void machine_session::send_order(const machine_order& order)
 {
     m_scheduler.expect_planned_end(order.machine, m_loop.now() + max_order_delay);
-    auto done = [this, order, alive = m_alive](machine_answer answer) {
+    auto done = [this, order, start = m_scheduler.latest_start(order.worker),
+                 alive = m_alive](machine_answer answer) {
         if (*alive) {
-            handle_answer(order, answer);
+            handle_answer(order, start, answer);
         }
     };
     if (order.action == machine_action::move) {
@@ -315,7 +316,8 @@
     }
 }
 
-void machine_session::handle_answer(const machine_order& order, machine_answer answer)
+void machine_session::handle_answer(const machine_order& order,
+                                    const std::optional<wall_time>& start, machine_answer answer)
 {
     const std::string what = order.action == machine_action::move
                                  ? "move to " + order.pool.str()
@@ -323,7 +325,10 @@
     machine_log.info(fmt::format("machine {} worker {}: {}: {}", order.machine, order.worker.str(),
                                  what, name_of(answer)));
     const time_point now = m_loop.now();
-    if (answer == machine_answer::accepted && !order.worker.empty()) {
+    // A worker that has started again since the order isn't the one that the order has ended.
+    const auto latest = m_scheduler.latest_start(order.worker);
+    const bool restarted = start && latest && *start < *latest;
+    if (answer == machine_answer::accepted && !order.worker.empty() && !restarted) {
         m_scheduler.note_worker_ended(order.worker, job::worker_end::order, now);
     }
     else if (answer != machine_answer::accepted && answer != machine_answer::unanswered) {
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -107,19 +107,34 @@
     const time_point sent = m_loop.now();
     const job::poll_order order = m_scheduler.next_poll(id, sent);
     m_workers.poll(address_of(id), order, m_options.token,
-                   [this, id, sent, alive = m_alive](const poll_result& result) {
+                   [this, id, sent, start = m_scheduler.latest_start(id),
+                    alive = m_alive](const poll_result& result) {
                        if (*alive) {
-                           handle_poll_result(id, sent, result);
+                           handle_poll_result(id, sent, start, result);
                        }
                    });
 }
 
+bool worker_poller::has_restarted(const instance_id& id,
+                                  const std::optional<wall_time>& start) const
+{
+    const auto latest = m_scheduler.latest_start(id);
+    return start && latest && *start < *latest;
+}
+
 void worker_poller::handle_poll_result(const instance_id& id, time_point sent,
+                                       const std::optional<wall_time>& start,
                                        const poll_result& result)
 {
     polled_worker& polled = m_polled[id];
     polled.polling = false;
     const time_point now = m_loop.now();
+    // Of a report the scheduler knows the incarnation, and a higher token is higher under any.
+    if (has_restarted(id, start) && result.answer != job::order_answer::accepted &&
+        result.answer != job::order_answer::stale_token) {
+        poll_after(id, m_interval);
+        return;
+    }
     switch (result.answer) {
     case job::order_answer::accepted:
         m_scheduler.note_report(id, result.report, sent, now);
@@ -174,8 +189,10 @@
     for (const job::stop_order& order : orders.stops) {
         m_stops.add();
         m_workers.stop(address_of(order.worker), order, m_options.token,
-                       [this, order, alive = m_alive](job::order_answer answer) {
-                           if (*alive) {
+                       [this, order, start = m_scheduler.latest_start(order.worker),
+                        alive = m_alive](job::order_answer answer) {
+                           // The later incarnation of a worker is sent its own stop.
+                           if (*alive && !has_restarted(order.worker, start)) {
                                m_scheduler.note_stop(order.worker, order.run, answer, m_loop.now());
                                m_on_change();
                            }
@@ -185,6 +202,7 @@
         m_starts.add();
         m_workers.start(address_of(order.worker), order, m_options.token,
                         [this, worker = order.worker, run = order.run,
+                         start = m_scheduler.latest_start(order.worker),
                          alive = m_alive](job::order_answer answer) {
                             if (!*alive) {
                                 return;
@@ -197,6 +215,10 @@
                             if (answer == job::order_answer::stale_token) {
                                 m_on_stale_token();
                             }
+                            if (has_restarted(worker, start)) {
+                                // Either incarnation may have given it.
+                                answer = job::order_answer::unanswered;
+                            }
                             m_scheduler.note_start(worker, run, answer, m_loop.now());
                             m_on_change();
                         });
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -33,7 +33,9 @@
     job::scheduler scheduler({}, start);
     for (const job::worker_listing& each : workers) {
         scheduler.note_worker_listed(each, start);
-        scheduler.note_report(each.id, {.worker_clock = milliseconds(1)}, start, start);
+        scheduler.note_report(each.id,
+                              {.worker_clock = milliseconds(1), .started_at = each.started_at},
+                              start, start);
     }
     return scheduler;
 }
@@ -85,6 +87,59 @@
     CHECK(second.orders[0].machine != first.orders[0].machine);
 }
 
+// Guards against a machine that stays out of use for ever since its worker has kept its id.
+TEST_CASE("a worker that starts again under its id after maintenance is the machine's next worker")
+{
+    constexpr wall_time first_start{milliseconds(1'700'000'000'000)};
+    auto listing = listing_of("m1", "w1");
+    listing.started_at = first_start;
+    job::scheduler scheduler = scheduler_with({listing});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
+                      start, {});
+    const auto first = planner.plan(start, scheduler);
+    REQUIRE(first.orders.size() == 1);
+    const auto orders_of_next_wave = [&] {
+        planner.note_wave({.number = 2, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
+                          start + seconds(3), {});
+        return planner.plan(start + seconds(4), scheduler).orders.size();
+    };
+    const auto start_again = [&] {
+        auto next = listing;
+        next.started_at = first_start + seconds(30);
+        scheduler.note_worker_listed(next, start + seconds(2));
+        scheduler.note_report(next.id,
+                              {.worker_clock = milliseconds(1), .started_at = next.started_at},
+                              start + seconds(2), start + seconds(2));
+        planner.note_worker(next);
+    };
+
+    SECTION("the same incarnation listed late is not")
+    {
+        planner.note_answer(first.orders[0], machine_answer::accepted, start);
+        planner.note_worker(listing);
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2));
+        CHECK(orders_of_next_wave() == 0);
+    }
+    SECTION("the order is answered before")
+    {
+        planner.note_answer(first.orders[0], machine_answer::accepted, start);
+        start_again();
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2));
+        CHECK(orders_of_next_wave() == 1);
+    }
+    SECTION("the order is answered after it")
+    {
+        start_again();
+        planner.note_answer(first.orders[0], machine_answer::accepted, start + seconds(2));
+        planner.note_machine_list({machine_up("m1", checks, "w1")},
+                                  start + seconds(2) + milliseconds(1));
+        CHECK(orders_of_next_wave() == 1);
+    }
+}
+
 TEST_CASE("a machine list read while an order is in flight doesn't free a slot of the wave")
 {
     // Persisting the order in a slow store takes longer than reading the list.
