--- a/packages/job/tests/incarnation_test.cpp
+++ b/packages/job/tests/incarnation_test.cpp
@@ -1,5 +1,5 @@
 // Workers that start again under their id, and what was sent to or heard from them before.
-#include "plantaindoor/job/scheduler.hpp"
+#include "incarnation_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -7,107 +7,7 @@
 
 using namespace plantaindoor;
 using namespace plantaindoor::job;
-
-namespace {
-
-constexpr time_point start{std::chrono::hours(1)};
-const service_id checks{"checks"};
-const instance_id w1{"w1"};
-const instance_id w2{"w2"};
-constexpr wall_time first_start{milliseconds(1'700'000'000'000)};
-constexpr wall_time second_start = first_start + seconds(30);
-const step_spec small_step{.count = 1, .need = {.cpu_millis = 100, .memory_mb = 1}};
-
-/// A scheduler and a worker that has answered it as its first incarnation.
-struct incarnation_fixture {
-    scheduler subject{{.lease = milliseconds(5000), .predecessor_grace = milliseconds(0)}, start};
-    time_point now = start + seconds(60);
-
-    incarnation_fixture()
-    {
-        subject.set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
-        list(w1, first_start);
-        report(w1, {.worker_clock = seconds(100), .started_at = first_start});
-    }
-
-    static worker_listing listing(const instance_id& worker, std::optional<wall_time> started_at)
-    {
-        return {.id = worker,
-                .service = checks,
-                .address = worker.str() + ":80",
-                .machine = "machine of " + worker.str(),
-                .capacity = {.cpu_millis = 4000, .memory_mb = 4000},
-                .started_at = started_at};
-    }
-
-    void list(const instance_id& worker, std::optional<wall_time> started_at)
-    {
-        subject.note_worker_listed(listing(worker, started_at), now);
-    }
-
-    /// Applies a report that was requested a moment before.
-    void report(const instance_id& worker, const worker_report& result)
-    {
-        now += milliseconds(10);
-        subject.note_report(worker, result, now - milliseconds(5), now);
-    }
-
-    /// Lists a second worker, which answers too.
-    void add_worker()
-    {
-        list(w2, first_start);
-        report(w2, {.worker_clock = seconds(100), .started_at = first_start});
-    }
-
-    job_id submit(const std::string& id, step_spec step = small_step)
-    {
-        auto spec = std::make_shared<job_spec>();
-        spec->steps.push_back(std::move(step));
-        subject.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = now});
-        return job_id(id);
-    }
-
-    /// Plans without answering any order.
-    orders plan()
-    {
-        now += milliseconds(10);
-        return subject.plan(now, wall_time{});
-    }
-
-    /// Plans, and accepts all starts.
-    std::vector<start_order> start_tasks()
-    {
-        std::vector<start_order> starts = plan().starts;
-        for (const start_order& each : starts) {
-            subject.note_start(each.worker, each.run, order_answer::accepted, now);
-        }
-        return starts;
-    }
-
-    void persist()
-    {
-        static_cast<void>(subject.begin_persist());
-        subject.note_persisted();
-    }
-
-    [[nodiscard]] const worker_record& worker(const instance_id& id = w1) const
-    {
-        return subject.workers().at(id);
-    }
-};
-
-worker_report report_of(std::optional<wall_time> started_at, milliseconds worker_clock,
-                        std::vector<run_name> running = {}, std::vector<ended_run> ended = {})
-{
-    worker_report report{
-        .worker_clock = worker_clock, .started_at = started_at, .ended = std::move(ended)};
-    for (run_name& each : running) {
-        report.running.push_back({.run = std::move(each), .percent = 100});
-    }
-    return report;
-}
-
-} // namespace
+using namespace plantaindoor::job::testing;
 
 // Guards against a task that waits for ever since its run counts as running, and against runs that
 // use up the capacity of a worker on which they no longer are.
@@ -410,85 +310,6 @@
     }
 }
 
-// Guards against a task of which every crash after the first goes unnoticed, and that is started
-// for ever, since its workers crash under the same id.
-TEST_CASE("a task that crashes the incarnations of one worker is given up")
-{
-    incarnation_fixture fixture;
-    const job_id id = fixture.submit("j");
-    wall_time incarnation = first_start;
-    std::uint32_t starts = 0;
-    for (std::uint32_t round = 0; round < 10; ++round) {
-        for (const start_order& each : fixture.start_tasks()) {
-            ++starts;
-            CHECK(each.worker == w1);
-        }
-        fixture.subject.note_missed_poll(w1, fixture.now + milliseconds(20));
-        fixture.persist();
-        incarnation += seconds(3);
-        fixture.now += seconds(3);
-        fixture.report(w1, report_of(incarnation, milliseconds(50)));
-        fixture.persist();
-    }
-    CHECK(fixture.subject.find(id)->state() == job_state::failed);
-    CHECK(starts < max_crashes);
-}
-
-TEST_CASE("an incarnation that ended before its successor answered has crashed")
-{
-    incarnation_fixture fixture;
-    static_cast<void>(fixture.submit("j"));
-    REQUIRE(fixture.start_tasks().size() == 1);
-    fixture.now += milliseconds(20);
-    fixture.subject.note_missed_poll(w1, fixture.now);
-    static_cast<void>(fixture.subject.take_decisions());
-
-    SECTION("its lease expired")
-    {
-        fixture.now += seconds(6);
-        static_cast<void>(fixture.plan());
-        REQUIRE(fixture.worker().runs.empty());
-        fixture.report(w1, report_of(second_start, milliseconds(50)));
-        const auto decisions = fixture.subject.take_decisions();
-        CHECK(decisions.back().kind == decision_kind::crash_noted);
-    }
-    SECTION("its lease expired, but it answers again: it hasn't crashed")
-    {
-        fixture.now += seconds(6);
-        static_cast<void>(fixture.plan());
-        REQUIRE(fixture.worker().runs.empty());
-        fixture.report(w1, report_of(first_start, seconds(107)));
-        for (const decision& each : fixture.subject.take_decisions()) {
-            CHECK(each.kind != decision_kind::crash_noted);
-        }
-    }
-    SECTION("it was drained, moved or maintained: it hasn't crashed")
-    {
-        auto row = incarnation_fixture::listing(w1, first_start);
-        SECTION("drained")
-        {
-            row.draining = true;
-            fixture.subject.note_worker_listed(row, fixture.now);
-            fixture.list(w1, second_start);
-        }
-        SECTION("moved")
-        {
-            row.started_at = second_start;
-            row.service = service_id("other");
-            fixture.subject.note_worker_listed(row, fixture.now);
-        }
-        SECTION("maintained")
-        {
-            fixture.subject.expect_planned_end(row.machine, fixture.now + seconds(13));
-        }
-        fixture.report(w1, report_of(second_start, milliseconds(50)));
-        CHECK(fixture.worker().runs.empty());
-        for (const decision& each : fixture.subject.take_decisions()) {
-            CHECK(each.kind != decision_kind::crash_noted);
-        }
-    }
-}
-
 TEST_CASE("a task that was done under the earlier incarnation is not started again")
 {
     incarnation_fixture fixture;
