job: Stop runs that outlive their stop, or that only a predecessor knew

A task could run on after its job's cancellation in three cases: - The worker accepted a stop and carried out the start afterwards: an accepted stop was never sent again while reports listed the run. It now is, once the run is still listed after twice the stop time. - A predecessor had started it on a worker whose row was removed before the new leader had heard from it: the worker was forgotten, so that only the end of its lease ended the run. It is now polled until the leases of a predecessor must have expired. Inherited jobs don't wait for it unless the list of machines shows it. - The leader's view of the jobs was outdated, as with an unresponsive store: then it sent no orders at all. It now sends stops, which are right under any view. The log line says so.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -330,6 +330,7 @@
     }
     const time_point started = m_context.loop.now();
     if (!check_job_view(started)) {
+        m_poller->send(m_scheduler.plan_stops(started));
         return;
     }
     if (std::exchange(m_workers_changed, false)) {
@@ -348,7 +349,7 @@
     if (outdated != std::exchange(m_job_view_outdated, outdated)) {
         leader_log.warning(
             outdated
-                ? fmt::format("no orders: the view of the jobs is {} ms old", age.count())
+                ? fmt::format("only stop orders: the view of the jobs is {} ms old", age.count())
                 : fmt::format("orders resume: the view of the jobs is {} ms old", age.count()));
     }
     return !outdated;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -209,6 +209,9 @@
 
     /// Returns all orders that are due. Call after events and at least every 100 ms.
     [[nodiscard]] orders plan(time_point now, wall_time wall_now);
+    /// Returns only the stop orders that are due: these are right under any view of the jobs, also
+    /// one that is too old to start tasks on.
+    [[nodiscard]] orders plan_stops(time_point now);
 
     /// Returns the decisions since the last call, in order.
     [[nodiscard]] std::vector<decision> take_decisions();
@@ -235,7 +238,8 @@
     }
     /// Returns the current load of each service that has or had jobs.
     [[nodiscard]] std::map<service_id, service_load> loads() const;
-    /// Whether a worker is to be polled: it is listed, or tasks may run there.
+    /// Whether a worker is to be polled: it is listed, or tasks may run there. Until its leases
+    /// must have expired, these may be a predecessor's on a worker that has never answered.
     [[nodiscard]] bool needs_polling(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// Number of jobs that are not terminal.
@@ -254,6 +258,8 @@
 
     void apply_end(worker_record& worker, const ended_run& end, time_point now);
     void apply_running(worker_record& worker, const reported_run& reported, time_point now);
+    /// Whether an unlisted worker is no longer of interest: nothing runs there.
+    [[nodiscard]] static bool is_removable(const worker_record& worker, time_point now);
     /// Whether the report is of an earlier incarnation of the worker than the latest known one.
     [[nodiscard]] static bool is_outdated(const worker_record& worker, const worker_report& report,
                                           time_point sent);
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -41,6 +41,14 @@
     return std::exchange(m_orders, {});
 }
 
+orders scheduler::plan_stops(time_point now)
+{
+    m_orders = {};
+    m_now = now;
+    send_stops(now);
+    return std::exchange(m_orders, {});
+}
+
 void scheduler::start_due_occurrences(wall_time wall_now)
 {
     for (const auto& [id, job] : m_open) {
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds no_capacity_backoff{200};
 constexpr milliseconds failed_start_backoff{2000};
 
+/// A run that is still reported this many times the stop time after its accepted stop is sent
+/// another one.
+constexpr int stop_time_factor = 2;
+
 /// Longest time by this process's clock in which `time` passes on a worker's clock.
 milliseconds with_margins(milliseconds time)
 {
@@ -69,14 +73,14 @@
     worker.listed = true;
 }
 
-void scheduler::note_worker_unlisted(const instance_id& id, time_point /*now*/)
+void scheduler::note_worker_unlisted(const instance_id& id, time_point now)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end()) {
         return;
     }
     found->second.listed = false;
-    if (found->second.runs.empty()) {
+    if (is_removable(found->second, now)) {
         m_workers.erase(found);
     }
 }
@@ -99,6 +103,14 @@
     }
 }
 
+bool scheduler::is_removable(const worker_record& worker, time_point now)
+{
+    // What a predecessor has started on a worker that hasn't answered yet isn't known; only the
+    // worker's report tells which runs to stop.
+    return !worker.listed && worker.runs.empty() &&
+           (worker.token_acknowledged || now > worker.lease_bound);
+}
+
 bool scheduler::needs_polling(const instance_id& id) const
 {
     return m_workers.contains(id);
@@ -208,6 +220,11 @@
         run.phase = run_phase::running;
         run.confirmed = now;
     }
+    if (run.phase == run_phase::stopping && run.stop_answered &&
+        now - *run.stop_answered > stop_time_factor * m_options.stop_time) {
+        // The worker has started the run in spite of the stop, which came first.
+        run.stop_answered.reset();
+    }
     run.checkpoint = reported.checkpoint;
     run.percent = reported.percent;
     run.load = reported.load;
@@ -372,8 +389,7 @@
         if (unresponsive && now > worker.lease_bound && !worker.runs.empty()) {
             mark_runs_lost(worker, worker_end::lease_expired);
         }
-        const bool removable = !worker.listed && worker.runs.empty();
-        at = removable ? m_workers.erase(at) : std::next(at);
+        at = is_removable(worker, now) ? m_workers.erase(at) : std::next(at);
     }
 }
 
@@ -391,8 +407,9 @@
     std::erase_if(*m_unacknowledged_workers, [&](const auto& each) {
         const auto worker = m_workers.find(each.first);
         const bool known = worker != m_workers.end();
+        const bool listed = known && worker->second.listed;
         return (known && worker->second.token_acknowledged) ||
-               (!known && !live_workers.contains(each.first));
+               (!listed && !live_workers.contains(each.first));
     });
     refresh_services_in_doubt();
 }
