--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -87,6 +87,12 @@
     m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
     m_scheduler.set_workspaces(m_config->workspaces);
+    m_quota_exchange = std::make_unique<quota_exchange>(
+        m_context.loop, m_context.store, m_scheduler, m_context.metrics,
+        quota_exchange_options{.claim = m_options.claim_row,
+                               .shard = m_options.shard.number,
+                               .shards = m_options.shard.layout->count()},
+        [this] { schedule_plan(); });
     m_poller = std::make_unique<worker_poller>(
         m_context.loop, m_context.workers, m_scheduler, m_context.metrics,
         worker_poller_options{.token = m_options.claim_row.version}, [this] { schedule_plan(); },
@@ -272,6 +278,11 @@
         existing->second.listing == *listing) {
         return;
     }
+    if (m_scheduler.is_outdated(*listing)) {
+        worker_log.info(fmt::format("worker {} has a row of an earlier incarnation, version {}",
+                                    id.str(), row.version));
+        return;
+    }
     worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
                                 listing->address, listing->service.str(),
                                 listing->draining ? ", draining" : "", row.version));
@@ -328,6 +339,7 @@
     }
     const time_point started = m_context.loop.now();
     if (!check_job_view(started)) {
+        m_poller->send(m_scheduler.plan_stops(started));
         return;
     }
     if (std::exchange(m_workers_changed, false)) {
@@ -346,7 +358,7 @@
     if (outdated != std::exchange(m_job_view_outdated, outdated)) {
         leader_log.warning(
             outdated
-                ? fmt::format("no orders: the view of the jobs is {} ms old", age.count())
+                ? fmt::format("only stop orders: the view of the jobs is {} ms old", age.count())
                 : fmt::format("orders resume: the view of the jobs is {} ms old", age.count()));
     }
     return !outdated;
@@ -400,6 +412,12 @@
                                  to_string(made.run.task), made.run.attempt,
                                  describe(made.crashes)));
         break;
+    case job::decision_kind::isolation_awaited:
+        job_log.info(fmt::format("{}: suspected of a crash, has waited {} ms to start isolated, "
+                                 "position {} of {}: {}",
+                                 job, made.isolation.waited.count(), made.isolation.position,
+                                 made.isolation.count, name_of(made.isolation.reason)));
+        break;
     }
 }
 
@@ -472,6 +490,9 @@
         }
         m_workers_changed = true; // Lets the poller remove ended workers once per tick.
         plan();
+        if (m_ready && m_workers_read && !m_paused && !m_leadership_lost) {
+            m_quota_exchange->tick();
+        }
         refresh_gauges();
         remove_expired_jobs();
         tick();
@@ -491,6 +512,7 @@
     m_config = std::move(config);
     m_scheduler.set_queues(queues_of(*m_config));
     m_scheduler.set_workspaces(m_config->workspaces);
+    m_quota_exchange->note_workspaces();
     m_machines->set_pools(m_config->pools);
     schedule_plan();
 }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
+#include "plantaindoor/policy/crash_isolation.hpp"
 #include "plantaindoor/policy/workspace.hpp"
 #include "plantaindoor/policy/workspace_quota.hpp"
 #include "plantaindoor/policy/workspace_shares.hpp"
@@ -28,6 +29,8 @@
 struct scheduler_options {
     /// How long a worker may run tasks without a lease extension by this process.
     milliseconds lease{5000};
+    /// Longest lease that a worker grants, whatever the deadline in an order.
+    milliseconds max_lease{10000};
     /// Longest time for which a predecessor may still have extended leases after this process
     /// became leader.
     milliseconds predecessor_grace{2500};
@@ -91,11 +94,12 @@
 };
 
 enum class decision_kind {
-    first_start, ///< the first start of one of the job's tasks has been ordered
-    run_ended,   ///< a run has ended without completing its task
-    run_lost,    ///< a run's worker has ended, or was unresponsive past its lease
-    job_ended,   ///< the job has reached a terminal state
-    crash_noted, ///< a worker has crashed, for which the task may be to blame
+    first_start,       ///< the first start of one of the job's tasks has been ordered
+    run_ended,         ///< a run has ended without completing its task
+    run_lost,          ///< a run's worker has ended, or was unresponsive past its lease
+    job_ended,         ///< the job has reached a terminal state
+    crash_noted,       ///< a worker has crashed, for which the task may be to blame
+    isolation_awaited, ///< a suspected task has waited for some time to be started in isolation
 };
 
 /// A decision about one job, with the details that operators need.
@@ -113,6 +117,8 @@
     failure_reason failure = failure_reason::none;
     /// Of a noted crash: all crashes of the task, the last one being the newest.
     std::vector<task_crash> crashes;
+    /// Of an awaited isolation.
+    policy::suspect_position isolation;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
@@ -176,7 +182,13 @@
     /// whole.
     void remove_job(const job_id& id);
 
-    /// Records that the platform lists a worker, or that it no longer does.
+    /// Whether the listing is of an earlier incarnation of the worker than the latest known one.
+    [[nodiscard]] bool is_outdated(const worker_listing& listing) const;
+    /// Start of the latest known incarnation of a worker; nullopt if it or its start is unknown. An
+    /// answer to what was sent under an earlier start may be of the earlier incarnation.
+    [[nodiscard]] std::optional<wall_time> latest_start(const instance_id& id) const;
+    /// Records that the platform lists a worker, or that it no longer does. An outdated listing is
+    /// ignored.
     void note_worker_listed(worker_listing listing, time_point now);
     void note_worker_unlisted(const instance_id& id, time_point now);
     /// Records that the worker has ended for certain: nothing runs there any more.
@@ -196,7 +208,9 @@
     /// Returns the poll to send to a worker now; extends the lease of a responsive worker with
     /// runs.
     [[nodiscard]] poll_order next_poll(const instance_id& id, time_point now);
-    /// Applies the answer to a poll that was sent at `sent`.
+    /// Applies the answer to a poll that was sent at `sent`. A report of an earlier incarnation
+    /// than the latest known one is ignored; one of a later incarnation ends the runs of the
+    /// earlier.
     void note_report(const instance_id& id, const worker_report& report, time_point sent,
                      time_point now);
     /// Records that a poll was not answered.
@@ -208,6 +222,9 @@
 
     /// Returns all orders that are due. Call after events and at least every 100 ms.
     [[nodiscard]] orders plan(time_point now, wall_time wall_now);
+    /// Returns only the stop orders that are due: these are right under any view of the jobs, also
+    /// one that is too old to start tasks on.
+    [[nodiscard]] orders plan_stops(time_point now);
 
     /// Returns the decisions since the last call, in order.
     [[nodiscard]] std::vector<decision> take_decisions();
@@ -226,6 +243,12 @@
     [[nodiscard]] const job_record* find(const job_id& id) const;
     /// Whether the job's current state is durable.
     [[nodiscard]] bool is_durable(const job_id& id) const;
+    /// The position of a job with a suspected task that waits to be started in isolation; nullopt
+    /// for other jobs.
+    [[nodiscard]] std::optional<policy::suspect_position> isolation_position(const job_id& id) const
+    {
+        return m_isolation.position_of(id);
+    }
     /// Number of accepted jobs of a queue of which no task has started.
     [[nodiscard]] std::size_t pending(const std::string& queue) const;
     [[nodiscard]] const std::map<instance_id, worker_record>& workers() const noexcept
@@ -242,7 +265,8 @@
     /// Whether a worker that hasn't answered this process may still run tasks that a predecessor
     /// started.
     [[nodiscard]] bool has_predecessor_doubt(time_point now) const;
-    /// Whether a worker is to be polled: it is listed, or tasks may run there.
+    /// Whether a worker is to be polled: it is listed, or tasks may run there. Until its leases
+    /// must have expired, these may be a predecessor's on a worker that has never answered.
     [[nodiscard]] bool needs_polling(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// Number of jobs that are not terminal.
@@ -263,6 +287,20 @@
 
     void apply_end(worker_record& worker, const ended_run& end, time_point now);
     void apply_running(worker_record& worker, const reported_run& reported, time_point now);
+    /// Whether an unlisted worker is no longer of interest: nothing runs there.
+    [[nodiscard]] static bool is_removable(const worker_record& worker, time_point now);
+    /// Whether the report is of an earlier incarnation of the worker than the latest known one.
+    [[nodiscard]] static bool is_outdated(const worker_record& worker, const worker_report& report,
+                                          time_point sent);
+    /// Records that the worker's row is of a later incarnation: until that one has answered, its
+    /// clock is unknown and this process's fencing token isn't acknowledged.
+    static void note_listed_start(worker_record& worker, const worker_listing& listing,
+                                  time_point now);
+    /// Records which incarnation has sent the report.
+    static void note_reported_start(worker_record& worker, const worker_report& report,
+                                    time_point sent);
+    /// Records that the worker has started again, as its report shows that was requested at `sent`.
+    void begin_incarnation(worker_record& worker, const worker_report& report, time_point sent);
     /// Resolves runs that the latest report doesn't list; `sent` is when it was requested.
     void resolve_unreported_runs(worker_record& worker, time_point sent);
     /// Records a reported run of a waiting task, such as one that a predecessor started.
@@ -299,24 +337,36 @@
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Resolves the end of the machine's previous worker when a new one has answered.
-    void note_successor(const worker_listing& successor);
-    /// Places the waiting tasks that need isolation, in the order of their jobs, or reserves
-    /// workers for them.
+    void note_successor(const worker_record& successor);
+    /// Clears a task that has outlived crash_suspicion_time.
+    void clear_suspicion(const task_name& name);
+    /// Clears the other jobs of the crashes for which a task of this one is to blame.
+    void note_culprit(const job_record& job);
+    void clear_explained_crashes(job_record& job);
+    /// Finds the services in which a task found no room in the last round.
+    void refresh_overloaded_services();
+    /// Places the waiting tasks that need isolation, or reserves workers for them.
     void place_isolated(const std::vector<candidate>& ranked, time_point now);
-    void place_isolated_step(job_record& job, std::uint32_t occurrence, std::uint32_t step,
-                             time_point now);
-    /// Records that the task, a suspect of its last crash, has been started in isolation.
-    void note_isolated_start(const task_name& name);
-    /// Whether the task should wait: another job is suspected of the same crash and has been
-    /// started in isolation, and the workers are needed for other tasks.
-    [[nodiscard]] bool awaits_other_suspect(const job_record& job, const task_record& task) const;
-    /// Returns the worker with the fewest tasks of other jobs, or nullptr if none suits or too many
-    /// are kept from other tasks already.
-    [[nodiscard]] worker_record* choose_isolated_worker(const job_record& job,
-                                                        const occurrence_record& occurrence,
-                                                        std::uint32_t step);
+    [[nodiscard]] std::vector<policy::waiting_suspect>
+    waiting_suspects(const std::vector<candidate>& ranked);
+    [[nodiscard]] static bool may_place_isolated(const job_record& job,
+                                                 const occurrence_record& occurrence,
+                                                 std::uint32_t step);
+    void place_isolated_step(job_record& job, const policy::waiting_suspect& suspect,
+                             std::uint32_t occurrence, std::uint32_t step, time_point now);
+    /// The workers of the job's service on which a task of the step may be isolated.
+    [[nodiscard]] policy::isolation_pool isolation_pool_of(const job_record& job,
+                                                           const occurrence_record& occurrence,
+                                                           std::uint32_t step,
+                                                           time_point now) const;
+    [[nodiscard]] static policy::isolation_host isolation_host_of(const worker_record& worker,
+                                                                  const job_record& job,
+                                                                  const step_spec& spec,
+                                                                  time_point now);
     /// Removes all runs of a worker that has ended or whose lease has expired.
     void mark_runs_lost(worker_record& worker, worker_end cause);
+    /// The same without suspecting any task.
+    void remove_lost_runs(worker_record& worker, worker_end cause);
     void complete_task(job_record& job, const task_name& name);
     /// Fails the job once the task has failed max_attempts times; long-running tasks don't count.
     void fail_task(job_record& job, const task_name& name, std::uint32_t attempt,
@@ -444,14 +494,10 @@
     std::map<service_id, std::vector<resources>> m_unplaceable;
     /// Open jobs with tasks that may be to blame for crashes.
     std::set<job_id> m_suspect_jobs;
-    /// Workers that are kept free for the isolated tasks of a job in this round.
-    std::map<instance_id, job_id> m_reserved;
+    policy::crash_isolation m_isolation;
     /// By machine.
     std::map<std::string, unexplained_end> m_unexplained_ends;
     std::map<std::string, time_point> m_planned_ends;
-    /// The crashed workers whose suspects are being told apart by isolated starts, and the job that
-    /// is running now.
-    std::map<instance_id, job_id> m_crashes_examined;
     /// Services without room for some task in the previous round.
     std::set<service_id> m_overloaded;
     /// Workers with runs to stop.
@@ -471,12 +517,13 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 5> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 6> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
         {job::decision_kind::crash_noted, "crash-noted"},
+        {job::decision_kind::isolation_awaited, "isolation-awaited"},
     }};
 };
 
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -125,9 +125,12 @@
     if (is_terminal(job->state())) {
         close_job(id);
         m_specs.erase(id);
+        note_culprit(*job);
     }
     else if (job->has_crashes()) {
         m_suspect_jobs.insert(id);
+        // Its predecessor may have ended before it persisted what the culprit explains.
+        clear_explained_crashes(*job);
     }
 }
 
@@ -147,6 +150,7 @@
 void scheduler::remove_job(const job_id& id)
 {
     close_job(id);
+    m_isolation.forget(id);
     m_jobs.erase(id);
     m_specs.erase(id);
     m_inherited.erase(id);
@@ -308,12 +312,26 @@
 
 void scheduler::mark_runs_lost(worker_record& worker, worker_end cause)
 {
-    const time_point last_alive = worker.unresponsive_since.value_or(m_now);
     std::vector<crash_suspect> suspects;
     if (!is_planned_end(worker) && cause != worker_end::order &&
         cause != worker_end::machine_moved) {
         suspects = crash_suspects(worker);
     }
+    remove_lost_runs(worker, cause);
+    if (cause == worker_end::machine_down || cause == worker_end::successor) {
+        note_crash(suspects);
+    }
+    else if (!suspects.empty() && !worker.listing.machine.empty()) {
+        m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
+                                                      .worker = worker.incarnation(),
+                                                      .suspects = std::move(suspects),
+                                                      .at = m_now};
+    }
+}
+
+void scheduler::remove_lost_runs(worker_record& worker, worker_end cause)
+{
+    const time_point last_alive = worker.unresponsive_since.value_or(m_now);
     while (!worker.runs.empty()) {
         const auto first = worker.runs.begin();
         const run_name run = first->first;
@@ -333,15 +351,6 @@
         }
         release_run(worker, run);
     }
-    if (cause == worker_end::machine_down || cause == worker_end::successor) {
-        note_crash(suspects);
-    }
-    else if (!suspects.empty() && !worker.listing.machine.empty()) {
-        m_unexplained_ends[worker.listing.machine] = {.service = worker.listing.service,
-                                                      .worker = worker.listing.id,
-                                                      .suspects = std::move(suspects),
-                                                      .at = m_now};
-    }
 }
 
 std::vector<job_id> scheduler::begin_persist()
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds no_capacity_backoff{200};
 constexpr milliseconds failed_start_backoff{2000};
 
+/// A run that is still reported this many times the stop time after its accepted stop is sent
+/// another one.
+constexpr int stop_time_factor = 2;
+
 /// Longest time by this process's clock in which `time` passes on a worker's clock.
 milliseconds with_margins(milliseconds time)
 {
@@ -53,24 +57,30 @@
     m_now = now;
     const instance_id id = listing.id;
     worker_record& worker = m_workers[id];
+    if (is_outdated(listing)) {
+        return;
+    }
     if (worker.listing.id.empty()) {
         // A predecessor may have started tasks there and extended their leases.
         worker.lease_bound =
             m_started + m_options.predecessor_grace + with_margins(m_options.lease);
         worker.last_answer = now;
+        // What is being persisted is of another record of this id.
+        m_persisting_sequences.erase(id);
     }
+    note_listed_start(worker, listing, now);
     worker.listing = std::move(listing);
     worker.listed = true;
 }
 
-void scheduler::note_worker_unlisted(const instance_id& id, time_point /*now*/)
+void scheduler::note_worker_unlisted(const instance_id& id, time_point now)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end()) {
         return;
     }
     found->second.listed = false;
-    if (found->second.runs.empty()) {
+    if (is_removable(found->second, now)) {
         m_workers.erase(found);
     }
 }
@@ -93,6 +103,14 @@
     }
 }
 
+bool scheduler::is_removable(const worker_record& worker, time_point now)
+{
+    // What a predecessor has started on a worker that hasn't answered yet isn't known; only the
+    // worker's report tells which runs to stop.
+    return !worker.listed && worker.runs.empty() &&
+           (worker.token_acknowledged || now > worker.lease_bound);
+}
+
 bool scheduler::needs_polling(const instance_id& id) const
 {
     return m_workers.contains(id);
@@ -118,7 +136,11 @@
     if (m_dirty.empty() && m_persisting.empty()) {
         worker.committed_sequence = worker.applied_sequence;
     }
-    poll_order poll{.acknowledged = worker.committed_sequence};
+    // A worker that may have started again must not take acknowledgements of its earlier
+    // incarnation's ends for ones of its own.
+    const bool may_have_restarted =
+        worker.latest_start() && (worker.missed_polls > 0 || worker.listed_start);
+    poll_order poll{.acknowledged = may_have_restarted ? 0 : worker.committed_sequence};
     if (worker.token_acknowledged && worker.missed_polls == 0) {
         poll.wait = worker.runs.empty()         ? idle_poll_wait
                     : worker.isolated_runs == 0 ? busy_poll_wait
@@ -139,9 +161,19 @@
     }
     m_now = now;
     worker_record& worker = found->second;
+    if (is_outdated(worker, report, sent)) {
+        return;
+    }
     note_answer_at(worker, sent);
+    if (worker.started_at && report.started_at && *report.started_at > *worker.started_at) {
+        begin_incarnation(worker, report, sent);
+        // Deadlines by the clock of the earlier incarnation may have extended the lease of this
+        // one.
+        worker.lease_bound = now + with_margins(m_options.max_lease);
+    }
+    note_reported_start(worker, report, sent);
     if (!worker.token_acknowledged) {
-        note_successor(worker.listing);
+        note_successor(worker);
     }
     worker.clock = report.worker_clock;
     if (report.capacity) {
@@ -188,6 +220,11 @@
         run.phase = run_phase::running;
         run.confirmed = now;
     }
+    if (run.phase == run_phase::stopping && run.stop_answered &&
+        now - *run.stop_answered > stop_time_factor * m_options.stop_time) {
+        // The worker has started the run in spite of the stop, which came first.
+        run.stop_answered.reset();
+    }
     run.checkpoint = reported.checkpoint;
     run.percent = reported.percent;
     run.load = reported.load;
@@ -199,6 +236,9 @@
         run.isolation = milliseconds(0);
         --worker.isolated_runs;
     }
+    if (now - run.ordered >= crash_suspicion_time) {
+        clear_suspicion(reported.run.task);
+    }
 }
 
 void scheduler::adopt_run(worker_record& worker, const reported_run& reported, job_record& job,
@@ -354,8 +394,7 @@
         if (unresponsive && now > worker.lease_bound && !worker.runs.empty()) {
             mark_runs_lost(worker, worker_end::lease_expired);
         }
-        const bool removable = !worker.listed && worker.runs.empty();
-        at = removable ? m_workers.erase(at) : std::next(at);
+        at = is_removable(worker, now) ? m_workers.erase(at) : std::next(at);
     }
 }
 
@@ -373,8 +412,9 @@
     std::erase_if(*m_unacknowledged_workers, [&](const auto& each) {
         const auto worker = m_workers.find(each.first);
         const bool known = worker != m_workers.end();
+        const bool listed = known && worker->second.listed;
         return (known && worker->second.token_acknowledged) ||
-               (!known && !live_workers.contains(each.first));
+               (!listed && !live_workers.contains(each.first));
     });
     refresh_services_in_doubt();
 }
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/worker.hpp"
 
 #include <algorithm>
+#include <string>
 
 namespace plantaindoor::job {
 
@@ -9,18 +10,19 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool worker_record::is_usable(time_point now) const
+instance_id worker_record::incarnation() const
 {
-    return listed && token_acknowledged && !cordoned && !listing.draining && missed_polls == 0 &&
-           now >= quarantined_until && now >= full_until;
+    if (!started_at) {
+        return listing.id;
+    }
+    return instance_id(listing.id.str() + "@" +
+                       std::to_string(started_at->time_since_epoch().count()));
 }
 
-bool worker_record::is_free_for_isolated(const job_id& job) const
+bool worker_record::is_usable(time_point now) const
 {
-    return std::all_of(runs.begin(), runs.end(), [&](const auto& each) {
-        return each.first.task.job == job ||
-               (each.second.long_running && !each.second.is_isolated());
-    });
+    return listed && token_acknowledged && !cordoned && !listing.draining && missed_polls == 0 &&
+           now >= quarantined_until && now >= full_until;
 }
 
 resources worker_record::capacity_beside_long_running() const
