process: Follow the list of machines while the table is unavailable

With the table unavailable, an entry whose peers were replaced answered its callers with refusals: it was "cut-off". It counted an ended entry among the others, as the platform's list was read only after the registration rows, so it heard too few of them.

The registrar now reads the list alone when the rows can't be read. The membership drops an entry that the list no longer shows under the same conditions as before; nothing else uses this reading, and retirement of rows still needs both.

--- a/packages/process/include/plantaindoor/process/registrar.hpp
+++ b/packages/process/include/plantaindoor/process/registrar.hpp
@@ -33,7 +33,7 @@
 /// Loop thread only; what it is given must outlive it.
 class registrar {
 public:
-    registrar(event_loop& loop, table& rows, membership_reader& reader,
+    registrar(event_loop& loop, table& rows, membership_reader& reader, instance_list& list,
               version::table_change_log& log, membership& members, registrar_options options);
     registrar(const registrar&) = delete;
     registrar& operator=(const registrar&) = delete;
@@ -59,10 +59,15 @@
     void scan();
     void on_rows(const std::vector<version::registration_row>& rows);
     void on_answer(const membership_answer& answer);
+    /// Reads only the platform's list, as the table doesn't answer.
+    void read_list();
+    /// Tells the membership which entries are listed, and returns them.
+    std::set<entry_id> note_listed(const std::vector<listed_instance>& listed);
 
     event_loop& m_loop;
     table& m_table;
     membership_reader& m_reader;
+    instance_list& m_list;
     version::table_change_log& m_log;
     membership& m_members;
     registrar_options m_options;
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -88,7 +88,7 @@
           m_members(member_options(), loop.now()),
           m_peers(loop, m_log, m_members, peer_options()),
           m_reader(loop, m_table, m_list),
-          m_registrar(loop, m_table, m_reader, m_log, m_members, registrar_options_here()),
+          m_registrar(loop, m_table, m_reader, m_list, m_log, m_members, registrar_options_here()),
           m_journal({.loop = loop,
                      .rows = m_table,
                      .self = m_options.id,
--- a/packages/process/src/registrar.cpp
+++ b/packages/process/src/registrar.cpp
@@ -35,11 +35,12 @@
 
 } // namespace
 
-registrar::registrar(event_loop& loop, table& rows, membership_reader& reader,
+registrar::registrar(event_loop& loop, table& rows, membership_reader& reader, instance_list& list,
                      version::table_change_log& log, membership& members, registrar_options options)
     : m_loop(loop),
       m_table(rows),
       m_reader(reader),
+      m_list(list),
       m_log(log),
       m_members(members),
       m_options(std::move(options)),
@@ -221,20 +222,38 @@
     m_reading = false;
     if (!answer.rows || !answer.listed) {
         m_retirement.on_gap();
+        if (!answer.rows) {
+            read_list();
+        }
         return;
     }
+    const std::set<entry_id> entries = note_listed(*answer.listed);
+    for (const auto& each : m_retirement.on_reading(*answer.rows, entries, m_loop.now())) {
+        const std::string key = version::registration_key(each.value);
+        m_table.transact({.conditions = {{key, each.version}}, .writes = {{key, std::nullopt}}},
+                         [](const transact_result&) {});
+    }
+}
+
+void registrar::read_list()
+{
+    m_list.list(while_alive([this](const auto& listed) {
+        if (listed) {
+            note_listed(*listed);
+        }
+    }));
+}
+
+std::set<entry_id> registrar::note_listed(const std::vector<listed_instance>& listed)
+{
     std::set<entry_id> entries;
-    for (const listed_instance& each : *answer.listed) {
+    for (const listed_instance& each : listed) {
         if (each.role == listed_role::entry) {
             entries.emplace(each.id);
         }
     }
     m_members.on_listed(entries, m_loop.now());
-    for (const auto& each : m_retirement.on_reading(*answer.rows, entries, m_loop.now())) {
-        const std::string key = version::registration_key(each.value);
-        m_table.transact({.conditions = {{key, each.version}}, .writes = {{key, std::nullopt}}},
-                         [](const transact_result&) {});
-    }
+    return entries;
 }
 
 } // namespace plantaindoor::process
