--- a/packages/fleet/tests/quota_exchange_test.cpp
+++ b/packages/fleet/tests/quota_exchange_test.cpp
@@ -59,7 +59,7 @@
     fakes::virtual_loop loop;
     recording_store store{loop};
     metrics_registry metrics;
-    job::scheduler scheduler{{.shard = 0, .shards = 2}, loop.now()};
+    job::scheduler scheduler{{.shard = 0, .shard_count = 2}, loop.now()};
     std::unique_ptr<quota_exchange> subject;
 
     explicit exchange_fixture(const policy::resources& cap)
