policy: Learn which workers are slow by themselves

A run's pace is compared with that of its step's tasks on other workers, else with its kind's. A worker on which everything is slower counts as slow, and placement prefers others that suit.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
+#include "plantaindoor/fleet/learned_log.hpp"
 #include "plantaindoor/fleet/machine_session.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/progress_writer.hpp"
@@ -149,6 +150,7 @@
     metric_counter& m_crash_suspicions;
     metric_gauge& m_open_jobs;
     metric_gauge& m_usable_workers;
+    learned_gauges m_learned_gauges;
 };
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -80,8 +80,9 @@
                                    {}})),
       m_open_jobs(context.metrics.gauge(
           shard_gauge("jobs_open", "Jobs that are not in a final state", m_options.shard.number))),
-      m_usable_workers(context.metrics.gauge(
-          shard_gauge("workers_usable", "Workers available for placement", m_options.shard.number)))
+      m_usable_workers(context.metrics.gauge(shard_gauge(
+          "workers_usable", "Workers available for placement", m_options.shard.number))),
+      m_learned_gauges(context.metrics, m_options.shard.number)
 {
     m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
@@ -358,6 +359,10 @@
 
 void leader_session::log_decision(const job::decision& made)
 {
+    if (made.kind == job::decision_kind::worker_slow) {
+        worker_log.info(describe(made));
+        return;
+    }
     const std::string job = fmt::format("job {} at {} ms of {}", made.job.str(), made.age.count(),
                                         made.objective.count());
     switch (made.kind) {
@@ -396,6 +401,8 @@
                                  to_string(made.run.task), made.run.attempt,
                                  describe(made.crashes)));
         break;
+    case job::decision_kind::worker_slow:
+        break;
     }
 }
 
@@ -406,6 +413,7 @@
     m_usable_workers.set(double(std::count_if(
         workers.begin(), workers.end(), [now](auto& each) { return each.second.is_usable(now); })));
     m_open_jobs.set(double(m_scheduler.open_count()));
+    m_learned_gauges.set(m_scheduler.learned());
 }
 
 void leader_session::remove_expired_jobs()
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/record.hpp"
 #include "plantaindoor/job/spec.hpp"
+#include "plantaindoor/job/speed_learner.hpp"
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/workspace.hpp"
@@ -40,6 +41,8 @@
     std::uint32_t attempt_base = 0;
     /// Whether queue_policy::former_services reaches back as far as a predecessor's runs can last.
     bool former_services_known = false;
+    /// Whether workers that prove slow are used only where no other suits.
+    bool learn_worker_speed = true;
 };
 
 /// Starts a run on a worker.
@@ -89,6 +92,7 @@
     run_lost,    ///< a run's worker has ended, or was unresponsive past its lease
     job_ended,   ///< the job has reached a terminal state
     crash_noted, ///< a worker has crashed, for which the task may be to blame
+    worker_slow, ///< a worker begins or ceases to count as slow; concerns no job
 };
 
 /// A decision about one job, with the details that operators need.
@@ -106,12 +110,21 @@
     failure_reason failure = failure_reason::none;
     /// Of a noted crash: all crashes of the task, the last one being the newest.
     std::vector<task_crash> crashes;
+    /// Of a worker that begins or ceases to count as slow.
+    policy::worker_speed_change speed;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
     milliseconds objective{0};
 };
 
+/// State and effects of what is learned from the pace of runs.
+struct learned_figures {
+    std::size_t slow_workers = 0;
+    /// Placements for which another worker was chosen than without the knowledge.
+    std::uint64_t placements_changed = 0;
+};
+
 /// Demand of a service's jobs on its workers, in thousandths of a core.
 struct service_load {
     /// Of all long-running tasks.
@@ -230,6 +243,11 @@
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
+    [[nodiscard]] learned_figures learned() const noexcept
+    {
+        return {.slow_workers = m_learner.slow_workers(),
+                .placements_changed = m_placements_changed};
+    }
 
 private:
     struct candidate {
@@ -310,6 +328,8 @@
 
     void expire_unresponsive_workers(time_point now);
     void start_due_occurrences(wall_time wall_now);
+    /// Lets knowledge fade and marks the workers that begin or cease to count as slow.
+    void refresh_learned(time_point now);
     void place_all(time_point now);
     [[nodiscard]] std::vector<candidate> ranked_jobs(time_point now);
     void place_job(job_record& job, time_point now);
@@ -400,6 +420,8 @@
     std::map<instance_id, std::uint64_t> m_persisting_sequences;
     orders m_orders;
     std::vector<decision> m_decisions;
+    speed_learner m_learner;
+    std::uint64_t m_placements_changed = 0;
     /// Time of the event that is being processed.
     time_point m_now{};
 };
@@ -410,12 +432,13 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 5> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 6> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
         {job::decision_kind::crash_noted, "crash-noted"},
+        {job::decision_kind::worker_slow, "worker-slow"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
+#include "plantaindoor/policy/peer_pace.hpp"
 
 #include <array>
 #include <cstdint>
@@ -95,6 +96,19 @@
     stopping,    ///< the run is to be stopped
 };
 
+/// What speed_learner needs to measure the pace of a run.
+struct run_pace {
+    policy::kind_key kind = 0;
+    /// Whether the run's pace tells about its worker.
+    bool measured = false;
+    /// Natural logarithm of the estimate in ms.
+    double log_estimate = 0;
+    /// When the part of the run began that is measured next, and the progress then; nullopt if
+    /// that isn't known.
+    std::optional<time_point> since;
+    std::uint32_t since_percent = 0;
+};
+
 struct worker_run {
     run_phase phase = run_phase::ordered;
     bool long_running = false;
@@ -119,6 +133,7 @@
     /// How long after its start the run keeps tasks of other jobs off the worker; zero: it doesn't,
     /// or that time is over.
     milliseconds isolation{0};
+    run_pace pace;
 
     [[nodiscard]] bool is_isolated() const noexcept { return isolation > milliseconds(0); }
 };
@@ -159,6 +174,8 @@
     std::uint32_t consecutive_failures = 0;
     time_point quarantined_until{};
     time_point full_until{};
+    /// Learned: the worker is at least twice as slow as others.
+    bool slow = false;
 
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -26,7 +26,8 @@
 
 } // namespace
 
-scheduler::scheduler(scheduler_options options, time_point now) : m_options(options), m_started(now)
+scheduler::scheduler(scheduler_options options, time_point now)
+    : m_options(options), m_started(now), m_learner({.worker_speed = options.learn_worker_speed})
 {
 }
 
@@ -210,6 +211,9 @@
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
     }
+    if (end.end_reason == run_end_reason::done) {
+        m_learner.note_done(worker, end.run, now);
+    }
     release_run(worker, end.run);
     if (is_terminal(job->state())) {
         return;
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -22,9 +22,10 @@
 
 enum tier : std::uint32_t { long_running_tier, on_time_tier, late_tier, zero_value_tier };
 
-/// Preference for a worker as the place of a task: not avoided, near, has long-running runs, least
-/// free processor time. Compared left to right; higher is better.
-using suitability = std::tuple<bool, bool, bool, std::int64_t>;
+/// Preference for a worker as the place of a task: not avoided, not slow, near, has long-running
+/// runs, least free processor time. Compared left to right; higher is better. A failed attempt
+/// costs more than a slow one, as slow phases last seconds.
+using suitability = std::tuple<bool, bool, bool, bool, std::int64_t>;
 
 } // namespace
 
@@ -34,6 +35,7 @@
     m_now = now;
     expire_unresponsive_workers(now);
     start_due_occurrences(wall_now);
+    refresh_learned(now);
     evacuate(now);
     place_all(now);
     throttle_best_effort(now);
@@ -248,19 +250,29 @@
         return spec.max_per_worker == 0 || count == siblings.end() ||
                count->second < spec.max_per_worker;
     };
-    const auto suitability_of = [&](const worker_record& worker) {
+    const auto suitability_of = [&](const worker_record& worker, bool learned) {
         const bool near = (spec.rack.empty() || worker.listing.rack.str() == spec.rack) &&
                           (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Pack tasks on few workers, so that other machines can be moved out of the pool.
-        return suitability(!is_avoided(worker), near, worker.long_running_runs > 0,
-                           -worker.free_capacity().cpu_millis);
+        return suitability(!is_avoided(worker), !learned || !worker.slow, near,
+                           worker.long_running_runs > 0, -worker.free_capacity().cpu_millis);
     };
-    worker_record* best = nullptr;
-    for (worker_record* const worker : candidates) {
-        if (worker->is_usable(now) && suits(*worker) &&
-            (best == nullptr || suitability_of(*worker) > suitability_of(*best))) {
-            best = worker;
+    const auto find_best = [&](bool learned) {
+        worker_record* best = nullptr;
+        for (worker_record* const worker : candidates) {
+            if (worker->is_usable(now) && suits(*worker) &&
+                (best == nullptr ||
+                 suitability_of(*worker, learned) > suitability_of(*best, learned))) {
+                best = worker;
+            }
         }
+        return best;
+    };
+    worker_record* best = find_best(false);
+    if (best != nullptr && m_learner.slow_workers() > 0 && best->slow) {
+        worker_record* const preferred = find_best(true);
+        m_placements_changed += preferred == best ? 0 : 1;
+        best = preferred;
     }
     if (best == nullptr && spec.required_label.empty() && spec.max_per_worker == 0 && !others) {
         m_unplaceable[job.queue().service].push_back(need);
@@ -311,6 +323,7 @@
     worker_run started{.footprint = step.footprint(), .ordered = now};
     worker.used += started.footprint;
     started.long_running = step.long_running;
+    m_learner.begin(started, job, *job.find(name), name.step);
     worker.long_running_runs += step.long_running ? 1 : 0;
     const auto added = worker.runs.emplace(run, std::move(started)).first;
     job.note_started(name, {worker.listing.id, attempt});
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -191,6 +191,7 @@
     run.checkpoint = reported.checkpoint;
     run.percent = reported.percent;
     run.load = reported.load;
+    m_learner.note_progress(worker, reported.run, run, now);
     constexpr std::uint32_t full_rate_percent = 100;
     if (reported.percent >= full_rate_percent && !run.working_since) {
         run.working_since = now;
@@ -210,6 +211,7 @@
                    .ordered = now,
                    .confirmed = now,
                    .adopted = true};
+    m_learner.begin(run, job, task, reported.run.task.step);
     worker.used += run.footprint;
     worker.long_running_runs += run.long_running ? 1 : 0;
     worker.runs.emplace(reported.run, std::move(run));
