--- a/packages/fleet/include/plantaindoor/fleet/learned_log.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/learned_log.hpp
@@ -20,6 +20,8 @@
 
 private:
     metric_gauge& m_slow_workers;
+    metric_gauge& m_pairs;
+    metric_gauge& m_strongest;
     metric_gauge& m_placements_changed;
 };
 
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -359,7 +359,8 @@
 
 void leader_session::log_decision(const job::decision& made)
 {
-    if (made.kind == job::decision_kind::worker_slow) {
+    if (made.kind == job::decision_kind::worker_slow ||
+        made.kind == job::decision_kind::interference) {
         worker_log.info(describe(made));
         return;
     }
@@ -402,6 +403,7 @@
                                  describe(made.crashes)));
         break;
     case job::decision_kind::worker_slow:
+    case job::decision_kind::interference:
         break;
     }
 }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -43,6 +43,8 @@
     bool former_services_known = false;
     /// Whether workers that prove slow are used only where no other suits.
     bool learn_worker_speed = true;
+    /// Whether kinds of tasks that prove to slow each other down are kept apart where possible.
+    bool learn_interference = true;
 };
 
 /// Starts a run on a worker.
@@ -87,12 +89,13 @@
 };
 
 enum class decision_kind {
-    first_start, ///< the first start of one of the job's tasks has been ordered
-    run_ended,   ///< a run has ended without completing its task
-    run_lost,    ///< a run's worker has ended, or was unresponsive past its lease
-    job_ended,   ///< the job has reached a terminal state
-    crash_noted, ///< a worker has crashed, for which the task may be to blame
-    worker_slow, ///< a worker begins or ceases to count as slow; concerns no job
+    first_start,  ///< the first start of one of the job's tasks has been ordered
+    run_ended,    ///< a run has ended without completing its task
+    run_lost,     ///< a run's worker has ended, or was unresponsive past its lease
+    job_ended,    ///< the job has reached a terminal state
+    crash_noted,  ///< a worker has crashed, for which the task may be to blame
+    worker_slow,  ///< a worker begins or ceases to count as slow; concerns no job
+    interference, ///< a pair of kinds begins or ceases to count; concerns no job
 };
 
 /// A decision about one job, with the details that operators need.
@@ -112,6 +115,10 @@
     std::vector<task_crash> crashes;
     /// Of a worker that begins or ceases to count as slow.
     policy::worker_speed_change speed;
+    /// Of a pair that begins or ceases to count, and the names of its kinds.
+    policy::interference_change pair;
+    std::string slowed;
+    std::string slowing;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
@@ -121,6 +128,8 @@
 /// State and effects of what is learned from the pace of runs.
 struct learned_figures {
     std::size_t slow_workers = 0;
+    std::size_t interfering_pairs = 0;
+    double strongest_slow_down = 1;
     /// Placements for which another worker was chosen than without the knowledge.
     std::uint64_t placements_changed = 0;
 };
@@ -243,11 +252,7 @@
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
-    [[nodiscard]] learned_figures learned() const noexcept
-    {
-        return {.slow_workers = m_learner.slow_workers(),
-                .placements_changed = m_placements_changed};
-    }
+    [[nodiscard]] learned_figures learned() const;
 
 private:
     struct candidate {
@@ -328,6 +333,8 @@
 
     void expire_unresponsive_workers(time_point now);
     void start_due_occurrences(wall_time wall_now);
+    /// The image of a kind, or its queue and step; a number if no open job has it.
+    [[nodiscard]] std::string describe_kind(policy::kind_key kind) const;
     /// Lets knowledge fade and marks the workers that begin or cease to count as slow.
     void refresh_learned(time_point now);
     void place_all(time_point now);
@@ -432,13 +439,14 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 6> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 7> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
         {job::decision_kind::crash_noted, "crash-noted"},
         {job::decision_kind::worker_slow, "worker-slow"},
+        {job::decision_kind::interference, "interference"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
+#include "plantaindoor/policy/neighbours.hpp"
 #include "plantaindoor/policy/peer_pace.hpp"
 
 #include <array>
@@ -99,9 +100,12 @@
 /// What speed_learner needs to measure the pace of a run.
 struct run_pace {
     policy::kind_key kind = 0;
-    /// Whether the run's pace tells about its worker.
+    /// Whether the run's pace is measured, or, of a serving run, its tail latency.
     bool measured = false;
-    /// Natural logarithm of the estimate in ms.
+    bool serving = false;
+    /// Urgent or serving: a slow-down of this run weighs more.
+    bool sensitive = false;
+    /// Natural logarithm of the estimate in ms, or of the target of the tail latency.
     double log_estimate = 0;
     /// When the part of the run began that is measured next, and the progress then; nullopt if
     /// that isn't known.
@@ -176,6 +180,7 @@
     time_point full_until{};
     /// Learned: the worker is at least twice as slow as others.
     bool slow = false;
+    policy::recent_presences ended_runs;
 
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -27,7 +27,10 @@
 } // namespace
 
 scheduler::scheduler(scheduler_options options, time_point now)
-    : m_options(options), m_started(now), m_learner({.worker_speed = options.learn_worker_speed})
+    : m_options(options),
+      m_started(now),
+      m_learner(
+          {.worker_speed = options.learn_worker_speed, .interference = options.learn_interference})
 {
 }
 
@@ -287,6 +290,7 @@
 {
     const auto found = worker.runs.find(run);
     if (found != worker.runs.end()) {
+        speed_learner::note_left(worker, found->second, m_now);
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
         worker.isolated_runs -= found->second.is_isolated() ? 1 : 0;
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -12,20 +12,14 @@
 constexpr milliseconds stop_resend{600};
 /// A job that completes after this many times its objective is worth nothing to its callers.
 constexpr int zero_value_factor = 3;
-/// Tail latency, in percent of its target, above which best-effort runs are throttled, and below
-/// which their share is raised again.
-constexpr std::int64_t throttle_above_percent = 85;
-constexpr std::int64_t unthrottle_below_percent = 55;
-constexpr std::uint32_t full_share_percent = 100;
-constexpr std::uint32_t share_step_up = 25;
-constexpr std::uint32_t min_share_percent = 13;
-
 enum tier : std::uint32_t { long_running_tier, on_time_tier, late_tier, zero_value_tier };
 
-/// Preference for a worker as the place of a task: not avoided, not slow, near, has long-running
-/// runs, least free processor time. Compared left to right; higher is better. A failed attempt
-/// costs more than a slow one, as slow phases last seconds.
-using suitability = std::tuple<bool, bool, bool, bool, std::int64_t>;
+/// Preference for a worker as the place of a task: not avoided, not slow, near, no strong
+/// interference, has long-running runs, no mild interference, least free processor time. Compared
+/// left to right; higher is better. A failed attempt costs more than a slow one, as slow phases
+/// last seconds. Strong interference goes before packing on few workers, mild doesn't: a machine
+/// costs more than runs that are a little slower.
+using suitability = std::tuple<bool, bool, bool, int, bool, int, std::int64_t>;
 
 } // namespace
 
@@ -250,26 +244,43 @@
         return spec.max_per_worker == 0 || count == siblings.end() ||
                count->second < spec.max_per_worker;
     };
+    const auto* const partners = m_learner.partners_of(job, step);
+    const bool sensitive = is_sensitive(job, step);
+    const auto cost_of = [&](const worker_record& worker) {
+        return partners == nullptr ? interference_cost{}
+                                   : speed_learner::cost_of(*partners, sensitive, worker);
+    };
     const auto suitability_of = [&](const worker_record& worker, bool learned) {
         const bool near = (spec.rack.empty() || worker.listing.rack.str() == spec.rack) &&
                           (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Pack tasks on few workers, so that other machines can be moved out of the pool.
-        return suitability(!is_avoided(worker), !learned || !worker.slow, near,
-                           worker.long_running_runs > 0, -worker.free_capacity().cpu_millis);
+        const interference_cost cost = learned ? cost_of(worker) : interference_cost{};
+        return suitability(!is_avoided(worker), !learned || !worker.slow, near, -cost.strong,
+                           worker.long_running_runs > 0, -cost.mild,
+                           -worker.free_capacity().cpu_millis);
     };
     const auto find_best = [&](bool learned) {
-        worker_record* best = nullptr;
+        worker_record* chosen = nullptr;
+        suitability of_chosen;
         for (worker_record* const worker : candidates) {
-            if (worker->is_usable(now) && suits(*worker) &&
-                (best == nullptr ||
-                 suitability_of(*worker, learned) > suitability_of(*best, learned))) {
-                best = worker;
+            if (!worker->is_usable(now) || !suits(*worker)) {
+                continue;
+            }
+            const suitability of_worker = suitability_of(*worker, learned);
+            if (chosen == nullptr || of_worker > of_chosen) {
+                chosen = worker;
+                of_chosen = of_worker;
             }
         }
-        return best;
+        return chosen;
     };
     worker_record* best = find_best(false);
-    if (best != nullptr && m_learner.slow_workers() > 0 && best->slow) {
+    const auto is_harmed = [&](const worker_record& worker) {
+        const interference_cost cost = cost_of(worker);
+        return worker.slow || cost.strong > 0 || cost.mild > 0;
+    };
+    // Without a cost, the best by the other terms is the best by all.
+    if (best != nullptr && is_harmed(*best)) {
         worker_record* const preferred = find_best(true);
         m_placements_changed += preferred == best ? 0 : 1;
         best = preferred;
@@ -403,51 +414,4 @@
     }
 }
 
-void scheduler::throttle_best_effort(time_point /*now*/)
-{
-    if (m_open_with_best_effort == 0) {
-        return;
-    }
-    for (auto& [id, worker] : m_workers) {
-        if (!std::exchange(worker.has_new_loads, false)) {
-            continue;
-        }
-        std::int64_t worst_percent = 0;
-        bool any_best_effort = false;
-        for (const auto& [name, run] : worker.runs) {
-            const job_record* const job = find(name.task.job);
-            if (job == nullptr || run.phase != run_phase::running) {
-                continue;
-            }
-            const step_spec& step = job->spec().steps[name.task.step];
-            any_best_effort = any_best_effort || step.best_effort;
-            if (step.tail_target.count() > 0) {
-                worst_percent = std::max(worst_percent,
-                                         run.load * full_share_percent / step.tail_target.count());
-            }
-        }
-        if (!any_best_effort) {
-            continue;
-        }
-        for (auto& [name, run] : worker.runs) {
-            const job_record* const job = find(name.task.job);
-            if (job == nullptr || run.phase != run_phase::running ||
-                !job->spec().steps[name.task.step].best_effort) {
-                continue;
-            }
-            std::uint32_t wanted = run.share_percent;
-            if (worst_percent > throttle_above_percent) {
-                wanted = wanted <= min_share_percent ? 0 : wanted / 2;
-            }
-            else if (worst_percent < unthrottle_below_percent) {
-                wanted = std::min(full_share_percent, wanted + share_step_up);
-            }
-            if (wanted != run.share_percent) {
-                run.share_percent = wanted;
-                m_orders.throttles.push_back({id, name, wanted});
-            }
-        }
-    }
-}
-
 } // namespace plantaindoor::job
--- a/packages/policy/tests/simulated_pool.hpp
+++ b/packages/policy/tests/simulated_pool.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "plantaindoor/common/time.hpp"
+#include "plantaindoor/policy/neighbours.hpp"
 #include "plantaindoor/policy/peer_pace.hpp"
 
 #include <algorithm>
@@ -32,13 +33,15 @@
     worker_key key = 0;
     double slow_down = 1;
     std::vector<simulated_run> runs;
+    recent_presences ended;
 };
 
 /// Advances in steps of 100 ms. Each second of a run, and its end, is a sample of its pace.
 class simulated_pool {
 public:
-    using sample_handler = std::function<void(const simulated_worker&, const simulated_run&,
-                                              const pace_sample&, time_point from)>;
+    using sample_handler =
+        std::function<void(const simulated_worker&, const simulated_run&, const pace_sample&,
+                           const std::vector<neighbour>& beside)>;
 
     simulated_pool(std::size_t count, std::uint64_t seed) : workers(count), random(seed)
     {
@@ -94,11 +97,16 @@
                                .run = run.run,
                                .worker = worker.key,
                                .log_time = std::log(taken / part) - run.log_estimate},
-                              run.marked);
+                              neighbours_of(worker, run));
                     run.marked = now;
                     run.marked_done = run.done;
                 }
             }
+            for (const simulated_run& run : worker.runs) {
+                if (run.done >= 1) {
+                    worker.ended.add({run.kind, run.started, now});
+                }
+            }
             std::erase_if(worker.runs, [](const simulated_run& each) { return each.done >= 1; });
         }
     }
@@ -128,6 +136,20 @@
         return std::uniform_real_distribution<double>(1 - part, 1 + part)(random);
     }
 
+    std::vector<neighbour> neighbours_of(const simulated_worker& worker,
+                                         const simulated_run& run) const
+    {
+        std::vector<neighbour> beside;
+        const time_point middle = run.marked + (now - run.marked) / 2;
+        for (const simulated_run& other : worker.runs) {
+            if (other.run != run.run && other.started <= middle) {
+                add_neighbour(beside, {.kind = other.kind});
+            }
+        }
+        worker.ended.collect(beside, middle);
+        return beside;
+    }
+
     double slow_down_of(const simulated_worker& worker, const simulated_run& run) const
     {
         double factor = 1;
--- a/packages/policy/tests/worker_speed_test.cpp
+++ b/packages/policy/tests/worker_speed_test.cpp
@@ -31,7 +31,7 @@
                             [this](kind_key) { return pool.any_with_room(); });
         }
         pool.advance([this](const simulated_worker& worker, const simulated_run&,
-                            const pace_sample& sample, time_point) {
+                            const pace_sample& sample, const std::vector<neighbour>&) {
             if (const auto compared = peers.compare(sample)) {
                 speeds.note(worker.key, *compared, pool.now);
             }
