policy: Limit what one worker counts towards a pair

A single slow worker could make a pair count once two others had a few samples, because its share was limited by the total, which it dominates; now by what the other workers show. A known pair whose newest samples are all of one worker is kept. The new test fails without the limit and without the samples that a known pair keeps of one worker; it doesn't cover the minimum number of workers, as the limit alone suffices for one worker.

--- a/packages/policy/src/interference.cpp
+++ b/packages/policy/src/interference.cpp
@@ -43,9 +43,8 @@
 /// Samples after which a candidate without effect is dropped.
 constexpr std::size_t harmless_samples = 24;
 /// A slow worker makes all pairs on it look harmful, so a pair must do so on several workers, and
-/// each of these counts for a limited part.
+/// none of these counts for more than half of what the others show.
 constexpr std::size_t min_workers = 3;
-constexpr std::size_t max_shares = 6;
 constexpr std::size_t min_samples_of_worker = 2;
 /// Part of the samples that is left out at either end.
 constexpr std::size_t trim_divisor = 8;
@@ -293,9 +292,15 @@
     std::vector<worker_key> apart_workers;
     const auto beside_entries = collect(reviewed.beside, newest, beside_workers);
     const auto apart_entries = collect(reviewed.apart, series::capacity, apart_workers);
-    const std::size_t shares = std::min(max_shares, std::max<std::size_t>(all_workers.size(), 1));
+    std::unordered_map<worker_key, std::size_t> counts;
+    std::size_t largest = 0;
+    for (const series::entry* const each : beside_entries) {
+        largest = std::max(largest, ++counts[each->worker]);
+    }
+    // Without the minimum, a known pair whose newest samples are all of one worker was forgotten.
     const std::size_t worker_limit =
-        std::max(min_samples_of_worker, (beside_entries.size() + shares - 1) / shares);
+        std::max(reviewed.known ? min_keep_samples : min_samples_of_worker,
+                 (beside_entries.size() - largest) / 2);
     std::vector<double> beside;
     std::unordered_map<worker_key, std::size_t> counted;
     for (const series::entry* const each : beside_entries) {
--- a/packages/policy/tests/interference_test.cpp
+++ b/packages/policy/tests/interference_test.cpp
@@ -313,3 +313,36 @@
     CHECK(learned.strongest() > 3);
     CHECK(learned.slow_down(200, 100200) > 1);
 }
+
+// Guards against pairs that are accused on the evidence of one worker, which may be slow by itself.
+TEST_CASE("A pair is known only once several workers show it")
+{
+    interference learned;
+    time_point now{seconds(100)};
+    std::uint64_t source = 0;
+    const auto beside = [&](worker_key worker, int samples, double deviation) {
+        const std::vector<neighbour> other{{.kind = slowing}};
+        for (int sample = 0; sample < samples; ++sample) {
+            now += milliseconds(50);
+            ++source;
+            learned.note(slowed, worker,
+                         {.deviation = deviation, .variance = 0.04, .source = source}, other, now);
+            for (worker_key elsewhere = 2; elsewhere <= 5; ++elsewhere) {
+                ++source;
+                learned.note(slowed, elsewhere,
+                             {.deviation = 0, .variance = 0.04, .source = source}, {}, now);
+            }
+        }
+        now += milliseconds(300);
+        learned.refresh(now);
+    };
+    beside(1, 40, 1.9);
+    CHECK(learned.known_count() == 0);
+    beside(2, 4, 0);
+    beside(3, 4, 0);
+    CHECK(learned.take_changes().empty());
+    for (worker_key worker = 2; worker <= 5; ++worker) {
+        beside(worker, 12, 1.9);
+    }
+    CHECK(learned.slow_down(slowed, slowing) > 1);
+}
