--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/record.hpp"
 #include "plantaindoor/job/spec.hpp"
+#include "plantaindoor/job/speed_learner.hpp"
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/crash_isolation.hpp"
@@ -50,6 +51,10 @@
     /// over.
     std::uint32_t shard = 0;
     std::uint32_t shard_count = 1;
+    /// Whether workers that prove slow are used only where no other suits.
+    bool learn_worker_speed = true;
+    /// Whether kinds of tasks that prove to slow each other down are kept apart where possible.
+    bool learn_interference = true;
 };
 
 /// Starts a run on a worker.
@@ -100,6 +105,8 @@
     job_ended,         ///< the job has reached a terminal state
     crash_noted,       ///< a worker has crashed, for which the task may be to blame
     isolation_awaited, ///< a suspected task has waited for some time to be started in isolation
+    worker_slow,       ///< a worker begins or ceases to count as slow; concerns no job
+    interference,      ///< a pair of kinds begins or ceases to count; concerns no job
 };
 
 /// A decision about one job, with the details that operators need.
@@ -119,12 +126,27 @@
     std::vector<task_crash> crashes;
     /// Of an awaited isolation.
     policy::suspect_position isolation;
+    /// Of a worker that begins or ceases to count as slow.
+    policy::worker_speed_change speed;
+    /// Of a pair that begins or ceases to count, and the names of its kinds.
+    policy::interference_change pair;
+    std::string slowed;
+    std::string slowing;
     /// Time since the job was submitted.
     milliseconds age{0};
     /// Time from submission to the job's objective.
     milliseconds objective{0};
 };
 
+/// State and effects of what is learned from the pace of runs.
+struct learned_figures {
+    std::size_t slow_workers = 0;
+    std::size_t interfering_pairs = 0;
+    double strongest_slow_down = 1;
+    /// Placements for which another worker was chosen than without the knowledge.
+    std::uint64_t placements_changed = 0;
+};
+
 /// Demand of a service's jobs on its workers, in thousandths of a core.
 struct service_load {
     /// Of all long-running tasks.
@@ -271,6 +293,7 @@
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
+    [[nodiscard]] learned_figures learned() const;
 
 private:
     struct candidate {
@@ -379,6 +402,10 @@
 
     void expire_unresponsive_workers(time_point now);
     void start_due_occurrences(wall_time wall_now);
+    /// The image of a kind, or its queue and step; a number if no open job has it.
+    [[nodiscard]] std::string describe_kind(policy::kind_key kind) const;
+    /// Lets knowledge fade and marks the workers that begin or cease to count as slow.
+    void refresh_learned(time_point now);
     void place_all(time_point now);
     [[nodiscard]] std::vector<candidate> ranked_jobs(time_point now);
     /// Marks the jobs that their workspaces submitted beyond their rates since the last call.
@@ -508,6 +535,8 @@
     std::map<instance_id, std::uint64_t> m_persisting_sequences;
     orders m_orders;
     std::vector<decision> m_decisions;
+    speed_learner m_learner;
+    std::uint64_t m_placements_changed = 0;
     /// Time of the event that is being processed.
     time_point m_now{};
 };
@@ -518,13 +547,15 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 6> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 8> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
         {job::decision_kind::job_ended, "over"},
         {job::decision_kind::crash_noted, "crash-noted"},
         {job::decision_kind::isolation_awaited, "isolation-awaited"},
+        {job::decision_kind::worker_slow, "worker-slow"},
+        {job::decision_kind::interference, "interference"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -6,6 +6,8 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
+#include "plantaindoor/policy/neighbours.hpp"
+#include "plantaindoor/policy/peer_pace.hpp"
 
 #include <array>
 #include <cstdint>
@@ -101,6 +103,22 @@
     stopping,    ///< the run is to be stopped
 };
 
+/// What speed_learner needs to measure the pace of a run.
+struct run_pace {
+    policy::kind_key kind = 0;
+    /// Whether the run's pace is measured, or, of a serving run, its tail latency.
+    bool measured = false;
+    bool serving = false;
+    /// Urgent or serving: a slow-down of this run weighs more.
+    bool sensitive = false;
+    /// Natural logarithm of the estimate in ms, or of the target of the tail latency.
+    double log_estimate = 0;
+    /// When the part of the run began that is measured next, and the progress then; nullopt if
+    /// that isn't known.
+    std::optional<time_point> since;
+    std::uint32_t since_percent = 0;
+};
+
 struct worker_run {
     run_phase phase = run_phase::ordered;
     bool long_running = false;
@@ -132,6 +150,7 @@
     milliseconds isolation{0};
     /// A crash during the isolation is the last one before the task is given up.
     bool last_start = false;
+    run_pace pace;
 
     [[nodiscard]] bool is_isolated() const noexcept { return isolation > milliseconds(0); }
 };
@@ -180,6 +199,9 @@
     std::uint32_t consecutive_failures = 0;
     time_point quarantined_until{};
     time_point full_until{};
+    /// Learned: the worker is at least twice as slow as others.
+    bool slow = false;
+    policy::recent_presences ended_runs;
 
     /// Start of the latest known incarnation; nullopt if the platform doesn't tell.
     [[nodiscard]] std::optional<wall_time> latest_start() const
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -29,7 +29,9 @@
 scheduler::scheduler(scheduler_options options, time_point now)
     : m_options(options),
       m_started(now),
-      m_quota({.shard = options.shard, .shards = options.shard_count})
+      m_quota({.shard = options.shard, .shards = options.shard_count}),
+      m_learner(
+          {.worker_speed = options.learn_worker_speed, .interference = options.learn_interference})
 {
 }
 
@@ -226,6 +228,9 @@
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
     }
+    if (end.end_reason == run_end_reason::done) {
+        m_learner.note_done(worker, end.run, now);
+    }
     release_run(worker, end.run);
     if (is_terminal(job->state())) {
         return;
@@ -299,6 +304,7 @@
 {
     const auto found = worker.runs.find(run);
     if (found != worker.runs.end()) {
+        speed_learner::note_left(worker, found->second, m_now);
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
         worker.isolated_runs -= found->second.is_isolated() ? 1 : 0;
