job: Give up a task after six crashes, also if other tasks explain them

Explained crashes isolated a task but never counted for blame, and a crash whose culprit was already known wasn't counted at all. A culprit whose crashes others explained was started more than three times after three workers had crashed under it. Explained crashes now also make a start the last one, which is kept without others until it isn't suspected any more.

--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -11,6 +11,7 @@
 using policy::is_to_blame;
 using policy::isolation_after;
 using policy::max_crashes;
+using policy::max_explained_crashes;
 using policy::needs_isolation;
 using policy::task_crash;
 
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -79,11 +79,22 @@
     {
         return crashes.size() + explained_crashes;
     }
-    /// Whether the next run must be isolated. Two culprits that crash workers together explain the
-    /// crashes of each other, so explained ones don't count for blame, but do for isolation.
+    /// Whether the task crashes its workers. Explained crashes count only towards
+    /// max_explained_crashes: two culprits that crash workers together explain the crashes of each
+    /// other.
+    [[nodiscard]] bool is_blamed() const noexcept
+    {
+        return is_to_blame(crashes) || crash_count() >= max_explained_crashes;
+    }
+    /// Whether a crash of the next run may be the last one before the task is given up.
+    [[nodiscard]] bool is_on_last_start() const noexcept
+    {
+        return crash_count() + 1 >= max_crashes;
+    }
+    /// Whether the next run must be isolated, for which explained crashes count too.
     [[nodiscard]] bool must_be_isolated() const noexcept
     {
-        return needs_isolation(crashes) || crash_count() + 1 >= max_crashes;
+        return needs_isolation(crashes) || is_on_last_start();
     }
     [[nodiscard]] bool is_waiting() const noexcept { return !done && runs.empty(); }
     [[nodiscard]] bool runs_on(const instance_id& worker, std::uint32_t attempt) const noexcept;
@@ -175,6 +186,8 @@
     bool note_done(const task_name& name);
     /// Records a crash of a worker, once for each worker.
     bool note_crash(const task_name& name, task_crash crash);
+    /// Counts a crash for which another job's task is to blame.
+    bool note_explained_crash(const task_name& name);
     /// Forgets the crashes of a task that has proved not to be to blame.
     bool clear_crashes(const task_name& name);
     /// Forgets the crashes for which `is_explained` returns true: another job's task is to blame.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -316,6 +316,16 @@
     return true;
 }
 
+bool job_record::note_explained_crash(const task_name& name)
+{
+    task_record* const task = find(name);
+    if (task == nullptr || task->done) {
+        return false;
+    }
+    ++task->explained_crashes;
+    return true;
+}
+
 bool job_record::clear_crashes(const task_name& name)
 {
     task_record* const task = find(name);
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -66,8 +66,17 @@
     for (const crash_suspect& each : suspects) {
         const task_name& name = each.run.task;
         job_record* const job = find_job(name.job);
-        if (job == nullptr || is_terminal(job->state()) ||
-            m_isolation.is_explained(each.crash.worker) || !job->note_crash(name, each.crash)) {
+        if (job == nullptr || is_terminal(job->state())) {
+            continue;
+        }
+        if (m_isolation.is_explained(each.crash.worker)) {
+            if (job->note_explained_crash(name)) {
+                mark_dirty(name.job);
+                m_suspect_jobs.insert(name.job);
+            }
+            continue;
+        }
+        if (!job->note_crash(name, each.crash)) {
             continue;
         }
         mark_dirty(name.job);
@@ -84,7 +93,7 @@
             continue;
         }
         const task_record* const task = job->find(each.run.task);
-        if (task != nullptr && is_to_blame(task->crashes)) {
+        if (task != nullptr && task->is_blamed()) {
             fail_crashing_task(*job, each.run.task);
         }
     }
@@ -250,8 +259,8 @@
         worker_run* const run =
             order_start(job, {job.id(), occurrence, step, index}, worker, next_attempt(task), now);
         if (run != nullptr) {
-            run->isolation = isolation_after(task.crashes);
-            run->last_start = task.crashes.size() + 1 >= max_crashes;
+            run->last_start = task.is_on_last_start();
+            run->isolation = run->last_start ? crash_suspicion_time : isolation_after(task.crashes);
             ++worker.isolated_runs;
             m_isolation.note_started(suspect, worker.listing.id);
         }
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -217,3 +217,46 @@
     pool.run_for(seconds(2));
     CHECK(pool.state(id) == job_state::completed);
 }
+
+// Guards against a culprit that is started without end while other culprits explain its crashes.
+TEST_CASE("a task is given up after six crashes, also if others explain them")
+{
+    const bool found_before = GENERATE(true, false);
+    crash_pool pool(12);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(60));
+    pool.subject->restore(
+        id,
+        R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","explained":{"0":3}}]}})");
+    const auto& task = pool.subject->find(id)->occurrences().at(0).steps[0].tasks[0];
+    std::uint32_t starts = 0;
+    while (!is_terminal(pool.state(id)) && starts < 10) {
+        // The first plan makes the last crash durable.
+        pool.plan();
+        pool.plan();
+        REQUIRE(task.runs.size() == 1);
+        ++starts;
+        const instance_id worker = task.runs[0].worker;
+        CHECK(pool.subject->workers().at(worker).runs.begin()->second.last_start);
+        CHECK(pool.subject->workers().at(worker).runs.begin()->second.isolation ==
+              crash_suspicion_time);
+        // The job of a culprit that crashed the same worker.
+        const job_id culprit = pool.submit("c" + std::to_string(starts), tasks(1, 9000), {});
+        const auto find_culprit = [&] {
+            pool.subject->restore(culprit, R"({"state":"failed","begun":1,"occurrences":{},)"
+                                           R"("reason":"crashed-workers","culprit_of":[")" +
+                                               worker.str() + R"("]})");
+        };
+        const std::string machine = pool.subject->workers().at(worker).listing.machine;
+        pool.now += seconds(1);
+        if (found_before) {
+            find_culprit();
+        }
+        pool.crash(machine);
+        if (!found_before && !is_terminal(pool.state(id))) {
+            find_culprit();
+        }
+        CHECK((is_terminal(pool.state(id)) || task.crashes.empty()));
+    }
+    CHECK(starts == 3);
+    CHECK(pool.state(id) == job_state::failed);
+}
