job: Count the age of a late start from the report that shows it

A start without an answer may be carried out seconds later. Its age was counted from the order, so that the first report of the run cleared the task's crashes as if it had outlived the time of suspicion.

--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -120,7 +120,8 @@
     std::uint32_t share_percent = 100;
     /// When the run was first reported at full rate; nullopt before.
     std::optional<time_point> working_since;
-    /// Started by a predecessor, at an unknown time before `ordered`.
+    /// Started by a predecessor, or by an order without an answer, at an unknown time before
+    /// `ordered`.
     bool adopted = false;
     /// The workspace against whose cap the run counts, and its amounts; empty: none.
     workspace_id workspace;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -215,6 +215,11 @@
         known = worker.runs.find(reported.run);
     }
     worker_run& run = known->second;
+    if (run.last_report == 0 && run.confirmed == time_point{} && run.phase != run_phase::ordered) {
+        // The start had no answer and may have been carried out only now, seconds after the order.
+        run.ordered = now;
+        run.adopted = true;
+    }
     run.last_report = worker.reports;
     if (run.phase == run_phase::ordered || run.phase == run_phase::unconfirmed) {
         run.phase = run_phase::running;
--- a/packages/job/tests/incarnation_crash_test.cpp
+++ b/packages/job/tests/incarnation_crash_test.cpp
@@ -85,3 +85,29 @@
         }
     }
 }
+
+// Guards against a culprit whose crashes are cleared by a start that the worker carries out late:
+// the time before it counted as time that the task had outlived.
+TEST_CASE("a start that is carried out late doesn't clear the crashes of its task")
+{
+    const bool is_being_stopped = GENERATE(true, false);
+    incarnation_fixture fixture;
+    const job_id id = fixture.submit("j");
+    fixture.subject.restore(
+        id, R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","crashes":{"0":[)"
+            R"({"worker":"a","on_start":false,"alone":false}]}}]}})");
+    const auto& task = fixture.subject.find(id)->occurrences().at(0).steps[0].tasks[0];
+    REQUIRE(task.crashes.size() == 1);
+    const auto starts = fixture.plan().starts;
+    REQUIRE(starts.size() == 1);
+    fixture.subject.note_start(w1, starts[0].run, order_answer::unanswered, fixture.now);
+    if (is_being_stopped) {
+        fixture.report(w1, report_of(first_start, seconds(101)));
+    }
+    fixture.now += seconds(5);
+    fixture.report(w1, report_of(first_start, seconds(105), {starts[0].run}));
+    CHECK(task.crashes.size() == 1);
+    fixture.now += crash_suspicion_time;
+    fixture.report(w1, report_of(first_start, seconds(108), {starts[0].run}));
+    CHECK(task.crashes.empty());
+}
