job: Forget the end of a worker that answers again

The end of a frozen worker whose lease had expired stayed recorded after the same incarnation had answered again. When that restarted within 15 s, the end counted as a crash of tasks that had long been moved.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -336,6 +336,8 @@
     void note_crash(const std::vector<crash_suspect>& suspects);
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
+    /// Forgets the end of an incarnation that has answered a request sent after it.
+    void forget_refuted_end(const worker_record& worker, time_point sent);
     /// Resolves the end of the machine's previous worker when a new one has answered.
     void note_successor(const worker_record& successor);
     /// Clears a task that has outlived crash_suspicion_time.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -133,6 +133,15 @@
     }
 }
 
+void scheduler::forget_refuted_end(const worker_record& worker, time_point sent)
+{
+    const auto end = m_unexplained_ends.find(worker.listing.machine);
+    if (end != m_unexplained_ends.end() && end->second.worker == worker.incarnation() &&
+        sent > end->second.at) {
+        m_unexplained_ends.erase(end);
+    }
+}
+
 void scheduler::note_successor(const worker_record& successor)
 {
     const auto end = m_unexplained_ends.find(successor.listing.machine);
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -172,6 +172,7 @@
         worker.lease_bound = now + with_margins(m_options.max_lease);
     }
     note_reported_start(worker, report, sent);
+    forget_refuted_end(worker, sent);
     if (!worker.token_acknowledged) {
         note_successor(worker);
     }
--- a/packages/job/tests/incarnation_crash_test.cpp
+++ b/packages/job/tests/incarnation_crash_test.cpp
@@ -111,3 +111,23 @@
     fixture.report(w1, report_of(first_start, seconds(108), {starts[0].run}));
     CHECK(task.crashes.empty());
 }
+
+// Guards against a frozen worker that counts as crashed: it answered again after its lease had
+// expired, and a restart long after was taken for its end.
+TEST_CASE("an expired lease is not a crash if the worker answers again and restarts later")
+{
+    incarnation_fixture fixture;
+    static_cast<void>(fixture.submit("j"));
+    REQUIRE(fixture.start_tasks().size() == 1);
+    fixture.now += milliseconds(20);
+    fixture.subject.note_missed_poll(w1, fixture.now);
+    fixture.now += seconds(6);
+    static_cast<void>(fixture.plan());
+    REQUIRE(fixture.worker().runs.empty());
+    fixture.report(w1, report_of(first_start, seconds(107)));
+    fixture.now += seconds(2);
+    fixture.report(w1, report_of(second_start, milliseconds(50)));
+    for (const decision& each : fixture.subject.take_decisions()) {
+        CHECK(each.kind != decision_kind::crash_noted);
+    }
+}
