fleet: Uncordon a worker that starts again under its id around an order

The planned order of its machine was dropped when the machine was up again, but the cordon of the worker stayed, since its scheduler record had not been removed: no task was ever started there again.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -156,6 +156,8 @@
                                          double machine_capacity, time_point now);
     void order_idle_machines(time_point now, machine_orders& out);
     void cordon(machine_record& machine, machine_order planned_order, machine_orders& out);
+    /// Forgets the order for a machine that is up, and uncordons its worker.
+    void drop_planned_order(machine_record& machine);
     /// The least used machine that may leave the pool; empty if there is none.
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
     void move_machines(time_point now, std::map<service_id, pool_state>& states,
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -58,8 +58,7 @@
             machine.worker = entry.worker;
         }
         if (entry.state == machine_state::up && machine.ordered) {
-            machine.planned_order.reset();
-            machine.ordered = false;
+            drop_planned_order(machine);
         }
         else if (entry.state != machine_state::up && machine.planned_order) {
             // An order whose answer was lost has been carried out.
@@ -103,11 +102,20 @@
     machine.pool = listing.service;
     machine.state = machine_state::up;
     if (!machine.in_flight) {
-        machine.planned_order.reset();
-        machine.ordered = false;
+        drop_planned_order(machine);
     }
 }
 
+void machine_planner::drop_planned_order(machine_record& machine)
+{
+    // A worker that has started again under its id is still cordoned for the order.
+    if (machine.planned_order && !machine.worker.empty()) {
+        m_uncordoned.push_back({machine.worker, false});
+    }
+    machine.planned_order.reset();
+    machine.ordered = false;
+}
+
 void machine_planner::note_wave(const wave_request& request, time_point first_seen,
                                 const std::set<std::string>& started)
 {
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -140,6 +140,46 @@
     }
 }
 
+// Guards against a worker that stays cordoned for ever since it started again under its id while it
+// was being ended.
+TEST_CASE("a worker that starts again around an order for its machine is uncordoned")
+{
+    const instance_id id("w1");
+    auto listing = listing_of("m1", "w1");
+    listing.started_at = wall_time{milliseconds(1'700'000'000'000)};
+    job::scheduler scheduler = scheduler_with({listing});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
+                      start, {});
+    const auto first = planner.plan(start, scheduler);
+    REQUIRE(first.orders.size() == 1);
+    REQUIRE(first.cordons.size() == 1);
+    scheduler.cordon_worker(id, true);
+    auto next = listing;
+    next.started_at = *listing.started_at + seconds(30);
+    const job::worker_report report{.worker_clock = milliseconds(1), .started_at = next.started_at};
+
+    SECTION("its row is read before the answer")
+    {
+        scheduler.note_worker_listed(next, start + seconds(2));
+        planner.note_worker(next);
+        planner.note_answer(first.orders[0], machine_answer::accepted, start + seconds(2));
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(3));
+    }
+    SECTION("it answers before the order is answered, and its row is read after")
+    {
+        scheduler.note_report(id, report, start + seconds(1), start + seconds(1));
+        planner.note_answer(first.orders[0], machine_answer::accepted, start + seconds(2));
+        planner.note_worker(next);
+    }
+    for (const cordon_change& each : planner.plan(start + seconds(4), scheduler).cordons) {
+        scheduler.cordon_worker(each.worker, each.cordoned);
+    }
+    CHECK_FALSE(scheduler.workers().at(id).cordoned);
+}
+
 TEST_CASE("a machine list read while an order is in flight doesn't free a slot of the wave")
 {
     // Persisting the order in a slow store takes longer than reading the list.
