fleet: Ignore starts of workers that are in the future

Another writer's row with a start in the far future made the worker's own row count as outdated, so that the worker was never used. The model workers in the tests now answer polls only at their own address.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds max_job_view_age{2000};
 /// No job has waited longer than its callers wait; limits the effect of a wrong clock.
 constexpr milliseconds max_job_age{60000};
+/// A worker's start that is later than this process's clock by more is a mistake of the row's
+/// writer. The worker's own row, with its real start, would count as outdated.
+constexpr milliseconds max_clock_difference{60000};
 
 metric_options shard_gauge(std::string name, std::string help, shard_number shard)
 {
@@ -273,6 +276,12 @@
     if (!owns(*listing)) {
         return;
     }
+    const bool starts_in_future =
+        listing->started_at &&
+        *listing->started_at > m_context.loop.wall_now() + max_clock_difference;
+    if (starts_in_future) {
+        listing->started_at.reset();
+    }
     const auto existing = m_scheduler.workers().find(id);
     if (existing != m_scheduler.workers().end() && existing->second.listed &&
         existing->second.listing == *listing) {
@@ -283,6 +292,10 @@
                                     id.str(), row.version));
         return;
     }
+    if (starts_in_future) {
+        worker_log.warning(fmt::format("worker {} has a row with a start in the future, version {}",
+                                       id.str(), row.version));
+    }
     worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
                                 listing->address, listing->service.str(),
                                 listing->draining ? ", draining" : "", row.version));
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -192,6 +192,22 @@
     });
 }
 
+void fleet_simulation::replace_worker_row(std::size_t worker, wall_time started_at,
+                                          milliseconds replaced_time)
+{
+    const instance_id id = m_worker_ids[worker];
+    job::worker_listing& listing = m_listings.at(id.str());
+    const std::string address = std::exchange(listing.address, "10.9.9.9:80");
+    listing.started_at = started_at;
+    m_rows.put({"workers", "", id.str()}, "replaced");
+    m_loop.call_after(replaced_time, [this, id, address] {
+        job::worker_listing& replaced = m_listings.at(id.str());
+        replaced.address = address;
+        replaced.started_at = wall_time{seconds(1)};
+        m_rows.put({"workers", "", id.str()}, id.str());
+    });
+}
+
 std::vector<machine_info> fleet_simulation::machines() const
 {
     std::vector<machine_info> listed;
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -114,6 +114,9 @@
     /// Removes the row of a live worker from the store for a time, as when its reports to the
     /// platform are lost.
     void unlist_worker(std::size_t worker, milliseconds unlisted_time);
+    /// Replaces the row of a live worker for a time by one of another writer, with an address at
+    /// which nothing answers and the given start.
+    void replace_worker_row(std::size_t worker, wall_time started_at, milliseconds replaced_time);
     /// Injects a random fault. Faults of a single entry mostly hit the leader, if there is one.
     void inject_fault();
     /// Ends all faults of the store and the paths to workers, and restarts dead entries.
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -344,6 +344,23 @@
     CHECK(world.stored_state(id) == "completed");
 }
 
+// Guards against a worker that is never used again: its own row counted as outdated after another
+// writer's row with a start in the far future.
+TEST_CASE("a row with a start in the far future doesn't hide its worker")
+{
+    fleet_simulation world(7);
+    world.run_for(seconds(2));
+    for (std::size_t worker = 0; worker < fleet_simulation::worker_count; ++worker) {
+        world.replace_worker_row(worker, wall_time{std::chrono::hours(24 * 365 * 200)},
+                                 milliseconds(1500));
+    }
+    world.run_for(seconds(4));
+    const job_id id = world.submit(two_step_job(2, milliseconds(300)));
+    world.run_for(seconds(10));
+    check_no_violations(world.workers());
+    CHECK(world.stored_state(id) == "completed");
+}
+
 TEST_CASE("a progress transaction that is applied late doesn't overwrite a later one")
 {
     fleet_simulation world(8);
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -64,6 +64,11 @@
     }
 }
 
+bool model_workers::has_address(const worker_address& to) const
+{
+    return m_addresses.at(to.id) == to.address;
+}
+
 job::order_answer model_workers::answer_without(const instance_id& id) const
 {
     const std::string& address = m_addresses.at(id);
@@ -426,6 +431,10 @@
             m_entry_loop.call_after(nanoseconds(0), [callback, result] { callback(result); });
         });
     };
+    if (!m_workers.has_address(to)) {
+        respond(one_way_latency, done, {.answer = job::order_answer::unreachable, .report = {}});
+        return;
+    }
     const auto fault = m_workers.fault(m_entry, to.id);
     if (fault != path_fault::none) {
         if (fault == path_fault::lost_answer) {
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -55,6 +55,8 @@
 
     /// Starts a worker instance.
     void start_worker(const job::worker_listing& listing);
+    /// Whether the worker was started at this address.
+    [[nodiscard]] bool has_address(const worker_address& to) const;
     /// Ends a worker instance and its runs without a report, as in a crash.
     void end_worker(const instance_id& id);
     /// Sets how a job behaves. Must be called before its first task is started.
