--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -172,6 +172,7 @@
         worker.lease_bound = now + with_margins(m_options.max_lease);
     }
     note_reported_start(worker, report, sent);
+    forget_refuted_end(worker, sent);
     if (!worker.token_acknowledged) {
         note_successor(worker);
     }
@@ -215,6 +216,11 @@
         known = worker.runs.find(reported.run);
     }
     worker_run& run = known->second;
+    if (run.last_report == 0 && run.confirmed == time_point{} && run.phase != run_phase::ordered) {
+        // The start had no answer and may have been carried out only now, seconds after the order.
+        run.ordered = now;
+        run.adopted = true;
+    }
     run.last_report = worker.reports;
     note_run_arrived(run);
     if (run.phase == run_phase::ordered || run.phase == run_phase::unconfirmed) {
