quota: Leave the others' excess unused after a cap is lowered

Each shard compared only its own use with its own share. With two shards, a cap of 8000 and 4000 running in one, the other started 1000 more after the cap had become 2000. A shard now publishes what its runs exceed its share by, and the others leave as much of theirs unused.

--- a/packages/fleet/src/quota_rows.cpp
+++ b/packages/fleet/src/quota_rows.cpp
@@ -85,6 +85,18 @@
     return true;
 }
 
+bool read_excess(const json& from, policy::quota_row& row)
+{
+    for (const auto& [workspace, counts] : from.items()) {
+        const auto excess = share_of(counts);
+        if (!excess) {
+            return false;
+        }
+        row.excess[workspace_id(workspace)] = *excess;
+    }
+    return true;
+}
+
 } // namespace
 
 row_address quota_address(shard_number shard)
@@ -105,7 +117,11 @@
         requests[workspace.str()] = {share_json(request.next), share_json(request.all),
                                      request.since};
     }
-    return json{{"write", write}, {"given", given}, {"requests", requests}}.dump();
+    json text{{"write", write}, {"given", given}, {"requests", requests}};
+    for (const auto& [workspace, excess] : row.excess) {
+        text["excess"][workspace.str()] = share_json(excess);
+    }
+    return text.dump();
 }
 
 std::optional<policy::quota_row> parse_quota_row(std::string_view text)
@@ -120,9 +136,15 @@
         !requests->is_object()) {
         return std::nullopt;
     }
+    // Absent where there is none.
+    const auto excess = parsed.find("excess");
+    if (excess != parsed.end() && !excess->is_object()) {
+        return std::nullopt;
+    }
     policy::quota_row row;
-    return read_given(*given, row) && read_requests(*requests, row) ? std::optional(std::move(row))
-                                                                    : std::nullopt;
+    const bool valid = read_given(*given, row) && read_requests(*requests, row) &&
+                       (excess == parsed.end() || read_excess(*excess, row));
+    return valid ? std::optional(std::move(row)) : std::nullopt;
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -205,6 +205,19 @@
     return listed;
 }
 
+void fleet_simulation::set_workspaces(std::vector<policy::workspace_policy> workspaces)
+{
+    fleet_config config = *m_config;
+    ++config.version;
+    config.workspaces = std::move(workspaces);
+    m_config = std::make_shared<const fleet_config>(std::move(config));
+    for (const auto& entry : m_entries) {
+        if (entry->alive()) {
+            entry->apply(m_config);
+        }
+    }
+}
+
 void fleet_simulation::kill(std::size_t entry)
 {
     m_entries[entry]->kill();
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -68,6 +68,8 @@
     [[nodiscard]] fakes::process_loop& loop() { return m_loop; }
     [[nodiscard]] entry_store& store() { return m_store; }
     [[nodiscard]] job_writer& writer() { return *m_writer; }
+    /// Must be alive.
+    void apply(std::shared_ptr<const fleet_config> config) { m_shards->apply(std::move(config)); }
     /// Stops the entry at once: nothing more runs on its loop. Can't be undone.
     void kill();
 
@@ -106,6 +108,9 @@
     job_id submit(model_job job);
     /// Cancels a job at the first entry that is neither dead nor frozen.
     void cancel(const job_id& id);
+    /// Replaces the workspaces in all live entries at once. The workers check the caps that they
+    /// were last given.
+    void set_workspaces(std::vector<policy::workspace_policy> workspaces);
     void kill(std::size_t entry);
     /// Starts a new incarnation of an entry; the previous one must be dead.
     void restart(std::size_t entry);
--- a/packages/fleet/tests/quota_simulation_test.cpp
+++ b/packages/fleet/tests/quota_simulation_test.cpp
@@ -175,6 +175,33 @@
     check_no_violations(world.workers());
 }
 
+// Guards against shards that compare only their own use with their own part, while another shard
+// runs far more than the cap since before it was lowered or set.
+TEST_CASE("after a cap is lowered or first set, no shard starts tasks while the use is above it")
+{
+    for (const std::int64_t before : {8000, 0}) {
+        INFO("cap before " << before);
+        fleet_simulation world(26, fleet_simulation::machine_list::answers, 2,
+                               alpha_with_cap(before));
+        world.run_for(seconds(12));
+        static_cast<void>(submit_to_shard(world, 0, 8, milliseconds(30000)));
+        world.run_for(seconds(2));
+        REQUIRE(world.workers().used_by(alpha) == 4000);
+        world.set_workspaces(alpha_with_cap(2000));
+        // The previous cap counts for 3 s.
+        world.run_for(seconds(3));
+        world.workers().set_cap(alpha, {.cpu_millis = 2000});
+        const job_id later = submit_to_shard(world, 1, 2, milliseconds(1000));
+        world.run_for(seconds(15));
+        CHECK(world.workers().used_by(alpha) == 4000);
+        CHECK(world.stored_state(later) != "completed");
+        world.run_for(seconds(20));
+        CHECK(world.stored_state(later) == "completed");
+        CHECK(world.workers().running() == 0);
+        check_no_violations(world.workers());
+    }
+}
+
 TEST_CASE("without a cap, or with one shard, there are no rows of shares")
 {
     fleet_simulation uncapped(24, fleet_simulation::machine_list::answers, 2, {{.id = alpha}});
@@ -191,6 +218,16 @@
     }
 }
 
+TEST_CASE("the excess in a row of shares is read as it was written, or is empty in earlier rows")
+{
+    policy::quota_row row;
+    row.excess[alpha] = {1, 2, 3};
+    CHECK(parse_quota_row(to_text(row, 17)) == row);
+    CHECK(parse_quota_row(R"({"given":{},"requests":{}})") == policy::quota_row{});
+    CHECK_FALSE(parse_quota_row(R"({"given":{},"requests":{},"excess":[]})"));
+    CHECK_FALSE(parse_quota_row(R"({"given":{},"requests":{},"excess":{"a":[1,2,-1]}})"));
+}
+
 TEST_CASE("a row of shares is read as it was written, and a malformed one isn't read")
 {
     policy::quota_row row;
--- a/packages/policy/include/plantaindoor/policy/quota_division.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_division.hpp
@@ -30,6 +30,8 @@
     /// All that the shard ever gave, by workspace and recipient. Never decreases.
     std::map<workspace_id, std::map<std::uint32_t, quota_share>> given;
     std::map<workspace_id, quota_request> requests;
+    /// What the shard uses beyond its share since the cap was lowered or first set.
+    std::map<workspace_id, quota_share> excess;
 
     friend bool operator==(const quota_row&, const quota_row&) = default;
 };
@@ -66,7 +68,8 @@
     /// The shard's share; empty before restore().
     [[nodiscard]] quota_share share(const workspace_id& workspace) const;
     /// The part of it that new tasks may use: what exceeds the shard's base share is kept for
-    /// shards that ask for their base share, and goes to them as runs end.
+    /// shards that ask for their base share, and goes to them as runs end. What the others last
+    /// published as their excess is left out, whatever its age, as runs may outlast their leader.
     [[nodiscard]] quota_share usable_share(const workspace_id& workspace, time_point now) const;
 
     /// Gives at most `wanted` of what is free; returns what was given, which counts at once.
@@ -100,6 +103,7 @@
     [[nodiscard]] quota_share owed_to(const requester& to, const workspace_id& workspace) const;
     void refresh_request(const workspace_id& workspace, const quota_usage& usage,
                          wall_time wall_now);
+    void refresh_excess(const workspace_id& workspace, const quota_usage& usage, bool in_doubt);
     void give_to_requesters(const workspace_id& workspace, const quota_usage& usage,
                             time_point now);
 
--- a/packages/policy/src/quota_division.cpp
+++ b/packages/policy/src/quota_division.cpp
@@ -42,7 +42,8 @@
 void quota_division::restore(quota_row own)
 {
     m_own = std::move(own);
-    // The predecessor's demand; this leader doesn't know its own yet.
+    // The predecessor's demand; this leader doesn't know its own yet. The excess stays, as the
+    // predecessor's runs do.
     m_own.requests.clear();
     m_restored = true;
 }
@@ -121,7 +122,14 @@
     for (const requester& each : requesters(workspace, now)) {
         kept += owed_to(each, workspace);
     }
-    return all - smaller_of(kept, larger_of(all - base, {}));
+    quota_share usable = all - smaller_of(kept, larger_of(all - base, {}));
+    for (const auto& [shard, known] : m_others) {
+        if (const auto excess = known.row.excess.find(workspace);
+            excess != known.row.excess.end()) {
+            usable -= excess->second;
+        }
+    }
+    return larger_of(usable, {});
 }
 
 quota_share quota_division::give(const workspace_id& workspace, std::uint32_t recipient,
@@ -158,6 +166,25 @@
     m_own.requests[workspace] = request;
 }
 
+void quota_division::refresh_excess(const workspace_id& workspace, const quota_usage& usage,
+                                    bool in_doubt)
+{
+    // Possible runs are left out: they are far more than what the predecessor may have started, and
+    // would stop all shards at each change of a leader.
+    quota_share excess =
+        larger_of(units_of(usage.running, usage.cap) - share(workspace), quota_share{});
+    if (const auto known = m_own.excess.find(workspace); known != m_own.excess.end() && in_doubt) {
+        // Not all of the predecessor's runs have been reported yet.
+        excess = larger_of(excess, known->second);
+    }
+    if (is_empty(excess)) {
+        m_own.excess.erase(workspace);
+    }
+    else {
+        m_own.excess[workspace] = excess;
+    }
+}
+
 void quota_division::give_to_requesters(const workspace_id& workspace, const quota_usage& usage,
                                         time_point now)
 {
@@ -182,12 +209,14 @@
 {
     const quota_row before = m_own;
     std::erase_if(m_own.requests, [&](const auto& each) { return !usages.contains(each.first); });
+    std::erase_if(m_own.excess, [&](const auto& each) { return !usages.contains(each.first); });
     std::erase_if(m_used_before, [&](const auto& each) { return !usages.contains(each.first); });
     for (const auto& [workspace, usage] : usages) {
         refresh_request(workspace, usage, wall_now);
         if (may_give) {
             give_to_requesters(workspace, usage, now);
         }
+        refresh_excess(workspace, usage, !may_give);
     }
     return m_own != before;
 }
