quota: Request a part for a workspace's first task without room

A task that waited at its shard's part while the pool was full was neither requested from other shards nor counted as load, so that no machine was ordered for it and it could wait for ever.

--- a/packages/job/tests/quota_test.cpp
+++ b/packages/job/tests/quota_test.cpp
@@ -265,6 +265,26 @@
     CHECK(started == 2);
 }
 
+// Guards against a workspace that waits for ever: without a part its task isn't load, so that no
+// machine is ordered for it, and without room on a machine it asked for no part.
+TEST_CASE(
+    "A task that waits at its part in a full pool asks for a part, and is load once it has it")
+{
+    quota_fixture fixture({.cpu_millis = 2000}, {.shard = 0, .shard_count = 2});
+    fixture.pass_doubt();
+    static_cast<void>(fixture.submit("b", tasks(8, 1000), workspace_id()));
+    REQUIRE(fixture.plan().starts.size() == 8);
+    static_cast<void>(fixture.submit("a", tasks(3, 1500), alpha));
+    CHECK(fixture.plan().starts.empty());
+    CHECK(fixture.subject.quota().find(alpha)->next.cpu_millis == 1500);
+    CHECK(fixture.subject.quota().find(alpha)->wanted.cpu_millis == 1500);
+    CHECK(fixture.subject.loads()[checks].ready == 0);
+    const policy::quota_share whole{policy::quota_units, policy::quota_units, policy::quota_units};
+    fixture.subject.quota().set_share(alpha, whole, whole);
+    CHECK(fixture.plan().starts.empty());
+    CHECK(fixture.subject.loads()[checks].ready > 0);
+}
+
 TEST_CASE("An isolated task at the cap waits without keeping a worker from other tasks")
 {
     quota_fixture fixture({.cpu_millis = 1000});
--- a/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
+++ b/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
@@ -36,8 +36,8 @@
     /// In the last round: tasks that waited at the cap, and their amounts.
     std::uint32_t waiting_tasks = 0;
     resources waiting;
-    /// Of the waiting tasks, those which the shard could run if its part were larger: the first one
-    /// in the order of placement, and all together.
+    /// Of the waiting tasks, those which would need a larger part: the first one in the order of
+    /// placement, and together with it all others that the shard has room for.
     resources next;
     resources wanted;
 
--- a/packages/policy/src/workspace_quota.cpp
+++ b/packages/policy/src/workspace_quota.cpp
@@ -159,12 +159,21 @@
     }
     usage.waiting_tasks += tasks;
     usage.waiting += amounts_for(need, tasks);
-    if (reason == quota_verdict::part_in_use && has_room) {
-        if (usage.wanted == resources{}) {
-            usage.next = amounts_for(need, width);
-        }
+    if (reason != quota_verdict::part_in_use) {
+        return;
+    }
+    const bool is_first = usage.wanted == resources{};
+    if (is_first) {
+        usage.next = amounts_for(need, width);
+    }
+    if (has_room) {
         usage.wanted += amounts_for(need, tasks);
     }
+    else if (is_first) {
+        // A task without room becomes load, for which machines are ordered, only once its shard has
+        // the part for it.
+        usage.wanted += usage.next;
+    }
 }
 
 void workspace_quota::end_round(time_point now)
--- a/packages/policy/tests/workspace_quota_test.cpp
+++ b/packages/policy/tests/workspace_quota_test.cpp
@@ -171,6 +171,26 @@
     CHECK_FALSE(ended[0].waits);
 }
 
+// Guards against a task that neither gets a part, as its pool is full, nor a machine, as it waits
+// for its part.
+TEST_CASE("The first task that waits at the part is wanted even if the shard has no room for it")
+{
+    workspace_quota quota({.shard = 0, .shards = 2});
+    quota.set_workspaces(with_cap({.cpu_millis = 1000}));
+    const resources task{.cpu_millis = 600};
+    quota.begin_round();
+    quota.add_waiting(alpha, quota_verdict::larger_than_cap, {.cpu_millis = 2000}, 4, 1, false);
+    CHECK(quota.find(alpha)->wanted == resources{});
+    quota.add_waiting(alpha, quota_verdict::part_in_use, task, 4, 2, false);
+    CHECK(quota.find(alpha)->next.cpu_millis == 1200);
+    CHECK(quota.find(alpha)->wanted.cpu_millis == 1200);
+    quota.add_waiting(alpha, quota_verdict::part_in_use, task, 4, 1, false);
+    CHECK(quota.find(alpha)->wanted.cpu_millis == 1200);
+    quota.add_waiting(alpha, quota_verdict::part_in_use, {.cpu_millis = 100}, 3, 1, true);
+    CHECK(quota.find(alpha)->next.cpu_millis == 1200);
+    CHECK(quota.find(alpha)->wanted.cpu_millis == 1500);
+}
+
 // Guards against an overflow that makes a huge task or cap look small.
 TEST_CASE("Huge amounts are compared without an overflow")
 {
