job: Request parts for smaller tasks beside one without room

One task without room hid all other tasks of its workspace in the service from the exchange of parts. Needs with and without room are now kept for the round, so that a round doesn't try each worker for each job either.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -454,8 +454,13 @@
     policy::workspace_quota m_quota;
     /// Steps that waited at a cap in the last round, by their first task.
     std::set<task_name> m_waiting_at_cap;
-    /// Services without room for a task of a workspace that waits at its cap, in this round.
-    std::set<std::pair<workspace_id, service_id>> m_no_room_at_cap;
+    /// Footprints of tasks that wait at a cap, for which a service's workers have room or not.
+    struct room_results {
+        std::vector<resources> placeable;
+        std::vector<resources> unplaceable;
+    };
+    /// In this round.
+    std::map<service_id, room_results> m_room_at_cap;
     policy::submission_rates m_submission_rates;
     struct unjudged_job {
         time_point submitted{};
--- a/packages/job/src/scheduler_quota.cpp
+++ b/packages/job/src/scheduler_quota.cpp
@@ -16,7 +16,7 @@
 {
     m_quota.begin_round();
     m_waiting_at_cap.clear();
-    m_no_room_at_cap.clear();
+    m_room_at_cap.clear();
     if (!m_quota.has_caps() || !has_predecessor_doubt(now)) {
         return;
     }
@@ -55,19 +55,26 @@
 
 bool scheduler::has_room_for(const job_record& job, std::uint32_t step)
 {
-    // Where one task of the workspace found no room, the others aren't tried in this round.
-    const std::pair at(job.workspace(), job.queue().service);
-    const auto candidates = m_candidates.find(at.second);
-    if (candidates == m_candidates.end() || m_no_room_at_cap.contains(at)) {
+    const auto candidates = m_candidates.find(job.queue().service);
+    if (candidates == m_candidates.end()) {
         return false;
     }
+    // Both results are kept for the round, so that it doesn't try each worker for each job. Room
+    // that is taken later in the round is noticed in the next one.
+    room_results& known = m_room_at_cap[job.queue().service];
     const resources footprint = job.spec().steps[step].footprint();
+    if (std::any_of(known.placeable.begin(), known.placeable.end(),
+                    [&](const resources& met) { return met.can_fit(footprint); })) {
+        return true;
+    }
+    if (std::any_of(known.unplaceable.begin(), known.unplaceable.end(),
+                    [&](const resources& unmet) { return footprint.can_fit(unmet); })) {
+        return false;
+    }
     const bool has_room = std::any_of(
         candidates->second.begin(), candidates->second.end(),
         [&](const worker_record* each) { return each->free_capacity().can_fit(footprint); });
-    if (!has_room) {
-        m_no_room_at_cap.insert(at);
-    }
+    (has_room ? known.placeable : known.unplaceable).push_back(footprint);
     return has_room;
 }
 
--- a/packages/job/tests/quota_test.cpp
+++ b/packages/job/tests/quota_test.cpp
@@ -285,6 +285,27 @@
     CHECK(fixture.subject.loads()[checks].ready > 0);
 }
 
+// Guards against a large task without room that hides its workspace's other tasks from the
+// exchange.
+TEST_CASE("Tasks with room are wanted beside a larger task of their workspace without room")
+{
+    quota_fixture fixture({.cpu_millis = 6000}, {.shard = 0, .shard_count = 2});
+    fixture.pass_doubt();
+    static_cast<void>(fixture.submit("b", tasks(6, 1000), workspace_id()));
+    REQUIRE(fixture.plan().starts.size() == 6);
+    fixture.subject.quota().set_share(alpha, {}, {});
+    static_cast<void>(fixture.submit("a", tasks(1, 3000), alpha));
+    static_cast<void>(fixture.submit("c", tasks(2, 500), alpha));
+    static_cast<void>(fixture.submit("d", tasks(1, 400), alpha));
+    static_cast<void>(fixture.submit("e", tasks(1, 3500), alpha));
+    CHECK(fixture.plan().starts.empty());
+    const policy::quota_usage& usage = *fixture.subject.quota().find(alpha);
+    CHECK(usage.waiting.cpu_millis == 7900);
+    // The task of 3500 has no room and isn't the first.
+    CHECK(usage.next.cpu_millis == 3000);
+    CHECK(usage.wanted.cpu_millis == 4400);
+}
+
 TEST_CASE("An isolated task at the cap waits without keeping a worker from other tasks")
 {
     quota_fixture fixture({.cpu_millis = 1000});
