quota: Let requests in large rows last two of their writer's intervals

With 230 workspaces and 5 shards a row may have 30 KB and is written each 4.8 s, but requests were ignored after 3 s, so that a donor that writes as rarely might never see one. The interval is bounded at 10 s; at 2 s the rows would need more than the 29 KB/s that control may use.

--- a/packages/fleet/include/plantaindoor/fleet/quota_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/quota_rows.hpp
@@ -13,6 +13,8 @@
 namespace plantaindoor::fleet {
 
 inline constexpr std::string_view quota_table = "quota";
+/// The longest interval in a row, so that requests of a shard without a leader expire.
+inline constexpr milliseconds max_quota_interval{10000};
 
 /// Beside the claim of the shard's leader, on which its writes are conditioned.
 [[nodiscard]] row_address quota_address(shard_number shard);
--- a/packages/fleet/src/quota_exchange.cpp
+++ b/packages/fleet/src/quota_exchange.cpp
@@ -17,7 +17,8 @@
 /// Bounds, with the timeout of the call, for how long a lost watch call hides a transfer.
 constexpr milliseconds watch_wait{2000};
 /// Each write is read by the leaders of all other shards, so that large rows are written less
-/// often.
+/// often. With 230 workspaces and 5 shards, a row has up to 30 KB; written every 2 s, the others'
+/// rows alone would take 60 KB/s at each leader, where control may take 29 KB/s.
 constexpr std::int64_t bytes_per_ms = 8;
 
 } // namespace
@@ -170,11 +171,15 @@
 void quota_exchange::write()
 {
     const row_address at = quota_address(m_options.shard);
-    std::string text = to_text(m_division.row(), ++m_writes);
+    policy::quota_row row = m_division.row();
+    const std::size_t size = to_text(row, ++m_writes).size();
+    row.interval = std::min(max_quota_interval,
+                            m_options.write_interval +
+                                milliseconds(static_cast<std::int64_t>(size) / bytes_per_ms));
+    std::string text = to_text(row, m_writes);
     m_rows.add();
     m_bytes.add(text.size());
-    m_next_write = m_loop.now() + m_options.write_interval +
-                   milliseconds(static_cast<std::int64_t>(text.size()) / bytes_per_ms);
+    m_next_write = m_loop.now() + row.interval;
     m_writing = true;
     m_unwritten = true;
     // The claim keeps out a predecessor's late write, and the version an earlier one of this
--- a/packages/fleet/src/quota_rows.cpp
+++ b/packages/fleet/src/quota_rows.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstddef>
@@ -121,6 +122,9 @@
     for (const auto& [workspace, excess] : row.excess) {
         text["excess"][workspace.str()] = share_json(excess);
     }
+    if (row.interval > milliseconds(0)) {
+        text["interval"] = row.interval.count();
+    }
     return text.dump();
 }
 
@@ -142,6 +146,14 @@
         return std::nullopt;
     }
     policy::quota_row row;
+    // Absent in rows of earlier versions.
+    if (const auto interval = parsed.find("interval"); interval != parsed.end()) {
+        if (!interval->is_number_unsigned()) {
+            return std::nullopt;
+        }
+        row.interval = milliseconds(
+            std::min<std::uint64_t>(interval->get<std::uint64_t>(), max_quota_interval.count()));
+    }
     const bool valid = read_given(*given, row) && read_requests(*requests, row) &&
                        (excess == parsed.end() || read_excess(*excess, row));
     return valid ? std::optional(std::move(row)) : std::nullopt;
--- a/packages/fleet/tests/quota_simulation_test.cpp
+++ b/packages/fleet/tests/quota_simulation_test.cpp
@@ -228,6 +228,35 @@
     CHECK_FALSE(parse_quota_row(R"({"given":{},"requests":{},"excess":{"a":[1,2,-1]}})"));
 }
 
+TEST_CASE("a row of shares names the time until its next write, of at most 10 s")
+{
+    for (const std::size_t workspaces : {1U, 230U, 2000U}) {
+        std::vector<policy::workspace_policy> with_caps = alpha_with_cap(2000);
+        fleet_simulation world(27, fleet_simulation::machine_list::answers, 2, with_caps);
+        policy::quota_row row;
+        for (std::size_t each = 0; each < workspaces; ++each) {
+            // A row keeps the counters of workspaces that were removed.
+            row.given[workspace_id("removed" + std::to_string(each))][1] = {1000, 1000, 1000};
+        }
+        world.rows().put(quota_address(0), to_text(row, 1));
+        world.run_for(seconds(12));
+        static_cast<void>(submit_to_shard(world, 0, 8, milliseconds(30000)));
+        world.run_for(seconds(5));
+        const std::string text = world.rows().find(quota_address(0))->value;
+        const auto written = parse_quota_row(text);
+        REQUIRE(written);
+        const auto expected =
+            std::min<std::int64_t>(10000, 1000 + static_cast<std::int64_t>(text.size()) / 8);
+        // The size of the text without the interval counts.
+        CHECK(written->interval.count() <= expected);
+        CHECK(written->interval.count() >= expected - 3);
+        check_no_violations(world.workers());
+    }
+    CHECK(parse_quota_row(R"({"given":{},"requests":{},"interval":9000000})")->interval ==
+          milliseconds(10000));
+    CHECK_FALSE(parse_quota_row(R"({"given":{},"requests":{},"interval":-1})"));
+}
+
 TEST_CASE("a row of shares is read as it was written, and a malformed one isn't read")
 {
     policy::quota_row row;
--- a/packages/policy/include/plantaindoor/policy/quota_division.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_division.hpp
@@ -32,6 +32,8 @@
     std::map<workspace_id, quota_request> requests;
     /// What the shard uses beyond its share since the cap was lowered or first set.
     std::map<workspace_id, quota_share> excess;
+    /// The next write follows after this time if the row has requests; zero if unknown.
+    milliseconds interval{0};
 
     friend bool operator==(const quota_row&, const quota_row&) = default;
 };
@@ -39,8 +41,8 @@
 struct quota_division_options {
     std::uint32_t shard = 0;
     std::uint32_t shards = 1;
-    /// A request whose row hasn't changed for this long is ignored: its shard has no leader, and
-    /// nobody there could use a transfer. Requests are published again each second.
+    /// A request whose row hasn't changed for this long, and for two of its intervals, is ignored:
+    /// its shard has no leader, and nobody there could use a transfer.
     milliseconds max_request_age{3000};
 };
 
--- a/packages/policy/src/quota_division.cpp
+++ b/packages/policy/src/quota_division.cpp
@@ -45,6 +45,7 @@
     // The predecessor's demand; this leader doesn't know its own yet. The excess stays, as the
     // predecessor's runs do.
     m_own.requests.clear();
+    m_own.interval = {};
     m_restored = true;
 }
 
@@ -83,7 +84,7 @@
     for (const auto& [shard, known] : m_others) {
         const auto request = known.row.requests.find(workspace);
         if (request != known.row.requests.end() &&
-            now - known.changed <= m_options.max_request_age) {
+            now - known.changed <= std::max(m_options.max_request_age, 2 * known.row.interval)) {
             all.push_back({shard, request->second});
         }
     }
--- a/packages/policy/tests/quota_division_test.cpp
+++ b/packages/policy/tests/quota_division_test.cpp
@@ -47,6 +47,24 @@
     CHECK(second.usable_share(alpha, start) == half);
 }
 
+// Guards against requests in large rows, which are written less often, that no donor sees in time.
+TEST_CASE("A request counts for 3 s, or for two intervals of its writer if these are longer")
+{
+    const auto given_after = [](milliseconds interval, milliseconds age) {
+        quota_division donor = restored_division(0);
+        quota_row row{.interval = interval};
+        row.requests[alpha] = {.next = {.cpu = 100}, .all = {.cpu = 100}};
+        donor.note_row(1, row, start);
+        return donor.update(usage_of(0, 2000), true, start + age, wall_time{});
+    };
+    CHECK(given_after(milliseconds(0), milliseconds(3000)));
+    CHECK_FALSE(given_after(milliseconds(0), milliseconds(3001)));
+    CHECK(given_after(milliseconds(1100), milliseconds(3000)));
+    CHECK_FALSE(given_after(milliseconds(1100), milliseconds(3001)));
+    CHECK(given_after(milliseconds(4800), milliseconds(9600)));
+    CHECK_FALSE(given_after(milliseconds(4800), milliseconds(9601)));
+}
+
 // Guards against a new leader that publishes no excess before the workers have reported the runs,
 // and against one that stops all shards since it counts every open task as a possible run.
 TEST_CASE("A new leader keeps the published excess while its predecessor is in doubt")
