--- a/packages/fleet/src/quota_rows.cpp
+++ b/packages/fleet/src/quota_rows.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstddef>
@@ -85,6 +86,18 @@
     return true;
 }
 
+bool read_excess(const json& from, policy::quota_row& row)
+{
+    for (const auto& [workspace, counts] : from.items()) {
+        const auto excess = share_of(counts);
+        if (!excess) {
+            return false;
+        }
+        row.excess[workspace_id(workspace)] = *excess;
+    }
+    return true;
+}
+
 } // namespace
 
 row_address quota_address(shard_number shard)
@@ -105,7 +118,14 @@
         requests[workspace.str()] = {share_json(request.next), share_json(request.all),
                                      request.since};
     }
-    return json{{"write", write}, {"given", given}, {"requests", requests}}.dump();
+    json text{{"write", write}, {"given", given}, {"requests", requests}};
+    for (const auto& [workspace, excess] : row.excess) {
+        text["excess"][workspace.str()] = share_json(excess);
+    }
+    if (row.interval > milliseconds(0)) {
+        text["interval"] = row.interval.count();
+    }
+    return text.dump();
 }
 
 std::optional<policy::quota_row> parse_quota_row(std::string_view text)
@@ -120,9 +140,23 @@
         !requests->is_object()) {
         return std::nullopt;
     }
+    // Absent where there is none.
+    const auto excess = parsed.find("excess");
+    if (excess != parsed.end() && !excess->is_object()) {
+        return std::nullopt;
+    }
     policy::quota_row row;
-    return read_given(*given, row) && read_requests(*requests, row) ? std::optional(std::move(row))
-                                                                    : std::nullopt;
+    // Absent in rows of earlier versions.
+    if (const auto interval = parsed.find("interval"); interval != parsed.end()) {
+        if (!interval->is_number_unsigned()) {
+            return std::nullopt;
+        }
+        row.interval = milliseconds(
+            std::min<std::uint64_t>(interval->get<std::uint64_t>(), max_quota_interval.count()));
+    }
+    const bool valid = read_given(*given, row) && read_requests(*requests, row) &&
+                       (excess == parsed.end() || read_excess(*excess, row));
+    return valid ? std::optional(std::move(row)) : std::nullopt;
 }
 
 } // namespace plantaindoor::fleet
--- a/packages/policy/include/plantaindoor/policy/quota_division.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_division.hpp
@@ -31,6 +31,10 @@
     /// All that the shard ever gave, by workspace and recipient. Never decreases.
     std::map<workspace_id, std::map<std::uint32_t, quota_share>> given;
     std::map<workspace_id, quota_request> requests;
+    /// What the shard uses beyond its share since the cap was lowered or first set.
+    std::map<workspace_id, quota_share> excess;
+    /// The next write follows after this time if the row has requests; zero if unknown.
+    milliseconds interval{0};
 
     friend bool operator==(const quota_row&, const quota_row&) = default;
 };
@@ -38,8 +42,8 @@
 struct quota_division_options {
     std::uint32_t shard = 0;
     std::uint32_t shards = 1;
-    /// A request whose row hasn't changed for this long is ignored: its shard has no leader, and
-    /// nobody there could use a transfer. Requests are published again each second.
+    /// A request whose row hasn't changed for this long, and for two of its intervals, is ignored:
+    /// its shard has no leader, and nobody there could use a transfer.
     milliseconds max_request_age{3000};
 };
 
@@ -67,7 +71,8 @@
     /// The shard's share; empty before restore().
     [[nodiscard]] quota_share share(const workspace_id& workspace) const;
     /// The part of it that new tasks may use: what exceeds the shard's base share is kept for
-    /// shards that ask for their base share, and goes to them as runs end.
+    /// shards that ask for their base share, and goes to them as runs end. What the others last
+    /// published as their excess is left out, whatever its age, as runs may outlast their leader.
     [[nodiscard]] quota_share usable_share(const workspace_id& workspace, time_point now) const;
 
     /// Gives at most `wanted` of what is free; returns what was given, which counts at once.
@@ -103,6 +108,7 @@
     [[nodiscard]] quota_share owed_to(const requester& to, const workspace_id& workspace) const;
     void refresh_request(const workspace_id& workspace, const quota_usage& usage,
                          wall_time wall_now);
+    void refresh_excess(const workspace_id& workspace, const quota_usage& usage, bool in_doubt);
     void give_to_requesters(const workspace_id& workspace, const quota_usage& usage,
                             time_point now);
 
