quota: Ignore requests in the first read of the rows

A row that is first read may be of any age, but its requests counted for 3 s, so that a new leader gave parts to a shard without one. They count once the row has been written again.

--- a/packages/fleet/src/quota_exchange.cpp
+++ b/packages/fleet/src/quota_exchange.cpp
@@ -136,7 +136,13 @@
                                           m_options.shard, shard, row.version));
             return;
         }
-        m_division.note_row(shard, std::move(*parsed), m_loop.now());
+        if (m_others && m_others->is_complete()) {
+            m_division.note_row(shard, std::move(*parsed), m_loop.now());
+        }
+        else {
+            // Rows of the first read may be of any age.
+            m_division.note_old_row(shard, std::move(*parsed));
+        }
         pass_shares();
         m_on_share();
     }
--- a/packages/fleet/tests/quota_simulation_test.cpp
+++ b/packages/fleet/tests/quota_simulation_test.cpp
@@ -202,6 +202,19 @@
     }
 }
 
+// Guards against a part that is given to a shard without a leader.
+TEST_CASE("a request that was in the table before its rows were first read is not served")
+{
+    fleet_simulation world(28, fleet_simulation::machine_list::answers, 2, {{.id = alpha}});
+    policy::quota_row row;
+    row.requests[alpha] = {.next = {1000, 1000, 1000}, .all = {1000, 1000, 1000}};
+    world.rows().put(quota_address(1), to_text(row, 1));
+    world.run_for(seconds(12));
+    world.set_workspaces(alpha_with_cap(4000));
+    world.run_for(seconds(10));
+    CHECK(world.rows().find(quota_address(0)) == nullptr);
+}
+
 TEST_CASE("without a cap, or with one shard, there are no rows of shares")
 {
     fleet_simulation uncapped(24, fleet_simulation::machine_list::answers, 2, {{.id = alpha}});
--- a/packages/policy/include/plantaindoor/policy/quota_division.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_division.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace plantaindoor::policy {
@@ -64,7 +65,9 @@
     /// are used.
     void restore(quota_row own);
     [[nodiscard]] bool is_restored() const noexcept { return m_restored; }
-    /// The committed row of another shard.
+    /// The committed row of another shard, of unknown age. Its requests don't count.
+    void note_old_row(std::uint32_t shard, quota_row row);
+    /// The committed row of another shard, which has just been written.
     void note_row(std::uint32_t shard, quota_row row, time_point now);
 
     /// The shard's share; empty before restore().
@@ -87,7 +90,8 @@
 private:
     struct known_row {
         quota_row row;
-        time_point changed{};
+        /// No value while the row's age is unknown.
+        std::optional<time_point> changed;
     };
     struct requester {
         std::uint32_t shard = 0;
--- a/packages/policy/src/quota_division.cpp
+++ b/packages/policy/src/quota_division.cpp
@@ -49,6 +49,13 @@
     m_restored = true;
 }
 
+void quota_division::note_old_row(std::uint32_t shard, quota_row row)
+{
+    if (shard != m_options.shard && shard < m_options.shards) {
+        m_others[shard] = {std::move(row), std::nullopt};
+    }
+}
+
 void quota_division::note_row(std::uint32_t shard, quota_row row, time_point now)
 {
     if (shard != m_options.shard && shard < m_options.shards) {
@@ -83,8 +90,8 @@
     std::vector<requester> all;
     for (const auto& [shard, known] : m_others) {
         const auto request = known.row.requests.find(workspace);
-        if (request != known.row.requests.end() &&
-            now - known.changed <= std::max(m_options.max_request_age, 2 * known.row.interval)) {
+        if (request != known.row.requests.end() && known.changed &&
+            now - *known.changed <= std::max(m_options.max_request_age, 2 * known.row.interval)) {
             all.push_back({shard, request->second});
         }
     }
--- a/packages/policy/tests/quota_division_test.cpp
+++ b/packages/policy/tests/quota_division_test.cpp
@@ -65,6 +65,21 @@
     CHECK_FALSE(given_after(milliseconds(4800), milliseconds(9601)));
 }
 
+// Guards against a part that is given to a shard which may have had no leader for long.
+TEST_CASE("A request in a row of unknown age counts once the row has been written again")
+{
+    quota_division donor = restored_division(0);
+    quota_row row;
+    row.given[alpha][0] = {.cpu = 50};
+    row.requests[alpha] = {.next = {.cpu = 100}, .all = {.cpu = 100}};
+    donor.note_old_row(1, row);
+    CHECK(donor.share(alpha).cpu == half.cpu + 50);
+    CHECK_FALSE(donor.update(usage_of(0, 2000), true, start, wall_time{}));
+    donor.note_row(1, row, start);
+    CHECK(donor.update(usage_of(0, 2000), true, start, wall_time{}));
+    CHECK(donor.share(alpha).cpu == half.cpu - 50);
+}
+
 // Guards against a new leader that publishes no excess before the workers have reported the runs,
 // and against one that stops all shards since it counts every open task as a possible run.
 TEST_CASE("A new leader keeps the published excess while its predecessor is in doubt")
