--- a/packages/policy/src/crash_isolation.cpp
+++ b/packages/policy/src/crash_isolation.cpp
@@ -51,14 +51,11 @@
     std::map<instance_id, std::size_t> suspects_of;
     for (const waiting_suspect& each : waiting) {
         const auto known = m_waits.find(each.job);
-        wait_state& wait =
-            waits
-                .emplace(each.job, known == m_waits.end()
-                                       ? wait_state{.since = now, .searching_since = now}
-                                       : known->second)
-                .first->second;
+        wait_state& wait = waits
+                               .emplace(each.job, known == m_waits.end() ? wait_state{.since = now}
+                                                                         : known->second)
+                               .first->second;
         wait.reason = isolation_wait::none;
-        wait.searched = false;
         ++suspects_of[each.crash];
         m_undecided[each.service].insert(each.job);
     }
@@ -71,9 +68,8 @@
     m_suspects_of = std::move(suspects_of);
     std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) {
         const auto rank = [&](const waiting_suspect& each) {
-            const bool overdue = search_time(each.job) >= overdue_wait;
-            return std::pair(!overdue,
-                             overdue ? m_waits.at(each.job).searching_since : time_point{});
+            const bool overdue = waited(each.job) >= overdue_wait;
+            return std::pair(!overdue, overdue ? m_waits.at(each.job).since : time_point{});
         };
         return rank(left) < rank(right);
     });
@@ -81,12 +77,12 @@
     return waiting;
 }
 
-milliseconds crash_isolation::search_time(const job_id& job) const
+milliseconds crash_isolation::waited(const job_id& job) const
 {
     const auto wait = m_waits.find(job);
     return wait == m_waits.end()
                ? milliseconds(0)
-               : std::chrono::duration_cast<milliseconds>(m_now - wait->second.searching_since);
+               : std::chrono::duration_cast<milliseconds>(m_now - wait->second.since);
 }
 
 std::size_t crash_isolation::group_limit(const waiting_suspect& suspect) const
@@ -111,7 +107,7 @@
         return started.jobs.size() < std::min(started.limit, group_limit(suspect));
     }
     return started.most_crashes == 1 && suspect.crashes == 1 && started.jobs.size() < max_group &&
-           search_time(suspect.job) >= shared_group_wait;
+           waited(suspect.job) >= shared_group_wait;
 }
 
 bool crash_isolation::may_start_on(const waiting_suspect& suspect, const isolation_host& host,
@@ -127,7 +123,7 @@
     if (host.other_runs == 0) {
         return true;
     }
-    const milliseconds wait = search_time(suspect.job);
+    const milliseconds wait = waited(suspect.job);
     if (host.has_last_start) {
         return false;
     }
@@ -166,9 +162,7 @@
         }));
     const bool scarce = undecided.size() > free;
     undecided.erase(suspect.job);
-    m_waits[suspect.job].searched = true;
-    const bool overdue =
-        !pool.full && !pool.others_wait && search_time(suspect.job) >= overdue_wait;
+    const bool overdue = !pool.full && !pool.others_wait && waited(suspect.job) >= overdue_wait;
     const bool may_keep_more = overdue || pool.kept < max_kept(pool);
     const auto is_kept = [&](const isolation_host& host) {
         return host.has_own || host.has_isolated || in_group(host) || is_reserved(host.worker);
@@ -191,7 +185,7 @@
     wait_state& wait = m_waits[suspect.job];
     wait.reason =
         may_keep_more ? isolation_wait::no_free_worker : isolation_wait::too_many_isolated;
-    const bool may_reserve_more = (!pool.full && search_time(suspect.job) >= overdue_wait) ||
+    const bool may_reserve_more = (!pool.full && waited(suspect.job) >= overdue_wait) ||
                                   pool.kept < std::max<std::size_t>(pool.workers / full_divisor, 1);
     if (!may_keep_more || !may_reserve_more) {
         return {};
@@ -251,11 +245,7 @@
         }
         wait_state& wait = m_waits.at(each.job);
         wait.count = counts[each.service];
-        if (wait.reason == isolation_wait::not_durable && !wait.searched) {
-            // The time without a search doesn't show that each worker is in use.
-            wait.searching_since = m_now;
-        }
-        if (!wait.reported && m_now - wait.since >= reported_wait) {
+        if (!wait.reported && waited(each.job) >= reported_wait) {
             wait.reported = true;
             reported.push_back(*position_of(each.job));
         }
@@ -269,12 +259,11 @@
     if (wait == m_waits.end()) {
         return std::nullopt;
     }
-    return suspect_position{
-        .job = job,
-        .position = wait->second.position,
-        .count = wait->second.count,
-        .waited = std::chrono::duration_cast<milliseconds>(m_now - wait->second.since),
-        .reason = wait->second.reason};
+    return suspect_position{.job = job,
+                            .position = wait->second.position,
+                            .count = wait->second.count,
+                            .waited = waited(job),
+                            .reason = wait->second.reason};
 }
 
 } // namespace plantaindoor::policy
