fleet: Let the other shard write its request again in the test of the quota exchange

A request in the first full read of the rows may be of a leader that is gone, so that it doesn't count any more until the row is written again. The test now delivers that change; its checks are unchanged.

--- a/packages/fleet/tests/quota_exchange_test.cpp
+++ b/packages/fleet/tests/quota_exchange_test.cpp
@@ -22,6 +22,8 @@
     row_version version = claim_version;
     std::vector<stored_row> rows;
     std::vector<row_transaction> transactions;
+    /// Delivered by the next watch call.
+    std::vector<stored_row> changes;
     std::size_t reads = 0;
     commit_result answer{.outcome = commit_outcome::unknown, .present = {}};
 
@@ -45,6 +47,15 @@
     void watch(const std::string& /*table*/, row_version after, milliseconds wait,
                row_watch_callback done) override
     {
+        if (!changes.empty()) {
+            m_loop.call_after(milliseconds(5),
+                              [rows = std::exchange(changes, {}), done = std::move(done)] {
+                                  done({.outcome = row_watch_outcome::changed,
+                                        .rows = rows,
+                                        .version = rows.back().version});
+                              });
+            return;
+        }
         m_loop.call_after(wait, [after, done = std::move(done)] {
             done({.outcome = row_watch_outcome::changed, .version = after});
         });
@@ -67,6 +78,8 @@
         policy::quota_row row;
         row.requests[alpha] = {.next = {.cpu = 10}, .all = {.cpu = 10}, .since = 1};
         store.rows.push_back({.at = quota_address(1), .value = to_text(row, 1), .version = 9});
+        // A request counts once its shard has written it again.
+        store.changes.push_back({.at = quota_address(1), .value = to_text(row, 1), .version = 10});
         scheduler.set_workspaces({{.id = alpha, .cap = cap}});
     }
     void begin()
--- a/packages/policy/include/plantaindoor/policy/quota_division.hpp
+++ b/packages/policy/include/plantaindoor/policy/quota_division.hpp
@@ -94,10 +94,10 @@
 private:
     struct known_row {
         quota_row row;
-        /// Requests for which something was given; the next row may ask for more.
-        std::set<workspace_id> answered;
         /// No value while the row's age is unknown.
         std::optional<time_point> changed;
+        /// Requests for which something was given; the next row may ask for more.
+        std::set<workspace_id> answered;
     };
     struct requester {
         std::uint32_t shard = 0;
