--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -104,6 +104,7 @@
     [[nodiscard]] bool check_job_view(time_point now);
     void log_decisions();
     void log_decision(const job::decision& made);
+    void note_job_ended(const job::decision& made);
     void refresh_gauges();
     /// Removes the rows of jobs that ended more than state_retention ago.
     void remove_expired_jobs();
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -1,5 +1,6 @@
 #include "plantaindoor/fleet/leader_session.hpp"
 
+#include "plantaindoor/fleet/decision_log.hpp"
 #include "plantaindoor/fleet/job_rows.hpp"
 #include "plantaindoor/process/logging.hpp"
 
@@ -42,16 +43,6 @@
             .labels = {{"shard", std::to_string(shard)}}};
 }
 
-std::string describe(const std::vector<job::task_crash>& crashes)
-{
-    std::string text;
-    for (const job::task_crash& each : crashes) {
-        text += fmt::format("{}{}{}{}", text.empty() ? "" : ", ", each.worker.str(),
-                            each.on_start ? " on its start" : "", each.alone ? " alone" : "");
-    }
-    return text;
-}
-
 std::vector<job::queue_policy> queues_of(const fleet_config& config)
 {
     std::vector<job::queue_policy> queues;
@@ -388,59 +379,33 @@
 
 void leader_session::log_decision(const job::decision& made)
 {
-    if (made.kind == job::decision_kind::worker_slow ||
-        made.kind == job::decision_kind::interference) {
+    if (made.job.empty()) {
         worker_log.info(describe(made));
         return;
     }
-    const std::string job = fmt::format("job {} at {} ms of {}", made.job.str(), made.age.count(),
-                                        made.objective.count());
-    switch (made.kind) {
-    case job::decision_kind::first_start:
+    if (made.kind == job::decision_kind::first_start) {
         m_first_start_seconds.record(made.age);
-        job_log.info(fmt::format("{}: first start on {}", job, made.worker.str()));
-        break;
-    case job::decision_kind::run_ended:
-        job_log.info(fmt::format("{}: {} attempt {} on {} ended as {}", job,
-                                 to_string(made.run.task), made.run.attempt, made.worker.str(),
-                                 name_of(made.end_reason)));
-        break;
-    case job::decision_kind::run_lost:
-        job_log.info(fmt::format("{}: {} attempt {} lost with worker {}: {}, {} ms after its start",
-                                 job, to_string(made.run.task), made.run.attempt, made.worker.str(),
-                                 name_of(made.worker_end_cause), made.run_age.count()));
-        break;
-    case job::decision_kind::job_ended:
-        m_ended_jobs.push_back({made.job, m_context.loop.now()});
-        if (made.state == job::job_state::completed) {
-            m_job_seconds.record(made.age);
-        }
-        m_context.metrics
-            .counter({"jobs_over_total",
-                      "Jobs that reached a final state",
-                      {{"state", std::string(name_of(made.state))}}})
-            .add();
-        job_log.info(fmt::format("{}: {}{}", job, name_of(made.state),
-                                 made.failure == job::failure_reason::none
-                                     ? ""
-                                     : fmt::format(", {}", name_of(made.failure))));
-        break;
-    case job::decision_kind::crash_noted:
+    }
+    else if (made.kind == job::decision_kind::crash_noted) {
         m_crash_suspicions.add();
-        job_log.info(fmt::format("{}: {} attempt {} may have crashed its worker: {}", job,
-                                 to_string(made.run.task), made.run.attempt,
-                                 describe(made.crashes)));
-        break;
-    case job::decision_kind::isolation_awaited:
-        job_log.info(fmt::format("{}: suspected of a crash, has waited {} ms to start isolated, "
-                                 "position {} of {}: {}",
-                                 job, made.isolation.waited.count(), made.isolation.position,
-                                 made.isolation.count, name_of(made.isolation.reason)));
-        break;
-    case job::decision_kind::worker_slow:
-    case job::decision_kind::interference:
-        break;
     }
+    else if (made.kind == job::decision_kind::job_ended) {
+        note_job_ended(made);
+    }
+    job_log.info(describe_job_decision(made));
+}
+
+void leader_session::note_job_ended(const job::decision& made)
+{
+    m_ended_jobs.push_back({made.job, m_context.loop.now()});
+    if (made.state == job::job_state::completed) {
+        m_job_seconds.record(made.age);
+    }
+    m_context.metrics
+        .counter({"jobs_over_total",
+                  "Jobs that reached a final state",
+                  {{"state", std::string(name_of(made.state))}}})
+        .add();
 }
 
 void leader_session::refresh_gauges()
