fleet: Build the gauges of a shard's leader with one function

The log of learned slow-downs had its own copy of shard_gauge() of the leader session. No gauge's name, help or label changes; fleet_test passes (70 cases).

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -2,6 +2,7 @@
 
 #include "plantaindoor/fleet/decision_log.hpp"
 #include "plantaindoor/fleet/job_rows.hpp"
+#include "plantaindoor/fleet/shard_metrics.hpp"
 #include "plantaindoor/process/logging.hpp"
 
 #include <fmt/format.h>
@@ -36,13 +37,6 @@
 /// writer. The worker's own row, with its real start, would count as outdated.
 constexpr milliseconds max_clock_difference{60000};
 
-metric_options shard_gauge(std::string name, std::string help, shard_number shard)
-{
-    return {.name = std::move(name),
-            .help = std::move(help),
-            .labels = {{"shard", std::to_string(shard)}}};
-}
-
 std::vector<job::queue_policy> queues_of(const fleet_config& config)
 {
     std::vector<job::queue_policy> queues;
--- a/packages/fleet/src/learned_log.cpp
+++ b/packages/fleet/src/learned_log.cpp
@@ -1,20 +1,11 @@
 #include "plantaindoor/fleet/learned_log.hpp"
 
+#include "plantaindoor/fleet/shard_metrics.hpp"
+
 #include <fmt/format.h>
 
 namespace plantaindoor::fleet {
 
-namespace {
-
-metric_options shard_gauge(std::string name, std::string help, shard_number shard)
-{
-    return {.name = std::move(name),
-            .help = std::move(help),
-            .labels = {{"shard", std::to_string(shard)}}};
-}
-
-} // namespace
-
 std::string describe(const job::decision& learned)
 {
     if (learned.kind == job::decision_kind::interference) {
