--- a/packages/connection/include/plantaindoor/connection/http_server.hpp
+++ b/packages/connection/include/plantaindoor/connection/http_server.hpp
@@ -54,7 +54,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Requests received and not yet answered.
     [[nodiscard]] std::size_t in_progress() const;
-    /// Takes no new connection; those that are open stay.
+    /// Refuses new connections. Those that are established stay, also if they haven't been accepted
+    /// yet.
     void stop_listening();
 
 private:
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -132,9 +132,6 @@
             }
         }
         m_daemon.reset();
-        if (m_quiesced_socket >= 0) {
-            ::close(m_quiesced_socket);
-        }
     }
 
     [[nodiscard]] std::uint16_t port() const
@@ -146,9 +143,14 @@
 
     void stop_listening()
     {
-        if (m_quiesced_socket < 0) {
-            m_quiesced_socket = MHD_quiesce_daemon(m_daemon.get());
+        const int listener = MHD_quiesce_daemon(m_daemon.get());
+        if (listener == MHD_INVALID_SOCKET) {
+            return;
         }
+        accept_backlog(listener);
+        // While the socket is open, the system establishes connections that nobody would serve.
+        ::close(listener);
+        turn_soon();
     }
 
 private:
@@ -282,6 +284,22 @@
         }
     }
 
+    /// Takes the connections that were established before the daemon stopped accepting.
+    void accept_backlog(int listener)
+    {
+        sockaddr_storage peer{};
+        socklen_t size = sizeof peer;
+        for (int accepted = 0; accepted >= 0; size = sizeof peer) {
+            accepted = ::accept4(listener, reinterpret_cast<sockaddr*>(&peer), &size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (accepted >= 0) {
+                // The daemon closes a socket that it doesn't take.
+                MHD_add_connection(m_daemon.get(), accepted, reinterpret_cast<sockaddr*>(&peer),
+                                   size);
+            }
+        }
+    }
+
     /// Several answers of one turn of the loop share one run of the daemon.
     void turn_soon()
     {
@@ -317,7 +335,6 @@
     std::shared_ptr<bool> m_alive;
     std::unique_ptr<MHD_Daemon, daemon_deleter> m_daemon;
     int m_descriptor = -1;
-    int m_quiesced_socket = -1;
     timer_id m_timer = timer_id::none;
     bool m_turn_pending = false;
     std::size_t m_in_progress = 0;
--- a/packages/process/tests/http_test.cpp
+++ b/packages/process/tests/http_test.cpp
@@ -360,6 +360,39 @@
     CHECK(both.call({.method = "GET", .target = "/"}).response.body == "late");
 }
 
+// A server that had stopped listening kept its socket: connections were established until the
+// process ended, and their requests were reset without an answer.
+TEST_CASE("a server that stops listening answers what is connected and refuses what is not",
+          "[http]")
+{
+    loopback end;
+    const std::uint16_t port = end.server.port();
+    sockaddr_in address{
+        .sin_family = AF_INET, .sin_port = htons(port), .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    const auto connect_new = [&address] {
+        const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+        const auto* const to = reinterpret_cast<const sockaddr*>(&address);
+        return ::connect(connection, to, sizeof address) == 0 ? connection
+                                                              : (::close(connection), -1);
+    };
+    // The loop hasn't run since, so the server hasn't accepted it.
+    const int waiting = connect_new();
+    REQUIRE(waiting >= 0);
+    end.server.stop_listening();
+    CHECK(connect_new() < 0);
+
+    constexpr std::string_view request = "GET /waiting HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(::send(waiting, request.data(), request.size(), 0) == ssize_t(request.size()));
+    end.loop.call_after(milliseconds(200), [&] { end.loop.stop(); });
+    end.loop.run();
+    std::array<char, 4096> response{};
+    const ssize_t size = ::recv(waiting, response.data(), response.size(), MSG_DONTWAIT);
+    ::close(waiting);
+    REQUIRE(size > 0);
+    CHECK(std::string_view(response.data(), static_cast<std::size_t>(size)).find("200 OK") !=
+          std::string_view::npos);
+}
+
 TEST_CASE("a signal runs its action on the loop, and the loop ends cleanly", "[reactor_loop]")
 {
     bool seen = false;
