--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -31,8 +31,8 @@
     milliseconds backlog_time{1000};
     /// Maximum planned load of a pool, in percent of its capacity.
     std::uint32_t max_load_percent = 92;
-    /// Machines beyond its wanted number that a pool retains when it gives machines away.
-    std::uint32_t spare_machines = 1;
+    /// Machines that a pool retains when it gives machines away, even without any load.
+    std::uint32_t min_machines = 1;
     /// Time before a wave's deadline reserved for draining machines that don't become idle.
     milliseconds wave_reserve{6000};
 };
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -472,7 +472,7 @@
                 const std::string name = move_candidate(source, now);
                 const bool can_give =
                     is_standby(source) ||
-                    source_state.present > source_state.wanted + m_options.spare_machines;
+                    source_state.present > std::max(source_state.wanted, m_options.min_machines);
                 if (name.empty() || !can_give) {
                     break;
                 }
