--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -142,6 +142,8 @@
     {
         return m_critical_paths[step];
     }
+    /// Length of the longest chain of estimates of the steps that aren't complete.
+    [[nodiscard]] milliseconds remaining_path() const;
     /// Time by which the job should complete; later completion is worth less to its callers.
     [[nodiscard]] time_point objective() const;
 
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -197,6 +197,19 @@
     }
 }
 
+milliseconds job_record::remaining_path() const
+{
+    milliseconds longest{0};
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!occurrence.steps[step].is_complete()) {
+                longest = std::max(longest, m_critical_paths[step]);
+            }
+        }
+    }
+    return longest;
+}
+
 time_point job_record::objective() const
 {
     const auto allowed_time =
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -74,19 +74,20 @@
         }
         candidate each{.job = &job, .objective = job.objective()};
         const auto budget = each.objective - job.submitted();
+        const time_point earliest_end = now + job.remaining_path();
         // A long-running job that has started serves users: it isn't made to wait when it moves.
         if (job.is_long_running()) {
             each.tier = job.is_beyond_rate() && job.state() == job_state::queued
                             ? beyond_rate_tier
                             : long_running_tier;
         }
-        else if (now + job.critical_path() > job.submitted() + budget * zero_value_factor) {
+        else if (earliest_end > job.submitted() + budget * zero_value_factor) {
             each.tier = zero_value_tier;
         }
         else if (job.is_beyond_rate()) {
             each.tier = beyond_rate_tier;
         }
-        else if (now > each.objective) {
+        else if (earliest_end > each.objective) {
             each.tier = late_tier;
         }
         else {
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -278,6 +278,46 @@
     CHECK(starts[0].run.task.job == small);
 }
 
+TEST_CASE("load: a job that can't be in time any more doesn't delay one that still can")
+{
+    scheduler_fixture fixture({"w1"});
+    const step_spec whole_worker{.need = {.cpu_millis = 4000}, .estimate = milliseconds(1000)};
+    static_cast<void>(fixture.submit("busy", whole_worker));
+    REQUIRE(fixture.plan().starts.size() == 1);
+    // Its objective is 2 s after its submission.
+    static_cast<void>(fixture.submit("overdue", whole_worker));
+    fixture.now += milliseconds(1500);
+    const job_id fresh = fixture.submit("fresh", whole_worker);
+    fixture.end(instance_id("w1"), {{job_id("busy"), 0, 0, 0}, 1}, run_end_reason::done);
+    const auto starts = fixture.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == fresh);
+}
+
+TEST_CASE("load: steps that are done don't count towards the time that a job still needs")
+{
+    scheduler_fixture fixture({"w1"});
+    const step_spec whole_worker{.need = {.cpu_millis = 4000}, .estimate = milliseconds(1000)};
+    auto two_steps = std::make_shared<job_spec>();
+    two_steps->steps = {whole_worker, whole_worker};
+    two_steps->steps[1].depends_on = {0};
+    const job_id half_done("half-done");
+    fixture.subject.submit(half_done, {.queue = "q", .spec = two_steps, .at = fixture.now});
+    REQUIRE(fixture.plan().starts.size() == 1);
+    // It is of value for 12 s, and its last step still fits into them.
+    fixture.now += milliseconds(10500);
+    fixture.report(instance_id("w1"));
+    // This one is late, but newer.
+    auto late = std::make_shared<job_spec>();
+    late->steps = {whole_worker};
+    fixture.subject.submit(job_id("late"),
+                           {.queue = "q", .spec = late, .at = fixture.now - milliseconds(3000)});
+    fixture.end(instance_id("w1"), {{half_done, 0, 0, 0}, 1}, run_end_reason::done);
+    const auto starts = fixture.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == half_done);
+}
+
 TEST_CASE("a new leader evicts no long-running task while a predecessor's stop may be pending")
 {
     scheduler_fixture fixture({"w1", "w2", "w3"});
