--- a/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
+++ b/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
@@ -15,8 +15,6 @@
 
 namespace plantaindoor::policy {
 
-/// A suspect may share its worker with suspects of other crashes after this wait.
-inline constexpr milliseconds shared_group_wait{600};
 /// A suspect may start beside tasks that have outlived crash_suspicion_time after this wait. A
 /// shorter wait would put them at risk although an empty worker is about to be found.
 inline constexpr milliseconds settled_neighbour_wait{500};
@@ -97,10 +95,8 @@
 };
 
 /// Tells the culprits among the suspects of crashes from the others. A suspect starts isolated: on
-/// a worker without tasks of other jobs, which gets none for a time. Suspects of one crash share a
-/// worker while there are too few for all; a group that crashes again is halved, and a task with
-/// one crash less than max_crashes starts without others. The longer a suspect waits, the more
-/// neighbours it may have. Deterministic; not thread-safe.
+/// a worker without tasks of other jobs, which gets none for a time. The longer a suspect waits, the
+/// more neighbours it may have. Deterministic; not thread-safe.
 class crash_isolation {
 public:
     /// Records that a task of the job is to blame for the crashes of these workers.
@@ -143,16 +139,9 @@
         std::size_t position = 0;
         std::size_t count = 0;
     };
-    /// Suspects that were started together on a worker in this round.
-    struct group {
-        instance_id crash;
-        std::set<job_id> jobs;
-        std::size_t limit = 1;
-        std::size_t most_crashes = 0;
-    };
     [[nodiscard]] milliseconds waited(const job_id& job) const;
-    [[nodiscard]] std::size_t group_limit(const waiting_suspect& suspect) const;
-    [[nodiscard]] bool may_join(const waiting_suspect& suspect, const group& started) const;
+    /// Whether another suspect was started on the worker in this round.
+    [[nodiscard]] bool is_taken(const waiting_suspect& suspect, const instance_id& worker) const;
     [[nodiscard]] bool may_start_on(const waiting_suspect& suspect, const isolation_host& host,
                                     bool full) const;
     [[nodiscard]] bool may_reserve(const waiting_suspect& suspect, const isolation_host& host,
@@ -161,15 +150,11 @@
     /// By crashed worker: the job with the task to blame.
     std::map<instance_id, job_id> m_explained;
     std::map<job_id, wait_state> m_waits;
-    /// Number of jobs that were suspected of a crash, while any of them waits.
-    std::map<instance_id, std::size_t> m_suspects_of;
     // Of the current round.
     time_point m_now{};
     std::vector<waiting_suspect> m_order;
-    /// Suspects of each service that haven't chosen yet.
-    std::map<service_id, std::set<job_id>> m_undecided;
     std::map<instance_id, job_id> m_reserved;
-    std::map<instance_id, group> m_groups;
+    std::map<instance_id, job_id> m_started_on;
     std::set<job_id> m_started;
 };
 
--- a/packages/policy/src/crash_isolation.cpp
+++ b/packages/policy/src/crash_isolation.cpp
@@ -14,9 +14,6 @@
 constexpr std::size_t overload_divisor = 10;
 /// The same in a pool that has room, where these tasks wait because of the isolated ones.
 constexpr std::size_t contended_divisor = 2;
-/// Suspects that may share a worker. A larger group contains a culprit too often, and its crash
-/// costs the others more time than a start without others.
-constexpr std::size_t max_group = 4;
 
 std::size_t max_kept(const isolation_pool& pool)
 {
@@ -44,11 +41,9 @@
 {
     m_now = now;
     m_reserved.clear();
-    m_groups.clear();
+    m_started_on.clear();
     m_started.clear();
-    m_undecided.clear();
     std::map<job_id, wait_state> waits;
-    std::map<instance_id, std::size_t> suspects_of;
     for (const waiting_suspect& each : waiting) {
         const auto known = m_waits.find(each.job);
         wait_state& wait = waits
@@ -56,16 +51,8 @@
                                                                          : known->second)
                                .first->second;
         wait.reason = isolation_wait::none;
-        ++suspects_of[each.crash];
-        m_undecided[each.service].insert(each.job);
     }
     m_waits = std::move(waits);
-    for (auto& [crash, count] : suspects_of) {
-        if (const auto known = m_suspects_of.find(crash); known != m_suspects_of.end()) {
-            count = std::max(count, known->second);
-        }
-    }
-    m_suspects_of = std::move(suspects_of);
     std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) {
         const auto rank = [&](const waiting_suspect& each) {
             const bool overdue = waited(each.job) >= overdue_wait;
@@ -85,39 +72,16 @@
                : std::chrono::duration_cast<milliseconds>(m_now - wait->second.since);
 }
 
-std::size_t crash_isolation::group_limit(const waiting_suspect& suspect) const
+bool crash_isolation::is_taken(const waiting_suspect& suspect, const instance_id& worker) const
 {
-    // Each crash of a group costs its healthy members one of max_crashes, so the last start is
-    // without others.
-    if (suspect.crashes + 1 >= max_crashes) {
-        return 1;
-    }
-    // A group of suspects of several crashes is halved as well.
-    const std::size_t halved = max_group >> (std::max<std::size_t>(suspect.crashes, 1) - 1);
-    const auto suspects = m_suspects_of.find(suspect.crash);
-    return suspects == m_suspects_of.end() ? 1 : std::min((suspects->second + 1) / 2, halved);
-}
-
-bool crash_isolation::may_join(const waiting_suspect& suspect, const group& started) const
-{
-    if (started.jobs.contains(suspect.job)) {
-        return true;
-    }
-    if (started.crash == suspect.crash) {
-        return started.jobs.size() < std::min(started.limit, group_limit(suspect));
-    }
-    return started.most_crashes == 1 && suspect.crashes == 1 && started.jobs.size() < max_group &&
-           waited(suspect.job) >= shared_group_wait;
+    const auto started = m_started_on.find(worker);
+    return started != m_started_on.end() && started->second != suspect.job;
 }
 
 bool crash_isolation::may_start_on(const waiting_suspect& suspect, const isolation_host& host,
                                    bool full) const
 {
-    if (!host.has_room) {
-        return false;
-    }
-    if (const auto started = m_groups.find(host.worker);
-        started != m_groups.end() && !may_join(suspect, started->second)) {
+    if (!host.has_room || is_taken(suspect, host.worker)) {
         return false;
     }
     if (host.other_runs == 0) {
@@ -142,35 +106,24 @@
     if (const auto reserved = m_reserved.find(host.worker); reserved != m_reserved.end()) {
         return reserved->second == suspect.job;
     }
-    return !m_groups.contains(host.worker) && !host.has_isolated && (!overdue || host.has_room);
+    return !m_started_on.contains(host.worker) && !host.has_isolated && (!overdue || host.has_room);
 }
 
 isolation_choice crash_isolation::choose(const waiting_suspect& suspect, const isolation_pool& pool)
 {
-    std::set<job_id>& undecided = m_undecided[suspect.service];
-    const auto in_group = [&](const isolation_host& host) {
-        return m_groups.contains(host.worker);
-    };
     const auto may_use = [&](const isolation_host& host) {
         const auto reserved = m_reserved.find(host.worker);
         return (reserved == m_reserved.end() || reserved->second == suspect.job) &&
                may_start_on(suspect, host, pool.full);
     };
-    const auto free = static_cast<std::size_t>(
-        std::count_if(pool.hosts.begin(), pool.hosts.end(), [&](const isolation_host& host) {
-            return !in_group(host) && host.other_runs == 0 && may_use(host);
-        }));
-    const bool scarce = undecided.size() > free;
-    undecided.erase(suspect.job);
     const bool overdue = !pool.full && !pool.others_wait && waited(suspect.job) >= overdue_wait;
     const bool may_keep_more = overdue || pool.kept < max_kept(pool);
     const auto is_kept = [&](const isolation_host& host) {
-        return host.has_own || host.has_isolated || in_group(host) || is_reserved(host.worker);
+        return host.has_own || host.has_isolated || is_reserved(host.worker);
     };
     const auto cost_of = [&](const isolation_host& host) {
         return std::tuple(!host.has_own, host.has_isolated, host.other_runs > 0,
-                          in_group(host) != scarce, host.has_long_running, host.other_runs,
-                          host.far);
+                          host.has_long_running, host.other_runs, host.far);
     };
     const isolation_host* best = nullptr;
     for (const isolation_host& host : pool.hosts) {
@@ -211,19 +164,11 @@
 void crash_isolation::note_started(const waiting_suspect& suspect, const instance_id& worker)
 {
     m_started.insert(suspect.job);
-    group& started = m_groups[worker];
-    if (started.jobs.empty()) {
-        started.crash = suspect.crash;
-        started.limit = group_limit(suspect);
-    }
-    started.limit = std::min(started.limit, group_limit(suspect));
-    started.most_crashes = std::max(started.most_crashes, suspect.crashes);
-    started.jobs.insert(suspect.job);
+    m_started_on.emplace(worker, suspect.job);
 }
 
 void crash_isolation::note_not_durable(const waiting_suspect& suspect)
 {
-    m_undecided[suspect.service].erase(suspect.job);
     if (const auto wait = m_waits.find(suspect.job); wait != m_waits.end()) {
         wait->second.reason = isolation_wait::not_durable;
     }
--- a/packages/policy/tests/crash_isolation_test.cpp
+++ b/packages/policy/tests/crash_isolation_test.cpp
@@ -86,26 +86,20 @@
     CHECK(isolated(true, true) == 2);
 }
 
-// Guards against groups that cost healthy tasks all the crashes before they are given up.
-TEST_CASE("Groups of suspects are halved with each crash, and the last start is without others")
+// Guards against suspects that are lost with a culprit beside them, and then wait for another turn.
+TEST_CASE("Suspects of one crash start on workers of their own, however few there are")
 {
-    const auto largest = [](std::size_t crashes) {
+    const std::size_t crashes = GENERATE(1, 2, 3);
+    for (const milliseconds wait : {milliseconds(0), milliseconds(600), milliseconds(3000)}) {
         crash_isolation subject;
-        std::size_t result = 0;
-        for (const auto& [worker, jobs] :
-             place(subject, suspects_of_one_crash(30, crashes), empty_pool(3), start)) {
-            result = std::max(result, jobs.size());
+        const auto waiting = suspects_of_one_crash(30, crashes);
+        place(subject, waiting, isolation_pool{}, start);
+        const auto started = place(subject, waiting, empty_pool(3), start + wait);
+        CHECK(started.size() == 3);
+        for (const auto& [worker, jobs] : started) {
+            CHECK(jobs.size() == 1);
         }
-        return result;
-    };
-    CHECK(largest(1) == 4);
-    CHECK(largest(2) == 2);
-    CHECK(largest(3) == 1);
-    // Two suspects can be told apart only on workers of their own.
-    crash_isolation subject;
-    CHECK(place(subject, suspects_of_one_crash(2), empty_pool(1), start)
-              .at(instance_id("w0"))
-              .size() == 1);
+    }
 }
 
 // Guards against a suspect that waits for an empty worker where none becomes empty.
@@ -193,18 +187,16 @@
 }
 
 // Guards against suspects that share a worker although a crash would be held against the wrong one:
-// with a suspect before its last start, or with a suspect in a larger group than its crashes allow.
-TEST_CASE("No choice exceeds the limits of the groups, whatever waits")
+// two suspects that start on one worker at the same time.
+TEST_CASE("No two suspects start together, whatever waits")
 {
     std::mt19937 random(20261204);
     for (int round = 0; round < 500; ++round) {
         crash_isolation subject;
         std::vector<waiting_suspect> waiting;
-        std::map<job_id, std::size_t> crashes;
         for (std::size_t left = 1 + random() % 40; left > 0; --left) {
             waiting.push_back(suspect("j" + std::to_string(left),
                                       "c" + std::to_string(random() % 6), 1 + random() % 3));
-            crashes[waiting.back().job] = waiting.back().crashes;
         }
         isolation_pool pool = empty_pool(1 + random() % 20);
         pool.full = random() % 3 == 0;
@@ -213,16 +205,10 @@
         place(subject, waiting, none, start);
         const auto started = place(subject, waiting, pool, start + milliseconds(random() % 3000));
         for (const auto& [worker, jobs] : started) {
-            for (const job_id& job : jobs) {
-                CHECK(jobs.size() <= (std::size_t(4) >> (crashes[job] - 1)));
-            }
-        }
-        std::size_t jobs_started = 0;
-        for (const auto& [worker, jobs] : started) {
-            jobs_started += jobs.size();
+            CHECK(jobs.size() == 1);
         }
         if (!pool.full && !pool.others_wait) {
-            CHECK((started.size() == pool.workers || jobs_started == waiting.size()));
+            CHECK(started.size() == std::min(pool.workers, waiting.size()));
         }
     }
 }
