--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/fleet/gateways.hpp"
 #include "plantaindoor/fleet/machine_planner.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
+#include "plantaindoor/fleet/recent_orders.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
@@ -94,6 +95,7 @@
     job::scheduler& m_scheduler;
     machine_session_options m_options;
     machine_planner m_planner;
+    recent_orders m_recent_orders;
     std::shared_ptr<bool> m_alive;
     std::unique_ptr<table_watcher> m_wave_rows;
     std::map<std::uint64_t, std::set<std::string>> m_persisted_started;
@@ -102,8 +104,6 @@
     std::vector<waiting_wave> m_waiting_waves;
     std::map<std::uint64_t, bool> m_written_completed;
     std::set<std::uint64_t> m_writing_status;
-    /// Machines with a recent order, and the time of the order.
-    std::map<std::string, time_point> m_recent_orders;
     bool m_waves_read = false;
     bool m_list_pending = false;
     bool m_persisting = false;
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -4,7 +4,6 @@
 #include "plantaindoor/process/logging.hpp"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -40,20 +39,6 @@
     return {std::string(waves_table), control_partition(shard), std::string(recent_orders_key)};
 }
 
-std::set<std::string> parse_machines(const std::string& text)
-{
-    const auto parsed = nlohmann::json::parse(text, nullptr, false);
-    std::set<std::string> machines;
-    if (parsed.is_array()) {
-        for (const auto& each : parsed) {
-            if (each.is_string()) {
-                machines.insert(each.get<std::string>());
-            }
-        }
-    }
-    return machines;
-}
-
 } // namespace
 
 machine_session::machine_session(event_loop& loop, row_store& store, machine_gateway& machines,
@@ -66,6 +51,10 @@
       m_scheduler(scheduler),
       m_options(std::move(options)),
       m_planner(m_options.planning),
+      m_recent_orders(store, {.at = recent_orders_address(m_options.shard),
+                              .claim = m_options.claim,
+                              .commit_timeout = m_options.commit_timeout,
+                              .retention = m_options.handover_delay}),
       m_alive(std::make_shared<bool>(true)),
       m_ended_workers(metrics.counter({"worker_lives_over_total",
                                        "Workers whose end was detected by the list of machines",
@@ -223,38 +212,26 @@
     if (!orders.orders.empty()) {
         persist_and_send(orders.orders, now);
     }
+    m_recent_orders.tick(now);
     persist_waves();
 }
 
 void machine_session::persist_and_send(const std::vector<machine_order>& orders, time_point now)
 {
-    std::erase_if(m_recent_orders,
-                  [&](const auto& each) { return now - each.second > m_options.handover_delay; });
+    std::vector<std::string> machines;
     for (const machine_order& order : orders) {
-        m_recent_orders[order.machine] = now;
-    }
-    std::set<std::string> machines;
-    for (const auto& [machine, when] : m_recent_orders) {
-        machines.insert(machine);
+        machines.push_back(order.machine);
     }
-    row_transaction transaction;
-    transaction.conditions.push_back(m_options.claim);
-    transaction.writes.push_back(
-        {recent_orders_address(m_options.shard), nlohmann::json(machines).dump()});
-    m_store.commit(std::move(transaction), m_options.commit_timeout,
-                   [this, orders, alive = m_alive](const commit_result& result) {
-                       if (!*alive) {
-                           return;
-                       }
-                       for (const machine_order& order : orders) {
-                           if (result.outcome == commit_outcome::applied) {
-                               send_order(order);
-                           }
-                           else {
-                               m_planner.note_answer(order, machine_answer::refused, m_loop.now());
-                           }
-                       }
-                   });
+    m_recent_orders.add(machines, now, [this, orders](bool listed) {
+        for (const machine_order& order : orders) {
+            if (listed) {
+                send_order(order);
+            }
+            else {
+                m_planner.note_answer(order, machine_answer::refused, m_loop.now());
+            }
+        }
+    });
 }
 
 void machine_session::read_list(time_point now)
@@ -334,6 +311,11 @@
     else if (answer != machine_answer::accepted && answer != machine_answer::unanswered) {
         m_scheduler.cancel_planned_end(order.machine);
     }
+    // After a move the list of machines shows another pool. After maintenance it doesn't, and a
+    // successor must still expect the end of the worker.
+    if (order.action == machine_action::move && answer != machine_answer::unanswered) {
+        m_recent_orders.remove(order.machine);
+    }
     m_planner.note_answer(order, answer, now);
     persist_waves();
 }
@@ -358,8 +340,7 @@
     }
     row_transaction transaction;
     transaction.conditions.push_back(m_options.claim);
-    transaction.writes.push_back(
-        {started_address(m_options.shard, wave), nlohmann::json(started).dump()});
+    transaction.writes.push_back({started_address(m_options.shard, wave), to_text(started)});
     m_store.commit(std::move(transaction), m_options.commit_timeout,
                    [this, wave, started, alive = m_alive](const commit_result& result) {
                        if (!*alive) {
--- a/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
+++ b/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
@@ -95,8 +95,8 @@
 };
 
 /// Tells the culprits among the suspects of crashes from the others. A suspect starts isolated: on
-/// a worker without tasks of other jobs, which gets none for a time. The longer a suspect waits, the
-/// more neighbours it may have. Deterministic; not thread-safe.
+/// a worker without tasks of other jobs, which gets none for a time. The longer a suspect waits,
+/// the more neighbours it may have. Deterministic; not thread-safe.
 class crash_isolation {
 public:
     /// Records that a task of the job is to blame for the crashes of these workers.
