--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -288,14 +288,16 @@
     void accept_backlog(int listener)
     {
         sockaddr_storage peer{};
-        socklen_t size = sizeof peer;
-        for (int accepted = 0; accepted >= 0; size = sizeof peer) {
-            accepted = ::accept4(listener, reinterpret_cast<sockaddr*>(&peer), &size,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        auto* const address = reinterpret_cast<sockaddr*>(&peer);
+        for (;;) {
+            socklen_t size = sizeof peer;
+            const int accepted = ::accept4(listener, address, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (accepted >= 0) {
                 // The daemon closes a socket that it doesn't take.
-                MHD_add_connection(m_daemon.get(), accepted, reinterpret_cast<sockaddr*>(&peer),
-                                   size);
+                MHD_add_connection(m_daemon.get(), accepted, address, size);
+            }
+            else if (errno != EINTR && errno != ECONNABORTED) {
+                return;
             }
         }
     }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -374,6 +374,8 @@
     void place_isolated(const std::vector<candidate>& ranked, time_point now);
     [[nodiscard]] std::vector<policy::waiting_suspect>
     waiting_suspects(const std::vector<candidate>& ranked);
+    /// Whether a task of the job waits to be started in isolation.
+    [[nodiscard]] static bool has_waiting_suspect(const job_record& job);
     [[nodiscard]] static bool may_place_isolated(const job_record& job,
                                                  const occurrence_record& occurrence,
                                                  std::uint32_t step);
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -208,29 +208,29 @@
         if (!m_suspect_jobs.contains(job.id())) {
             continue;
         }
-        policy::waiting_suspect suspect{.job = job.id(), .service = job.queue().service};
-        for (const auto& [number, occurrence] : job.occurrences()) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (!may_place_isolated(job, occurrence, step)) {
-                    continue;
-                }
-                for (const task_record& task : occurrence.steps[step].tasks) {
-                    if (task.is_waiting() && task.must_be_isolated() &&
-                        task.crash_count() > suspect.crashes) {
-                        suspect.crashes = task.crash_count();
-                        suspect.crash =
-                            task.crashes.empty() ? instance_id{} : task.crashes.back().worker;
-                    }
-                }
-            }
-        }
-        if (suspect.crashes > 0) {
-            waiting.push_back(std::move(suspect));
+        if (has_waiting_suspect(job)) {
+            waiting.push_back({.job = job.id(), .service = job.queue().service});
         }
     }
     return waiting;
 }
 
+bool scheduler::has_waiting_suspect(const job_record& job)
+{
+    for (const auto& [number, occurrence] : job.occurrences()) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            if (may_place_isolated(job, occurrence, step) &&
+                std::any_of(tasks.begin(), tasks.end(), [](const task_record& task) {
+                    return task.is_waiting() && task.must_be_isolated();
+                })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 bool scheduler::may_place_isolated(const job_record& job, const occurrence_record& occurrence,
                                    std::uint32_t step)
 {
--- a/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
+++ b/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
@@ -32,10 +32,6 @@
 struct waiting_suspect {
     job_id job;
     service_id service;
-    /// The worker that crashed last.
-    instance_id crash;
-    /// Crashes of the task with the most crashes.
-    std::size_t crashes = 0;
 };
 
 /// A worker on which a suspect would fit if its other tasks, except long-running ones, had ended.
--- a/packages/policy/tests/crash_isolation_test.cpp
+++ b/packages/policy/tests/crash_isolation_test.cpp
@@ -13,9 +13,9 @@
 const time_point start{std::chrono::hours(1)};
 const service_id checks{"checks"};
 
-waiting_suspect suspect(const std::string& job, const std::string& crash, std::size_t crashes = 1)
+waiting_suspect suspect(const std::string& job)
 {
-    return {.job = job_id(job), .service = checks, .crash = instance_id(crash), .crashes = crashes};
+    return {.job = job_id(job), .service = checks};
 }
 
 /// Workers without runs.
@@ -48,11 +48,11 @@
     return started;
 }
 
-std::vector<waiting_suspect> suspects_of_one_crash(std::size_t count, std::size_t crashes = 1)
+std::vector<waiting_suspect> suspects(std::size_t count)
 {
     std::vector<waiting_suspect> waiting;
     for (std::size_t each = 0; each < count; ++each) {
-        waiting.push_back(suspect("j" + std::to_string(each), "crashed", crashes));
+        waiting.push_back(suspect("j" + std::to_string(each)));
     }
     return waiting;
 }
@@ -63,7 +63,7 @@
 TEST_CASE("Each suspect starts on a worker of its own while there are enough")
 {
     crash_isolation subject;
-    CHECK(place(subject, suspects_of_one_crash(12), empty_pool(12), start).size() == 12);
+    CHECK(place(subject, suspects(12), empty_pool(12), start).size() == 12);
 }
 
 // Guards against isolation that takes the workers from tasks that aren't suspected.
@@ -76,7 +76,7 @@
         pool.others_wait = others_wait;
         std::vector<waiting_suspect> waiting;
         for (int each = 0; each < 40; ++each) {
-            waiting.push_back(suspect("j" + std::to_string(each), "c" + std::to_string(each)));
+            waiting.push_back(suspect("j" + std::to_string(each)));
         }
         return place(subject, waiting, pool, start).size();
     };
@@ -87,12 +87,11 @@
 }
 
 // Guards against suspects that are lost with a culprit beside them, and then wait for another turn.
-TEST_CASE("Suspects of one crash start on workers of their own, however few there are")
+TEST_CASE("Suspects start on workers of their own, however few there are and long they wait")
 {
-    const std::size_t crashes = GENERATE(1, 2, 3);
     for (const milliseconds wait : {milliseconds(0), milliseconds(600), milliseconds(3000)}) {
         crash_isolation subject;
-        const auto waiting = suspects_of_one_crash(30, crashes);
+        const auto waiting = suspects(30);
         place(subject, waiting, isolation_pool{}, start);
         const auto started = place(subject, waiting, empty_pool(3), start + wait);
         CHECK(started.size() == 3);
@@ -111,7 +110,7 @@
         host.has_room = true;
         const isolation_pool pool{.hosts = {host}, .workers = 1, .full = full};
         for (milliseconds waited{0}; waited < seconds(5); waited += milliseconds(100)) {
-            if (!place(subject, {suspect("j", "c")}, pool, start + waited).empty()) {
+            if (!place(subject, {suspect("j")}, pool, start + waited).empty()) {
                 return waited;
             }
         }
@@ -137,7 +136,7 @@
     isolation_pool pool = empty_pool(2);
     pool.hosts[0].other_runs = 3;
     pool.hosts[1].other_runs = 1;
-    const waiting_suspect waiting = suspect("j", "c");
+    const waiting_suspect waiting = suspect("j");
     static_cast<void>(subject.begin_round({waiting}, start));
     const isolation_choice choice = subject.choose(waiting, pool);
     CHECK_FALSE(choice.start);
@@ -150,8 +149,8 @@
 TEST_CASE("A wait is reported once, and overdue suspects choose first")
 {
     crash_isolation subject;
-    const waiting_suspect first = suspect("first", "c1");
-    const waiting_suspect second = suspect("second", "c2");
+    const waiting_suspect first = suspect("first");
+    const waiting_suspect second = suspect("second");
     const isolation_pool none;
     const auto round = [&](std::vector<waiting_suspect> waiting, milliseconds at) {
         auto order = subject.begin_round(std::move(waiting), start + at);
@@ -186,8 +185,7 @@
     CHECK_FALSE(subject.is_explained(instance_id("w2")));
 }
 
-// Guards against suspects that share a worker although a crash would be held against the wrong one:
-// two suspects that start on one worker at the same time.
+// Guards against a crash that is held against the wrong one of two suspects.
 TEST_CASE("No two suspects start together, whatever waits")
 {
     std::mt19937 random(20261204);
@@ -195,8 +193,7 @@
         crash_isolation subject;
         std::vector<waiting_suspect> waiting;
         for (std::size_t left = 1 + random() % 40; left > 0; --left) {
-            waiting.push_back(suspect("j" + std::to_string(left),
-                                      "c" + std::to_string(random() % 6), 1 + random() % 3));
+            waiting.push_back(suspect("j" + std::to_string(left)));
         }
         isolation_pool pool = empty_pool(1 + random() % 20);
         pool.full = random() % 3 == 0;
