--- a/packages/job/tests/crash_pool.hpp
+++ b/packages/job/tests/crash_pool.hpp
@@ -14,13 +14,14 @@
 inline const service_id checks{"checks"};
 inline const resources worker_capacity{.cpu_millis = 4000, .memory_mb = 4000};
 
-/// A pool whose workers crash a moment after the start of a culprit, or when told to, and that
-/// measures how long each healthy job waits while there is room for it twice over.
+/// A pool whose workers run every task to its end and crash a moment after the start of a culprit,
+/// or when told to; a successor starts on the machine some seconds later. It measures how long each
+/// healthy job waits while there is room for it twice over.
 struct crash_pool {
     struct submitted_job {
         std::shared_ptr<const job_spec> spec;
-        bool is_culprit = false;
-        milliseconds run_time{0};
+        /// Of each task; none: that of the pool.
+        std::optional<milliseconds> run_time;
         time_point waiting_since{};
         milliseconds longest_wait{0};
     };
@@ -36,6 +37,9 @@
     std::map<instance_id, std::uint64_t> sequences;
     std::map<std::string, time_point> back_at;
     std::map<job_id, submitted_job> jobs;
+    /// The tasks that crash their workers.
+    std::set<task_name> crashing;
+    milliseconds run_time{800};
     std::vector<decision> decisions;
     std::map<task_name, std::uint32_t> starts;
     std::map<task_name, std::uint32_t> crashes;
@@ -103,13 +107,16 @@
         subject->note_report(worker, result, now, now);
     }
 
-    job_id submit(const std::string& id, step_spec step, milliseconds run_time,
-                  bool is_culprit = false)
+    /// The first task of a culprit crashes its workers.
+    job_id submit(const std::string& id, step_spec step,
+                  std::optional<milliseconds> own_run_time = std::nullopt, bool culprit = false)
     {
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(std::move(step));
-        jobs[job_id(id)] = {
-            .spec = spec, .is_culprit = is_culprit, .run_time = run_time, .waiting_since = now};
+        jobs[job_id(id)] = {.spec = spec, .run_time = own_run_time, .waiting_since = now};
+        if (culprit) {
+            crashing.insert({job_id(id), 0, 0, 0});
+        }
         subject->submit(job_id(id), {.queue = "q", .spec = spec, .at = now});
         return job_id(id);
     }
@@ -158,11 +165,6 @@
         }
     }
 
-    [[nodiscard]] bool is_culprit(const run_name& run) const
-    {
-        return run.task.index == 0 && jobs.at(run.task.job).is_culprit;
-    }
-
     /// The number of tasks like this one for which the living workers have room.
     [[nodiscard]] std::int64_t room_for(const resources& need) const
     {
@@ -218,8 +220,9 @@
         const auto living = workers;
         for (const auto& [machine, worker] : living) {
             const auto& runs = running[worker];
-            if (std::any_of(runs.begin(), runs.end(),
-                            [&](const active_run& each) { return is_culprit(each.run.run); })) {
+            if (std::any_of(runs.begin(), runs.end(), [&](const active_run& each) {
+                    return crashing.contains(each.run.run.task);
+                })) {
                 crash(machine);
             }
         }
@@ -228,7 +231,8 @@
             const instance_id& worker = each.second;
             std::vector<ended_run> ended;
             std::erase_if(running[worker], [&](const active_run& run) {
-                const bool over = now - run.since >= jobs.at(run.run.run.task.job).run_time;
+                const auto& own_run_time = jobs.at(run.run.run.task.job).run_time;
+                const bool over = now - run.since >= own_run_time.value_or(run_time);
                 if (over) {
                     ended.push_back({.sequence = ++sequences[worker],
                                      .run = run.run.run,
@@ -257,11 +261,16 @@
 
     [[nodiscard]] job_state state(const job_id& id) const { return subject->find(id)->state(); }
 
+    [[nodiscard]] bool is_culprit(const job_id& id) const
+    {
+        return crashing.contains({id, 0, 0, 0});
+    }
+
     [[nodiscard]] milliseconds longest_healthy_wait() const
     {
         milliseconds longest{0};
         for (const auto& [id, job] : jobs) {
-            longest = std::max(longest, job.is_culprit ? milliseconds(0) : job.longest_wait);
+            longest = std::max(longest, is_culprit(id) ? milliseconds(0) : job.longest_wait);
         }
         return longest;
     }
@@ -280,7 +289,7 @@
     {
         return static_cast<std::size_t>(
             std::count_if(jobs.begin(), jobs.end(), [&](const auto& job) {
-                return !job.second.is_culprit && !job.second.spec->steps[0].long_running &&
+                return !is_culprit(job.first) && !job.second.spec->steps[0].long_running &&
                        state(job.first) != job_state::completed;
             }));
     }
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -1,6 +1,8 @@
 #include "plantaindoor/job/crash_history.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
+#include "crash_pool.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -10,179 +12,6 @@
 
 namespace {
 
-constexpr time_point start{std::chrono::hours(1)};
-constexpr milliseconds plan_interval{100};
-const service_id checks{"checks"};
-
-/// Workers that run every task to its end and crash a moment after the start of a task in
-/// `crashing`; each is replaced by a successor on its machine some seconds later.
-struct crash_fixture {
-    std::optional<scheduler> subject;
-    time_point now = start + seconds(60);
-    std::map<std::string, instance_id> workers;
-    std::map<instance_id, std::vector<std::pair<reported_run, time_point>>> running;
-    std::map<instance_id, std::uint64_t> sequences;
-    std::map<std::string, time_point> back_at;
-    std::set<task_name> crashing;
-    std::map<task_name, std::uint32_t> starts;
-    std::map<task_name, std::uint32_t> crashes;
-    std::vector<std::pair<job_id, std::shared_ptr<const job_spec>>> submitted;
-    std::vector<decision> decisions;
-    milliseconds run_time{800};
-    worker_end detected_as = worker_end::machine_down;
-    std::uint32_t lives = 0;
-    std::uint32_t leaders = 0;
-
-    explicit crash_fixture(std::uint32_t machines)
-    {
-        begin_leader();
-        for (std::uint32_t each = 0; each < machines; ++each) {
-            start_worker("m" + std::to_string(each));
-        }
-    }
-
-    void begin_leader()
-    {
-        subject.emplace(scheduler_options{.lease = milliseconds(5000),
-                                          .predecessor_grace = milliseconds(0),
-                                          .attempt_base = 1000 * leaders++},
-                        now - seconds(60));
-        subject->set_queues({{.name = "q", .service = checks, .max_attempts = 2, .stretch = 2}});
-    }
-
-    /// Replaces the leader by one that knows only what was persisted.
-    void replace_leader()
-    {
-        std::map<job_id, std::string> rows;
-        for (const auto& [id, spec] : submitted) {
-            rows[id] = subject->find(id)->progress();
-        }
-        begin_leader();
-        for (const auto& [id, spec] : submitted) {
-            subject->submit(id, {.queue = "q", .spec = spec, .at = now, .inherited = true});
-            subject->restore(id, rows[id]);
-        }
-        for (const auto& [machine, worker] : workers) {
-            subject->note_worker_listed(listing(machine, worker), now);
-            report(worker);
-        }
-    }
-
-    static worker_listing listing(const std::string& machine, const instance_id& worker)
-    {
-        return {.id = worker,
-                .service = checks,
-                .address = machine + ":80",
-                .machine = machine,
-                .capacity = {.cpu_millis = 4000, .memory_mb = 4000}};
-    }
-
-    void start_worker(const std::string& machine)
-    {
-        workers[machine] = instance_id("w" + std::to_string(++lives));
-        subject->note_worker_listed(listing(machine, workers[machine]), now);
-        report(workers[machine]);
-    }
-
-    void report(const instance_id& worker, std::vector<ended_run> ended = {})
-    {
-        worker_report result{.worker_clock = milliseconds(1000), .ended = std::move(ended)};
-        for (const auto& each : running[worker]) {
-            result.running.push_back(each.first);
-        }
-        subject->note_report(worker, result, now, now);
-    }
-
-    job_id submit(const std::string& id, step_spec step)
-    {
-        auto spec = std::make_shared<job_spec>();
-        spec->steps.push_back(std::move(step));
-        submitted.emplace_back(job_id(id), spec);
-        subject->submit(job_id(id), {.queue = "q", .spec = spec, .at = now});
-        return job_id(id);
-    }
-
-    void crash(const std::string& machine)
-    {
-        const instance_id worker = workers.at(machine);
-        workers.erase(machine);
-        for (const auto& [run, since] : running[worker]) {
-            ++crashes[run.run.task];
-        }
-        running.erase(worker);
-        back_at[machine] = now + seconds(3);
-        subject->note_missed_poll(worker, now);
-        subject->note_worker_ended(worker, detected_as, now);
-    }
-
-    void plan()
-    {
-        const orders due = subject->plan(now, wall_time{});
-        for (const start_order& each : due.starts) {
-            ++starts[each.run.task];
-            subject->note_start(each.worker, each.run, order_answer::accepted, now);
-            running[each.worker].push_back({{.run = each.run, .percent = 100}, now});
-        }
-        for (const stop_order& each : due.stops) {
-            subject->note_stop(each.worker, each.run, order_answer::accepted, now);
-            std::erase_if(running[each.worker],
-                          [&](const auto& run) { return run.first.run == each.run; });
-        }
-        for (const decision& each : subject->take_decisions()) {
-            decisions.push_back(each);
-        }
-        static_cast<void>(subject->begin_persist());
-        subject->note_persisted();
-    }
-
-    /// Lets the time pass that workers need for the next event.
-    void step()
-    {
-        plan();
-        now += milliseconds(10);
-        const auto living = workers;
-        for (const auto& [machine, worker] : living) {
-            const auto& runs = running[worker];
-            if (std::any_of(runs.begin(), runs.end(), [&](const auto& each) {
-                    return crashing.contains(each.first.run.task);
-                })) {
-                crash(machine);
-            }
-        }
-        now += plan_interval - milliseconds(10);
-        for (const auto& each : workers) {
-            const instance_id& worker = each.second;
-            std::vector<ended_run> ended;
-            std::erase_if(running[worker], [&](const auto& run) {
-                const bool over = now - run.second >= run_time;
-                if (over) {
-                    ended.push_back({.sequence = ++sequences[worker],
-                                     .run = run.first.run,
-                                     .end_reason = run_end_reason::done});
-                }
-                return over;
-            });
-            report(worker, std::move(ended));
-        }
-        const auto due = back_at;
-        for (const auto& [machine, at] : due) {
-            if (at <= now) {
-                back_at.erase(machine);
-                start_worker(machine);
-            }
-        }
-    }
-
-    void run_for(milliseconds time)
-    {
-        for (const time_point end = now + time; now < end;) {
-            step();
-        }
-    }
-
-    [[nodiscard]] job_state state(const job_id& id) const { return subject->find(id)->state(); }
-};
-
 const step_spec small_step{.count = 4, .need = {.cpu_millis = 500, .memory_mb = 100}};
 
 } // namespace
@@ -190,7 +19,7 @@
 // Guards against BUDGET: a task that crashes each worker that starts it was started without end.
 TEST_CASE("a task that crashes its workers fails its job after two crashes, and spares the others")
 {
-    crash_fixture fixture(6);
+    crash_pool fixture(6);
     std::vector<job_id> sound;
     for (int each = 0; each < 6; ++each) {
         sound.push_back(fixture.submit("sound" + std::to_string(each), small_step));
@@ -218,7 +47,7 @@
 // Guards against BUDGET across takeovers: each leader counted the crashes from zero.
 TEST_CASE("what is known of a task's crashes survives a change of the leader")
 {
-    crash_fixture fixture(6);
+    crash_pool fixture(6);
     const job_id bad = fixture.submit("bad", small_step);
     const task_name culprit{bad, 0, 0, 0};
     fixture.crashing.insert(culprit);
@@ -239,7 +68,7 @@
 {
     const std::uint32_t machines = 6;
     const std::uint32_t at_once = GENERATE(1, 3, 6);
-    crash_fixture fixture(machines);
+    crash_pool fixture(machines);
     std::vector<job_id> jobs;
     std::uint32_t next = 0;
     for (std::uint32_t round = 0; round < 12; ++round) {
@@ -270,7 +99,7 @@
 // Guards against ends of workers that are no crashes being held against their tasks.
 TEST_CASE("a worker that was moved, drained or silent doesn't count as crashed")
 {
-    crash_fixture fixture(4);
+    crash_pool fixture(4);
     const job_id id = fixture.submit("j", {.count = 1, .need = {.cpu_millis = 500}});
     fixture.run_time = seconds(60);
     const task_name task{id, 0, 0, 0};
@@ -289,7 +118,7 @@
     };
 
     const auto answer_as = [&](const std::string& on, const std::string& name, service_id service) {
-        auto listing = crash_fixture::listing(on, instance_id(name));
+        auto listing = crash_pool::listing(on, instance_id(name));
         listing.service = std::move(service);
         fixture.subject->note_worker_listed(listing, fixture.now + seconds(2));
         fixture.subject->note_report(listing.id, {.worker_clock = milliseconds(1)},
@@ -309,7 +138,7 @@
     }
     SECTION("draining")
     {
-        auto listing = crash_fixture::listing(machine, worker);
+        auto listing = crash_pool::listing(machine, worker);
         listing.draining = true;
         fixture.subject->note_worker_listed(listing, fixture.now);
         end_as(worker_end::machine_down);
@@ -330,7 +159,7 @@
     SECTION("silent, and an old row of its machine comes back")
     {
         end_as(worker_end::lease_expired);
-        fixture.subject->note_worker_listed(crash_fixture::listing(machine, instance_id("w0")),
+        fixture.subject->note_worker_listed(crash_pool::listing(machine, instance_id("w0")),
                                             fixture.now + seconds(2));
         CHECK(crashes() == 0);
     }
@@ -352,7 +181,7 @@
 // lost its workers to four of them.
 TEST_CASE("a crash for which a task was given up counts against no other task")
 {
-    crash_fixture fixture(3);
+    crash_pool fixture(3);
     fixture.run_time = seconds(60);
     std::vector<job_id> sound;
     for (int each = 0; each < 3; ++each) {
@@ -390,7 +219,7 @@
 TEST_CASE(
     "a task that survives its isolated starts is not given up for what starts beside it later")
 {
-    crash_fixture fixture(4);
+    crash_pool fixture(4);
     fixture.run_time = seconds(60);
     const job_id sound =
         fixture.submit("sound", {.count = 1, .need = {.cpu_millis = 500}, .long_running = true});
@@ -415,7 +244,7 @@
 
 TEST_CASE("a task that has outlived its suspicion is not blamed for a later crash")
 {
-    crash_fixture fixture(2);
+    crash_pool fixture(2);
     fixture.run_time = seconds(60);
     const job_id id = fixture.submit("j", {.count = 1, .need = {.cpu_millis = 500}});
     for (int round = 0; round < 8; ++round) {
@@ -431,7 +260,7 @@
 TEST_CASE(
     "a suspected task starts on a worker without tasks of other jobs, and keeps it for a time")
 {
-    crash_fixture fixture(4);
+    crash_pool fixture(4);
     fixture.run_time = seconds(2);
     const job_id busy = fixture.submit("busy", {.count = 16, .need = {.cpu_millis = 500}});
     const job_id bad = fixture.submit("bad", {.count = 1, .need = {.cpu_millis = 500}});
@@ -484,7 +313,7 @@
 // Guards against a leader that ends because of one unreadable row.
 TEST_CASE("unreadable progress of a job is reported as a spec_error, whatever is wrong with it")
 {
-    crash_fixture fixture(1);
+    crash_pool fixture(1);
     const job_id id = fixture.submit("j", {.count = 2});
     for (
         const char* progress :
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -103,7 +103,7 @@
         for (const auto& [id, job] : pool.jobs) {
             INFO("job " << id);
             // A task may be given up once two workers have crashed under it.
-            CHECK((pool.state(id) == job_state::completed || job.is_culprit ||
+            CHECK((pool.state(id) == job_state::completed || pool.is_culprit(id) ||
                    pool.crashes_under(id) >= 2));
         }
     }
@@ -190,7 +190,7 @@
     pool.running.erase(worker);
     pool.subject->note_missed_poll(worker, pool.now);
     pool.subject->note_worker_ended(worker, worker_end::lease_expired, pool.now);
-    pool.jobs.at(bad).is_culprit = true;
+    pool.crashing.insert({bad, 0, 0, 0});
     pool.run_for(seconds(7));
     REQUIRE(pool.state(bad) == job_state::failed);
     pool.start_worker(machine);
