--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -29,6 +29,24 @@
 /// costs more than runs that are a little slower.
 using suitability = std::tuple<bool, bool, bool, int, bool, int, std::int64_t>;
 
+tier tier_of(const job_record& job, time_point now)
+{
+    // A long-running job that has started serves users: it isn't made to wait when it moves.
+    if (job.is_long_running()) {
+        return job.is_beyond_rate() && job.state() == job_state::queued ? beyond_rate_tier
+                                                                        : long_running_tier;
+    }
+    const time_point objective = job.objective();
+    const time_point earliest_end = now + job.remaining_path();
+    if (earliest_end > job.submitted() + (objective - job.submitted()) * zero_value_factor) {
+        return zero_value_tier;
+    }
+    if (job.is_beyond_rate()) {
+        return beyond_rate_tier;
+    }
+    return earliest_end > objective ? late_tier : on_time_tier;
+}
+
 } // namespace
 
 orders scheduler::plan(time_point now, wall_time wall_now)
@@ -72,28 +90,7 @@
         if (in_doubt(job, now)) {
             continue;
         }
-        candidate each{.job = &job, .objective = job.objective()};
-        const auto budget = each.objective - job.submitted();
-        const time_point earliest_end = now + job.remaining_path();
-        // A long-running job that has started serves users: it isn't made to wait when it moves.
-        if (job.is_long_running()) {
-            each.tier = job.is_beyond_rate() && job.state() == job_state::queued
-                            ? beyond_rate_tier
-                            : long_running_tier;
-        }
-        else if (earliest_end > job.submitted() + budget * zero_value_factor) {
-            each.tier = zero_value_tier;
-        }
-        else if (job.is_beyond_rate()) {
-            each.tier = beyond_rate_tier;
-        }
-        else if (earliest_end > each.objective) {
-            each.tier = late_tier;
-        }
-        else {
-            each.tier = on_time_tier;
-        }
-        all.push_back(each);
+        all.push_back({.job = &job, .tier = tier_of(job, now), .objective = job.objective()});
     }
     std::sort(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
         const auto rank = [](const candidate& each) {
--- a/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
+++ b/packages/policy/include/plantaindoor/policy/crash_isolation.hpp
@@ -10,7 +10,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace plantaindoor::policy {
@@ -130,6 +129,8 @@
 private:
     struct wait_state {
         time_point since{};
+        /// A task of the job was started in this round.
+        bool started = false;
         bool reported = false;
         isolation_wait reason = isolation_wait::none;
         std::size_t position = 0;
@@ -151,7 +152,6 @@
     std::vector<waiting_suspect> m_order;
     std::map<instance_id, job_id> m_reserved;
     std::map<instance_id, job_id> m_started_on;
-    std::set<job_id> m_started;
 };
 
 } // namespace plantaindoor::policy
--- a/packages/policy/src/crash_isolation.cpp
+++ b/packages/policy/src/crash_isolation.cpp
@@ -42,7 +42,6 @@
     m_now = now;
     m_reserved.clear();
     m_started_on.clear();
-    m_started.clear();
     std::map<job_id, wait_state> waits;
     for (const waiting_suspect& each : waiting) {
         const auto known = m_waits.find(each.job);
@@ -163,7 +162,7 @@
 
 void crash_isolation::note_started(const waiting_suspect& suspect, const instance_id& worker)
 {
-    m_started.insert(suspect.job);
+    m_waits.at(suspect.job).started = true;
     m_started_on.emplace(worker, suspect.job);
 }
 
@@ -176,18 +175,16 @@
 
 std::vector<suspect_position> crash_isolation::end_round()
 {
+    // A job that has started a task waits anew if another one of its tasks has to.
+    std::erase_if(m_waits, [](const auto& each) { return each.second.started; });
+    std::erase_if(m_order,
+                  [this](const waiting_suspect& each) { return !m_waits.contains(each.job); });
     std::map<service_id, std::size_t> counts;
     for (const waiting_suspect& each : m_order) {
-        if (!m_started.contains(each.job)) {
-            m_waits.at(each.job).position = ++counts[each.service];
-        }
+        m_waits.at(each.job).position = ++counts[each.service];
     }
     std::vector<suspect_position> reported;
     for (const waiting_suspect& each : m_order) {
-        if (m_started.contains(each.job)) {
-            m_waits.erase(each.job);
-            continue;
-        }
         wait_state& wait = m_waits.at(each.job);
         wait.count = counts[each.service];
         if (!wait.reported && waited(each.job) >= reported_wait) {
--- a/packages/policy/tests/crash_isolation_test.cpp
+++ b/packages/policy/tests/crash_isolation_test.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <random>
+#include <set>
 #include <string>
 
 using namespace plantaindoor;
