review: case 2, tasks run twice when over 500 ends wait at a worker

Cause: scheduler::resolve_unreported_runs() takes a worker's list of ends for complete, though it names 500 at a time. Done: a script with stand-ins: a job of 1,200 small tasks and a store that is down for two seconds.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,97 @@
+"""More than 500 ends wait at one worker while the store is down for two seconds."""
+
+import asyncio
+import os
+import sys
+import tempfile
+
+sys.dont_write_bytecode = True
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "lib"))
+from entries import HOST, call, make_entries, wait_ready, wait_until  # noqa: E402
+from stand_in import Platform, Record, now  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+JOB = "00c0ffee00c0ffee"
+TASKS = 1200
+WORK_S = 6.0
+SPREAD_S = 2.4  # The tasks of the job take 6 to 8.4 s.
+DOWN_S = 2.0
+BOUNDS = {"stopMs": 900, "holdMaxMs": 10000, "noticeMs": 4500, "status_s": 120, "graceS": 6}
+CONFIG = {"version": 3, "limits": {"maxBodyBytes": 262144},
+          "routes": [{"name": "r", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe",
+                      "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
+                      "service": "checks", "maxAttempts": 3, "stretch": 1.6}],
+          "services": [{"name": "checks", "healthPath": "/health", "enforceLimits": True}]}
+BODY = {"spec": "words", "steps": [{"count": TASKS, "cpu": 50, "memMb": 64, "estimateMs": 7000}]}
+
+
+def work_of(run, _spec):
+    return WORK_S + SPREAD_S * int(run[0].split(".")[3]) / TASKS, "done"
+
+
+async def play(folder, record):
+    platform = Platform(record, work_of, BOUNDS["holdMaxMs"])
+    await platform.start()
+    await platform.store.put("op", "config", CONFIG)
+    for number in range(3):
+        await platform.add_machine(f"m{number}", "checks", 64000, f"r{number}")
+    entries = make_entries(3, folder, record, platform, BOUNDS)
+    try:
+        for each in entries:
+            await each.start()
+        if not await wait_ready(entries) or not await wait_until(
+                lambda: any(each.leads() for each in entries), 10):
+            return 2
+        await asyncio.sleep(1)
+        platform.checker.bodies[JOB] = BODY
+        status, _ = await call(record, entries[0], "POST", f"/q/{JOB}", BODY)
+        if status != 200:
+            return 2
+        checker = platform.checker
+        if not await wait_until(lambda: any(len(w.running) > 700 for w in platform.workers.values()),
+                                6, 0.02):
+            return 2
+        # The first of them end soon.
+        if not await wait_until(lambda: len(checker.done) >= 20, 10, 0.01):
+            return 2
+        if TROUBLE:
+            await platform.store.set_down(True)
+            await asyncio.sleep(DOWN_S)
+            await platform.store.set_down(False)
+        until = now() + 40
+        while now() < until:
+            status, answer = await call(record, entries[0], "GET", f"/q/{JOB}")
+            if status == 200 and b"completed" in answer:
+                break
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(3)
+        record.add(f"{len(checker.done)} of {TASKS} tasks ended done, "
+                   f"{sum(map(len, checker.starts.values()))} starts, {len(checker.broken)} broken")
+        print(f"{len(checker.done)} of {TASKS} tasks ended done, "
+              f"{sum(map(len, checker.starts.values()))} starts, {len(checker.broken)} broken")
+        return 1 if any(rule == "TWICE" for rule, _ in checker.broken) else 0
+    finally:
+        for each in entries:
+            await each.end()
+        platform.stop()
+
+
+def main():
+    record = Record(os.path.join(HERE, "record.txt"))
+    with tempfile.TemporaryDirectory(prefix="review-") as folder:
+        try:
+            result = asyncio.run(asyncio.wait_for(play(folder, record), 110))
+        except Exception as failure:  # The case couldn't run.
+            record.add(f"can't run: {failure!r}")
+            print(f"can't run: {failure!r}", file=sys.stderr)
+            result = 2
+        if os.environ.get("KEEP"):
+            import shutil
+            shutil.copytree(folder, os.environ["KEEP"], dirs_exist_ok=True)
+    record.close()
+    return result
+
+
+if __name__ == "__main__":
+    sys.exit(main())
