--- a/review/lib/stand_in.py
+++ b/review/lib/stand_in.py
@@ -385,6 +385,7 @@
         self.running = {}  # task -> set of (worker, run)
         self.starts = {}  # task -> [(time, worker, run)]
         self.ends = {}  # worker -> {sequence: dict}
+        self.all_ends = []
         self.done = {}  # task -> [end], the ends `done` of the task
         self.broken = []
 
@@ -416,9 +417,10 @@
         self.running.get(run[0], set()).discard((worker, run))
 
     def run_ended(self, run, worker, sequence, how):
-        end = {"noted": False, "void": False, "starts_after": [], "how": how, "run": run,
+        end = {"at": now(), "noted": False, "noted_at": None, "void": False, "starts_after": [], "how": how, "run": run,
                "worker": worker, "reported": False}
         self.ends.setdefault(worker, {})[sequence] = end
+        self.all_ends.append(end)
         if how == "done":
             self.done.setdefault(run[0], []).append(end)
 
@@ -435,6 +437,7 @@
         ends = self.ends.get(worker, {})
         for sequence in [each for each in ends if each <= upto]:
             end = ends.pop(sequence)
+            end["noted_at"] = now()
             if not end["void"]:
                 end["noted"] = True
                 if end["starts_after"]:
