--- a/review/lib/stand_in.py
+++ b/review/lib/stand_in.py
@@ -461,6 +461,8 @@
         self.workers = {}  # machine -> Worker, or None
         self.machines = {}  # machine -> {"pool", "state", "rack", "cpu"}
         self.lives = 0
+        self.waves = {}
+        self.maintenance_s = 2.0
         self.http = HttpService(self.handle)
 
     async def start(self):
@@ -480,13 +482,57 @@
         about["state"] = "up"
         self.workers[machine] = worker
 
-    async def handle(self, method, target, _headers, _body):
+    async def handle(self, method, target, headers, body):
         await asyncio.sleep(ANSWER_S)
         if method == "GET" and urlsplit(target).path == "/-/machines":
             return 200, {"machines": [self.row_of(name) for name in sorted(self.machines)],
                          "nextToken": None}
+        if target == "/-/machine-upkeep":
+            return self.upkeep(headers, json.loads(body))
         return 409, {"reason": "busy"}
 
+    async def add_wave(self, number, machines, cap, deadline_s):
+        self.waves[number] = {"cap": cap, "machines": machines, "begun": set(), "down": set()}
+        self.record.add(f"operator: wave {number} of {len(machines)} machines, cap {cap}")
+        await self.store.put("op", f"wave/{number}", {"wave": number, "machines": machines,
+                                                     "deadlineS": deadline_s, "cap": cap})
+
+    def upkeep(self, headers, order):
+        holder = headers.get("plantaindoor-lease-holder", "")
+        token = int(headers.get("plantaindoor-fencing-token", 0))
+        name, wave = order["machine"], self.waves.get(order["wave"])
+        if name not in self.machines:
+            return 400, {}
+        if wave is None or name not in wave["machines"]:
+            return 409, {"reason": "wave"}
+        text = f"machines: upkeep of {name} in wave {order['wave']} by {holder}, token {token}"
+        if name in wave["begun"]:
+            self.record.add(text + ": 200, is already done")
+            return 200, {}
+        if self.machines[name]["state"] != "up":
+            self.record.add(text + ": 409 busy")
+            return 409, {"reason": "busy"}
+        self.record.add(text + f": 200, {len(wave['down'])} of the wave are down")
+        if len(wave["down"]) >= wave["cap"]:
+            self.checker.breaks("LIMIT", f"{name} is taken down for upkeep by {holder}, token {token}, "
+                                         f"beside {sorted(wave['down'])}; {wave['cap']} of the wave may "
+                                         f"be down at once")
+        wave["begun"].add(name)
+        wave["down"].add(name)
+        self.machines[name]["state"] = "upkeep"
+        worker = self.workers[name]
+        self.workers[name] = None
+        worker.stop("its machine is taken down for upkeep")
+        asyncio.get_running_loop().call_later(
+            self.maintenance_s, lambda: asyncio.ensure_future(self.finish_upkeep(name, worker, wave)))
+        return 200, {}
+
+    async def finish_upkeep(self, name, worker, wave):
+        wave["down"].discard(name)
+        await self.store.remove("servers", worker.id)
+        await self.start_worker(name)
+        self.record.add(f"machines: {name} is back from upkeep")
+
     def row_of(self, name):
         about = self.machines[name]
         worker = self.workers.get(name)
