review: one runner for the scripts, which ends their processes when stopped

Cause: the five scripts repeated their main function, and a SIGTERM left processes behind. Done: review/lib/runner.py.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,13 +5,13 @@
 import os
 import signal
 import sys
-import tempfile
 
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 from entries import HOST, call, make_entries, wait_ready, wait_until  # noqa: E402
-from stand_in import Platform, Record, now  # noqa: E402
+from runner import run_case  # noqa: E402
+from stand_in import Platform, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOB = "0123456789abcdef"
@@ -95,21 +95,5 @@
         platform.stop()
 
 
-def main():
-    record = Record(os.path.join(HERE, "record.txt"))
-    with tempfile.TemporaryDirectory(prefix="review-") as folder:
-        try:
-            result = asyncio.run(asyncio.wait_for(play(folder, record), 110))
-        except Exception as failure:  # The case couldn't run.
-            record.add(f"can't run: {failure!r}")
-            print(f"can't run: {failure!r}", file=sys.stderr)
-            result = 2
-        if os.environ.get("KEEP"):
-            import shutil
-            shutil.copytree(folder, os.environ["KEEP"], dirs_exist_ok=True)
-    record.close()
-    return result
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(HERE, play)
