--- a/review/lib/entries.py
+++ b/review/lib/entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -18,12 +19,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports below the ephemeral range, so that no outgoing connection takes one meanwhile."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -20,6 +20,14 @@
     return await case
 
 
+def note_last_words(folder, record):
+    """Records why a case couldn't run: the last line of each entry's log."""
+    for name in sorted(os.listdir(folder)):
+        if name.endswith(".log"):
+            with open(os.path.join(folder, name), encoding="utf-8", errors="replace") as log:
+                record.add(f"{name}: {(log.readlines() or ['empty'])[-1].rstrip()}")
+
+
 def run_case(here, play):
     record = Record(os.path.join(here, "record.txt"))
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
@@ -29,5 +37,7 @@
             record.add(f"can't run: {failure!r}")
             print(f"can't run: {failure!r}", file=sys.stderr)
             result = 2
+        if result == 2:
+            note_last_words(folder, record)
     record.close()
     sys.exit(result)
