--- /dev/null
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -0,0 +1,217 @@
+#include "plantaindoor/fleet/machine_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr double percent = 100;
+
+double in_seconds(nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+double machine_planner::arrival_rate(const service_id& pool, const job::service_load& load,
+                                     time_point now)
+{
+    auto& samples = m_arrivals[pool];
+    samples.push_back({now, load.submitted_work, load.submitted_jobs});
+    const auto is_long_enough = [&](const arrival_sample& from) {
+        const auto age = now - from.at;
+        return age >= m_options.max_arrival_window ||
+               (age >= m_options.min_arrival_window &&
+                load.submitted_jobs - from.jobs >= m_options.arrival_jobs);
+    };
+    while (samples.size() > 2 && now - samples[1].at >= m_options.max_arrival_window) {
+        samples.pop_front();
+    }
+    const auto from = std::find_if(samples.rbegin(), samples.rend(), is_long_enough);
+    const arrival_sample& first = from == samples.rend() ? samples.front() : *from;
+    return (load.submitted_work - first.work) /
+           std::max(in_seconds(now - first.at), in_seconds(m_options.min_arrival_window));
+}
+
+double machine_planner::needed_capacity(const service_id& pool, const job::service_load& load,
+                                        double machine_capacity, time_point now)
+{
+    const double arrivals = arrival_rate(pool, load, now);
+    const double present_capacity = machine_capacity * count_present(pool) - load.long_running;
+    const double current_load = load.running + load.ready;
+    // The backlog by the time that a move could be completed.
+    const double backlog =
+        load.ready_work + (arrivals - present_capacity) * in_seconds(m_options.move_time);
+    // A few large jobs don't predict later ones, so growth is bounded by the current load.
+    double needed = std::max(current_load, std::min(arrivals, 2 * current_load));
+    if (backlog > 0) {
+        needed = std::min(current_load + arrivals / 2,
+                          arrivals + backlog / in_seconds(m_options.backlog_time));
+    }
+    return load.long_running + needed;
+}
+
+std::map<service_id, machine_planner::pool_state>
+machine_planner::pool_states(time_point now, const job::scheduler& scheduler,
+                             const std::map<service_id, job::service_load>& loads)
+{
+    std::map<service_id, pool_state> states;
+    std::map<service_id, double> capacity;
+    std::map<service_id, std::uint32_t> worker_counts;
+    for (const auto& [id, worker] : scheduler.workers()) {
+        capacity[worker.listing.service] += double(worker.capacity().cpu_millis);
+        ++worker_counts[worker.listing.service];
+    }
+    double average_capacity = 0;
+    std::uint32_t total_workers = 0;
+    for (const auto& [pool, sum] : capacity) {
+        average_capacity += sum;
+        total_workers += worker_counts[pool];
+    }
+    average_capacity = total_workers == 0 ? 0 : average_capacity / total_workers;
+    const bool has_open_waves = std::any_of(
+        m_waves.begin(), m_waves.end(), [](const auto& each) { return !each.second.completed(); });
+    // One spare machine, and one more that an unfinished wave may take.
+    const std::uint32_t spare = has_open_waves ? 2 : 1;
+    for (const auto& [pool, load] : loads) {
+        const double machine_capacity =
+            worker_counts[pool] > 0 ? capacity[pool] / worker_counts[pool] : average_capacity;
+        if (machine_capacity <= 0) {
+            continue;
+        }
+        const double needed = needed_capacity(pool, load, machine_capacity, now);
+        const auto machines = static_cast<std::uint32_t>(
+            std::ceil(needed / machine_capacity * percent / m_options.max_load_percent));
+        // Long-running steps must fit onto the remaining machines while others are maintained.
+        states[pool].wanted =
+            load.min_workers == 0
+                ? machines
+                : std::max(machines, load.min_workers + spare + under_maintenance(pool));
+        if (load.blocked_workers > 0) {
+            // All machines of the pool together may have room enough, but none has it for one task.
+            states[pool].wanted =
+                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
+        }
+    }
+    for (const auto& [pool, settings] : m_pools) {
+        states[pool].present = count_present(pool);
+    }
+    return states;
+}
+
+std::uint32_t machine_planner::under_maintenance(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool maintenance_planned =
+                machine.planned_order && machine.planned_order->action == machine_action::maintain;
+            return machine.pool == pool &&
+                   (maintenance_planned || machine.state == machine_state::maintenance);
+        }));
+}
+
+bool machine_planner::can_spare(const service_id& pool,
+                                const std::map<service_id, job::service_load>& loads) const
+{
+    const auto load = loads.find(pool);
+    if (load == loads.end() || load->second.min_workers == 0) {
+        return true;
+    }
+    return count_settled(pool) > load->second.min_workers + 1;
+}
+
+std::uint32_t machine_planner::count_present(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool move_planned =
+                machine.planned_order && machine.planned_order->action == machine_action::move;
+            return machine.state != machine_state::down &&
+                   (move_planned ? machine.planned_order->pool : machine.pool) == pool;
+        }));
+}
+
+std::uint32_t machine_planner::count_settled(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            return each.second.pool == pool && each.second.state == machine_state::up &&
+                   !each.second.planned_order;
+        }));
+}
+
+std::string machine_planner::move_candidate(const service_id& pool, time_point now) const
+{
+    const std::string* best = nullptr;
+    std::int64_t lowest_usage = 0;
+    for (const auto& [name, machine] : m_machines) {
+        if (machine.pool == pool && is_free(name, machine, now) && !machine.long_running &&
+            (best == nullptr || machine.used < lowest_usage)) {
+            best = &name;
+            lowest_usage = machine.used;
+        }
+    }
+    return best == nullptr ? std::string() : *best;
+}
+
+void machine_planner::plan_pools(time_point now, const job::scheduler& scheduler,
+                                 const std::map<service_id, job::service_load>& loads,
+                                 machine_orders& out)
+{
+    // Moves that haven't been ordered are planned anew, as the demand may have changed.
+    m_previous_moves.clear();
+    for (auto& [name, machine] : m_machines) {
+        if (machine.planned_order && machine.planned_order->action == machine_action::move &&
+            !machine.ordered && machine.state == machine_state::up) {
+            m_previous_moves.insert(name);
+            machine.planned_order.reset();
+        }
+    }
+    auto states = pool_states(now, scheduler, loads);
+    move_machines(now, states, out);
+    for (const std::string& name : m_previous_moves) {
+        const machine_record& machine = m_machines[name];
+        if (!machine.planned_order && !machine.worker.empty()) {
+            out.cordons.push_back({machine.worker, false});
+        }
+    }
+    m_previous_moves.clear();
+}
+
+void machine_planner::move_machines(time_point now, std::map<service_id, pool_state>& states,
+                                    machine_orders& out)
+{
+    std::vector<service_id> sources;
+    for (const auto& [id, pool] : m_pools) {
+        // Machines of standby pools are off, so moving them costs nothing; they are used first.
+        sources.insert(pool.standby ? sources.begin() : sources.end(), id);
+    }
+    for (auto& [pool, state] : states) {
+        if (is_standby(pool) || !m_pools.contains(pool)) {
+            continue;
+        }
+        for (const service_id& source : sources) {
+            while (source != pool && state.present < state.wanted) {
+                pool_state& source_state = states[source];
+                const std::string name = move_candidate(source, now);
+                const bool can_give =
+                    is_standby(source) ||
+                    source_state.present > std::max(source_state.wanted, m_options.min_machines);
+                if (name.empty() || !can_give) {
+                    break;
+                }
+                cordon(m_machines[name],
+                       {.machine = name, .action = machine_action::move, .pool = pool}, out);
+                --source_state.present;
+                ++state.present;
+            }
+        }
+    }
+}
+
+} // namespace plantaindoor::fleet
