fleet: Show how many machines a leader counts in each pool

In the incident of a long-running task that waited ten seconds for a worker, nothing told whether the leader lacked a machine or didn't know that it did: neither the number of machines that a pool needs nor the one that the leader counts there was logged or measured.

The gauges pool_machines_wanted, pool_machines_present and pool_machines_leaving show them by pool and shard, and a line is logged when a pool begins or ceases to lack machines. No decision changes.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -61,6 +61,18 @@
     std::vector<machine_order> orders;
 };
 
+/// The machines of one pool in the last round.
+struct pool_figures {
+    /// Machines that the demand needs, and those that serve the pool or will after a planned move.
+    std::uint32_t wanted = 0;
+    std::uint32_t present = 0;
+    /// Machines whose worker has announced that it leaves.
+    std::uint32_t leaving = 0;
+
+    /// Machines that the pool needs and that no other pool could give.
+    [[nodiscard]] std::uint32_t missing() const { return wanted > present ? wanted - present : 0; }
+};
+
 struct wave_progress {
     wave_request request;
     time_point first_seen{};
@@ -88,6 +100,8 @@
     [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
 
     [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
+    /// The pools with demand or machines, as of the last plan().
+    [[nodiscard]] const std::map<service_id, pool_figures>& pools() const { return m_pool_figures; }
 
 private:
     struct machine_record {
@@ -113,14 +127,11 @@
         /// Processor time in use, in thousandths of a core.
         std::int64_t used = 0;
         bool idle = false;
+        /// Whether the worker drains: it takes no new tasks and ends soon.
+        bool leaving = false;
         /// Whether long-running tasks run on the machine.
         bool long_running = false;
     };
-    struct pool_state {
-        std::uint32_t wanted = 0;
-        /// Machines that serve the pool, or will after a planned move.
-        std::uint32_t present = 0;
-    };
     struct arrival_sample {
         time_point at{};
         double work = 0;
@@ -143,11 +154,12 @@
     [[nodiscard]] std::uint32_t under_maintenance(const service_id& pool) const;
     void plan_pools(time_point now, const job::scheduler& scheduler,
                     const std::map<service_id, job::service_load>& loads, machine_orders& out);
-    [[nodiscard]] std::map<service_id, pool_state>
+    [[nodiscard]] std::map<service_id, pool_figures>
     pool_states(time_point now, const job::scheduler& scheduler,
                 const std::map<service_id, job::service_load>& loads);
     /// Counts the machines that serve a pool, or will after a planned move.
     [[nodiscard]] std::uint32_t count_present(const service_id& pool) const;
+    [[nodiscard]] std::uint32_t count_leaving(const service_id& pool) const;
     /// Counts the machines of the pool that are up and have no planned order.
     [[nodiscard]] std::uint32_t count_settled(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
@@ -160,7 +172,7 @@
     void drop_planned_order(machine_record& machine);
     /// The least used machine that may leave the pool; empty if there is none.
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
-    void move_machines(time_point now, std::map<service_id, pool_state>& states,
+    void move_machines(time_point now, std::map<service_id, pool_figures>& states,
                        machine_orders& out);
 
     machine_planner_options m_options;
@@ -169,6 +181,7 @@
     std::map<std::string, time_point> m_blocked;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
+    std::map<service_id, pool_figures> m_pool_figures;
     /// Workers to uncordon as the order for their machine was dropped.
     std::vector<cordon_change> m_uncordoned;
     /// Machines whose planned move is reconsidered in the current plan() call.
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/fleet/gateways.hpp"
 #include "plantaindoor/fleet/machine_planner.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
+#include "plantaindoor/fleet/pool_reporter.hpp"
 #include "plantaindoor/fleet/recent_orders.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
@@ -96,6 +97,7 @@
     machine_session_options m_options;
     machine_planner m_planner;
     recent_orders m_recent_orders;
+    pool_reporter m_pool_reporter;
     std::shared_ptr<bool> m_alive;
     std::unique_ptr<table_watcher> m_wave_rows;
     std::map<std::uint64_t, std::set<std::string>> m_persisted_started;
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -193,6 +193,10 @@
         if (known) {
             machine.worker_start = worker->second.latest_start();
         }
+        // A draining worker that is no longer listed stays the machine's worker until the next
+        // machine list.
+        machine.leaving =
+            known ? worker->second.listing.draining : machine.leaving && !machine.worker.empty();
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plantaindoor::fleet {
 
@@ -54,11 +55,11 @@
     return load.long_running + needed;
 }
 
-std::map<service_id, machine_planner::pool_state>
+std::map<service_id, pool_figures>
 machine_planner::pool_states(time_point now, const job::scheduler& scheduler,
                              const std::map<service_id, job::service_load>& loads)
 {
-    std::map<service_id, pool_state> states;
+    std::map<service_id, pool_figures> states;
     std::map<service_id, double> capacity;
     std::map<service_id, std::uint32_t> worker_counts;
     for (const auto& [id, worker] : scheduler.workers()) {
@@ -98,6 +99,7 @@
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = count_present(pool);
+        states[pool].leaving = count_leaving(pool);
     }
     return states;
 }
@@ -136,6 +138,14 @@
         }));
 }
 
+std::uint32_t machine_planner::count_leaving(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            return each.second.pool == pool && each.second.leaving;
+        }));
+}
+
 std::uint32_t machine_planner::count_settled(const service_id& pool) const
 {
     return static_cast<std::uint32_t>(
@@ -174,6 +184,7 @@
     }
     auto states = pool_states(now, scheduler, loads);
     move_machines(now, states, out);
+    m_pool_figures = std::move(states);
     for (const std::string& name : m_previous_moves) {
         const machine_record& machine = m_machines[name];
         if (!machine.planned_order && !machine.worker.empty()) {
@@ -183,7 +194,7 @@
     m_previous_moves.clear();
 }
 
-void machine_planner::move_machines(time_point now, std::map<service_id, pool_state>& states,
+void machine_planner::move_machines(time_point now, std::map<service_id, pool_figures>& states,
                                     machine_orders& out)
 {
     std::vector<service_id> sources;
@@ -197,7 +208,7 @@
         }
         for (const service_id& source : sources) {
             while (source != pool && state.present < state.wanted) {
-                pool_state& source_state = states[source];
+                pool_figures& source_state = states[source];
                 const std::string name = move_candidate(source, now);
                 const bool can_give =
                     is_standby(source) ||
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -55,6 +55,7 @@
                               .claim = m_options.claim,
                               .commit_timeout = m_options.commit_timeout,
                               .retention = m_options.handover_delay}),
+      m_pool_reporter(metrics, m_options.shard),
       m_alive(std::make_shared<bool>(true)),
       m_ended_workers(metrics.counter({"worker_lives_over_total",
                                        "Workers whose end was detected by the list of machines",
@@ -206,6 +207,7 @@
     }
     check_waiting_waves(now);
     const machine_orders orders = m_planner.plan(now, m_scheduler);
+    m_pool_reporter.report(m_planner.pools());
     for (const cordon_change& each : orders.cordons) {
         m_scheduler.cordon_worker(each.worker, each.cordoned);
     }
--- /dev/null
+++ b/packages/fleet/src/pool_reporter.cpp
@@ -0,0 +1,61 @@
+#include "plantaindoor/fleet/pool_reporter.hpp"
+
+#include "plantaindoor/process/logging.hpp"
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr process::log_part pool_log("pool");
+
+} // namespace
+
+pool_reporter::~pool_reporter()
+{
+    for (const auto& [id, pool] : m_pools) {
+        pool.wanted->set(0);
+        pool.present->set(0);
+        pool.leaving->set(0);
+    }
+}
+
+void pool_reporter::report(const std::map<service_id, pool_figures>& pools)
+{
+    for (const auto& [id, figures] : pools) {
+        reported_pool& pool = reported(id);
+        pool.wanted->set(figures.wanted);
+        pool.present->set(figures.present);
+        pool.leaving->set(figures.leaving);
+        const bool lacks = figures.missing() > 0;
+        if (lacks != pool.lacks) {
+            pool_log.info(
+                fmt::format("shard {}: pool {} {} machines: {} wanted, {} present, {} leaving",
+                            m_shard, id.str(), lacks ? "lacks" : "no longer lacks", figures.wanted,
+                            figures.present, figures.leaving));
+        }
+        pool.lacks = lacks;
+    }
+}
+
+pool_reporter::reported_pool& pool_reporter::reported(const service_id& pool)
+{
+    const auto [at, is_new] = m_pools.try_emplace(pool);
+    if (is_new) {
+        const auto gauge = [&](const std::string& name, const std::string& help) {
+            return &m_metrics.gauge(
+                {name, help, {{"pool", pool.str()}, {"shard", std::to_string(m_shard)}}});
+        };
+        at->second = {.wanted =
+                          gauge("pool_machines_wanted", "Machines that a pool's demand needs"),
+                      .present = gauge("pool_machines_present",
+                                       "Machines that serve a pool or will after a planned move"),
+                      .leaving = gauge("pool_machines_leaving", "Machines whose worker drains")};
+    }
+    return at->second;
+}
+
+} // namespace plantaindoor::fleet
