job: Log long-running tasks that wait for a worker and those started again

Only the first start of a job and the ends of runs were logged.

A long-running task that has waited for two seconds is logged once, with the number of workers of its service and what each lacks; its next start is logged with the length of the wait. Gauges show the number of waiting tasks and the longest wait. The decisions move from scheduler.hpp to a header of their own. No decision changes.

Test: 'a long-running task that waits is reported with what keeps it from each worker'.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -155,6 +155,8 @@
     metric_counter& m_crash_suspicions;
     metric_gauge& m_open_jobs;
     metric_gauge& m_usable_workers;
+    metric_gauge& m_waiting_long_running;
+    metric_gauge& m_longest_wait;
     learned_gauges m_learned_gauges;
 };
 
--- a/packages/fleet/src/decision_log.cpp
+++ b/packages/fleet/src/decision_log.cpp
@@ -42,6 +42,18 @@
                            "of {}: {}",
                            made.isolation.waited.count(), made.isolation.position,
                            made.isolation.count, name_of(made.isolation.reason));
+    case job::decision_kind::task_waits:
+        return fmt::format("{} has waited {} ms for a worker; of {} of its service, {} can't be "
+                           "used, {} lack its label, {} have as many tasks of the step as may be, "
+                           "{} lack capacity{}",
+                           to_string(made.run.task), made.waited.count(), made.obstacles.workers,
+                           made.obstacles.unusable, made.obstacles.lacking_label,
+                           made.obstacles.at_limit, made.obstacles.lacking_capacity,
+                           made.obstacles.in_doubt ? "; a predecessor may still run it" : "");
+    case job::decision_kind::task_restarted:
+        return fmt::format("{} attempt {} started again on {} after {} ms",
+                           to_string(made.run.task), made.run.attempt, made.worker.str(),
+                           made.waited.count());
     case job::decision_kind::worker_slow:
     case job::decision_kind::interference:
         break; // These concern no job.
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -71,6 +71,12 @@
           shard_gauge("jobs_open", "Jobs that are not in a final state", m_options.shard.number))),
       m_usable_workers(context.metrics.gauge(shard_gauge(
           "workers_usable", "Workers available for placement", m_options.shard.number))),
+      m_waiting_long_running(context.metrics.gauge(
+          shard_gauge("long_running_tasks_waiting", "Long-running tasks that wait for a worker",
+                      m_options.shard.number))),
+      m_longest_wait(context.metrics.gauge(
+          shard_gauge("long_running_longest_wait_seconds",
+                      "Longest present wait of a long-running task", m_options.shard.number))),
       m_learned_gauges(context.metrics, m_options.shard.number)
 {
     m_lease_until = m_options.claimed_at + m_options.lease;
@@ -409,6 +415,8 @@
     m_usable_workers.set(double(std::count_if(
         workers.begin(), workers.end(), [now](auto& each) { return each.second.is_usable(now); })));
     m_open_jobs.set(double(m_scheduler.open_count()));
+    m_waiting_long_running.set(double(m_scheduler.waits().tasks));
+    m_longest_wait.set(std::chrono::duration<double>(m_scheduler.waits().longest).count());
     m_quota_reporter.refresh(m_scheduler.quota(), now);
     m_learned_gauges.set(m_scheduler.learned());
 }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -3,6 +3,7 @@
 
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
+#include "plantaindoor/job/decision.hpp"
 #include "plantaindoor/job/record.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/speed_learner.hpp"
@@ -13,7 +14,6 @@
 #include "plantaindoor/policy/workspace_quota.hpp"
 #include "plantaindoor/policy/workspace_shares.hpp"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -98,46 +98,6 @@
     milliseconds wait{0};
 };
 
-enum class decision_kind {
-    first_start,       ///< the first start of one of the job's tasks has been ordered
-    run_ended,         ///< a run has ended without completing its task
-    run_lost,          ///< a run's worker has ended, or was unresponsive past its lease
-    job_ended,         ///< the job has reached a terminal state
-    crash_noted,       ///< a worker has crashed, for which the task may be to blame
-    isolation_awaited, ///< a suspected task has waited for some time to be started in isolation
-    worker_slow,       ///< a worker begins or ceases to count as slow; concerns no job
-    interference,      ///< a pair of kinds begins or ceases to count; concerns no job
-};
-
-/// A decision about one job, with the details that operators need.
-struct decision {
-    decision_kind kind = decision_kind::job_ended;
-    job_id job;
-    run_name run;
-    instance_id worker;
-    run_end_reason end_reason = run_end_reason::stopped;
-    /// Of a lost run: how the end of its worker was detected, and how long after the run's start
-    /// the worker stopped answering.
-    worker_end worker_end_cause = worker_end::lease_expired;
-    milliseconds run_age{0};
-    job_state state = job_state::queued;
-    failure_reason failure = failure_reason::none;
-    /// Of a noted crash: all crashes of the task, the last one being the newest.
-    std::vector<task_crash> crashes;
-    /// Of an awaited isolation.
-    policy::suspect_position isolation;
-    /// Of a worker that begins or ceases to count as slow.
-    policy::worker_speed_change speed;
-    /// Of a pair that begins or ceases to count, and the names of its kinds.
-    policy::interference_change pair;
-    std::string slowed;
-    std::string slowing;
-    /// Time since the job was submitted.
-    milliseconds age{0};
-    /// Time from submission to the job's objective.
-    milliseconds objective{0};
-};
-
 /// State and effects of what is learned from the pace of runs.
 struct learned_figures {
     std::size_t slow_workers = 0;
@@ -147,6 +107,12 @@
     std::uint64_t placements_changed = 0;
 };
 
+/// Long-running tasks that wait for a worker.
+struct long_running_waits {
+    std::size_t tasks = 0;
+    milliseconds longest{0};
+};
+
 /// Demand of a service's jobs on its workers, in thousandths of a core.
 struct service_load {
     /// Of all long-running tasks.
@@ -291,6 +257,8 @@
     /// must have expired, these may be a predecessor's on a worker that has never answered.
     [[nodiscard]] bool needs_polling(const instance_id& id) const;
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
+    /// The long-running tasks that wait for a worker, as of the last plan().
+    [[nodiscard]] const long_running_waits& waits() const noexcept { return m_waits; }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
     [[nodiscard]] learned_figures learned() const;
@@ -307,6 +275,14 @@
     job_record* find_job(const job_id& id);
     void mark_dirty(const job_id& id) { m_dirty.insert(id); }
     void note_decision(const job_record& job, decision recorded);
+    /// Counts the long-running tasks that wait, and records a decision on each that has waited for
+    /// wait_report_delay.
+    void report_long_waits(time_point now);
+    /// Records that a task is started that has run before or has waited for long.
+    void note_restart(const job_record& job, const run_name& run, const instance_id& worker,
+                      time_point now);
+    [[nodiscard]] placement_obstacles obstacles_of(const job_record& job, const task_name& name,
+                                                   time_point now) const;
 
     void apply_end(worker_record& worker, const ended_run& end, time_point now);
     void apply_running(worker_record& worker, const reported_run& reported, time_point now);
@@ -546,26 +522,9 @@
     std::vector<decision> m_decisions;
     speed_learner m_learner;
     std::uint64_t m_placements_changed = 0;
+    long_running_waits m_waits;
     /// Time of the event that is being processed.
     time_point m_now{};
 };
 
 } // namespace plantaindoor::job
-
-namespace plantaindoor {
-
-template<>
-struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 8> table{{
-        {job::decision_kind::first_start, "first-start"},
-        {job::decision_kind::run_ended, "run-ended"},
-        {job::decision_kind::run_lost, "run-lost"},
-        {job::decision_kind::job_ended, "over"},
-        {job::decision_kind::crash_noted, "crash-noted"},
-        {job::decision_kind::isolation_awaited, "isolation-awaited"},
-        {job::decision_kind::worker_slow, "worker-slow"},
-        {job::decision_kind::interference, "interference"},
-    }};
-};
-
-} // namespace plantaindoor
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -58,6 +58,7 @@
     refresh_learned(now);
     evacuate(now);
     place_all(now);
+    report_long_waits(now);
     throttle_best_effort(now);
     send_stops(now);
     return std::exchange(m_orders, {});
@@ -87,6 +88,9 @@
     all.reserve(m_open.size());
     for (const auto& [id, unfinished] : m_open) {
         job_record& job = *unfinished;
+        if (job.is_long_running()) {
+            job.note_waiting(now);
+        }
         if (in_doubt(job, now)) {
             continue;
         }
@@ -361,6 +365,9 @@
     started.long_running = step.long_running;
     m_learner.begin(started, job, *job.find(name), name.step);
     worker.long_running_runs += step.long_running ? 1 : 0;
+    if (step.long_running) {
+        note_restart(job, run, worker.listing.id, now);
+    }
     charge_run(started, job, name.step);
     const auto added = worker.runs.emplace(run, std::move(started)).first;
     job.note_started(name, {worker.listing.id, attempt});
--- /dev/null
+++ b/packages/job/src/scheduler_waits.cpp
@@ -0,0 +1,100 @@
+#include "plantaindoor/job/scheduler.hpp"
+
+#include <algorithm>
+
+namespace plantaindoor::job {
+
+namespace {
+
+constexpr milliseconds wait_report_delay{2000};
+
+milliseconds waited_by(time_point since, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - since);
+}
+
+} // namespace
+
+void scheduler::report_long_waits(time_point now)
+{
+    m_waits = {};
+    for (const auto& [id, job] : m_open) {
+        if (!job->is_long_running()) {
+            continue;
+        }
+        for (auto& [number, occurrence] : job->occurrences()) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].waiting == 0) {
+                    continue;
+                }
+                auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    task_record& task = tasks[index];
+                    if (!task.waiting_since) {
+                        continue;
+                    }
+                    const milliseconds waited = waited_by(*task.waiting_since, now);
+                    ++m_waits.tasks;
+                    m_waits.longest = std::max(m_waits.longest, waited);
+                    if (waited >= wait_report_delay && !task.wait_reported) {
+                        task.wait_reported = true;
+                        const task_name name{id, number, step, index};
+                        note_decision(*job, {.kind = decision_kind::task_waits,
+                                             .run = {name, task.last_attempt},
+                                             .waited = waited,
+                                             .obstacles = obstacles_of(*job, name, now)});
+                    }
+                }
+            }
+        }
+    }
+}
+
+void scheduler::note_restart(const job_record& job, const run_name& run, const instance_id& worker,
+                             time_point now)
+{
+    const auto& task =
+        job.occurrences().at(run.task.occurrence).steps[run.task.step].tasks[run.task.index];
+    const milliseconds waited = waited_by(task.waiting_since.value_or(now), now);
+    if (task.last_attempt > 0 || waited >= wait_report_delay) {
+        note_decision(job, {.kind = decision_kind::task_restarted,
+                            .run = run,
+                            .worker = worker,
+                            .waited = waited});
+    }
+}
+
+placement_obstacles scheduler::obstacles_of(const job_record& job, const task_name& name,
+                                            time_point now) const
+{
+    const step_spec& spec = job.spec().steps[name.step];
+    const auto& tasks = job.occurrences().at(name.occurrence).steps[name.step].tasks;
+    const auto siblings_on = [&](const instance_id& worker) {
+        return std::count_if(tasks.begin(), tasks.end(), [&](const task_record& task) {
+            return std::any_of(task.runs.begin(), task.runs.end(),
+                               [&](const task_run& run) { return run.worker == worker; });
+        });
+    };
+    placement_obstacles found{.in_doubt = in_doubt(job, now)};
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker.listed || worker.listing.service != job.queue().service) {
+            continue;
+        }
+        ++found.workers;
+        if (!worker.is_usable(now)) {
+            ++found.unusable;
+        }
+        else if (!spec.required_label.empty() && !worker.listing.has_label(spec.required_label)) {
+            ++found.lacking_label;
+        }
+        else if (spec.max_per_worker > 0 && siblings_on(id) >= spec.max_per_worker) {
+            ++found.at_limit;
+        }
+        else if (!worker.free_capacity().can_fit(spec.footprint())) {
+            ++found.lacking_capacity;
+        }
+    }
+    return found;
+}
+
+} // namespace plantaindoor::job
--- /dev/null
+++ b/packages/job/tests/long_running_report_test.cpp
@@ -0,0 +1,50 @@
+// What operators are told of long-running tasks that wait for a worker.
+#include "incarnation_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace plantaindoor;
+using namespace plantaindoor::job;
+using namespace plantaindoor::job::testing;
+
+// Guards against a long-running task that is without a run for seconds, with nothing in the log
+// from which to tell why.
+TEST_CASE("a long-running task that waits is reported with what keeps it from each worker")
+{
+    incarnation_fixture fixture;
+    fixture.add_worker();
+    const job_id id = fixture.submit(
+        "j", {.count = 3, .need = {.cpu_millis = 1000}, .max_per_worker = 1, .long_running = true});
+    REQUIRE(fixture.start_tasks().size() == 2);
+    const auto waits_reported = [&] {
+        std::vector<decision> found;
+        for (const decision& each : fixture.subject.take_decisions()) {
+            if (each.kind == decision_kind::task_waits) {
+                found.push_back(each);
+            }
+        }
+        return found;
+    };
+    fixture.now += milliseconds(1900);
+    static_cast<void>(fixture.plan());
+    CHECK(waits_reported().empty());
+    CHECK(fixture.subject.waits().tasks == 1);
+
+    fixture.now += milliseconds(200);
+    static_cast<void>(fixture.plan());
+    const auto reported = waits_reported();
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0].job == id);
+    CHECK(reported[0].run.task.index == 2);
+    CHECK(reported[0].waited == fixture.subject.waits().longest);
+    CHECK(reported[0].obstacles.workers == 2);
+    CHECK(reported[0].obstacles.at_limit == 2);
+    CHECK(reported[0].obstacles.unusable == 0);
+
+    // Once for each wait.
+    fixture.now += seconds(1);
+    static_cast<void>(fixture.plan());
+    CHECK(waits_reported().empty());
+}
