--- /dev/null
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -0,0 +1,81 @@
+// A service whose workers leave one after another, in virtual time: the scheduler and the machine
+// planner of one leader, with the platform's answers to their orders.
+#pragma once
+
+#include "plantaindoor/fleet/machine_planner.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantaindoor::fleet::testing {
+
+inline const service_id served_pool{"checks"};
+inline const service_id other_pool{"orders"};
+
+/// Not synchronised.
+class departing_pool {
+public:
+    static constexpr job::resources worker_capacity{.cpu_millis = 1000, .memory_mb = 1000};
+
+    /// Machines in served_pool, and in other_pool.
+    departing_pool(int served, int other);
+
+    /// Each run ends as done after `run_time`; without one it runs until it is stopped.
+    job_id submit(const std::string& queue, const job::step_spec& step,
+                  std::optional<milliseconds> run_time = std::nullopt);
+    /// The worker announces that it leaves; it ends `drain_time` later, and its machine with it.
+    void leave(const instance_id& worker);
+    /// The workers of served_pool that run a task of the job, by its index.
+    [[nodiscard]] std::vector<instance_id> workers_of(const job_id& job) const;
+    /// Advances time by a tick of 100 ms: polls, machine lists, and the orders of one round.
+    void tick();
+    void run_for(milliseconds time);
+    /// Longest time that any of the job's tasks has spent without a run so far.
+    [[nodiscard]] milliseconds longest_wait(const job_id& job) const;
+
+    time_point now{std::chrono::hours(1)};
+    job::scheduler scheduler{{}, now};
+    machine_planner planner{{}};
+    /// All orders to machines so far.
+    std::vector<machine_order> orders;
+
+private:
+    struct machine {
+        service_id pool;
+        /// Empty while the machine is moved.
+        instance_id worker;
+        bool listed = false;
+        time_point ready{};
+        bool leaving = false;
+        time_point ends{};
+        /// When each run ends by itself.
+        std::map<job::run_name, time_point> running;
+        std::vector<job::ended_run> ended;
+        std::uint64_t sequence = 0;
+    };
+
+    void add_machine(const service_id& pool);
+    machine* machine_of(const instance_id& worker);
+    [[nodiscard]] job::worker_listing listing_of(const std::string& name, const machine& at) const;
+    void poll();
+    void list_machines();
+    void end_departed();
+    void end_runs(machine& at);
+    void execute(const job::orders& orders);
+    void execute(const machine_orders& orders);
+    void count_waits();
+
+    std::map<std::string, machine> m_machines;
+    int m_next_machine = 0;
+    int m_next_worker = 0;
+    int m_ticks = 0;
+    std::map<job::task_name, time_point> m_waiting;
+    std::map<job_id, milliseconds> m_longest;
+    std::map<job_id, std::optional<milliseconds>> m_run_times;
+};
+
+} // namespace plantaindoor::fleet::testing
--- /dev/null
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -0,0 +1,126 @@
+// Long-running tasks of a service whose workers leave while other pools have machines to give.
+#include "departing_pool.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaindoor;
+using namespace plantaindoor::fleet;
+using namespace plantaindoor::fleet::testing;
+
+namespace {
+
+/// The users' bound on the time that a long-running task may be without a run.
+constexpr seconds longest_allowed_wait{6};
+
+job::step_spec one_per_worker(std::uint32_t count)
+{
+    return {.count = count,
+            .need = {.cpu_millis = 200, .memory_mb = 100},
+            .max_per_worker = 1,
+            .long_running = true,
+            .max_unavailable = 1};
+}
+
+} // namespace
+
+// Guards against long-running tasks that wait for a machine until a departing worker has ended.
+TEST_CASE("a long-running task gets another machine while workers of its service leave in series")
+{
+    departing_pool pool(7, 10);
+    const job_id job = pool.submit("checks", one_per_worker(6));
+    pool.run_for(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 6);
+
+    pool.leave(pool.workers_of(job).back());
+    for (int departure = 0; departure < 6; ++departure) {
+        pool.leave(pool.workers_of(job).back());
+        pool.run_for(seconds(1));
+    }
+    pool.run_for(seconds(15));
+
+    CHECK(pool.workers_of(job).size() == 6);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+}
+
+// Guards against a pool that counts on a machine that it is about to lose.
+TEST_CASE("the machine of a draining worker is replaced before it has ended")
+{
+    departing_pool pool(4, 4);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    REQUIRE(pool.orders.empty());
+
+    pool.leave(pool.workers_of(job).front());
+    pool.tick();
+    REQUIRE(pool.orders.size() == 1);
+    CHECK(pool.orders.front().pool == served_pool);
+    CHECK(pool.planner.pools().at(served_pool).leaving == 1);
+
+    pool.run_for(seconds(10));
+    CHECK(pool.orders.size() == 1);
+}
+
+// Guards against orders that the platform refuses, while the pool that needs a machine waits.
+TEST_CASE("a machine whose worker drains isn't moved to another pool")
+{
+    departing_pool pool(4, 2);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    for (const auto& [id, worker] : pool.scheduler.workers()) {
+        if (worker.listing.service == other_pool) {
+            pool.leave(id);
+            break;
+        }
+    }
+    pool.leave(pool.workers_of(job).front());
+    const instance_id leaving = [&] {
+        for (const auto& [id, worker] : pool.scheduler.workers()) {
+            if (worker.listing.service == other_pool && worker.listing.draining) {
+                return id;
+            }
+        }
+        return instance_id();
+    }();
+    pool.run_for(seconds(1));
+    for (const machine_order& each : pool.orders) {
+        CHECK(each.worker != leaving);
+    }
+}
+
+// Guards against long-running tasks that wait for ever since all workers of their service lack
+// memory, of which processor time tells nothing.
+TEST_CASE("a long-running task that fits on no worker of its pool gets a machine")
+{
+    departing_pool pool(2, 4);
+    const job_id job = pool.submit(
+        "checks", {.count = 4, .need = {.cpu_millis = 10, .memory_mb = 600}, .long_running = true});
+    pool.run_for(seconds(8));
+    CHECK(pool.workers_of(job).size() == 4);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+    // One more than the tasks use is kept for departures.
+    CHECK(pool.orders.size() <= 3);
+}
+
+// Guards against long-running tasks that wait while urgent work asks for more machines than there
+// are: it has to share what is left.
+TEST_CASE("a long-running task gets a machine from a pool that urgent work fills")
+{
+    departing_pool pool(3, 6);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 3);
+    // Its pool is full, and a backlog remains.
+    for (int second = 0; second < 12; ++second) {
+        static_cast<void>(pool.submit(
+            "orders",
+            {.count = 10, .need = {.cpu_millis = 450, .memory_mb = 10}, .estimate = seconds(1)},
+            milliseconds(1200)));
+        if (second == 3) {
+            pool.leave(pool.workers_of(job).front());
+            pool.leave(pool.workers_of(job).back());
+        }
+        pool.run_for(seconds(1));
+    }
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+}
