fleet: Only workers that have answered count as a pool's capacity

Seen: one row of another writer with a capacity of 10^12, at an address where nothing listens, kept its whole pool from getting machines: a burst moved none where it moves four or five, and two wide tasks that fit on no worker got one machine. Cause: the planner divides what a pool needs by the average capacity of its workers, and counts how many blocked tasks fit on the largest worker, over all rows. Fix: only workers that have answered this leader count; rows alone count while none has, as right after a takeover. The averages move to a class of their own.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/fleet/machine_planner.hpp"
 
+#include "plantaindoor/fleet/machine_capacity.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <string_view>
@@ -330,32 +332,19 @@
                              const std::map<service_id, job::service_load>& loads)
 {
     std::map<service_id, pool_state> states;
-    std::map<service_id, double> capacity;
-    std::map<service_id, std::uint32_t> worker_counts;
-    for (const auto& [id, worker] : scheduler.workers()) {
-        capacity[worker.listing.service] += double(worker.capacity().cpu_millis);
-        ++worker_counts[worker.listing.service];
-    }
-    double average_capacity = 0;
-    std::uint32_t total_workers = 0;
-    for (const auto& [pool, sum] : capacity) {
-        average_capacity += sum;
-        total_workers += worker_counts[pool];
-    }
-    average_capacity = total_workers == 0 ? 0 : average_capacity / total_workers;
+    const machine_capacity capacity(scheduler);
     const bool has_open_waves = std::any_of(
         m_waves.begin(), m_waves.end(), [](const auto& each) { return !each.second.completed(); });
     // One spare machine, and one more that an unfinished wave may take.
     const std::uint32_t spare = has_open_waves ? 2 : 1;
     for (const auto& [pool, load] : loads) {
-        const double machine_capacity =
-            worker_counts[pool] > 0 ? capacity[pool] / worker_counts[pool] : average_capacity;
-        if (machine_capacity <= 0) {
+        const double per_machine = capacity.of(pool);
+        if (per_machine <= 0) {
             continue;
         }
-        const double needed = needed_capacity(pool, load, machine_capacity, now);
+        const double needed = needed_capacity(pool, load, per_machine, now);
         const auto machines = static_cast<std::uint32_t>(
-            std::ceil(needed / machine_capacity * percent / m_options.max_load_percent));
+            std::ceil(needed / per_machine * percent / m_options.max_load_percent));
         // Long-running steps must fit onto the remaining machines while others are maintained.
         states[pool].wanted =
             load.min_workers == 0
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -562,3 +562,59 @@
     CHECK(planned.orders[0].action == machine_action::move);
     CHECK(planned.orders[0].pool == checks);
 }
+
+// Guards against a pool that gets no machines since one row, of another writer, seems to have more
+// capacity than all of them, or none.
+TEST_CASE("load: a worker that has never answered doesn't change how many machines a pool gets")
+{
+    two_pools pools;
+    job::worker_listing odd = at_address(listing_of("", "odd"), "10.0.9.9:80");
+    odd.capacity.cpu_millis = GENERATE(std::int64_t{1'000'000'000'000}, std::int64_t{0});
+    pools.scheduler.note_worker_listed(odd, start);
+    static_cast<void>(pools.plan_round(start));
+    std::size_t moved = 0;
+    for (int tenth = 1; tenth <= 10; ++tenth) {
+        const time_point now = start + milliseconds(100 * tenth);
+        for (int each = 0; each < 3; ++each) {
+            pools.submit("checks", 6, 1100, milliseconds(1000), 2, now);
+        }
+        moved += pools.plan_round(now).orders.size();
+    }
+    CHECK(moved >= 4);
+    CHECK(moved <= 5);
+}
+
+// Guards against wide tasks that wait since a worker that never answers seems to have room for all.
+TEST_CASE("a worker that has never answered takes no machine from tasks that fit nowhere else")
+{
+    std::vector<job::worker_listing> workers;
+    std::vector<machine_info> machines;
+    for (int number = 1; number <= 6; ++number) {
+        const std::string digit = std::to_string(number);
+        const service_id pool = number <= 2 ? checks : reserve;
+        workers.push_back(in_pool(
+            at_address(listing_of("m" + digit, "w" + digit), "10.0.0." + digit + ":80"), pool));
+        machines.push_back(machine_up("m" + digit, pool, "w" + digit));
+    }
+    job::scheduler scheduler = scheduler_with(workers);
+    job::worker_listing odd = at_address(listing_of("", "odd"), "10.0.9.9:80");
+    odd.capacity = {.cpu_millis = 1'000'000'000'000, .memory_mb = 1'000'000'000'000};
+    scheduler.note_worker_listed(odd, start);
+    scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
+    scheduler.note_live_workers({}, start);
+    const auto submit = [&](const std::string& id, const job::step_spec& step) {
+        auto spec = std::make_shared<job::job_spec>();
+        spec->steps = {step};
+        scheduler.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = start});
+    };
+    submit("lasting",
+           {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
+    REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
+    submit("wide", {.count = 2, .need = {.cpu_millis = 900}, .estimate = milliseconds(1)});
+    REQUIRE(scheduler.plan(start, wall_time()).starts.empty());
+
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}, {.id = reserve}});
+    planner.note_machine_list(machines, start);
+    CHECK(planner.plan(start, scheduler).orders.size() == 2);
+}
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -410,7 +410,9 @@
     }
     std::int64_t per_worker = 0;
     for (const auto& [id, worker] : m_workers) {
-        if (const resources capacity = worker.capacity(); capacity.can_fit(need)) {
+        // A row may be of another writer, and then there is no such worker.
+        if (const resources capacity = worker.capacity();
+            worker.token_acknowledged && capacity.can_fit(need)) {
             const auto by_cpu = capacity.cpu_millis / std::max<std::int64_t>(need.cpu_millis, 1);
             const auto by_memory = capacity.memory_mb / std::max<std::int64_t>(need.memory_mb, 1);
             per_worker = std::max(per_worker, std::min(by_cpu, by_memory));
