soak: Rows of another writer among the workers from the start

Every run holds 27 rows that name no worker to use: nested 30,000 levels deep, with numbers and ports out of range, fields missing or of another type, bytes that aren't UTF-8, another worker's address, a huge capacity where nothing listens, a key with line breaks. Half of them sort before the workers' keys and half after. An entry that ends without a signal of the soak is a violation from now on.

--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -155,7 +155,10 @@
         return 200, {"ver": self.version}
 
     async def put(self, table, key, value):
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        await self.put_bytes(table, key, json.dumps(value).encode())
+
+    async def put_bytes(self, table, key, value):
+        text = base64.b64encode(value).decode()
         await self.apply([], [{"table": table, "key": key, "value": text}], [])
 
     async def remove(self, table, key):
@@ -352,6 +355,39 @@
                      "running": [[task, attempt, "", 100, 0] for task, attempt in self.running]}
 
 
+def foreign_rows(entry):
+    """Rows of another writer, by their keys, that name no worker to use. `entry` is a worker's."""
+    free_address = "127.0.0.1:9"  # Nothing listens there.
+    unlisted = {"address": free_address, "machine": "unknown"}
+    huge = {"cpu": 10 ** 12, "memMb": 10 ** 12, "gpu": 10 ** 12}
+    changes = {
+        "address-missing": {"address": None}, "address-number": {"address": 7},
+        "address-name": {"address": "worker.example:80"},
+        "port-zero": {"address": "127.0.0.1:0", "machine": "unknown"},
+        "port-too-large": {"address": "127.0.0.1:70000", "machine": "unknown"},
+        "state-unknown": {"state": "asleep"}, "service-number": {"service": 5},
+        "service-unknown": {"service": "unknown", "address": free_address},
+        "labels-missing": {"labels": None}, "labels-many": {"labels": ["x"] * 5000},
+        "capacity-negative": {"freeCapacity": {"cpu": -1, "memMb": -1}},
+        "capacity-too-large": {"freeCapacity": {"cpu": 1e300, "memMb": 2 ** 64}},
+        "capacity-huge": {"freeCapacity": huge, **unlisted},
+        "start-too-large": {"born": 2 ** 64, "address": free_address},
+        "start-in-future": {"born": 2 ** 62, "address": free_address},
+        "address-of-another": {"machine": ""},
+        "long-text": {"zone": "z" * 40000, "address": free_address},
+        "key\r\nwith: lines": unlisted,
+    }
+    rows = {key: json.dumps({name: value for name, value in {**entry, **change}.items()
+                             if value is not None}).encode() for key, change in changes.items()}
+    for name in ("born", "labels", "freeCapacity", "other"):
+        nested = b"[" * 30000 + b"]" * 30000
+        rows[f"nested-{name}"] = json.dumps(entry).encode()[:-1] + f',"{name}":'.encode() + nested + b"}"
+    rows["overflow"] = json.dumps(entry).encode()[:-1] + b',"callSeq":1e400}'
+    rows.update({"empty": b"", "list": b"[]", "cut": b'{"service":', "not-utf-8": b"\xff\xfe{}"})
+    # The workers' keys begin with "w", so that some rows come before and others after them.
+    return {f"{'az'[number % 2]}-{key}": row for number, (key, row) in enumerate(rows.items())}
+
+
 class Platform:
     """The whole platform: the store, the workers and their machines."""
 
@@ -371,6 +407,9 @@
         for index in range(self.count):
             self.workers.append(None)
             await self.start_worker(index)
+        first = self.workers[0]
+        for key, row in foreign_rows(first.entry(first.http.port)).items():
+            await self.store.put_bytes("servers", key, row)
 
     async def start_worker(self, index, port=0):
         self.incarnations += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -89,6 +89,8 @@
         self.store_proxy = Proxy(platform.store.http.port)
         self.ports = {kind: ports.allocate() for kind in ("callers", "ready", "peers", "metrics")}
         self.process = None
+        self.signalled = None  # the last process that was sent a signal that ends it
+        self.end_watch = None
         self.lock = asyncio.Lock()
         self.closed = False
 
@@ -106,6 +108,13 @@
             with open(self.log, "ab") as log:
                 self.process = await asyncio.create_subprocess_exec(
                     self.program, "--config", self.settings, stdout=log, stderr=log)
+            self.end_watch = asyncio.create_task(self.watch_end(self.process))
+
+    async def watch_end(self, process):
+        code = await process.wait()
+        if process is not self.signalled and not self.closed:
+            self.platform.checker.violations.append(
+                f"entry {self.name} ended by itself with code {code}")
 
     def alive(self):
         return self.process is not None and self.process.returncode is None
@@ -113,6 +122,8 @@
     def signal_process(self, number):
         """Signals the current process and returns it, as a new one may be started concurrently."""
         if self.alive():
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self.signalled = self.process
             self.process.send_signal(number)
         return self.process
 
