job: Places the long-running task first that has waited longest

Cause: the waiting tasks of a step were placed by their index, and those of several jobs by the rank of the job. Done: a task records since when it waits, from its submission, the end or loss of its run, or the start of a new leader; a rejected start doesn't end the wait. The waiting long-running tasks of all jobs are placed in this order, before the other tasks; equal waits are placed as before. Measured: with the order taken out, both tests of it fail (0, 1, 2, 3 instead of 3, 1, 2, 0); with it all tests of packages/job pass (release build). The tests of the rejected start and of the new leader read the new state and can't be run on the code before.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -73,6 +73,9 @@
     std::vector<task_crash> crashes;
     /// Crashes for which another job's task turned out to be to blame.
     std::uint32_t explained_crashes = 0;
+    /// Since when a long-running task has waited for a worker, as far as this process knows;
+    /// nullopt while it runs or while its step is blocked.
+    std::optional<time_point> waiting_since;
 
     /// All crashes that the task hasn't outlived, whatever the blame.
     [[nodiscard]] std::size_t crash_count() const noexcept
@@ -196,7 +199,10 @@
     bool clear_crashes_if(const std::function<bool(const task_crash&)>& is_explained);
     bool note_failed(const task_name& name, std::uint32_t attempt, const instance_id& worker);
     void note_started(const task_name& name, task_run run);
-    void note_not_running(const task_name& name, const task_run& run);
+    /// A long-running task without another run waits since `since`.
+    void note_not_running(const task_name& name, const task_run& run, time_point since);
+    /// Records that the long-running tasks wait whose turn has come, unless they already do.
+    void note_waiting(time_point since);
 
     /// Returns the state to persist, as JSON text.
     [[nodiscard]] std::string progress() const;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -302,6 +302,8 @@
         time_point objective{};
         /// Belongs to a workspace that has its share of a service that is short of capacity.
         bool above_share = false;
+        /// Its long-running tasks are placed before all others.
+        bool long_running_first = false;
     };
 
     job_record* find_job(const job_id& id);
@@ -422,7 +424,9 @@
     void hold_for_gang(const job_record& job, std::uint32_t step,
                        const std::vector<worker_record*>& chosen, time_point now);
     void release_held();
-    void place_job(job_record& job, time_point now);
+    /// Places the waiting long-running tasks, those first that have waited longest.
+    void place_long_running(const std::vector<candidate>& ranked, time_point now);
+    void place_job(const candidate& ranked, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     /// Counts the run against the cap of the job's workspace until release_run().
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -125,6 +125,8 @@
     resources footprint;
     time_point ordered{};
     time_point confirmed{};
+    /// Of a long-running run: since when its task had waited.
+    std::optional<time_point> waited_since;
     /// When a stop was last sent; nullopt if none was.
     std::optional<time_point> stop_sent;
     /// When the worker accepted a stop; nullopt before.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -372,13 +372,14 @@
         --step_of(name).waiting;
     }
     task.last_attempt = std::max(task.last_attempt, run.attempt);
+    task.waiting_since.reset();
     task.runs.push_back(std::move(run));
     if (m_state == job_state::queued) {
         m_state = job_state::running;
     }
 }
 
-void job_record::note_not_running(const task_name& name, const task_run& run)
+void job_record::note_not_running(const task_name& name, const task_run& run, time_point since)
 {
     task_record* const task = find(name);
     if (task == nullptr || !task->runs_on(run.worker, run.attempt)) {
@@ -387,6 +388,26 @@
     task->remove_run(run.worker, run.attempt);
     if (task->is_waiting()) {
         ++step_of(name).waiting;
+        if (m_spec->steps[name.step].long_running) {
+            task->waiting_since = since;
+        }
+    }
+}
+
+void job_record::note_waiting(time_point since)
+{
+    for (auto& [number, occurrence] : m_occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!m_spec->steps[step].long_running || occurrence.steps[step].waiting == 0 ||
+                !is_unblocked(occurrence, step)) {
+                continue;
+            }
+            for (task_record& task : occurrence.steps[step].tasks) {
+                if (task.is_waiting() && !task.waiting_since) {
+                    task.waiting_since = since;
+                }
+            }
+        }
     }
 }
 
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -302,8 +302,13 @@
 
 void scheduler::release_run(worker_record& worker, const run_name& run)
 {
+    time_point waiting_since = m_now;
     const auto found = worker.runs.find(run);
     if (found != worker.runs.end()) {
+        if (found->second.confirmed == time_point{}) {
+            // The task hasn't run since.
+            waiting_since = found->second.waited_since.value_or(m_now);
+        }
         speed_learner::note_left(worker, found->second, m_now);
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
@@ -313,7 +318,7 @@
         worker.runs.erase(found);
     }
     if (job_record* const job = find_job(run.task.job)) {
-        job->note_not_running(run.task, {worker.listing.id, run.attempt});
+        job->note_not_running(run.task, {worker.listing.id, run.attempt}, waiting_since);
     }
 }
 
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -87,10 +87,17 @@
     all.reserve(m_open.size());
     for (const auto& [id, unfinished] : m_open) {
         job_record& job = *unfinished;
+        if (job.is_long_running()) {
+            job.note_waiting(now);
+        }
         if (in_doubt(job, now)) {
             continue;
         }
-        all.push_back({.job = &job, .tier = tier_of(job, now), .objective = job.objective()});
+        const tier job_tier = tier_of(job, now);
+        all.push_back({.job = &job,
+                       .tier = job_tier,
+                       .objective = job.objective(),
+                       .long_running_first = job_tier == long_running_tier});
     }
     std::sort(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
         const auto rank = [](const candidate& each) {
@@ -121,15 +128,17 @@
             return each->isolated_runs > 0 || m_isolation.is_reserved(each->listing.id);
         });
     }
+    place_long_running(ranked, now);
     for (const candidate& each : ranked) {
-        place_job(*each.job, now);
+        place_job(each, now);
     }
     m_quota.end_round(now);
     release_held();
 }
 
-void scheduler::place_job(job_record& job, time_point now)
+void scheduler::place_job(const candidate& ranked, time_point now)
 {
+    job_record& job = *ranked.job;
     if (!m_candidates.contains(job.queue().service)) {
         return;
     }
@@ -138,10 +147,11 @@
             if (occurrence.steps[step].waiting == 0 || !job.is_unblocked(occurrence, step)) {
                 continue;
             }
-            if (job.spec().steps[step].gang) {
+            const step_spec& spec = job.spec().steps[step];
+            if (spec.gang) {
                 place_gang(job, number, step, now);
             }
-            else {
+            else if (!spec.long_running || !ranked.long_running_first) {
                 place_step(job, number, step, now);
             }
         }
@@ -359,6 +369,7 @@
     worker_run started{.footprint = step.footprint(), .ordered = now};
     worker.used += started.footprint;
     started.long_running = step.long_running;
+    started.waited_since = job.find(name)->waiting_since;
     m_learner.begin(started, job, *job.find(name), name.step);
     worker.long_running_runs += step.long_running ? 1 : 0;
     charge_run(started, job, name.step);
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -330,6 +330,7 @@
 void scheduler::note_start(const instance_id& id, const run_name& run, order_answer answer,
                            time_point now)
 {
+    m_now = now;
     const auto found = m_workers.find(id);
     if (found == m_workers.end()) {
         return;
