job: Reserves workers for long-running tasks that find no room

What callers saw: a long-running task whose run had ended with its worker didn't run again while short tasks filled the pool. Cause: such a task started only where a worker had room for it at the moment of a round. Short tasks took each bit of room as it became free, so that no worker ever had enough. Done: a new class, policy::long_running_reservations, reserves one worker for each waiting task until it starts: the one that is expected to have room first, by the progress, the estimates and the ages of its short runs. Other tasks get only what the reservation leaves there. Nothing is reserved for a task that fits on no worker beside its long-running tasks, is at its workspace's cap or must be isolated. Suspects of crashes get no reserved worker.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -111,6 +111,16 @@
     std::uint32_t waiting = 0;
 
     [[nodiscard]] bool is_complete() const noexcept { return done == tasks.size(); }
+    [[nodiscard]] std::map<instance_id, std::uint32_t> runs_by_worker() const
+    {
+        std::map<instance_id, std::uint32_t> counts;
+        for (const task_record& task : tasks) {
+            for (const task_run& run : task.runs) {
+                ++counts[run.worker];
+            }
+        }
+        return counts;
+    }
 };
 
 /// One pass over the job's steps.
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -9,6 +9,7 @@
 #include "plantaindoor/job/task_name.hpp"
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/crash_isolation.hpp"
+#include "plantaindoor/policy/long_running_reservations.hpp"
 #include "plantaindoor/policy/workspace.hpp"
 #include "plantaindoor/policy/workspace_quota.hpp"
 #include "plantaindoor/policy/workspace_shares.hpp"
@@ -426,6 +427,10 @@
     void release_held();
     /// Places the waiting long-running tasks, those first that have waited longest.
     void place_long_running(const std::vector<candidate>& ranked, time_point now);
+    struct reservation_round;
+    /// Reserves a worker for the task; returns whether any suits.
+    bool reserve_worker(reservation_round& round, const job_record& job, const task_name& name,
+                        time_point now);
     void place_job(const candidate& ranked, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
@@ -512,6 +517,9 @@
         std::vector<worker_record*> workers;
     };
     std::map<service_id, held_capacity> m_held;
+    policy::long_running_reservations m_reservations;
+    /// What is kept from other tasks in this round.
+    std::vector<std::pair<worker_record*, resources>> m_reserved_room;
     std::map<job_id, job_record> m_jobs;
     std::map<job_id, std::shared_ptr<const job_spec>> m_specs;
     /// The open jobs, which are not terminal; the pointers refer to m_jobs.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -298,7 +298,9 @@
     for (const worker_record* const each : candidates->second) {
         const bool is_kept = each->isolated_runs > 0 || m_isolation.is_reserved(each->listing.id);
         pool.kept += is_kept ? 1 : 0;
-        if (!spec.required_label.empty() && !each->listing.has_label(spec.required_label)) {
+        // A suspect would keep the room of a long-running task for longer than that task may wait.
+        if (m_reservations.is_reserved(each->listing.id) ||
+            (!spec.required_label.empty() && !each->listing.has_label(spec.required_label))) {
             continue;
         }
         const auto siblings = spec.max_per_worker == 0 ? 0 : siblings_on(each);
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -30,6 +30,7 @@
     : m_options(options),
       m_started(now),
       m_quota({.shard = options.shard, .shards = options.shard_count}),
+      m_reservations(options.stop_time),
       m_learner(
           {.worker_speed = options.learn_worker_speed, .interference = options.learn_interference})
 {
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -1,18 +1,131 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace plantaindoor::job {
 
-void scheduler::place_long_running(const std::vector<candidate>& ranked, time_point now)
+namespace {
+
+struct waiting_task {
+    time_point since{};
+    job_record* job = nullptr;
+    task_name name;
+};
+
+void add_waiting(std::vector<waiting_task>& waiting, job_record& job, std::uint32_t occurrence,
+                 std::uint32_t step)
 {
-    struct waiting_task {
-        time_point since{};
-        job_record* job = nullptr;
-        task_name name;
+    const auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].waiting_since && !tasks[index].must_be_isolated()) {
+            waiting.push_back({.since = *tasks[index].waiting_since,
+                               .job = &job,
+                               .name = {job.id(), occurrence, step, index}});
+        }
+    }
+}
+
+policy::short_run short_run_of(const worker_run& run, const worker_record& worker,
+                               const step_spec* spec, time_point now)
+{
+    const auto since_start = [&](time_point until) {
+        return std::chrono::duration_cast<milliseconds>(until - run.ordered);
     };
+    policy::short_run result{.footprint = run.footprint,
+                             .use = run.need,
+                             .age = since_start(now),
+                             // The progress of an adopted run began at an unknown time.
+                             .percent = run.adopted ? 0 : run.percent,
+                             .progress_age = since_start(worker.clock_read_at),
+                             .stopping = run.phase == run_phase::stopping};
+    if (spec != nullptr) {
+        result.estimate = spec->estimate;
+        result.checkpointing = spec->checkpointing;
+        result.gang_width = spec->gang ? spec->count : 1;
+    }
+    return result;
+}
+
+} // namespace
+
+/// What the waiting tasks of a round share.
+struct scheduler::reservation_round {
+    struct step_state {
+        /// The round has no worker for a further task.
+        bool exhausted = false;
+        std::uint32_t reserved = 0;
+        /// Tasks of the step by worker, with those for which it is reserved.
+        std::map<instance_id, std::uint32_t> siblings;
+    };
+    struct pool_view {
+        std::vector<policy::reservable_worker> workers;
+        std::vector<worker_record*> records;
+        /// As in reservable_worker::runs.
+        std::vector<std::vector<run_name>> runs;
+    };
+
+    step_state& step_of(const task_name& name)
+    {
+        return steps[{name.job, name.occurrence, name.step, 0}];
+    }
+
+    pool_view& pool_of(const scheduler& subject, const service_id& service, time_point now)
+    {
+        const auto [known, is_new] = pools.try_emplace(service);
+        pool_view& pool = known->second;
+        if (!is_new) {
+            return pool;
+        }
+        for (worker_record* const worker : subject.m_candidates.at(service)) {
+            policy::reservable_worker view{.worker = worker->listing.id, .is_slow = worker->slow};
+            std::vector<run_name> names;
+            for (const auto& [name, run] : worker->runs) {
+                if (!run.long_running || run.phase == run_phase::stopping) {
+                    const job_record* const job = subject.find(name.task.job);
+                    view.runs.push_back(short_run_of(
+                        run, *worker,
+                        job == nullptr ? nullptr : &job->spec().steps.at(name.task.step), now));
+                    names.push_back(name);
+                }
+            }
+            pool.workers.push_back(std::move(view));
+            pool.records.push_back(worker);
+            pool.runs.push_back(std::move(names));
+        }
+        return pool;
+    }
+
+    /// The workers on which the task may run once there is room.
+    static std::vector<const policy::reservable_worker*>
+    eligible_workers(pool_view& pool, const step_state& state, const step_spec& spec,
+                     const std::vector<instance_id>& avoided)
+    {
+        std::vector<const policy::reservable_worker*> eligible;
+        for (std::size_t at = 0; at < pool.records.size(); ++at) {
+            const worker_listing& listing = pool.records[at]->listing;
+            const auto siblings = state.siblings.find(listing.id);
+            const bool has_too_many = spec.max_per_worker > 0 && siblings != state.siblings.end() &&
+                                      siblings->second >= spec.max_per_worker;
+            const bool is_avoided =
+                std::find(avoided.begin(), avoided.end(), listing.id) != avoided.end();
+            if (!has_too_many && !is_avoided &&
+                (spec.required_label.empty() || listing.has_label(spec.required_label))) {
+                pool.workers[at].free = pool.records[at]->free_capacity();
+                eligible.push_back(&pool.workers[at]);
+            }
+        }
+        return eligible;
+    }
+
+    /// By the first task.
+    std::map<task_name, step_state> steps;
+    std::map<service_id, pool_view> pools;
+};
+
+void scheduler::place_long_running(const std::vector<candidate>& ranked, time_point now)
+{
     std::vector<waiting_task> waiting;
     for (const candidate& each : ranked) {
         if (!each.long_running_first || !m_candidates.contains(each.job->queue().service)) {
@@ -21,42 +134,78 @@
         for (auto& [number, occurrence] : each.job->occurrences()) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_spec& spec = each.job->spec().steps[step];
-                if (!spec.long_running || spec.gang || occurrence.steps[step].waiting == 0) {
-                    continue;
-                }
-                const auto& tasks = occurrence.steps[step].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].waiting_since && !tasks[index].must_be_isolated()) {
-                        waiting.push_back({.since = *tasks[index].waiting_since,
-                                           .job = each.job,
-                                           .name = {each.job->id(), number, step, index}});
-                    }
+                if (spec.long_running && !spec.gang && occurrence.steps[step].waiting > 0) {
+                    add_waiting(waiting, *each.job, number, step);
                 }
             }
         }
     }
     std::stable_sort(waiting.begin(), waiting.end(),
                      [](const auto& left, const auto& right) { return left.since < right.since; });
-    // Equal tasks, of which none finds a worker that another one hasn't found.
-    std::set<task_name> without_worker;
+    reservation_round round;
+    m_reservations.begin_round(now);
     for (const waiting_task& each : waiting) {
         const task_name& name = each.name;
-        const task_name first{name.job, name.occurrence, name.step, 0};
-        if (without_worker.contains(first)) {
+        auto& step = round.step_of(name);
+        if (step.exhausted) {
+            continue;
+        }
+        if (!cap_allows(*each.job, name.occurrence, name.step, step.reserved + 1)) {
+            step.exhausted = true;
             continue;
         }
         task_record& task = *each.job->find(name);
+        // Equal tasks find no room either.
         worker_record* const worker =
-            cap_allows(*each.job, name.occurrence, name.step, 1)
-                ? choose_worker(*each.job, each.job->occurrences().at(name.occurrence), name.step,
-                                task, now)
-                : nullptr;
-        if (worker == nullptr) {
-            without_worker.insert(first);
-            continue;
+            step.reserved > 0
+                ? nullptr
+                : choose_worker(*each.job, each.job->occurrences().at(name.occurrence), name.step,
+                                task, now);
+        if (worker != nullptr) {
+            order_start(*each.job, name, *worker, next_attempt(task), now);
+        }
+        else {
+            step.exhausted = !reserve_worker(round, *each.job, name, now);
         }
-        order_start(*each.job, name, *worker, next_attempt(task), now);
     }
+    m_reservations.end_round();
+}
+
+bool scheduler::reserve_worker(reservation_round& round, const job_record& job,
+                               const task_name& name, time_point now)
+{
+    const step_record& record = job.occurrences().at(name.occurrence).steps[name.step];
+    const step_spec& spec = job.spec().steps[name.step];
+    const task_record& task = record.tasks[name.index];
+    auto& step = round.step_of(name);
+    if (step.reserved == 0) {
+        step.siblings = record.runs_by_worker();
+    }
+    auto& pool = round.pool_of(*this, job.queue().service, now);
+    const policy::waiting_long_running waiting{
+        .task = to_string(name), .need = spec.footprint(), .since = *task.waiting_since};
+    auto reservation = m_reservations.reserve(
+        waiting, reservation_round::eligible_workers(pool, step, spec, task.avoided));
+    if (!reservation && !task.avoided.empty()) {
+        reservation = m_reservations.reserve(
+            waiting, reservation_round::eligible_workers(pool, step, spec, {}));
+    }
+    if (!reservation) {
+        return false;
+    }
+    const auto chosen =
+        std::find_if(pool.workers.begin(), pool.workers.end(),
+                     [&](const auto& each) { return each.worker == reservation->worker; });
+    const auto at = static_cast<std::size_t>(chosen - pool.workers.begin());
+    for (const std::size_t stop : reservation->stops) {
+        request_stop(*pool.records[at], pool.runs[at][stop]);
+        chosen->runs[stop].stopping = true;
+    }
+    ++step.reserved;
+    ++step.siblings[reservation->worker];
+    pool.records[at]->used += waiting.need;
+    m_reserved_room.emplace_back(pool.records[at], waiting.need);
+    return true;
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -243,12 +243,10 @@
     std::map<instance_id, std::uint32_t> siblings;
     std::set<rack_id> racks;
     if (spec.max_per_worker > 0 || spec.same_rack) {
-        for (const task_record& other : occurrence.steps[step].tasks) {
-            for (const task_run& run : other.runs) {
-                ++siblings[run.worker];
-                if (const auto at = m_workers.find(run.worker); at != m_workers.end()) {
-                    racks.insert(at->second.listing.rack);
-                }
+        siblings = occurrence.steps[step].runs_by_worker();
+        for (const auto& [id, count] : siblings) {
+            if (const auto at = m_workers.find(id); at != m_workers.end()) {
+                racks.insert(at->second.listing.rack);
             }
         }
     }
--- a/packages/job/src/scheduler_shares.cpp
+++ b/packages/job/src/scheduler_shares.cpp
@@ -168,6 +168,9 @@
         }
     }
     m_held.clear();
+    for (const auto& [worker, need] : std::exchange(m_reserved_room, {})) {
+        worker->used -= need;
+    }
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/tests/contended_pool.hpp
+++ b/packages/job/tests/contended_pool.hpp
@@ -22,6 +22,8 @@
         run_name name;
         step_spec step;
         time_point started{};
+        /// How long a short task works.
+        milliseconds length{0};
         /// Unset: runs until it is stopped.
         std::optional<time_point> end;
         run_end_reason end_reason = run_end_reason::done;
@@ -37,6 +39,8 @@
     static constexpr milliseconds tick{50};
     static constexpr milliseconds stop_time{300};
     static constexpr milliseconds drain_time{5000};
+    static constexpr resources smallest_short_task{.cpu_millis = 3000, .memory_mb = 4000};
+    static constexpr resources largest_short_task{.cpu_millis = 6000, .memory_mb = 4000};
     static inline const service_id service{"s"};
 
     time_point now{std::chrono::hours(1)};
@@ -57,6 +61,8 @@
     /// Of short tasks that ended as done, in core-seconds.
     double done_work = 0;
     std::size_t stopped_short_runs = 0;
+    /// Rounds after which more workers had room for any short task than long-running ones waited.
+    std::size_t rounds_with_unused_workers = 0;
     std::vector<std::string> violations;
 
     explicit contended_pool(std::uint64_t seed = 1, scheduler_options options = {})
@@ -92,13 +98,15 @@
         return id;
     }
 
-    job_id submit(const step_spec& step, const std::string& queue)
+    job_id submit(const step_spec& step, const std::string& queue,
+                  const workspace_id& workspace = {})
     {
         job_id id("j" + std::to_string(100000 + ++m_submitted));
         jobs[id] = step;
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(step);
-        subject.submit(id, {.queue = queue, .spec = std::move(spec), .at = now});
+        subject.submit(
+            id, {.queue = queue, .workspace = workspace, .spec = std::move(spec), .at = now});
         for (std::uint32_t index = 0; step.long_running && index < step.count; ++index) {
             ended[{id, 0, 0, index}] = now;
         }
@@ -114,8 +122,10 @@
             waiting += !step.long_running && job->state() == job_state::queued ? 1 : 0;
         }
         for (; waiting < tasks; ++waiting) {
-            submit({.need = {.cpu_millis = std::uniform_int_distribution(3000, 6000)(random),
-                             .memory_mb = 4000},
+            resources need = smallest_short_task;
+            need.cpu_millis = std::uniform_int_distribution(need.cpu_millis,
+                                                            largest_short_task.cpu_millis)(random);
+            submit({.need = need,
                     .estimate = short_estimate,
                     .checkpointing = std::bernoulli_distribution(checkpointing_share)(random)},
                    "urgent");
@@ -170,11 +180,22 @@
         }
         return worst;
     }
-    [[nodiscard]] static std::size_t long_running_on(const worker& on)
+    [[nodiscard]] static resources free_on(const worker& on)
+    {
+        resources free = on.listing.capacity;
+        for (const run& each : on.runs) {
+            free -= each.step.footprint();
+        }
+        return free;
+    }
+    /// The workers with room for any of the short tasks.
+    [[nodiscard]] std::size_t workers_with_room() const
     {
         return static_cast<std::size_t>(
-            std::count_if(on.runs.begin(), on.runs.end(),
-                          [](const run& each) { return each.step.long_running; }));
+            std::count_if(workers.begin(), workers.end(), [](const auto& each) {
+                return !each.second.listing.draining &&
+                       free_on(each.second).can_fit(largest_short_task);
+            }));
     }
 
 private:
@@ -215,6 +236,15 @@
         }
     }
 
+    [[nodiscard]] std::uint32_t percent_of(const run& running) const
+    {
+        constexpr std::uint32_t full = 100;
+        if (running.step.long_running) {
+            return full;
+        }
+        return static_cast<std::uint32_t>(full * (now - running.started) / running.length);
+    }
+
     void note_ended(const run& each)
     {
         if (each.step.long_running) {
@@ -235,7 +265,7 @@
         for (const run& running : each.runs) {
             sent.running.push_back({.run = running.name,
                                     .checkpoint = running.step.checkpointing ? "saved" : "",
-                                    .percent = running.step.long_running ? 100U : 50U});
+                                    .percent = percent_of(running)});
         }
         sent.ended = std::move(ends);
         subject.note_report(id, sent, now - milliseconds(2), now);
@@ -253,10 +283,8 @@
                 ended.erase(each.run.task);
             }
             else {
-                started.end = now + (max_run > milliseconds(0)
-                                         ? milliseconds(std::uniform_int_distribution<std::int64_t>(
-                                               min_run.count(), max_run.count())(random))
-                                         : step.estimate);
+                started.length = run_time_of(step);
+                started.end = now + started.length;
             }
             workers.at(each.worker).runs.push_back(std::move(started));
             subject.note_start(each.worker, each.run, order_answer::accepted, now);
@@ -274,6 +302,15 @@
         }
     }
 
+    [[nodiscard]] milliseconds run_time_of(const step_spec& step)
+    {
+        if (max_run == milliseconds(0)) {
+            return step.estimate;
+        }
+        return milliseconds(
+            std::uniform_int_distribution(min_run.count(), max_run.count())(random));
+    }
+
     void check(const instance_id& id, const worker& on, const run_name& started)
     {
         resources used;
@@ -317,6 +354,9 @@
 
     void measure()
     {
+        if (const std::size_t kept = workers_with_room(); backlog > 0 && kept > ended.size()) {
+            ++rounds_with_unused_workers;
+        }
         for (const auto& [task, since] : ended) {
             milliseconds& longest = longest_wait[task];
             longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - since));
--- a/packages/job/tests/long_running_wait_test.cpp
+++ b/packages/job/tests/long_running_wait_test.cpp
@@ -2,13 +2,18 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <string>
+#include <vector>
 
 using namespace plantaindoor;
 using namespace plantaindoor::job;
 
 namespace {
 
+/// A long-running task has to run again within this time.
+constexpr milliseconds wait_bound{6000};
 constexpr resources serving_need{.cpu_millis = 9600, .memory_mb = 34000};
 
 step_spec serving_step(std::uint32_t count, std::uint32_t max_per_worker = 0)
@@ -28,6 +33,37 @@
     return indices;
 }
 
+/// A pool full of long-running tasks and of short ones that run for 0.8 to 2.1 s.
+struct full_pool : contended_pool {
+    explicit full_pool(std::uint64_t seed, int worker_count) : contended_pool(seed)
+    {
+        for (int each = 0; each < worker_count; ++each) {
+            add_worker();
+        }
+    }
+
+    void fill()
+    {
+        advance(milliseconds(500));
+        min_run = milliseconds(800);
+        max_run = milliseconds(2100);
+        backlog = 30;
+        advance(seconds(4) + milliseconds(random() % 2100));
+        longest_wait.clear();
+        rounds_with_unused_workers = 0;
+    }
+
+    /// Drains workers of the job's tasks one after the other.
+    void drain_workers_of(const job_id& job, std::size_t count, milliseconds interval)
+    {
+        const std::vector<instance_id> ids = workers_of(job);
+        for (std::size_t each = 0; each < count; ++each) {
+            drain(ids.at(each));
+            advance(interval);
+        }
+    }
+};
+
 } // namespace
 
 // Guards against a task that waits while tasks stopped later get the new workers.
@@ -126,3 +162,210 @@
     CHECK(successor.find(job)->occurrences().at(0).steps.front().tasks.front().waiting_since ==
           time_point(seconds(100)));
 }
+
+// Guards against short tasks that take each bit of room before there is enough for a long-running
+// task whose worker drains.
+TEST_CASE("a long-running task starts again in time where short tasks fill the pool")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 8);
+        const job_id job = pool.submit(serving_step(4), "serving");
+        pool.fill();
+        REQUIRE(pool.ended.empty());
+        pool.drain_workers_of(job, 1, seconds(12));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms");
+        CHECK(pool.worst_wait() < wait_bound);
+        CHECK(pool.stopped_short_runs == 0);
+        CHECK(pool.rounds_with_unused_workers == 0);
+        CHECK(pool.violations.empty());
+    }
+}
+
+// Guards against the same where the worker ends without notice.
+TEST_CASE("a long-running task starts again in time after the end of its worker in a full pool")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 8);
+        const job_id job = pool.submit(serving_step(4), "serving");
+        pool.fill();
+        pool.workers.at(pool.workers_of(job).front()).ends_at = pool.now;
+        pool.advance(seconds(12));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms");
+        CHECK(pool.worst_wait() < wait_bound);
+        CHECK(pool.violations.empty());
+    }
+}
+
+// Guards against the same where most workers may not take the task because of its siblings.
+TEST_CASE("a long-running task starts again in time beside siblings on all workers but two")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 8);
+        const job_id job = pool.submit(serving_step(6, 1), "serving");
+        pool.fill();
+        pool.drain_workers_of(job, 1, seconds(12));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms");
+        CHECK(pool.worst_wait() < wait_bound);
+        CHECK(pool.violations.empty());
+    }
+}
+
+// Guards against tasks that wait because the reserved room serves only one of them at a time.
+TEST_CASE("several long-running tasks of two jobs start again in time in a full pool")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 16);
+        const job_id first = pool.submit(serving_step(5, 1), "serving");
+        const job_id second = pool.submit(serving_step(5, 1), "serving-urgent");
+        pool.fill();
+        REQUIRE(pool.ended.empty());
+        pool.drain_workers_of(first, 2, milliseconds(50 * (seed % 30)));
+        pool.drain_workers_of(second, 3, milliseconds(0));
+        pool.advance(seconds(12));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms");
+        CHECK(pool.worst_wait() < wait_bound);
+        CHECK(pool.rounds_with_unused_workers == 0);
+        CHECK(pool.violations.empty());
+    }
+}
+
+// Guards against a wait as long as the short tasks run.
+TEST_CASE("short tasks that would end too late are stopped for a long-running task")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 8);
+        const job_id job = pool.submit(serving_step(4, 1), "serving");
+        pool.short_estimate = seconds(15);
+        pool.fill();
+        pool.min_run = seconds(12);
+        pool.max_run = seconds(15);
+        pool.advance(seconds(8));
+        pool.longest_wait.clear();
+        const std::size_t before = pool.stopped_short_runs;
+        pool.drain_workers_of(job, 1, seconds(12));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms, stopped "
+                     << pool.stopped_short_runs - before);
+        CHECK(pool.worst_wait() < wait_bound);
+        // A worker has at most five short tasks.
+        CHECK(pool.stopped_short_runs - before <= 5);
+        CHECK(pool.violations.empty());
+    }
+}
+
+// Guards against stops that a rough estimate would cause or delay.
+TEST_CASE("a long-running task starts again in time where the estimates of short tasks are wrong")
+{
+    for (const milliseconds estimate : {milliseconds(300), milliseconds(20000)}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            full_pool pool(seed, 8);
+            const job_id job = pool.submit(serving_step(4, 1), "serving");
+            pool.short_estimate = estimate;
+            pool.fill();
+            pool.min_run = pool.max_run = seconds(estimate < seconds(1) ? 15 : 1);
+            pool.advance(seconds(8));
+            pool.longest_wait.clear();
+            pool.drain_workers_of(job, 1, seconds(12));
+            INFO("estimate " << estimate.count() << " ms, seed " << seed << ": waited "
+                             << pool.worst_wait().count() << " ms");
+            CHECK(pool.worst_wait() < wait_bound);
+            CHECK(pool.violations.empty());
+        }
+    }
+}
+
+// Guards against workers that idle for a task that can't run there.
+TEST_CASE("no worker is kept free for a long-running task that fits on none")
+{
+    const auto work_with = [](std::uint32_t tasks) {
+        full_pool pool(1, 6);
+        pool.submit(serving_step(tasks, 1), "serving");
+        pool.fill();
+        pool.done_work = 0;
+        pool.advance(seconds(20));
+        CHECK(pool.ended.size() == tasks - 6);
+        CHECK(pool.workers_with_room() == 0);
+        CHECK(pool.stopped_short_runs == 0);
+        return pool.done_work;
+    };
+    CHECK(work_with(9) == Approx(work_with(6)));
+}
+
+// Guards against workers that idle for a task that waits at its workspace's cap.
+TEST_CASE("no worker is kept free for a long-running task at its workspace's cap")
+{
+    full_pool pool(1, 6);
+    const workspace_id shop("shop");
+    pool.subject.set_workspaces(
+        {{.id = shop,
+          .jobs_per_second = 100,
+          .cap = resources{.cpu_millis = 3 * serving_need.cpu_millis, .memory_mb = 600000}}});
+    pool.submit(serving_step(4), "serving", shop);
+    pool.fill();
+    REQUIRE(pool.ended.size() == 1);
+    for (int round = 0; round < 100; ++round) {
+        pool.advance(contended_pool::tick);
+        CHECK(pool.workers_with_room() == 0);
+    }
+    CHECK(pool.stopped_short_runs == 0);
+}
+
+// Guards against room that stays reserved for a job that no longer wants it.
+TEST_CASE("reserved room is used again at once when the long-running job is cancelled")
+{
+    full_pool pool(1, 8);
+    const job_id job = pool.submit(serving_step(4, 1), "serving");
+    pool.fill();
+    pool.drain_workers_of(job, 1, contended_pool::tick);
+    for (int round = 0; round < 40 && pool.workers_with_room() == 0; ++round) {
+        pool.advance(contended_pool::tick);
+    }
+    REQUIRE(pool.ended.size() == 1);
+    REQUIRE(pool.workers_with_room() == 1);
+    pool.subject.cancel(job, pool.now);
+    pool.ended.clear();
+    pool.advance(2 * contended_pool::stop_time);
+    CHECK(pool.workers_with_room() == 0);
+}
+
+// Guards against waits that only a series of changes brings about, as in a roll-out.
+TEST_CASE("long-running tasks start again in time while one worker after the other is replaced")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        full_pool pool(seed, 14);
+        const job_id first = pool.submit(serving_step(5, 1), "serving");
+        const job_id second = pool.submit(serving_step(3), "serving-urgent");
+        pool.short_estimate = seconds(1 + seed % 8);
+        pool.checkpointing_share = 0.3;
+        pool.fill();
+        pool.min_run = pool.short_estimate / 2;
+        pool.max_run = pool.short_estimate * 2;
+        pool.longest_wait.clear();
+        std::vector<time_point> replacements;
+        for (int round = 0; round < 16; ++round) {
+            const auto ids = pool.workers_of(round % 3 == 0 ? second : first);
+            const auto staying = std::find_if(ids.begin(), ids.end(), [&](const instance_id& id) {
+                return !pool.workers.at(id).listing.draining;
+            });
+            if (staying != ids.end()) {
+                pool.drain(*staying);
+                replacements.push_back(pool.now + milliseconds(1500 + pool.random() % 3000));
+            }
+            for (int step = 0; step < 10 + int(pool.random() % 20); ++step) {
+                pool.advance(contended_pool::tick);
+                std::erase_if(replacements, [&](time_point at) {
+                    const bool is_due = pool.now >= at;
+                    if (is_due) {
+                        pool.add_worker();
+                    }
+                    return is_due;
+                });
+            }
+        }
+        pool.advance(seconds(6));
+        INFO("seed " << seed << ": waited " << pool.worst_wait().count() << " ms, stopped "
+                     << pool.stopped_short_runs);
+        CHECK(pool.worst_wait() < wait_bound);
+        CHECK(pool.ended.empty());
+        CHECK(pool.violations.empty());
+    }
+}
