--- a/packages/job/include/plantaindoor/job/spec.hpp
+++ b/packages/job/include/plantaindoor/job/spec.hpp
@@ -56,6 +56,12 @@
                 .memory_mb = need.memory_mb,
                 .accelerators = need.accelerators};
     }
+    /// Estimated work of this many tasks, in thousandths of a core times seconds.
+    [[nodiscard]] double work_of(std::uint32_t tasks) const
+    {
+        return double(tasks) * double(footprint().cpu_millis) *
+               std::chrono::duration<double>(estimate).count();
+    }
 };
 
 /// Schedule on which a job's steps are repeated.
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -1,7 +1,6 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -11,13 +10,6 @@
 constexpr std::uint32_t failures_before_quarantine = 3;
 constexpr milliseconds quarantine_time{5000};
 
-/// Estimated work of a number of tasks, in thousandths of a core times seconds.
-double work_of(const step_spec& step, std::uint32_t tasks)
-{
-    return double(tasks) * double(step.footprint().cpu_millis) *
-           std::chrono::duration<double>(step.estimate).count();
-}
-
 bool has_best_effort(const job_spec& spec)
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(),
@@ -87,7 +79,7 @@
     }
     double work = 0;
     for (const step_spec& step : submitted.spec->steps) {
-        work += step.long_running ? 0 : work_of(step, step.count);
+        work += step.long_running ? 0 : step.work_of(step.count);
     }
     submission_count& counted = m_submitted[policy.service];
     counted.work += work;
@@ -395,88 +387,6 @@
     m_persisting.clear();
 }
 
-std::map<service_id, std::vector<resources>> scheduler::lasting_room() const
-{
-    std::map<service_id, std::vector<resources>> rooms;
-    for (const auto& [id, worker] : m_workers) {
-        if (worker.is_usable(m_now)) {
-            rooms[worker.listing.service].push_back(worker.capacity_beside_long_running());
-        }
-    }
-    return rooms;
-}
-
-std::uint32_t scheduler::workers_for_blocked(const step_spec& step, std::uint32_t tasks,
-                                             const std::vector<resources>& rooms) const
-{
-    const resources need = step.footprint();
-    const auto fits = [&](const resources& room) { return room.can_fit(need); };
-    if (!step.required_label.empty() || std::any_of(rooms.begin(), rooms.end(), fits)) {
-        return 0;
-    }
-    std::int64_t per_worker = 0;
-    for (const auto& [id, worker] : m_workers) {
-        // A row may be of another writer, and then there is no such worker.
-        if (const resources capacity = worker.capacity();
-            worker.token_acknowledged && capacity.can_fit(need)) {
-            const auto by_cpu = capacity.cpu_millis / std::max<std::int64_t>(need.cpu_millis, 1);
-            const auto by_memory = capacity.memory_mb / std::max<std::int64_t>(need.memory_mb, 1);
-            per_worker = std::max(per_worker, std::min(by_cpu, by_memory));
-        }
-    }
-    return per_worker == 0 ? 0 : static_cast<std::uint32_t>((tasks + per_worker - 1) / per_worker);
-}
-
-std::map<service_id, service_load> scheduler::loads() const
-{
-    std::map<service_id, service_load> loads;
-    // Needed only while tasks wait.
-    std::optional<std::map<service_id, std::vector<resources>>> rooms;
-    const auto rooms_of = [&](const service_id& service) -> const std::vector<resources>& {
-        if (!rooms) {
-            rooms = lasting_room();
-        }
-        return (*rooms)[service];
-    };
-    for (const auto& [id, unfinished] : m_open) {
-        const job_record& job = *unfinished;
-        service_load& load = loads[job.queue().service];
-        for (const auto& [number, occurrence] : job.occurrences()) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const step_spec& spec = job.spec().steps[step];
-                const step_record& record = occurrence.steps[step];
-                const double cpu = double(spec.footprint().cpu_millis);
-                if (spec.long_running) {
-                    load.long_running += cpu * spec.count;
-                    const std::uint32_t limit = spec.max_per_worker;
-                    load.min_workers = std::max(load.min_workers,
-                                                limit == 0 ? 1 : (spec.count + limit - 1) / limit);
-                    continue;
-                }
-                const std::uint32_t open = spec.count - record.done;
-                load.running += cpu * (open - record.waiting);
-                // More workers wouldn't let a task start that waits at its workspace's cap.
-                if (m_waiting_at_cap.contains({id, number, static_cast<std::uint32_t>(step), 0})) {
-                    continue;
-                }
-                if (job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
-                    load.ready += cpu * record.waiting;
-                    load.ready_work += work_of(spec, record.waiting);
-                    if (record.waiting > 0) {
-                        load.blocked_workers += workers_for_blocked(spec, record.waiting,
-                                                                    rooms_of(job.queue().service));
-                    }
-                }
-            }
-        }
-    }
-    for (const auto& [service, counted] : m_submitted) {
-        loads[service].submitted_work = counted.work;
-        loads[service].submitted_jobs = counted.jobs;
-    }
-    return loads;
-}
-
 std::size_t scheduler::pending(const std::string& queue) const
 {
     std::size_t count = 0;
