fleet: Replace the machine of a draining worker before it has ended

What callers saw: a long-running task had no run for 10.8 s while one worker of its service after another left, beside a pool with idle machines (docs/incidents/2026-12-05-lasting-task-without-a-worker.md).

Cause: the planner counted the machine of a draining worker as present until the machine list dropped it, five seconds after the notice. It takes no new tasks in that time, so the pool lacked a machine that nobody ordered. In the record each move follows the end of a listing by 0.1 to 0.3 s, none follows a notice.

Fix: a machine whose worker drains isn't present in its pool, isn't one that may be given to another pool or taken by a wave, and loses an order that hasn't been sent, which the platform would refuse. Of the machines that are up, only those whose worker has answered count as settled: one that has just arrived is still expected, and is not replaced.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -66,7 +66,7 @@
     /// Machines that the demand needs, and those that serve the pool or will after a planned move.
     std::uint32_t wanted = 0;
     std::uint32_t present = 0;
-    /// Machines whose worker has announced that it leaves.
+    /// Machines whose worker has announced that it leaves; they aren't present.
     std::uint32_t leaving = 0;
 
     /// Machines that the pool needs and that no other pool could give.
@@ -129,6 +129,8 @@
         bool idle = false;
         /// Whether the worker drains: it takes no new tasks and ends soon.
         bool leaving = false;
+        /// Whether the worker has answered this process.
+        bool answered = false;
         /// Whether long-running tasks run on the machine.
         bool long_running = false;
     };
@@ -139,7 +141,7 @@
     };
 
     [[nodiscard]] bool is_standby(const service_id& pool) const;
-    /// Whether the machine is up, has no planned order and isn't blocked.
+    /// Whether the machine is up, has no planned order, isn't blocked and its worker stays.
     [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
                                time_point now) const;
     void refresh_usage(const job::scheduler& scheduler);
@@ -157,15 +159,17 @@
     [[nodiscard]] std::map<service_id, pool_figures>
     pool_states(time_point now, const job::scheduler& scheduler,
                 const std::map<service_id, job::service_load>& loads);
-    /// Counts the machines that serve a pool, or will after a planned move.
+    /// Counts the machines that serve a pool, or will after a planned move, without those whose
+    /// worker leaves.
     [[nodiscard]] std::uint32_t count_present(const service_id& pool) const;
     [[nodiscard]] std::uint32_t count_leaving(const service_id& pool) const;
-    /// Counts the machines of the pool that are up and have no planned order.
+    /// Counts the machines of the pool whose worker has answered and stays, without a planned
+    /// order.
     [[nodiscard]] std::uint32_t count_settled(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
                                       time_point now);
     [[nodiscard]] double needed_capacity(const service_id& pool, const job::service_load& load,
-                                         double machine_capacity, time_point now);
+                                         double per_machine, time_point now);
     void order_idle_machines(time_point now, machine_orders& out);
     void cordon(machine_record& machine, machine_order planned_order, machine_orders& out);
     /// Forgets the order for a machine that is up, and uncordons its worker.
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -197,6 +197,11 @@
         // machine list.
         machine.leaving =
             known ? worker->second.listing.draining : machine.leaving && !machine.worker.empty();
+        if (machine.leaving && !machine.ordered) {
+            // The platform refuses orders for it.
+            machine.planned_order.reset();
+        }
+        machine.answered = known && worker->second.token_acknowledged;
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
@@ -206,7 +211,7 @@
                               time_point now) const
 {
     const auto blocked = m_blocked.find(name);
-    return machine.state == machine_state::up && !machine.planned_order &&
+    return machine.state == machine_state::up && !machine.planned_order && !machine.leaving &&
            (blocked == m_blocked.end() || now >= blocked->second);
 }
 
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -39,10 +39,10 @@
 }
 
 double machine_planner::needed_capacity(const service_id& pool, const job::service_load& load,
-                                        double machine_capacity, time_point now)
+                                        double per_machine, time_point now)
 {
     const double arrivals = arrival_rate(pool, load, now);
-    const double present_capacity = machine_capacity * count_present(pool) - load.long_running;
+    const double present_capacity = per_machine * count_present(pool) - load.long_running;
     const double current_load = load.running + load.ready;
     // The backlog by the time that a move could be completed.
     const double backlog =
@@ -121,7 +121,7 @@
             const machine_record& machine = each.second;
             const bool move_planned =
                 machine.planned_order && machine.planned_order->action == machine_action::move;
-            return machine.state != machine_state::down &&
+            return machine.state != machine_state::down && !machine.leaving &&
                    (move_planned ? machine.planned_order->pool : machine.pool) == pool;
         }));
 }
@@ -138,8 +138,9 @@
 {
     return static_cast<std::uint32_t>(
         std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            return each.second.pool == pool && each.second.state == machine_state::up &&
-                   !each.second.planned_order;
+            const machine_record& machine = each.second;
+            return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
+                   !machine.leaving && !machine.planned_order;
         }));
 }
 
