job: Ask for machines for long-running tasks that no worker can take

What callers would see: a long-running task that never starts, on a pool whose workers have processor time left but no memory beside their other long-running tasks, or that all have a task of its step already.

Cause: the number of machines that a pool needs for its long-running tasks came from their processor time and from the widest step alone. Whether a waiting task finds a worker was asked of short tasks only.

Fix: the waiting long-running tasks are placed beside those that run, without regard to short tasks, which end; the workers that would have to be added are asked for. One added worker serves tasks of several steps.

Before: in 'a long-running task that fits on no worker of its pool gets a machine' two of four tasks never start.

--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -79,10 +79,10 @@
             load.min_workers == 0
                 ? machines
                 : std::max(machines, load.min_workers + spare + under_maintenance(pool));
-        if (load.blocked_workers > 0) {
-            // All machines of the pool together may have room enough, but none has it for one task.
-            states[pool].wanted =
-                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
+        // All machines of the pool together may have room enough, but none has it for one task.
+        const std::uint32_t lacking = std::max(load.blocked_workers, load.missing_workers);
+        if (lacking > 0) {
+            states[pool].wanted = std::max(states[pool].wanted, count_settled(pool) + lacking);
         }
     }
     for (const auto& [pool, settings] : m_pools) {
--- /dev/null
+++ b/packages/job/include/plantaindoor/job/missing_workers.hpp
@@ -0,0 +1,49 @@
+// How many more workers a service needs for the long-running tasks that wait.
+#pragma once
+
+#include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/time.hpp"
+#include "plantaindoor/job/record.hpp"
+#include "plantaindoor/job/worker.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace plantaindoor::job {
+
+/// Places waiting long-running tasks beside those that run, whatever else runs there, and counts
+/// the workers that would have to be added. Not thread-safe.
+class missing_workers {
+public:
+    /// `workers` must outlive the object.
+    missing_workers(const std::map<instance_id, worker_record>& workers, time_point now)
+        : m_workers(workers), m_now(now)
+    {
+    }
+
+    /// Places the waiting tasks of a step.
+    void add(const job_record& job, const occurrence_record& occurrence, std::uint32_t step);
+    [[nodiscard]] std::uint32_t of(const service_id& service) const;
+
+private:
+    struct place {
+        instance_id worker;
+        resources room;
+    };
+    struct pool {
+        std::vector<place> places;
+        std::uint32_t added = 0;
+    };
+
+    void read_workers();
+
+    const std::map<instance_id, worker_record>& m_workers;
+    time_point m_now;
+    bool m_read = false;
+    std::map<service_id, pool> m_pools;
+    /// The capacities of all workers that have answered: those that an added worker may have.
+    std::vector<resources> m_capacities;
+};
+
+} // namespace plantaindoor::job
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -132,6 +132,8 @@
     std::uint32_t min_workers = 0;
     /// Further workers needed by ready tasks that fit beside the long-running tasks of no worker.
     std::uint32_t blocked_workers = 0;
+    /// Further workers needed by long-running tasks that wait and fit beside those on no worker.
+    std::uint32_t missing_workers = 0;
 };
 
 /// An accepted job.
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -1,3 +1,4 @@
+#include "plantaindoor/job/missing_workers.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
@@ -48,9 +49,11 @@
         }
         return (*rooms)[service];
     };
+    missing_workers missing(m_workers, m_now);
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
         service_load& load = loads[job.queue().service];
+        const bool waits_for_predecessor = in_doubt(job, m_now);
         for (const auto& [number, occurrence] : job.occurrences()) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_spec& spec = job.spec().steps[step];
@@ -61,6 +64,12 @@
                     const std::uint32_t limit = spec.max_per_worker;
                     load.min_workers = std::max(load.min_workers,
                                                 limit == 0 ? 1 : (spec.count + limit - 1) / limit);
+                    if (record.waiting > 0 && !waits_for_predecessor &&
+                        !m_waiting_at_cap.contains(
+                            {id, number, static_cast<std::uint32_t>(step), 0}) &&
+                        job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
+                        missing.add(job, occurrence, static_cast<std::uint32_t>(step));
+                    }
                     continue;
                 }
                 const std::uint32_t open = spec.count - record.done;
@@ -80,6 +89,9 @@
             }
         }
     }
+    for (auto& [service, load] : loads) {
+        load.missing_workers = missing.of(service);
+    }
     for (const auto& [service, counted] : m_submitted) {
         loads[service].submitted_work = counted.work;
         loads[service].submitted_jobs = counted.jobs;
