fleet: Give machines to long-running tasks before short ones

What callers would see: a long-running task without a worker for as long as urgent work asks for more machines than there are.

Cause: a pool got a machine only from one that had more than it wanted, and what a pool wants includes all its urgent work; where all pools want more, nothing moved.

Fix: the machines that the long-running tasks can't do without are given first, and also from pools that would like to keep them for short tasks, down to what those pools' own long-running tasks need.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -66,6 +66,8 @@
     /// Machines that the demand needs, and those that serve the pool or will after a planned move.
     std::uint32_t wanted = 0;
     std::uint32_t present = 0;
+    /// The part of those wanted that the long-running tasks can't do without.
+    std::uint32_t required = 0;
     /// Machines whose worker has announced that it leaves; they aren't present.
     std::uint32_t leaving = 0;
 
@@ -178,6 +180,11 @@
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
     void move_machines(time_point now, std::map<service_id, pool_figures>& states,
                        machine_orders& out);
+    /// Moves machines to each pool that has fewer present than `needed`, from pools that have more
+    /// than `kept`.
+    void fill_pools(time_point now, std::map<service_id, pool_figures>& states,
+                    std::uint32_t pool_figures::*needed, std::uint32_t pool_figures::*kept,
+                    machine_orders& out);
 
     machine_planner_options m_options;
     std::map<service_id, pool_settings> m_pools;
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -84,6 +84,11 @@
         if (lacking > 0) {
             states[pool].wanted = std::max(states[pool].wanted, count_settled(pool) + lacking);
         }
+        states[pool].required = load.min_workers;
+        if (load.missing_workers > 0) {
+            states[pool].required =
+                std::max(load.min_workers, count_settled(pool) + load.missing_workers);
+        }
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = count_present(pool);
@@ -185,6 +190,16 @@
 
 void machine_planner::move_machines(time_point now, std::map<service_id, pool_figures>& states,
                                     machine_orders& out)
+{
+    // Long-running tasks come first, also where short ones want more machines than there are.
+    fill_pools(now, states, &pool_figures::required, &pool_figures::wanted, out);
+    fill_pools(now, states, &pool_figures::wanted, &pool_figures::wanted, out);
+    fill_pools(now, states, &pool_figures::required, &pool_figures::required, out);
+}
+
+void machine_planner::fill_pools(time_point now, std::map<service_id, pool_figures>& states,
+                                 std::uint32_t pool_figures::*needed,
+                                 std::uint32_t pool_figures::*kept, machine_orders& out)
 {
     std::vector<service_id> sources;
     for (const auto& [id, pool] : m_pools) {
@@ -196,12 +211,12 @@
             continue;
         }
         for (const service_id& source : sources) {
-            while (source != pool && state.present < state.wanted) {
+            while (source != pool && state.present < state.*needed) {
                 pool_figures& source_state = states[source];
                 const std::string name = move_candidate(source, now);
                 const bool can_give =
                     is_standby(source) ||
-                    source_state.present > std::max(source_state.wanted, m_options.min_machines);
+                    source_state.present > std::max(source_state.*kept, m_options.min_machines);
                 if (name.empty() || !can_give) {
                     break;
                 }
