soak: Long-running tasks, departures of workers and hand-overs in series

Callers of a real deployment saw a long-running task wait ten seconds for a worker while others left. The soak had no long-running tasks, and its workers only crashed.

Workers now announce that they leave, stop 3 s later and are replaced; a worker of another service gets their address, at once or 2 s later, and a run there is a violation. Entries are ended one after the other by SIGTERM or SIGKILL, also right before a series of departures.

--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -14,6 +14,9 @@
 STOP_DURATION_S = 0.2
 HEARTBEAT_S = 1.0
 CRASH_DELAY_S = 0.01
+CAPACITY = {"cpu": 8000, "memMb": 8000, "gpu": 0}
+DRAIN_S = 3.0
+OTHER_SERVICE = "others"
 # A task under which this many workers have crashed is started fewer than this many times more.
 TOLERATED_CRASHES = 3
 
@@ -32,30 +35,44 @@
         self.cancelled = {}  # id -> time of the acknowledgement
         self.tasks = {}  # name -> state; "noted": the entry has acknowledged the end
         self.faults_until = 0.0
+        self.disturbed_at = 0.0  # the last moment at which a worker was down unannounced
 
     def task(self, name):
         return self.tasks.setdefault(
             name, {"running": 0, "ever_done": False, "done": False, "noted": False,
-                   "crashes": 0, "starts_after_crashes": 0, "runs": []})
+                   "crashes": 0, "starts_after_crashes": 0, "runs": [], "ended_at": now()})
 
     def crashes_worker(self, name):
         job, _, step, index = name.split(".")
         spec = json.loads(self.jobs[job]["spec"])
         return int(step) == 0 and int(index) == spec.get("crashing_task")
 
+    def step_of(self, name):
+        """The step of a task, as it was submitted."""
+        job, _, step, _ = name.split(".")
+        return self.jobs[job]["steps"][int(step)]
+
+    def run_ended(self, name):
+        task = self.task(name)
+        task["running"] -= 1
+        task["ended_at"] = now()
+        return task
+
     def fail(self, what, name):
         self.violations.append(f"{what}: {name} {self.tasks.get(name, {}).get('runs')}")
 
     def started(self, name, attempt, worker, late):
         job, occurrence, step, _ = name.split(".")
         task = self.task(name)
-        task["runs"].append((round(now(), 3), attempt, worker))
+        task["runs"].append((round(now(), 3), attempt, worker.id))
         body = self.jobs.get(job)
         if body is None:
             self.fail("task of a job that was never submitted", name)
             return
         if job in self.refused:
             self.fail("task of a refused job", name)
+        if worker.service == OTHER_SERVICE:
+            self.fail("run on a worker of another service", name)
         if task["running"]:
             self.fail("two concurrent runs of a task", name)
         if task["done"]:
@@ -228,17 +245,32 @@
         self.lease = 0.0
         self.changed = asyncio.Condition()
         self.alive = True
+        self.draining = False
         self.delayed_fraction = 0.0
         self.http = HttpService(self.handle)
 
     def clock(self):
         return int(now() * 1000 * 0.99)
 
-    def entry(self, port):
-        return {"service": self.service, "address": f"127.0.0.1:{port}", "zone": "z",
-                "version": "v", "capacity": 8, "state": "ready", "callSeq": 1,
-                "freeCapacity": {"cpu": 8000, "memMb": 8000, "gpu": 0}, "labels": ["a", "r1"],
-                "machine": self.machine}
+    def entry(self):
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.http.port}", "zone": "z",
+                 "version": "v", "capacity": 8, "state": "ready", "callSeq": 1,
+                 "freeCapacity": CAPACITY, "labels": ["a", "r1"], "machine": self.machine}
+        if self.draining:
+            entry.update(state="draining", remainingMs=int(DRAIN_S * 1000))
+        return entry
+
+    def accepts_work(self):
+        return self.alive and not self.draining and self.service != OTHER_SERVICE
+
+    def fits(self, name):
+        """Whether a task fits beside what runs here, its step's antiAffinity included."""
+        step_of = self.platform.checker.step_of
+        step, running = step_of(name), [task for task, _ in self.running]
+        beside = sum(1 for task in running if task.rsplit(".", 1)[0] == name.rsplit(".", 1)[0])
+        return beside < step.get("antiAffinity", beside + 1) and all(
+            sum(step_of(task).get(kind, 0) for task in running) + step.get(kind, 0) <= room
+            for kind, room in CAPACITY.items())
 
     async def watch_lease(self):
         while self.alive:
@@ -255,12 +287,16 @@
                 state["done"] = False
 
     async def crash(self):
+        for task, _ in self.running:
+            self.platform.checker.task(task)["crashes"] += 1
+        await self.leave()
+
+    async def leave(self):
+        """Ends the worker with everything that runs on it."""
         self.alive = False
         for run, finishing in list(self.running.items()):
             finishing.cancel()
-            task = self.platform.checker.task(run[0])
-            task["running"] -= 1
-            task["crashes"] += 1
+            self.platform.checker.run_ended(run[0])
         self.running.clear()
         self.discard_unacknowledged_ends()
         await self.http.stop()
@@ -271,8 +307,7 @@
             return
         if finishing is not asyncio.current_task():
             finishing.cancel()
-        task = self.platform.checker.task(run[0])
-        task["running"] -= 1
+        task = self.platform.checker.run_ended(run[0])
         if end_reason == "done":
             task["done"] = task["ever_done"] = True
         self.highest_attempt[run[0]] = max(self.highest_attempt.get(run[0], 0), run[1])
@@ -283,7 +318,9 @@
 
     async def work(self, run, seconds):
         await asyncio.sleep(seconds)
-        await self.finish(run, "done")
+        # A long-running task runs until it is stopped or fails.
+        long_running = self.platform.checker.step_of(run[0]).get("longRunning")
+        await self.finish(run, "failed" if long_running else "done")
 
     async def handle(self, _method, target, headers, body):
         if headers.get("plantaindoor-expect-instance", self.id) != self.id:
@@ -326,7 +363,7 @@
         if request["deadlineMs"] <= self.clock():
             return 409, {"clockMs": self.clock(), "reason": "late"}
         self.extend_lease(request["deadlineMs"])
-        self.platform.checker.started(run[0], run[1], self.id, late)
+        self.platform.checker.started(run[0], run[1], self, late)
         self.platform.checker.task(run[0])["running"] += 1
         seconds = float(json.loads(request["spec"])["seconds"])
         self.running[run] = asyncio.get_running_loop().create_task(self.work(run, seconds))
@@ -362,8 +399,9 @@
         self.service = service
         self.count = workers
         self.workers = []
+        self.others = []  # workers of the other service, at reused addresses
         self.incarnations = 0
-        self.machines = HttpService(self.list_machines)
+        self.machines = HttpService(self.handle_machine_call)
 
     async def start(self):
         await self.store.http.start()
@@ -372,13 +410,18 @@
             self.workers.append(None)
             await self.start_worker(index)
 
-    async def start_worker(self, index, port=0):
+    async def start_worker(self, index, port=0, machine=None):
+        """Starts a worker of the service: on the given machine, or on a new one."""
         self.incarnations += 1
-        worker = Worker(self, f"w{index}-{self.incarnations}", f"m{index}", self.service)
+        worker = Worker(self, f"w{index}-{self.incarnations}",
+                        machine or f"m{self.incarnations}", self.service)
         self.workers[index] = worker
+        await self.register(worker, port)
+
+    async def register(self, worker, port):
         await worker.http.start(port)
         asyncio.get_running_loop().create_task(worker.watch_lease())
-        await self.store.put("servers", worker.id, worker.entry(worker.http.port))
+        await self.store.put("servers", worker.id, worker.entry())
 
     async def crash_worker(self, index, down_s):
         """Crashes a worker and starts a new incarnation at the same address after `down_s`."""
@@ -387,17 +430,52 @@
             return
         port = worker.http.port
         await worker.crash()
-        await asyncio.sleep(down_s)
+        until = now() + down_s
+        while now() < until:
+            self.checker.disturbed_at = now()
+            await asyncio.sleep(min(0.1, max(until - now(), 0.0)))
         await self.store.remove("servers", worker.id)
-        await self.start_worker(index, port)
+        await self.start_worker(index, port, worker.machine)
+        self.checker.disturbed_at = now()
 
     async def crash_after_start(self, worker):
         await asyncio.sleep(CRASH_DELAY_S)
         if worker.alive:
             await self.crash_worker(self.workers.index(worker), self.random.uniform(1.0, 3.0))
 
-    async def list_machines(self, _method, _target, _headers, _body):
-        return 200, {"machines": [{"machine": each.machine, "pool": self.service, "zone": "z",
+    async def drain_worker(self, index, reuse_delay_s, replacement_delay_s):
+        """Lets a worker announce that it leaves, and leave. A worker of another service gets its
+        address, and a worker on a new machine replaces it."""
+        worker = self.workers[index]
+        if not worker.alive or worker.draining:
+            return
+        worker.draining = True
+        await self.store.put("servers", worker.id, worker.entry())
+        await asyncio.sleep(DRAIN_S)
+        if not worker.alive:
+            return  # It crashed, and started again.
+        port = worker.http.port
+        await worker.leave()
+        await self.store.remove("servers", worker.id)
+        await asyncio.gather(self.reuse_address(port, reuse_delay_s),
+                             self.replace_worker(index, replacement_delay_s))
+
+    async def reuse_address(self, port, delay_s):
+        await asyncio.sleep(delay_s)
+        self.incarnations += 1
+        worker = Worker(self, f"o{self.incarnations}", f"m{self.incarnations}", OTHER_SERVICE)
+        self.others.append(worker)
+        await self.register(worker, port)
+
+    async def replace_worker(self, index, delay_s):
+        await asyncio.sleep(delay_s)
+        await self.start_worker(index)
+
+    async def handle_machine_call(self, method, _target, _headers, _body):
+        if method != "GET":
+            return 409, {"reason": "busy"}
+        return 200, {"machines": [{"machine": each.machine, "pool": each.service, "zone": "z",
                                    "state": "up" if each.alive else "down",
                                    "labels": ["a", "r1"], "id": each.id if each.alive else ""}
-                                  for each in self.workers], "nextToken": None}
+                                  for each in self.workers + self.others
+                                  if each.alive or not each.draining], "nextToken": None}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,8 @@
 import tempfile
 
 from config_check import ConfigCheck
-from platform_stand_in import Platform, now
+from long_running_check import LongRunningCheck
+from platform_stand_in import OTHER_SERVICE, Platform, now
 from proxy import Proxy
 
 ENTRIES = 3
@@ -23,6 +24,9 @@
 HOST = "soak.example"
 CRASHING_SHARE = 0.03
 """Share of the jobs with a task that crashes each worker that starts it."""
+BURST_SHARE = 0.02
+"""Share of the submissions that are a burst of BURST_JOBS jobs."""
+BURST_JOBS = 25
 SETTLE_S = 12
 """Time from the last fault to the checks. Every accepted job must then reach a final state within
 FINISH_S."""
@@ -56,7 +60,8 @@
           "routes": [{"name": "r", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe",
                       "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
                       "service": "checks", "maxAttempts": 4, "stretch": 1.6}],
-          "services": [{"name": "checks", "healthPath": "/health", "enforceLimits": True}]}
+          "services": [{"name": name, "healthPath": "/health", "enforceLimits": True}
+                       for name in ("checks", OTHER_SERVICE)]}
 
 
 class Ports:
@@ -159,7 +164,9 @@
         self.accepted = {}
         self.count = 0
         self.events = []
+        self.disturbances = 0  # unplanned faults under way
         self.config_check = ConfigCheck(self, CONFIG)
+        self.long_running_check = LongRunningCheck(self)
 
     @property
     def checker(self):
@@ -178,12 +185,19 @@
             await self.entries[-1].ensure_running()
         try:
             await asyncio.sleep(2)
+            await self.long_running_check.submit_jobs()
+            long_running_check = asyncio.create_task(self.long_running_check.run())
             callers = asyncio.create_task(self.run_callers())
             config_check = asyncio.create_task(self.config_check.run(now() + self.seconds))
             await self.inject_faults()
             await callers
             await config_check
+            await self.inject(self.hand_over)
+            await self.inject(self.drain_workers)
             await self.settle()
+            long_running_check.cancel()
+            for job in self.long_running_check.jobs:
+                await self.cancel(job)
             await self.check_jobs()
         finally:
             for entry in self.entries:
@@ -194,7 +208,8 @@
         until = now() + self.seconds
         calls = []
         while now() < until:
-            calls.append(asyncio.create_task(self.submit()))
+            jobs = BURST_JOBS if self.random.random() < BURST_SHARE else 1
+            calls += [asyncio.create_task(self.submit()) for _ in range(jobs)]
             await asyncio.sleep(self.random.uniform(0.05, 0.3))
         await asyncio.gather(*calls)
 
@@ -226,6 +241,18 @@
         if job in self.accepted and self.random.random() < 0.1:
             await self.cancel(job)
 
+    async def submit_until_accepted(self, body):
+        """Submits a job that is cancelled at the end of the run."""
+        self.count += 1
+        job = f"{self.random.getrandbits(64):016x}"
+        self.checker.jobs[job] = body
+        status = 0
+        while status != 200:
+            status, _ = await request(self.entry().ports["callers"], "POST", f"/q/{job}", body)
+            await asyncio.sleep(0.1)
+        self.accepted[job] = now()
+        return job
+
     async def cancel(self, job):
         for _ in range(10):
             status, _ = await request(self.entry().ports["callers"], "DELETE", f"/q/{job}")
@@ -249,11 +276,16 @@
     async def inject_fault(self):
         faults = [self.kill_entry, self.pause_entry, self.terminate_entry, self.store_fault,
                   self.store_reset, self.store_silence, self.worker_crash, self.worker_delay,
-                  self.history_loss, self.kill_all_entries]
-        fault = self.random.choice(faults)
+                  self.history_loss, self.kill_all_entries, self.hand_over, self.drain_workers]
+        await self.inject(self.random.choice(faults))
+
+    async def inject(self, fault):
+        unplanned = fault != self.drain_workers
         self.checker.faults_until = now() + 1000
         self.events.append((round(now(), 2), fault.__name__))
+        self.disturbances += unplanned
         await fault()
+        self.disturbances -= unplanned
         self.checker.faults_until = now() + 3
 
     async def kill_entry(self):
@@ -287,6 +319,29 @@
             entry.signal_process(signal.SIGCONT)
             await self.restart(entry, entry.signal_process(signal.SIGTERM))
 
+    async def hand_over(self):
+        """Ends one entry after the other, the leader among them. The restarts may overlap."""
+        restarts = []
+        for entry in self.random.sample(self.entries, ENTRIES):
+            restarts.append(asyncio.create_task(self.end_entry(entry)))
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        await asyncio.gather(*restarts)
+
+    async def end_entry(self, entry):
+        with self.config_check.disturbing(entry):
+            entry.signal_process(signal.SIGCONT)
+            await self.restart(entry, entry.signal_process(
+                self.random.choice((signal.SIGTERM, signal.SIGKILL))))
+
+    async def drain_workers(self):
+        """Lets workers leave one after the other, so that their departures may overlap."""
+        departures = []
+        for index in self.random.sample(range(WORKERS), WORKERS // 2):
+            departures.append(asyncio.create_task(self.platform.drain_worker(
+                index, self.random.choice((0.0, 2.0)), self.random.uniform(0.0, 4.0))))
+            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        await asyncio.gather(*departures)
+
     async def store_fault(self):
         entry = self.entry()
         proxy = entry.store_proxy
@@ -377,6 +432,8 @@
     done = sum(1 for task in soak.checker.tasks.values() if task["ever_done"])
     print(f"seed {seed}: {len(soak.accepted)} of {soak.count} jobs accepted, {done} tasks done, "
           f"{soak.config_check.probed} probes of the configuration, "
+          f"{soak.long_running_check.checks} of long-running tasks "
+          f"(longest wait {soak.long_running_check.longest_wait_s:.1f} s), "
           f"{len(soak.checker.refused)} refused, {len(soak.events)} events, "
           f"{len(violations)} broken", flush=True)
     for violation in violations:
