soak: Count further starts of a crashing task by entries in touch only

It counted each start after three crashes, also those of an entry that had itself been killed or restarted less than 3 s before. A crash in the last 3 s before its leader is killed may go unnoticed.

The fencing token of a start names the claim, and thereby the entry that sent it. The limit is unchanged, and it still counts every start of an entry that nothing has disturbed for 3 s.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -166,6 +166,7 @@
         self.events = []
         self.disturbances = 0  # unplanned faults under way
         self.config_check = ConfigCheck(self, CONFIG)
+        self.checker.in_touch = self.config_check.in_touch
         self.long_running_check = LongRunningCheck(self)
 
     @property
