policy: Don't wait longer for runs that were expected to end and haven't

Once the wait has passed its bound, the expectations have failed, and the runs in the way are stopped. Not covered by a test of its own yet.

--- a/packages/policy/src/long_running_reservations.cpp
+++ b/packages/policy/src/long_running_reservations.cpp
@@ -102,19 +102,23 @@
                                        const reservable_worker& worker) const
 {
     const auto& runs = worker.runs;
+    // A stop has no effect earlier than a stop takes.
+    const milliseconds limit =
+        std::max(std::chrono::duration_cast<milliseconds>(task.since + max_reserved_wait - m_now),
+                 m_stop_time);
+    // What was expected to end in time hasn't.
+    const bool overdue = m_now > task.since + max_reserved_wait;
     std::vector<milliseconds> remaining;
     for (const short_run& each : runs) {
-        remaining.push_back(expected_remaining(each, m_stop_time));
+        const milliseconds expected = expected_remaining(each, m_stop_time);
+        remaining.push_back(overdue && !each.stopping ? std::max(expected, limit + milliseconds(1))
+                                                      : expected);
     }
     std::vector<std::size_t> order(runs.size());
     std::iota(order.begin(), order.end(), std::size_t(0));
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
         return remaining[left] < remaining[right];
     });
-    // A stop has no effect earlier than a stop takes.
-    const milliseconds limit =
-        std::max(std::chrono::duration_cast<milliseconds>(task.since + max_reserved_wait - m_now),
-                 m_stop_time);
     prospect result;
     resources ended;
     std::vector<std::size_t> late;
