fleet: Uncordon a worker whose order is dropped as it drains

A worker that was cordoned for a move stayed cordoned for good if it announced that it leaves before the move was ordered, and started again under its id: it took no more tasks, though it counted as capacity.

Before: 'a worker is uncordoned when the order for its machine is dropped as it drains' fails. The simulated pool reports the real progress of short runs from now on, and 'a machine whose worker drains isn't moved to another pool' checks that any machine is moved; without its condition it fails.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -199,7 +199,7 @@
             known ? worker->second.listing.draining : machine.leaving && !machine.worker.empty();
         if (machine.leaving && !machine.ordered) {
             // The platform refuses orders for it.
-            machine.planned_order.reset();
+            drop_planned_order(machine);
         }
         machine.answered = known && worker->second.token_acknowledged;
         machine.used = known ? worker->second.used.cpu_millis : 0;
--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -131,24 +131,32 @@
 void departing_pool::poll()
 {
     for (auto& [name, each] : m_machines) {
-        if (!each.listed) {
+        if (!each.listed || each.silent) {
             continue;
         }
         end_runs(each);
         job::worker_report report{
             .worker_clock = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()),
             .ended = each.ended};
-        for (const auto& [run, end] : each.running) {
-            report.running.push_back({.run = run, .percent = 100});
+        for (const auto& [run, active] : each.running) {
+            report.running.push_back({.run = run, .percent = active.percent(now)});
         }
         scheduler.note_report(each.worker, report, now - milliseconds(1), now);
     }
 }
 
+std::uint32_t departing_pool::active_run::percent(time_point now) const
+{
+    constexpr std::uint32_t full = 100;
+    return end == time_point::max()
+               ? full
+               : static_cast<std::uint32_t>(full * (now - start) / (end - start));
+}
+
 void departing_pool::end_runs(machine& at)
 {
     std::erase_if(at.running, [&](const auto& each) {
-        const bool ends = now >= each.second;
+        const bool ends = now >= each.second.end;
         if (ends) {
             at.ended.push_back({.sequence = ++at.sequence,
                                 .run = each.first,
@@ -176,7 +184,9 @@
     for (const job::start_order& each : given.starts) {
         const auto run_time = m_run_times.at(each.run.task.job);
         machine_of(each.worker)
-            ->running.emplace(each.run, run_time ? now + *run_time : time_point::max());
+            ->running.emplace(
+                each.run,
+                active_run{.start = now, .end = run_time ? now + *run_time : time_point::max()});
         scheduler.note_start(each.worker, each.run, job::order_answer::accepted, now);
     }
     for (const job::stop_order& each : given.stops) {
@@ -198,7 +208,7 @@
     for (const machine_order& each : given.orders) {
         orders.push_back(each);
         machine& at = m_machines.at(each.machine);
-        if (at.leaving) {
+        if (at.leaving || at.busy) {
             planner.note_answer(each, machine_answer::busy, now);
             continue;
         }
@@ -206,7 +216,8 @@
         planner.note_answer(each, machine_answer::accepted, now);
         at = {.pool = each.pool,
               .worker = instance_id("w" + std::to_string(m_next_worker++)),
-              .ready = now + move_time};
+              .ready = now + move_time,
+              .silent = m_lose_new_workers};
     }
 }
 
--- a/packages/fleet/tests/departing_pool.hpp
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -29,6 +29,10 @@
                   std::optional<milliseconds> run_time = std::nullopt);
     /// The worker announces that it leaves; it ends `drain_time` later, and its machine with it.
     void leave(const instance_id& worker);
+    /// From now on the worker that a machine gets by a move never answers.
+    void lose_new_workers() { m_lose_new_workers = true; }
+    /// The platform refuses to move the machine of this worker from now on.
+    void refuse_moves(const instance_id& worker) { machine_of(worker)->busy = true; }
     /// The workers of served_pool that run a task of the job, by its index.
     [[nodiscard]] std::vector<instance_id> workers_of(const job_id& job) const;
     /// Advances time by a tick of 100 ms: polls, machine lists, and the orders of one round.
@@ -44,16 +48,27 @@
     std::vector<machine_order> orders;
 
 private:
+    struct active_run {
+        time_point start{};
+        /// When it ends by itself.
+        time_point end{};
+
+        [[nodiscard]] std::uint32_t percent(time_point now) const;
+    };
     struct machine {
         service_id pool;
+
         /// Empty while the machine is moved.
         instance_id worker;
         bool listed = false;
         time_point ready{};
+        /// Its worker never answers a poll.
+        bool silent = false;
+        /// The platform refuses to move it.
+        bool busy = false;
         bool leaving = false;
         time_point ends{};
-        /// When each run ends by itself.
-        std::map<job::run_name, time_point> running;
+        std::map<job::run_name, active_run> running;
         std::vector<job::ended_run> ended;
         std::uint64_t sequence = 0;
     };
@@ -73,6 +88,7 @@
     int m_next_machine = 0;
     int m_next_worker = 0;
     int m_ticks = 0;
+    bool m_lose_new_workers = false;
     std::map<job::task_name, time_point> m_waiting;
     std::map<job_id, milliseconds> m_longest;
     std::map<job_id, std::optional<milliseconds>> m_run_times;
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 using namespace plantaindoor;
 using namespace plantaindoor::fleet;
 using namespace plantaindoor::fleet::testing;
@@ -31,7 +33,7 @@
     pool.run_for(seconds(1));
     REQUIRE(pool.workers_of(job).size() == 6);
 
-    pool.leave(pool.workers_of(job).back());
+    pool.leave(pool.workers_of(job).front());
     for (int departure = 0; departure < 6; ++departure) {
         pool.leave(pool.workers_of(job).back());
         pool.run_for(seconds(1));
@@ -63,7 +65,7 @@
 // Guards against orders that the platform refuses, while the pool that needs a machine waits.
 TEST_CASE("a machine whose worker drains isn't moved to another pool")
 {
-    departing_pool pool(4, 2);
+    departing_pool pool(4, 3);
     const job_id job = pool.submit("checks", one_per_worker(3));
     pool.run_for(seconds(1));
     for (const auto& [id, worker] : pool.scheduler.workers()) {
@@ -82,6 +84,7 @@
         return instance_id();
     }();
     pool.run_for(seconds(1));
+    REQUIRE(!pool.orders.empty());
     for (const machine_order& each : pool.orders) {
         CHECK(each.worker != leaving);
     }
@@ -124,3 +127,32 @@
     CHECK(pool.workers_of(job).size() == 3);
     CHECK(pool.longest_wait(job) < longest_allowed_wait);
 }
+
+// Guards against a worker that takes no tasks any more: it was cordoned for a move that was given
+// up when it announced that it leaves.
+TEST_CASE("a worker is uncordoned when the order for its machine is dropped as it drains")
+{
+    departing_pool pool(2, 3);
+    static_cast<void>(pool.submit(
+        "orders",
+        {.count = 3, .need = {.cpu_millis = 600, .memory_mb = 10}, .estimate = seconds(3)},
+        seconds(3)));
+    pool.run_for(milliseconds(500));
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(milliseconds(300));
+    const auto cordoned = [&] {
+        std::vector<instance_id> found;
+        for (const auto& [id, worker] : pool.scheduler.workers()) {
+            if (worker.cordoned) {
+                found.push_back(id);
+            }
+        }
+        return found;
+    };
+    REQUIRE(!cordoned().empty());
+    const instance_id worker = cordoned().front();
+    pool.leave(worker);
+    pool.run_for(milliseconds(300));
+    CHECK_FALSE(pool.scheduler.workers().at(worker).cordoned);
+    CHECK(pool.workers_of(job).size() >= 2);
+}
