fleet: Move another machine after the platform has refused to move one

A machine that the platform wouldn't move was chosen again every 400 ms, as the choice is deterministic, while the pool that needed one waited: 20 orders in 8 s for one such machine in the test, where two machines were needed.

Before: 'another machine is moved after the platform has refused to move one' fails (20 orders, at most 6 allowed).

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -11,6 +11,8 @@
 
 /// Delay before a refused or unanswered order is repeated.
 constexpr milliseconds order_retry_delay{400};
+/// How long a machine isn't moved after the platform has refused to move it.
+constexpr milliseconds refused_move_delay{3000};
 
 bool is_later_start(const std::optional<wall_time>& start, const std::optional<wall_time>& earlier)
 {
@@ -158,8 +160,14 @@
         machine.ordered = false;
         break;
     case machine_answer::busy:
-    case machine_answer::refused:
     case machine_answer::stale_token:
+        if (order.action == machine_action::move) {
+            // Another machine may be moved at once.
+            block(order.machine, now + refused_move_delay);
+        }
+        machine.ordered = false;
+        break;
+    case machine_answer::refused:
     case machine_answer::unanswered:
         // planned_order is unchanged, so the same order is repeated.
         machine.ordered = false;
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -128,6 +128,27 @@
     CHECK(pool.longest_wait(job) < longest_allowed_wait);
 }
 
+// Guards against one machine that the platform won't move and that is tried again and again.
+TEST_CASE("another machine is moved after the platform has refused to move one")
+{
+    departing_pool pool(4, 4);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    for (const auto& [id, worker] : pool.scheduler.workers()) {
+        if (worker.listing.service == other_pool) {
+            pool.refuse_moves(id);
+            break;
+        }
+    }
+    const std::vector<instance_id> leaving = pool.workers_of(job);
+    pool.leave(leaving.at(0));
+    pool.leave(leaving.at(1));
+    pool.run_for(seconds(8));
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+    CHECK(pool.orders.size() <= 6);
+}
+
 // Guards against a worker that takes no tasks any more: it was cordoned for a move that was given
 // up when it announced that it leaves.
 TEST_CASE("a worker is uncordoned when the order for its machine is dropped as it drains")
