fleet: Don't count for ever on a machine whose worker never answers

A worker is expected for as long as a move takes and 2 s more; after that its machine isn't present.

Before: 'a long-running task doesn't wait for a moved machine whose worker never answers' fails, as no further machine is ordered in 5 s.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -20,6 +20,8 @@
 struct machine_planner_options {
     /// Time that a machine is unavailable during a move.
     milliseconds move_time{1500};
+    /// How long after a move the machine's new worker may take to answer.
+    milliseconds arrival_margin{2000};
     /// Time that a machine is unavailable during its maintenance.
     milliseconds maintenance_time{2000};
     /// The arrival rate is measured over a window that contains this many jobs, within the bounds
@@ -133,6 +135,10 @@
         bool leaving = false;
         /// Whether the worker has answered this process.
         bool answered = false;
+        /// The last time at which it had, or when the machine became known.
+        std::optional<time_point> unanswered_since;
+        /// Whether a worker that hasn't answered is still expected to.
+        bool expected = true;
         /// Whether long-running tasks run on the machine.
         bool long_running = false;
     };
@@ -146,7 +152,7 @@
     /// Whether the machine is up, has no planned order, isn't blocked and its worker stays.
     [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
                                time_point now) const;
-    void refresh_usage(const job::scheduler& scheduler);
+    void refresh_usage(const job::scheduler& scheduler, time_point now);
     void plan_waves(time_point now, const std::map<service_id, job::service_load>& loads,
                     machine_orders& out);
     void reserve_for_wave(wave_progress& wave, time_point now,
@@ -162,7 +168,7 @@
     pool_states(time_point now, const job::scheduler& scheduler,
                 const std::map<service_id, job::service_load>& loads);
     /// Counts the machines that serve a pool, or will after a planned move, without those whose
-    /// worker leaves.
+    /// worker leaves or hasn't answered for so long that it can't be counted on.
     [[nodiscard]] std::uint32_t count_present(const service_id& pool) const;
     [[nodiscard]] std::uint32_t count_leaving(const service_id& pool) const;
     /// Counts the machines of the pool whose worker has answered and stays, without a planned
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -182,7 +182,7 @@
     if (!m_listed) {
         return out;
     }
-    refresh_usage(scheduler);
+    refresh_usage(scheduler, now);
     const auto loads = scheduler.loads();
     plan_waves(now, loads, out);
     plan_pools(now, scheduler, loads, out);
@@ -190,7 +190,7 @@
     return out;
 }
 
-void machine_planner::refresh_usage(const job::scheduler& scheduler)
+void machine_planner::refresh_usage(const job::scheduler& scheduler, time_point now)
 {
     for (auto& [name, machine] : m_machines) {
         const auto worker = scheduler.workers().find(machine.worker);
@@ -210,6 +210,11 @@
             drop_planned_order(machine);
         }
         machine.answered = known && worker->second.token_acknowledged;
+        if (machine.answered || !machine.unanswered_since) {
+            machine.unanswered_since = now;
+        }
+        machine.expected =
+            now - *machine.unanswered_since <= m_options.move_time + m_options.arrival_margin;
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -127,6 +127,7 @@
             const bool move_planned =
                 machine.planned_order && machine.planned_order->action == machine_action::move;
             return machine.state != machine_state::down && !machine.leaving &&
+                   machine.expected &&
                    (move_planned ? machine.planned_order->pool : machine.pool) == pool;
         }));
 }
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -128,6 +128,24 @@
     CHECK(pool.longest_wait(job) < longest_allowed_wait);
 }
 
+// Guards against a pool that counts for ever on a worker that never comes.
+TEST_CASE("a long-running task doesn't wait for a moved machine whose worker never answers")
+{
+    departing_pool pool(4, 6);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    pool.lose_new_workers();
+    const std::vector<instance_id> leaving = pool.workers_of(job);
+    pool.leave(leaving.at(0));
+    pool.leave(leaving.at(1));
+    pool.run_for(milliseconds(300));
+    const std::size_t lost = pool.orders.size();
+    REQUIRE(lost > 0);
+    REQUIRE(pool.workers_of(job).size() == 2);
+    pool.run_for(seconds(5));
+    CHECK(pool.orders.size() > lost);
+}
+
 // Guards against one machine that the platform won't move and that is tried again and again.
 TEST_CASE("another machine is moved after the platform has refused to move one")
 {
