job, fleet: Keep what long-running tasks need while workers arrive or are silent

A new worker that had answered but not yet been given its task ended the demand, so that its machine could be moved back at once: 26 moves in 15 s, and the task never ran. And one missed poll of a pool's workers asked for as many machines as tasks waited there: 12 in one round.

All workers that run long-running tasks, or could take those that wait, are required now, and a worker counts for 1.5 s of silence as one that will take tasks.

--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -79,16 +79,18 @@
             load.min_workers == 0
                 ? machines
                 : std::max(machines, load.min_workers + spare + under_maintenance(pool));
-        // All machines of the pool together may have room enough, but none has it for one task.
-        const std::uint32_t lacking = std::max(load.blocked_workers, load.missing_workers);
-        if (lacking > 0) {
-            states[pool].wanted = std::max(states[pool].wanted, count_settled(pool) + lacking);
+        if (load.blocked_workers > 0) {
+            // All machines of the pool together may have room enough, but none has it for one task.
+            states[pool].wanted =
+                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
         }
-        states[pool].required = load.min_workers;
+        states[pool].required = std::max(load.min_workers, load.long_running_workers);
         if (load.missing_workers > 0) {
+            // Workers without a long-running task may be unable to take one.
             states[pool].required =
-                std::max(load.min_workers, count_settled(pool) + load.missing_workers);
+                std::max(states[pool].required, count_settled(pool) + load.missing_workers);
         }
+        states[pool].wanted = std::max(states[pool].wanted, states[pool].required);
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = count_present(pool);
@@ -126,8 +128,7 @@
             const machine_record& machine = each.second;
             const bool move_planned =
                 machine.planned_order && machine.planned_order->action == machine_action::move;
-            return machine.state != machine_state::down && !machine.leaving &&
-                   machine.expected &&
+            return machine.state != machine_state::down && !machine.leaving && machine.expected &&
                    (move_planned ? machine.planned_order->pool : machine.pool) == pool;
         }));
 }
--- a/packages/job/include/plantaindoor/job/missing_workers.hpp
+++ b/packages/job/include/plantaindoor/job/missing_workers.hpp
@@ -25,17 +25,23 @@
     /// Places the waiting tasks of a step.
     void add(const job_record& job, const occurrence_record& occurrence, std::uint32_t step);
     [[nodiscard]] std::uint32_t of(const service_id& service) const;
+    /// Present workers of a service with waiting tasks that run long-running tasks or on which
+    /// waiting ones were placed.
+    [[nodiscard]] std::uint32_t in_use(const service_id& service) const;
 
 private:
     struct place {
         instance_id worker;
         resources room;
+        bool in_use = false;
     };
     struct pool {
         std::vector<place> places;
         std::uint32_t added = 0;
     };
 
+    /// Whether the worker takes new tasks, now or in a moment.
+    [[nodiscard]] bool will_take_tasks(const worker_record& worker) const;
     void read_workers();
 
     const std::map<instance_id, worker_record>& m_workers;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -132,8 +132,10 @@
     std::uint32_t min_workers = 0;
     /// Further workers needed by ready tasks that fit beside the long-running tasks of no worker.
     std::uint32_t blocked_workers = 0;
-    /// Further workers needed by long-running tasks that wait and fit beside those on no worker.
+    /// Further workers needed by long-running tasks that wait and fit beside those on no worker,
+    /// and all workers that have, or could take, long-running tasks of the service.
     std::uint32_t missing_workers = 0;
+    std::uint32_t long_running_workers = 0;
 };
 
 /// An accepted job.
--- a/packages/job/src/missing_workers.cpp
+++ b/packages/job/src/missing_workers.cpp
@@ -4,6 +4,22 @@
 
 namespace plantaindoor::job {
 
+namespace {
+
+/// Longer silence of a worker makes its tasks count on others.
+constexpr milliseconds brief_silence{1500};
+
+} // namespace
+
+bool missing_workers::will_take_tasks(const worker_record& worker) const
+{
+    // One that has just been full or hasn't answered a poll usually takes tasks again in a moment.
+    const bool answers =
+        !worker.unresponsive_since || m_now - *worker.unresponsive_since < brief_silence;
+    return answers && worker.listed && worker.token_acknowledged && !worker.cordoned &&
+           !worker.listing.draining && m_now >= worker.quarantined_until;
+}
+
 void missing_workers::read_workers()
 {
     m_read = true;
@@ -11,10 +27,11 @@
         if (worker.token_acknowledged) {
             m_capacities.push_back(worker.capacity());
         }
-        // One that has just been full is usable again in a moment.
-        if (worker.is_usable(std::max(m_now, worker.full_until))) {
+        if (will_take_tasks(worker)) {
             m_pools[worker.listing.service].places.push_back(
-                {.worker = id, .room = worker.capacity_beside_long_running()});
+                {.worker = id,
+                 .room = worker.capacity_beside_long_running(),
+                 .in_use = worker.long_running_runs > 0});
         }
     }
 }
@@ -42,6 +59,7 @@
         }
         for (; limit > 0 && at.room.can_fit(need); --limit) {
             at.room -= need;
+            at.in_use = true;
             --waiting;
         }
     };
@@ -59,6 +77,16 @@
     }
 }
 
+std::uint32_t missing_workers::in_use(const service_id& service) const
+{
+    const auto found = m_pools.find(service);
+    return found == m_pools.end()
+               ? 0
+               : static_cast<std::uint32_t>(std::count_if(
+                     found->second.places.begin(), found->second.places.end(),
+                     [](const place& each) { return each.in_use && !each.worker.empty(); }));
+}
+
 std::uint32_t missing_workers::of(const service_id& service) const
 {
     const auto found = m_pools.find(service);
