soak: Fix the start of the stand-in after a merge

Seen: every run ended with a TypeError before its first fault. Cause: a worker's row no longer takes the port as an argument, and the rows of another writer were merged beside that change. Fix: they are made from the row as it is now.

--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -424,10 +424,10 @@
     }
     rows = {key: json.dumps({name: value for name, value in {**entry, **change}.items()
                              if value is not None}).encode() for key, change in changes.items()}
+    begin = json.dumps(entry)[:-1]
     for name in ("born", "labels", "freeCapacity", "other"):
-        nested = b"[" * 30000 + b"]" * 30000
-        rows[f"nested-{name}"] = json.dumps(entry).encode()[:-1] + f',"{name}":'.encode() + nested + b"}"
-    rows["overflow"] = json.dumps(entry).encode()[:-1] + b',"callSeq":1e400}'
+        rows[f"nested-{name}"] = f'{begin},"{name}":{"[" * 30000}{"]" * 30000}}}'.encode()
+    rows["overflow"] = f'{begin},"callSeq":1e400}}'.encode()
     rows.update({"empty": b"", "list": b"[]", "cut": b'{"service":', "not-utf-8": b"\xff\xfe{}"})
     # The workers' keys begin with "w", so that some rows come before and others after them.
     return {f"{'az'[number % 2]}-{key}": row for number, (key, row) in enumerate(rows.items())}
@@ -453,8 +453,7 @@
         for index in range(self.count):
             self.workers.append(None)
             await self.start_worker(index)
-        first = self.workers[0]
-        for key, row in foreign_rows(first.entry(first.http.port)).items():
+        for key, row in foreign_rows(self.workers[0].entry()).items():
             await self.store.put_bytes("servers", key, row)
 
     async def start_worker(self, index, port=0, machine=None):
