--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -61,6 +61,20 @@
     std::vector<machine_order> orders;
 };
 
+/// The machines of one pool in the last round.
+struct pool_figures {
+    /// Machines that the demand needs, and those that serve the pool or will after a planned move.
+    std::uint32_t wanted = 0;
+    std::uint32_t present = 0;
+    /// The part of those wanted that the long-running tasks can't do without.
+    std::uint32_t required = 0;
+    /// Machines whose worker has announced that it leaves; they aren't present.
+    std::uint32_t leaving = 0;
+
+    /// Machines that the pool needs and that no other pool could give.
+    [[nodiscard]] std::uint32_t missing() const { return wanted > present ? wanted - present : 0; }
+};
+
 struct wave_progress {
     wave_request request;
     time_point first_seen{};
@@ -88,6 +102,8 @@
     [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
 
     [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
+    /// The pools with demand or machines, as of the last plan().
+    [[nodiscard]] const std::map<service_id, pool_figures>& pools() const { return m_pool_figures; }
 
 private:
     struct machine_record {
@@ -113,14 +129,13 @@
         /// Processor time in use, in thousandths of a core.
         std::int64_t used = 0;
         bool idle = false;
+        /// Whether the worker drains: it takes no new tasks and ends soon.
+        bool leaving = false;
+        /// Whether the worker has answered this process.
+        bool answered = false;
         /// Whether long-running tasks run on the machine.
         bool long_running = false;
     };
-    struct pool_state {
-        std::uint32_t wanted = 0;
-        /// Machines that serve the pool, or will after a planned move.
-        std::uint32_t present = 0;
-    };
     struct arrival_sample {
         time_point at{};
         double work = 0;
@@ -128,7 +143,7 @@
     };
 
     [[nodiscard]] bool is_standby(const service_id& pool) const;
-    /// Whether the machine is up, has no planned order and isn't blocked.
+    /// Whether the machine is up, has no planned order, isn't blocked and its worker stays.
     [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
                                time_point now) const;
     void refresh_usage(const job::scheduler& scheduler);
@@ -143,25 +158,33 @@
     [[nodiscard]] std::uint32_t under_maintenance(const service_id& pool) const;
     void plan_pools(time_point now, const job::scheduler& scheduler,
                     const std::map<service_id, job::service_load>& loads, machine_orders& out);
-    [[nodiscard]] std::map<service_id, pool_state>
+    [[nodiscard]] std::map<service_id, pool_figures>
     pool_states(time_point now, const job::scheduler& scheduler,
                 const std::map<service_id, job::service_load>& loads);
-    /// Counts the machines that serve a pool, or will after a planned move.
+    /// Counts the machines that serve a pool, or will after a planned move, without those whose
+    /// worker leaves.
     [[nodiscard]] std::uint32_t count_present(const service_id& pool) const;
-    /// Counts the machines of the pool that are up and have no planned order.
+    [[nodiscard]] std::uint32_t count_leaving(const service_id& pool) const;
+    /// Counts the machines of the pool whose worker has answered and stays, without a planned
+    /// order.
     [[nodiscard]] std::uint32_t count_settled(const service_id& pool) const;
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
                                       time_point now);
     [[nodiscard]] double needed_capacity(const service_id& pool, const job::service_load& load,
-                                         double machine_capacity, time_point now);
+                                         double per_machine, time_point now);
     void order_idle_machines(time_point now, machine_orders& out);
     void cordon(machine_record& machine, machine_order planned_order, machine_orders& out);
     /// Forgets the order for a machine that is up, and uncordons its worker.
     void drop_planned_order(machine_record& machine);
     /// The least used machine that may leave the pool; empty if there is none.
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
-    void move_machines(time_point now, std::map<service_id, pool_state>& states,
+    void move_machines(time_point now, std::map<service_id, pool_figures>& states,
                        machine_orders& out);
+    /// Moves machines to each pool that has fewer present than `needed`, from pools that have more
+    /// than `kept`.
+    void fill_pools(time_point now, std::map<service_id, pool_figures>& states,
+                    std::uint32_t pool_figures::*needed, std::uint32_t pool_figures::*kept,
+                    machine_orders& out);
 
     machine_planner_options m_options;
     std::map<service_id, pool_settings> m_pools;
@@ -169,6 +192,7 @@
     std::map<std::string, time_point> m_blocked;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
+    std::map<service_id, pool_figures> m_pool_figures;
     /// Workers to uncordon as the order for their machine was dropped.
     std::vector<cordon_change> m_uncordoned;
     /// Machines whose planned move is reconsidered in the current plan() call.
--- /dev/null
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -0,0 +1,232 @@
+#include "plantaindoor/fleet/machine_capacity.hpp"
+#include "plantaindoor/fleet/machine_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace plantaindoor::fleet {
+
+namespace {
+
+constexpr double percent = 100;
+
+double in_seconds(nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+double machine_planner::arrival_rate(const service_id& pool, const job::service_load& load,
+                                     time_point now)
+{
+    auto& samples = m_arrivals[pool];
+    samples.push_back({now, load.submitted_work, load.submitted_jobs});
+    const auto is_long_enough = [&](const arrival_sample& from) {
+        const auto age = now - from.at;
+        return age >= m_options.max_arrival_window ||
+               (age >= m_options.min_arrival_window &&
+                load.submitted_jobs - from.jobs >= m_options.arrival_jobs);
+    };
+    while (samples.size() > 2 && now - samples[1].at >= m_options.max_arrival_window) {
+        samples.pop_front();
+    }
+    const auto from = std::find_if(samples.rbegin(), samples.rend(), is_long_enough);
+    const arrival_sample& first = from == samples.rend() ? samples.front() : *from;
+    return (load.submitted_work - first.work) /
+           std::max(in_seconds(now - first.at), in_seconds(m_options.min_arrival_window));
+}
+
+double machine_planner::needed_capacity(const service_id& pool, const job::service_load& load,
+                                        double per_machine, time_point now)
+{
+    const double arrivals = arrival_rate(pool, load, now);
+    const double present_capacity = per_machine * count_present(pool) - load.long_running;
+    const double current_load = load.running + load.ready;
+    // The backlog by the time that a move could be completed.
+    const double backlog =
+        load.ready_work + (arrivals - present_capacity) * in_seconds(m_options.move_time);
+    // A few large jobs don't predict later ones, so growth is bounded by the current load.
+    double needed = std::max(current_load, std::min(arrivals, 2 * current_load));
+    if (backlog > 0) {
+        needed = std::min(current_load + arrivals / 2,
+                          arrivals + backlog / in_seconds(m_options.backlog_time));
+    }
+    return load.long_running + needed;
+}
+
+std::map<service_id, pool_figures>
+machine_planner::pool_states(time_point now, const job::scheduler& scheduler,
+                             const std::map<service_id, job::service_load>& loads)
+{
+    std::map<service_id, pool_figures> states;
+    const machine_capacity capacity(scheduler);
+    const bool has_open_waves = std::any_of(
+        m_waves.begin(), m_waves.end(), [](const auto& each) { return !each.second.completed(); });
+    // One spare machine, and one more that an unfinished wave may take.
+    const std::uint32_t spare = has_open_waves ? 2 : 1;
+    for (const auto& [pool, load] : loads) {
+        const double per_machine = capacity.of(pool);
+        if (per_machine <= 0) {
+            continue;
+        }
+        const double needed = needed_capacity(pool, load, per_machine, now);
+        const auto machines = static_cast<std::uint32_t>(
+            std::ceil(needed / per_machine * percent / m_options.max_load_percent));
+        // Long-running steps must fit onto the remaining machines while others are maintained.
+        states[pool].wanted =
+            load.min_workers == 0
+                ? machines
+                : std::max(machines, load.min_workers + spare + under_maintenance(pool));
+        // All machines of the pool together may have room enough, but none has it for one task.
+        const std::uint32_t lacking = std::max(load.blocked_workers, load.missing_workers);
+        if (lacking > 0) {
+            states[pool].wanted = std::max(states[pool].wanted, count_settled(pool) + lacking);
+        }
+        states[pool].required = load.min_workers;
+        if (load.missing_workers > 0) {
+            states[pool].required =
+                std::max(load.min_workers, count_settled(pool) + load.missing_workers);
+        }
+    }
+    for (const auto& [pool, settings] : m_pools) {
+        states[pool].present = count_present(pool);
+        states[pool].leaving = count_leaving(pool);
+    }
+    return states;
+}
+
+std::uint32_t machine_planner::under_maintenance(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool maintenance_planned =
+                machine.planned_order && machine.planned_order->action == machine_action::maintain;
+            return machine.pool == pool &&
+                   (maintenance_planned || machine.state == machine_state::maintenance);
+        }));
+}
+
+bool machine_planner::can_spare(const service_id& pool,
+                                const std::map<service_id, job::service_load>& loads) const
+{
+    const auto load = loads.find(pool);
+    if (load == loads.end() || load->second.min_workers == 0) {
+        return true;
+    }
+    return count_settled(pool) > load->second.min_workers + 1;
+}
+
+std::uint32_t machine_planner::count_present(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            const bool move_planned =
+                machine.planned_order && machine.planned_order->action == machine_action::move;
+            return machine.state != machine_state::down && !machine.leaving &&
+                   (move_planned ? machine.planned_order->pool : machine.pool) == pool;
+        }));
+}
+
+std::uint32_t machine_planner::count_leaving(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            return each.second.pool == pool && each.second.leaving;
+        }));
+}
+
+std::uint32_t machine_planner::count_settled(const service_id& pool) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            const machine_record& machine = each.second;
+            return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
+                   !machine.leaving && !machine.planned_order;
+        }));
+}
+
+std::string machine_planner::move_candidate(const service_id& pool, time_point now) const
+{
+    const std::string* best = nullptr;
+    std::int64_t lowest_usage = 0;
+    for (const auto& [name, machine] : m_machines) {
+        if (machine.pool == pool && is_free(name, machine, now) && !machine.long_running &&
+            (best == nullptr || machine.used < lowest_usage)) {
+            best = &name;
+            lowest_usage = machine.used;
+        }
+    }
+    return best == nullptr ? std::string() : *best;
+}
+
+void machine_planner::plan_pools(time_point now, const job::scheduler& scheduler,
+                                 const std::map<service_id, job::service_load>& loads,
+                                 machine_orders& out)
+{
+    // Moves that haven't been ordered are planned anew, as the demand may have changed.
+    m_previous_moves.clear();
+    for (auto& [name, machine] : m_machines) {
+        if (machine.planned_order && machine.planned_order->action == machine_action::move &&
+            !machine.ordered && machine.state == machine_state::up) {
+            m_previous_moves.insert(name);
+            machine.planned_order.reset();
+        }
+    }
+    auto states = pool_states(now, scheduler, loads);
+    move_machines(now, states, out);
+    m_pool_figures = std::move(states);
+    for (const std::string& name : m_previous_moves) {
+        const machine_record& machine = m_machines[name];
+        if (!machine.planned_order && !machine.worker.empty()) {
+            out.cordons.push_back({machine.worker, false});
+        }
+    }
+    m_previous_moves.clear();
+}
+
+void machine_planner::move_machines(time_point now, std::map<service_id, pool_figures>& states,
+                                    machine_orders& out)
+{
+    // Long-running tasks come first, also where short ones want more machines than there are.
+    fill_pools(now, states, &pool_figures::required, &pool_figures::wanted, out);
+    fill_pools(now, states, &pool_figures::wanted, &pool_figures::wanted, out);
+    fill_pools(now, states, &pool_figures::required, &pool_figures::required, out);
+}
+
+void machine_planner::fill_pools(time_point now, std::map<service_id, pool_figures>& states,
+                                 std::uint32_t pool_figures::*needed,
+                                 std::uint32_t pool_figures::*kept, machine_orders& out)
+{
+    std::vector<service_id> sources;
+    for (const auto& [id, pool] : m_pools) {
+        // Machines of standby pools are off, so moving them costs nothing; they are used first.
+        sources.insert(pool.standby ? sources.begin() : sources.end(), id);
+    }
+    for (auto& [pool, state] : states) {
+        if (is_standby(pool) || !m_pools.contains(pool)) {
+            continue;
+        }
+        for (const service_id& source : sources) {
+            while (source != pool && state.present < state.*needed) {
+                pool_figures& source_state = states[source];
+                const std::string name = move_candidate(source, now);
+                const bool can_give =
+                    is_standby(source) ||
+                    source_state.present > std::max(source_state.*kept, m_options.min_machines);
+                if (name.empty() || !can_give) {
+                    break;
+                }
+                cordon(m_machines[name],
+                       {.machine = name, .action = machine_action::move, .pool = pool}, out);
+                --source_state.present;
+                ++state.present;
+            }
+        }
+    }
+}
+
+} // namespace plantaindoor::fleet
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -33,6 +33,15 @@
     return {std::string(waves_table), control_partition(shard), std::to_string(wave)};
 }
 
+std::set<std::string> names_of(const std::vector<machine_info>& machines)
+{
+    std::set<std::string> names;
+    for (const machine_info& each : machines) {
+        names.insert(each.machine);
+    }
+    return names;
+}
+
 /// The row that lists the machines with a recent order of the leader.
 row_address recent_orders_address(shard_number shard)
 {
@@ -55,6 +64,7 @@
                               .claim = m_options.claim,
                               .commit_timeout = m_options.commit_timeout,
                               .retention = m_options.handover_delay}),
+      m_pool_reporter(metrics, m_options.shard),
       m_alive(std::make_shared<bool>(true)),
       m_ended_workers(metrics.counter({"worker_lives_over_total",
                                        "Workers whose end was detected by the list of machines",
@@ -206,6 +216,7 @@
     }
     check_waiting_waves(now);
     const machine_orders orders = m_planner.plan(now, m_scheduler);
+    m_pool_reporter.report(m_planner.pools());
     for (const cordon_change& each : orders.cordons) {
         m_scheduler.cordon_worker(each.worker, each.cordoned);
     }
@@ -253,11 +264,14 @@
 void machine_session::handle_machine_list(std::vector<machine_info> machines,
                                           time_point requested_at)
 {
+    const time_point now = m_loop.now();
+    if (m_scheduler.has_predecessor_doubt(now) && !machines.empty()) {
+        m_scheduler.note_machines(names_of(machines), requested_at);
+    }
     std::erase_if(machines, [this](const machine_info& each) {
         return m_options.layout->owner_of(each.rack) != m_options.shard;
     });
     m_planner.note_machine_list(machines, requested_at);
-    const time_point now = m_loop.now();
     for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
             "worker {} has ended according to the machine list requested {} ms ago: {}", id.str(),
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -125,6 +125,8 @@
     resources footprint;
     time_point ordered{};
     time_point confirmed{};
+    /// Of a long-running run: since when its task had waited.
+    std::optional<time_point> waited_since;
     /// When a stop was last sent; nullopt if none was.
     std::optional<time_point> stop_sent;
     /// When the worker accepted a stop; nullopt before.
@@ -161,6 +163,8 @@
     bool listed = false;
     /// The worker has answered under this process's fencing token.
     bool token_acknowledged = false;
+    /// The platform has no machine of the listed name, and the worker hasn't answered.
+    bool has_no_machine = false;
     /// Start of the incarnation that has answered last; nullopt if its reports don't tell.
     std::optional<wall_time> started_at;
     /// Start of a later incarnation that is listed and hasn't answered yet, and when it was listed.
