soak: Workers of the stand-in in a file of their own, and two faults of the soak

Such a task is now judged by the job's state, as at the end of a run: a job that failed without these crashes is a violation still, and one that goes on must have its task running.

--- a/tests/soak/config_check.py
+++ b/tests/soak/config_check.py
@@ -4,7 +4,7 @@
 import collections
 import contextlib
 
-from platform_stand_in import now
+from http_service import now
 
 APPLY_S = 2.0
 """Time from the acknowledgement of a change until it must be in force at undisturbed entries."""
--- a/tests/soak/long_running_check.py
+++ b/tests/soak/long_running_check.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from platform_stand_in import now
+from http_service import now
 
 RESTART_S = 6.0
 """Time after the end of its last run within which a task must run again."""
@@ -25,7 +25,6 @@
         self.jobs = []
         self.room_since = {}  # task -> time since when a worker has had room for it
         self.checks = 0  # of a task, running or not, while nothing was disturbed
-        self.longest_wait_s = 0.0
 
     @property
     def checker(self):
@@ -48,24 +47,31 @@
             checked_at = now()
             if held_up or self.soak.disturbances:
                 self.checker.disturbed_at = now()
-            for job in self.jobs:
+            for job in list(self.jobs):
                 for index in range(self.checker.jobs[job]["steps"][0]["count"]):
-                    self.check(f"{job}.0.0.{index}")
+                    if self.waits_too_long(f"{job}.0.0.{index}"):
+                        await self.report(job, f"{job}.0.0.{index}")
+                        break
 
-    def check(self, name):
+    def waits_too_long(self, name):
         task = self.checker.task(name)
         calm = now() > self.checker.disturbed_at + CALM_S
         self.checks += calm
         if task["running"] or not any(worker.accepts_work() and worker.fits(name)
                                       for worker in self.soak.platform.workers):
             self.room_since.pop(name, None)
-            return
+            return False
         room_for_s = now() - self.room_since.setdefault(name, now())
-        if not calm:
-            return
         waited_s = now() - task["ended_at"]
-        self.longest_wait_s = max(self.longest_wait_s, waited_s)
-        if waited_s > RESTART_S and room_for_s > ROOM_S:
-            self.checker.fail(f"long-running task not restarted in {RESTART_S:.0f} s, "
-                              f"at {now():.2f}", name)
-            task["ended_at"] = now()  # Reports it again only after the same time.
+        if not calm or waited_s <= RESTART_S or room_for_s <= ROOM_S:
+            return False
+        task["ended_at"] = now()  # Reports it again only after the same time.
+        return True
+
+    async def report(self, job, name):
+        at = now()
+        if await self.soak.check_job(job):
+            self.jobs.remove(job)  # It was given up, with or without a cause.
+        else:
+            self.checker.fail(f"long-running task not restarted in {RESTART_S:.0f} s, at {at:.2f}",
+                              name)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,9 +15,11 @@
 import tempfile
 
 from config_check import ConfigCheck
+from http_service import now
 from long_running_check import LongRunningCheck
-from platform_stand_in import OTHER_SERVICE, Platform, now
+from platform_stand_in import Platform
 from proxy import Proxy
+from worker_stand_in import OTHER_SERVICE
 
 ENTRIES = 3
 WORKERS = 4
@@ -444,8 +446,7 @@
     done = sum(1 for task in soak.checker.tasks.values() if task["ever_done"])
     print(f"seed {seed}: {len(soak.accepted)} of {soak.count} jobs accepted, {done} tasks done, "
           f"{soak.config_check.probed} probes of the configuration, "
-          f"{soak.long_running_check.checks} of long-running tasks "
-          f"(longest wait {soak.long_running_check.longest_wait_s:.1f} s), "
+          f"{soak.long_running_check.checks} of long-running tasks, "
           f"{len(soak.checker.refused)} refused, {len(soak.events)} events, "
           f"{len(violations)} broken", flush=True)
     for violation in violations:
