--- a/tests/soak/http_service.py
+++ b/tests/soak/http_service.py
@@ -9,6 +9,24 @@
     return time.monotonic()
 
 
+class ChangeSignal:
+    """Wakes those that wait for a change. Unlike asyncio.Condition, it has no lock that tasks must
+    acquire again when they are cancelled."""
+
+    def __init__(self):
+        self.event = asyncio.Event()
+
+    def notify_all(self):
+        self.event.set()
+        self.event = asyncio.Event()
+
+    async def wait(self, timeout_s):
+        try:
+            await asyncio.wait_for(self.event.wait(), max(timeout_s, 0.001))
+        except asyncio.TimeoutError:
+            pass
+
+
 class HttpService:
     """A minimal HTTP/1.1 server. Handlers return (status, JSON-serializable object or bytes)."""
 
--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -8,7 +8,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from http_service import HttpService, now
+from http_service import ChangeSignal, HttpService, now
 from worker_stand_in import DRAIN_S, OTHER_SERVICE, Worker, foreign_rows
 
 TRANSACTION_DURATION_S = 0.002
@@ -93,7 +93,7 @@
         self.rows = {}
         self.history = []
         self.discarded_version = 0
-        self.changed = asyncio.Condition()
+        self.changed = ChangeSignal()
         self.partition_locks = {}
         self.latency_s = 0.0
         self.http = HttpService(self.handle)
@@ -118,8 +118,7 @@
             self.rows.pop(address, None)
             self.history.append({"table": address[0], "part": address[1], "key": address[2],
                                  "ver": self.version, "tombstone": True})
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.notify_all()
         return 200, {"ver": self.version}
 
     async def put(self, table, key, value):
@@ -181,11 +180,7 @@
                     if row["table"] == query["table"] and row["ver"] > after]
             if rows or now() >= until:
                 return 200, {"rows": rows, "ver": self.version}
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), max(until - now(), 0.001))
-            except asyncio.TimeoutError:
-                pass
+            await self.changed.wait(until - now())
 
 
 class Platform:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,8 @@
 """Time from the last fault to the checks. Every accepted job must then reach a final state within
 FINISH_S."""
 FINISH_S = 30
+MIN_CHECKS = 100
+"""Checks of long-running tasks for which the end of the run waits, FINISH_S at most."""
 
 SETTINGS = """
 entry: {name}
@@ -395,6 +397,10 @@
             entry.store_proxy.mode = "pass"
             await entry.ensure_running()
         await asyncio.sleep(SETTLE_S)
+        # Crashing tasks disturb the workers until their jobs are given up.
+        until = now() + FINISH_S
+        while self.long_running_check.checks < MIN_CHECKS and now() < until:
+            await asyncio.sleep(0.3)
 
     async def check_jobs(self):
         unfinished = set(self.accepted)
--- a/tests/soak/worker_stand_in.py
+++ b/tests/soak/worker_stand_in.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from http_service import HttpService, now
+from http_service import ChangeSignal, HttpService, now
 
 MAX_LEASE_S = 10.0
 STOP_DURATION_S = 0.2
@@ -26,7 +26,7 @@
         self.ended = []
         self.sequence = 0
         self.lease = 0.0
-        self.changed = asyncio.Condition()
+        self.changed = ChangeSignal()
         self.alive = True
         self.draining = False
         self.delayed_fraction = 0.0
@@ -96,8 +96,7 @@
         self.highest_attempt[run[0]] = max(self.highest_attempt.get(run[0], 0), run[1])
         self.sequence += 1
         self.ended.append([self.sequence, run[0], run[1], end_reason, ""])
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.notify_all()
 
     async def work(self, run, seconds):
         await asyncio.sleep(seconds)
@@ -164,11 +163,7 @@
             self.extend_lease(request["deadlineMs"])
         until = now() + min(request.get("waitMs", 0), 2000) / 1000
         while not self.ended and now() < until:
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), max(until - now(), 0.001))
-            except asyncio.TimeoutError:
-                pass
+            await self.changed.wait(until - now())
         return 200, {"clockMs": self.clock(), "finished": self.ended[:500],
                      "running": [[task, attempt, "", 100, 0] for task, attempt in self.running]}
 
