--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -33,6 +33,15 @@
     return {std::string(waves_table), control_partition(shard), std::to_string(wave)};
 }
 
+std::set<std::string> names_of(const std::vector<machine_info>& machines)
+{
+    std::set<std::string> names;
+    for (const machine_info& each : machines) {
+        names.insert(each.machine);
+    }
+    return names;
+}
+
 /// The row that lists the machines with a recent order of the leader.
 row_address recent_orders_address(shard_number shard)
 {
@@ -255,11 +264,14 @@
 void machine_session::handle_machine_list(std::vector<machine_info> machines,
                                           time_point requested_at)
 {
+    const time_point now = m_loop.now();
+    if (m_scheduler.has_predecessor_doubt(now) && !machines.empty()) {
+        m_scheduler.note_machines(names_of(machines), requested_at);
+    }
     std::erase_if(machines, [this](const machine_info& each) {
         return m_options.layout->owner_of(each.rack) != m_options.shard;
     });
     m_planner.note_machine_list(machines, requested_at);
-    const time_point now = m_loop.now();
     for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
             "worker {} has ended according to the machine list requested {} ms ago: {}", id.str(),
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -163,6 +163,8 @@
     bool listed = false;
     /// The worker has answered under this process's fencing token.
     bool token_acknowledged = false;
+    /// The platform has no machine of the listed name, and the worker hasn't answered.
+    bool has_no_machine = false;
     /// Start of the incarnation that has answered last; nullopt if its reports don't tell.
     std::optional<wall_time> started_at;
     /// Start of a later incarnation that is listed and hasn't answered yet, and when it was listed.
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -409,6 +409,14 @@
     }
 }
 
+void scheduler::note_machines(const std::set<std::string>& machines, time_point requested_at)
+{
+    for (auto& [id, worker] : m_workers) {
+        worker.has_no_machine = !worker.token_acknowledged && worker.last_answer < requested_at &&
+                                !machines.contains(worker.listing.machine);
+    }
+}
+
 void scheduler::note_live_workers(const std::map<instance_id, service_id>& live_workers,
                                   time_point now)
 {
@@ -423,9 +431,9 @@
     std::erase_if(*m_unacknowledged_workers, [&](const auto& each) {
         const auto worker = m_workers.find(each.first);
         const bool known = worker != m_workers.end();
-        const bool listed = known && worker->second.listed;
+        const bool may_exist = known && worker->second.listed && !worker->second.has_no_machine;
         return (known && worker->second.token_acknowledged) ||
-               (!listed && !live_workers.contains(each.first));
+               (!may_exist && !live_workers.contains(each.first));
     });
     refresh_services_in_doubt();
 }
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -395,6 +395,49 @@
     }
 }
 
+// Guards against LOST: one row of another writer, at whose address nothing answers, made inherited
+// tasks wait for 8 s after each change of the leader.
+TEST_CASE("inherited jobs don't wait for a listed worker that has no machine")
+{
+    scheduler subject({.lease = milliseconds(5000),
+                       .predecessor_grace = milliseconds(2500),
+                       .former_services_known = true},
+                      start);
+    subject.set_queues({{.name = "q", .service = checks}});
+    auto spec = std::make_shared<job_spec>();
+    spec->steps.push_back({.need = {.cpu_millis = 100, .memory_mb = 100}});
+    subject.submit(job_id("j1"), {.queue = "q", .spec = spec, .at = start, .inherited = true});
+    const auto list = [&](const std::string& worker, const std::string& machine, time_point at) {
+        worker_listing listing = worker_named(worker);
+        listing.machine = machine;
+        subject.note_worker_listed(listing, at);
+    };
+    const instance_id own("w1");
+    list("w1", "m1", start);
+    subject.note_report(own, {.worker_clock = milliseconds(1000)}, start, start);
+    const auto starts_after_list = [&] {
+        subject.note_machines({"m1", "m2"}, start + milliseconds(100));
+        subject.note_live_workers({{own, checks}}, start + milliseconds(120));
+        return subject.plan(start + milliseconds(130), wall_time{}).starts.size();
+    };
+
+    SECTION("a machine that doesn't exist, or none")
+    {
+        list("odd", GENERATE("unknown", ""), start);
+        CHECK(starts_after_list() == 1);
+    }
+    SECTION("the machine exists, so that the worker may be unresponsive")
+    {
+        list("w2", "m2", start);
+        CHECK(starts_after_list() == 0);
+    }
+    SECTION("the worker was listed after the list of machines was requested")
+    {
+        list("w2", "m3", start + milliseconds(110));
+        CHECK(starts_after_list() == 0);
+    }
+}
+
 // Guards against TWICE: a late write brought back the row of a crashed worker, and the runs of the
 // worker that answered at its address were taken for lost and started again.
 TEST_CASE("an old row at the address of a worker that answers ends none of that worker's runs")
