fleet: Conclude from a machine's absence only where the list is complete

Since entries of the machine list that can't be read are left out one by one, a machine that isn't listed may exist. Three places took its absence for proof: a listed worker that hasn't answered a new leader counted as non-existent, so that a predecessor's task there could be started a second time; the machine counted as done for its wave, which could be reported as completed without its maintenance; and the planner forgot it.

The list tells now whether it is complete. A partial one changes only the machines that it has. A worker counts as non-existent after two complete lists in a row without its machine.

--- a/packages/fleet/include/plantaindoor/fleet/gateways.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/gateways.hpp
@@ -72,6 +72,13 @@
 };
 
 /// The leader that orders changes to machines.
+struct machine_list {
+    std::vector<machine_info> machines;
+    /// Whether no entry was left out since it couldn't be read: only then does a machine that isn't
+    /// listed not exist.
+    bool is_complete = true;
+};
+
 struct machine_authority {
     std::string leader;
     fencing_token token = 0;
@@ -81,7 +88,7 @@
 /// Loop thread only.
 class machine_gateway {
 public:
-    using list_callback = std::function<void(std::optional<std::vector<machine_info>>)>;
+    using list_callback = std::function<void(std::optional<machine_list>)>;
     using machine_callback = std::function<void(machine_answer)>;
 
     machine_gateway() = default;
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -39,6 +39,8 @@
     milliseconds wave_reserve{6000};
 };
 
+enum class list_extent { complete, partial };
+
 enum class machine_action { move, maintain };
 
 struct machine_order {
@@ -92,8 +94,10 @@
     explicit machine_planner(machine_planner_options options) : m_options(options) {}
 
     void set_pools(const std::vector<pool_settings>& pools);
-    /// Applies a complete machine list that was requested at `requested_at`.
-    void note_machine_list(const std::vector<machine_info>& machines, time_point requested_at);
+    /// Applies a machine list that was requested at `requested_at`. Machines that a partial one
+    /// lacks stay as they were.
+    void note_machine_list(const std::vector<machine_info>& machines, time_point requested_at,
+                           list_extent extent = list_extent::complete);
     /// Gives no new orders for the machine until then, as a previous leader has recently given one.
     void block(const std::string& machine, time_point until) { m_blocked[machine] = until; }
     void note_worker(const job::worker_listing& listing);
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -77,7 +77,7 @@
     [[nodiscard]] bool completed_by(const wave_request& request, shard_number first,
                                     shard_number end) const;
     void read_list(time_point now);
-    void handle_machine_list(std::vector<machine_info> machines, time_point requested_at);
+    void handle_machine_list(machine_list list, time_point requested_at);
     /// Persists the affected machines, which a successor should leave alone for handover_delay, and
     /// then sends the orders.
     void persist_and_send(const std::vector<machine_order>& orders, time_point now);
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -36,7 +36,7 @@
 }
 
 void machine_planner::note_machine_list(const std::vector<machine_info>& machines,
-                                        time_point requested_at)
+                                        time_point requested_at, list_extent extent)
 {
     std::set<std::string> listed;
     for (const machine_info& entry : machines) {
@@ -64,8 +64,11 @@
             }
         }
     }
-    std::erase_if(m_machines, [&](const auto& each) { return !listed.contains(each.first); });
     m_listed = true;
+    if (extent == list_extent::partial) {
+        return;
+    }
+    std::erase_if(m_machines, [&](const auto& each) { return !listed.contains(each.first); });
     for (auto& [number, wave] : m_waves) {
         for (const std::string& name : wave.request.machines) {
             if (!listed.contains(name)) {
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -249,29 +249,29 @@
 {
     m_list_pending = true;
     m_next_list = now + m_options.list_interval;
-    m_machines.list(
-        [this, now, alive = m_alive](std::optional<std::vector<machine_info>> machines) {
-            if (!*alive) {
-                return;
-            }
-            m_list_pending = false;
-            if (machines) {
-                handle_machine_list(std::move(*machines), now);
-            }
-        });
+    m_machines.list([this, now, alive = m_alive](std::optional<machine_list> list) {
+        if (!*alive) {
+            return;
+        }
+        m_list_pending = false;
+        if (list) {
+            handle_machine_list(std::move(*list), now);
+        }
+    });
 }
 
-void machine_session::handle_machine_list(std::vector<machine_info> machines,
-                                          time_point requested_at)
+void machine_session::handle_machine_list(machine_list list, time_point requested_at)
 {
+    std::vector<machine_info>& machines = list.machines;
     const time_point now = m_loop.now();
-    if (m_scheduler.has_predecessor_doubt(now) && !machines.empty()) {
+    if (m_scheduler.has_predecessor_doubt(now) && list.is_complete && !machines.empty()) {
         m_scheduler.note_machines(names_of(machines), requested_at);
     }
     std::erase_if(machines, [this](const machine_info& each) {
         return m_options.layout->owner_of(each.rack) != m_options.shard;
     });
-    m_planner.note_machine_list(machines, requested_at);
+    m_planner.note_machine_list(machines, requested_at,
+                                list.is_complete ? list_extent::complete : list_extent::partial);
     for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
             "worker {} has ended according to the machine list requested {} ms ago: {}", id.str(),
--- a/packages/fleet/src/shard_set.cpp
+++ b/packages/fleet/src/shard_set.cpp
@@ -135,19 +135,18 @@
 void shard_set::create_layout()
 {
     m_creating_layout = true;
-    m_context.machines.list(
-        [this, alive = m_alive](const std::optional<std::vector<machine_info>>& machines) {
-            if (!*alive) {
-                return;
-            }
-            if (!machines) {
-                shard_log.warning("can't divide control: the list of machines is unavailable");
-                m_layout_missing_since = m_context.loop.now() + create_retry_delay;
-                m_creating_layout = false;
-                return;
-            }
-            persist_layout(shard_layout::divide(*machines, *m_config, m_options.division));
-        });
+    m_context.machines.list([this, alive = m_alive](const std::optional<machine_list>& machines) {
+        if (!*alive) {
+            return;
+        }
+        if (!machines) {
+            shard_log.warning("can't divide control: the list of machines is unavailable");
+            m_layout_missing_since = m_context.loop.now() + create_retry_delay;
+            m_creating_layout = false;
+            return;
+        }
+        persist_layout(shard_layout::divide(machines->machines, *m_config, m_options.division));
+    });
 }
 
 void shard_set::persist_layout(const shard_layout& layout)
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -35,8 +35,9 @@
     void list(list_callback done) override
     {
         if (m_list_provider) {
-            m_loop.call_after(answer_time,
-                              [this, done = std::move(done)] { done(m_list_provider()); });
+            m_loop.call_after(answer_time, [this, done = std::move(done)] {
+                done(machine_list{.machines = m_list_provider()});
+            });
         }
     }
     void move(const machine_authority& /*by*/, const std::string& /*machine*/,
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -618,3 +618,25 @@
     planner.note_machine_list(machines, start);
     CHECK(planner.plan(start, scheduler).orders.size() == 2);
 }
+
+// Guards against a wave that is reported as completed without the maintenance of a machine whose
+// entry couldn't be read.
+TEST_CASE("a machine that a partial list lacks stays in its wave")
+{
+    const auto orders_after = [](list_extent extent) {
+        job::scheduler scheduler = scheduler_with(
+            {listing_of("m1", "w1"), at_address(listing_of("m2", "w2"), "10.0.0.2:80")});
+        machine_planner planner({});
+        planner.set_pools({{.id = checks}});
+        planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")},
+                                  start);
+        planner.note_wave(
+            {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 2}, start,
+            {});
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + milliseconds(1),
+                                  extent);
+        return planner.plan(start + milliseconds(2), scheduler).orders.size();
+    };
+    CHECK(orders_after(list_extent::partial) == 2);
+    CHECK(orders_after(list_extent::complete) == 1);
+}
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -192,7 +192,7 @@
     /// Records that the order was refused.
     void cancel_planned_end(const std::string& machine) { m_planned_ends.erase(machine); }
     /// Records all machines of the platform, as of a list that was requested then. A listed worker
-    /// that hasn't answered and has none of them doesn't exist.
+    /// that hasn't answered and has none of them, by two lists in a row, doesn't exist.
     void note_machines(const std::set<std::string>& machines, time_point requested_at);
     /// Records which workers are alive, and their services, including workers that are not listed.
     /// Workers that start well after this process became leader can't run what a predecessor
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -163,8 +163,8 @@
     bool listed = false;
     /// The worker has answered under this process's fencing token.
     bool token_acknowledged = false;
-    /// The platform has no machine of the listed name, and the worker hasn't answered.
-    bool has_no_machine = false;
+    /// Successive machine lists that lack the worker's machine, while it hasn't answered.
+    std::uint32_t lists_without_machine = 0;
     /// Start of the incarnation that has answered last; nullopt if its reports don't tell.
     std::optional<wall_time> started_at;
     /// Start of a later incarnation that is listed and hasn't answered yet, and when it was listed.
@@ -215,6 +215,8 @@
     }
     /// Identifies the incarnation that has answered last: the id, with the start if it is known.
     [[nodiscard]] instance_id incarnation() const;
+    /// Whether the platform has no machine of the listed name, so that the row is not a worker's.
+    [[nodiscard]] bool has_no_machine() const { return lists_without_machine >= 2; }
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources capacity() const
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -412,8 +412,9 @@
 void scheduler::note_machines(const std::set<std::string>& machines, time_point requested_at)
 {
     for (auto& [id, worker] : m_workers) {
-        worker.has_no_machine = !worker.token_acknowledged && worker.last_answer < requested_at &&
-                                !machines.contains(worker.listing.machine);
+        const bool absent = !worker.token_acknowledged && worker.last_answer < requested_at &&
+                            !machines.contains(worker.listing.machine);
+        worker.lists_without_machine = absent ? worker.lists_without_machine + 1 : 0;
     }
 }
 
@@ -431,7 +432,7 @@
     std::erase_if(*m_unacknowledged_workers, [&](const auto& each) {
         const auto worker = m_workers.find(each.first);
         const bool known = worker != m_workers.end();
-        const bool may_exist = known && worker->second.listed && !worker->second.has_no_machine;
+        const bool may_exist = known && worker->second.listed && !worker->second.has_no_machine();
         return (known && worker->second.token_acknowledged) ||
                (!may_exist && !live_workers.contains(each.first));
     });
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -415,26 +415,29 @@
     const instance_id own("w1");
     list("w1", "m1", start);
     subject.note_report(own, {.worker_clock = milliseconds(1000)}, start, start);
-    const auto starts_after_list = [&] {
-        subject.note_machines({"m1", "m2"}, start + milliseconds(100));
-        subject.note_live_workers({{own, checks}}, start + milliseconds(120));
-        return subject.plan(start + milliseconds(130), wall_time{}).starts.size();
+    const auto starts_after_list = [&](milliseconds requested) {
+        subject.note_machines({"m1", "m2"}, start + requested);
+        subject.note_live_workers({{own, checks}}, start + requested + milliseconds(20));
+        return subject.plan(start + requested + milliseconds(30), wall_time{}).starts.size();
     };
 
     SECTION("a machine that doesn't exist, or none")
     {
         list("odd", GENERATE("unknown", ""), start);
-        CHECK(starts_after_list() == 1);
+        CHECK(starts_after_list(milliseconds(100)) == 0);
+        CHECK(starts_after_list(milliseconds(500)) == 1);
     }
     SECTION("the machine exists, so that the worker may be unresponsive")
     {
         list("w2", "m2", start);
-        CHECK(starts_after_list() == 0);
+        CHECK(starts_after_list(milliseconds(100)) == 0);
+        CHECK(starts_after_list(milliseconds(500)) == 0);
     }
     SECTION("the worker was listed after the list of machines was requested")
     {
-        list("w2", "m3", start + milliseconds(110));
-        CHECK(starts_after_list() == 0);
+        list("w2", "m3", start + milliseconds(310));
+        CHECK(starts_after_list(milliseconds(100)) == 0);
+        CHECK(starts_after_list(milliseconds(300)) == 0);
     }
 }
 
