--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -11,6 +11,8 @@
 
 /// Delay before a refused or unanswered order is repeated.
 constexpr milliseconds order_retry_delay{400};
+/// How long a machine isn't moved after the platform has refused to move it.
+constexpr milliseconds refused_move_delay{3000};
 
 bool is_later_start(const std::optional<wall_time>& start, const std::optional<wall_time>& earlier)
 {
@@ -158,8 +160,14 @@
         machine.ordered = false;
         break;
     case machine_answer::busy:
-    case machine_answer::refused:
     case machine_answer::stale_token:
+        if (order.action == machine_action::move) {
+            // Another machine may be moved at once.
+            block(order.machine, now + refused_move_delay);
+        }
+        machine.ordered = false;
+        break;
+    case machine_answer::refused:
     case machine_answer::unanswered:
         // planned_order is unchanged, so the same order is repeated.
         machine.ordered = false;
@@ -174,7 +182,7 @@
     if (!m_listed) {
         return out;
     }
-    refresh_usage(scheduler);
+    refresh_usage(scheduler, now);
     const auto loads = scheduler.loads();
     plan_waves(now, loads, out);
     plan_pools(now, scheduler, loads, out);
@@ -182,7 +190,7 @@
     return out;
 }
 
-void machine_planner::refresh_usage(const job::scheduler& scheduler)
+void machine_planner::refresh_usage(const job::scheduler& scheduler, time_point now)
 {
     for (auto& [name, machine] : m_machines) {
         const auto worker = scheduler.workers().find(machine.worker);
@@ -199,9 +207,14 @@
             known ? worker->second.listing.draining : machine.leaving && !machine.worker.empty();
         if (machine.leaving && !machine.ordered) {
             // The platform refuses orders for it.
-            machine.planned_order.reset();
+            drop_planned_order(machine);
         }
         machine.answered = known && worker->second.token_acknowledged;
+        if (machine.answered || !machine.unanswered_since) {
+            machine.unanswered_since = now;
+        }
+        machine.expected =
+            now - *machine.unanswered_since <= m_options.move_time + m_options.arrival_margin;
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -132,8 +132,10 @@
     std::uint32_t min_workers = 0;
     /// Further workers needed by ready tasks that fit beside the long-running tasks of no worker.
     std::uint32_t blocked_workers = 0;
-    /// Further workers needed by long-running tasks that wait and fit beside those on no worker.
+    /// Further workers needed by long-running tasks that wait and fit beside those on no worker,
+    /// and all workers that have, or could take, long-running tasks of the service.
     std::uint32_t missing_workers = 0;
+    std::uint32_t long_running_workers = 0;
 };
 
 /// An accepted job.
@@ -189,9 +191,6 @@
     void expect_planned_end(const std::string& machine, time_point until);
     /// Records that the order was refused.
     void cancel_planned_end(const std::string& machine) { m_planned_ends.erase(machine); }
-    /// Records all machines of the platform, as of a list that was requested then. A listed worker
-    /// that hasn't answered and has none of them doesn't exist.
-    void note_machines(const std::set<std::string>& machines, time_point requested_at);
     /// Records which workers are alive, and their services, including workers that are not listed.
     /// Workers that start well after this process became leader can't run what a predecessor
     /// started.
--- a/tests/soak/platform_stand_in.py
+++ b/tests/soak/platform_stand_in.py
@@ -203,8 +203,7 @@
         for index in range(self.count):
             self.workers.append(None)
             await self.start_worker(index)
-        first = self.workers[0]
-        for key, row in foreign_rows(first.entry()).items():
+        for key, row in foreign_rows(self.workers[0].entry()).items():
             await self.store.put_bytes("servers", key, row)
 
     async def start_worker(self, index, port=0, machine=None):
