fleet: Count a machine from a standby pool for its new pool while it is moved

Since a machine whose worker doesn't answer isn't counted on for ever, a machine of a standby pool, which has no worker that could have answered, didn't count for its new pool while its move was ordered and under way: each round ordered a further one. The time in which an answer is awaited begins anew with each order, its answer and a new worker.

Before: 'a machine from a standby pool counts for its new pool while it is moved' fails (2 of 21 checks).

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -139,8 +139,8 @@
         bool leaving = false;
         /// Whether the worker has answered this process.
         bool answered = false;
-        /// The last time at which it had, or when the machine became known.
-        std::optional<time_point> unanswered_since;
+        /// When the worker last had, or when it, the machine or the last order became known.
+        std::optional<time_point> awaited_since;
         /// Whether a worker that hasn't answered is still expected to.
         bool expected = true;
         /// Whether long-running tasks run on the machine.
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -51,6 +51,7 @@
         machine.state = entry.state;
         if (entry.state == machine_state::up && entry.worker != machine.worker) {
             machine.worker = entry.worker;
+            machine.awaited_since = requested_at;
         }
         if (entry.state == machine_state::up && machine.ordered) {
             drop_planned_order(machine);
@@ -132,6 +133,7 @@
     }
     machine_record& machine = found->second;
     machine.changed = now;
+    machine.awaited_since = now;
     machine.in_flight = false;
     switch (answer) {
     case machine_answer::accepted:
@@ -213,11 +215,11 @@
             drop_planned_order(machine);
         }
         machine.answered = known && worker->second.token_acknowledged;
-        if (machine.answered || !machine.unanswered_since) {
-            machine.unanswered_since = now;
+        if (machine.answered || machine.in_flight || !machine.awaited_since) {
+            machine.awaited_since = now;
         }
         machine.expected =
-            now - *machine.unanswered_since <= m_options.move_time + m_options.arrival_margin;
+            now - *machine.awaited_since <= m_options.move_time + m_options.arrival_margin;
         machine.used = known ? worker->second.used.cpu_millis : 0;
         machine.long_running = known && worker->second.long_running_runs > 0;
     }
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -193,9 +193,10 @@
 void machine_planner::move_machines(time_point now, std::map<service_id, pool_figures>& states,
                                     machine_orders& out)
 {
-    // Long-running tasks come first, also where short ones want more machines than there are.
+    // Spare machines go to long-running tasks first.
     fill_pools(now, states, &pool_figures::required, &pool_figures::wanted, out);
     fill_pools(now, states, &pool_figures::wanted, &pool_figures::wanted, out);
+    // Where there are none, pools give up those that they want for short tasks only.
     fill_pools(now, states, &pool_figures::required, &pool_figures::required, out);
 }
 
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// The users' bound on the time that a long-running task may be without a run.
+/// How long a long-running task may be without a run.
 constexpr seconds longest_allowed_wait{6};
 
 job::step_spec one_per_worker(std::uint32_t count)
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -640,3 +640,33 @@
     CHECK(orders_after(list_extent::partial) == 2);
     CHECK(orders_after(list_extent::complete) == 1);
 }
+
+// Guards against a further order in each round: a machine of a standby pool has no worker that
+// could have answered, and is still one of its new pool while it is moved.
+TEST_CASE("a machine from a standby pool counts for its new pool while it is moved")
+{
+    job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
+    scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
+    scheduler.note_live_workers({}, start);
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}, {.id = reserve, .standby = true}});
+    const std::vector<machine_info> machines{
+        machine_up("m1", checks, "w1"), machine_up("m2", reserve, ""),
+        machine_up("m3", reserve, ""), machine_up("m4", reserve, "")};
+    planner.note_machine_list(machines, start);
+    CHECK(planner.plan(start, scheduler).orders.empty());
+    const time_point later = start + seconds(20);
+    auto spec = std::make_shared<job::job_spec>();
+    spec->steps.push_back({.count = 1,
+                           .need = {.cpu_millis = 100, .memory_mb = 1},
+                           .max_per_worker = 1,
+                           .long_running = true});
+    scheduler.submit(job_id("j"), {.queue = "q", .spec = spec, .at = later});
+    const auto first = planner.plan(later, scheduler).orders;
+    REQUIRE(first.size() == 1);
+    CHECK(planner.plan(later + milliseconds(100), scheduler).orders.empty());
+    planner.note_answer(first[0], machine_answer::accepted, later + milliseconds(150));
+    for (int tenth = 2; tenth < 20; ++tenth) {
+        CHECK(planner.plan(later + milliseconds(100 * tenth), scheduler).orders.empty());
+    }
+}
