--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -60,7 +60,7 @@
 {
     auto spec = std::make_shared<job::job_spec>();
     spec->steps = {step};
-    const job_id id("j" + std::to_string(m_run_times.size()));
+    job_id id("j" + std::to_string(m_run_times.size()));
     scheduler.submit(id, {.queue = queue, .spec = std::move(spec), .at = now});
     m_run_times.emplace(id, run_time);
     return id;
@@ -145,12 +145,12 @@
     }
 }
 
-std::uint32_t departing_pool::active_run::percent(time_point now) const
+std::uint32_t departing_pool::active_run::percent(time_point at) const
 {
     constexpr std::uint32_t full = 100;
     return end == time_point::max()
                ? full
-               : static_cast<std::uint32_t>(full * (now - start) / (end - start));
+               : static_cast<std::uint32_t>(full * (at - start) / (end - start));
 }
 
 void departing_pool::end_runs(machine& at)
--- a/packages/fleet/tests/departing_pool.hpp
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -53,7 +53,7 @@
         /// When it ends by itself.
         time_point end{};
 
-        [[nodiscard]] std::uint32_t percent(time_point now) const;
+        [[nodiscard]] std::uint32_t percent(time_point at) const;
     };
     struct machine {
         service_id pool;
@@ -80,8 +80,8 @@
     void list_machines();
     void end_departed();
     void end_runs(machine& at);
-    void execute(const job::orders& orders);
-    void execute(const machine_orders& orders);
+    void execute(const job::orders& given);
+    void execute(const machine_orders& given);
     void count_waits();
 
     std::map<std::string, machine> m_machines;
