fleet: One form for a list that may lack machines

Whether a machine list is complete was a flag on the list and an enum at the planner, translated from one to the other between them. The list carries the enum now. The comment on machine_authority had slipped onto machine_list. Behaviour is unchanged; fleet and platform tests pass.

--- a/packages/fleet/include/plantaindoor/fleet/gateways.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/gateways.hpp
@@ -71,14 +71,16 @@
     unanswered, ///< it may have been carried out
 };
 
-/// The leader that orders changes to machines.
+/// A list is partial if entries were left out since they couldn't be read: a machine that it lacks
+/// may exist.
+enum class list_extent { complete, partial };
+
 struct machine_list {
     std::vector<machine_info> machines;
-    /// Whether no entry was left out since it couldn't be read: only then does a machine that isn't
-    /// listed not exist.
-    bool is_complete = true;
+    list_extent extent = list_extent::complete;
 };
 
+/// The leader that orders changes to machines.
 struct machine_authority {
     std::string leader;
     fencing_token token = 0;
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -39,8 +39,6 @@
     milliseconds wave_reserve{6000};
 };
 
-enum class list_extent { complete, partial };
-
 enum class machine_action { move, maintain };
 
 struct machine_order {
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -264,14 +264,14 @@
 {
     std::vector<machine_info>& machines = list.machines;
     const time_point now = m_loop.now();
-    if (m_scheduler.has_predecessor_doubt(now) && list.is_complete && !machines.empty()) {
+    if (m_scheduler.has_predecessor_doubt(now) && list.extent == list_extent::complete &&
+        !machines.empty()) {
         m_scheduler.note_machines(names_of(machines), requested_at);
     }
     std::erase_if(machines, [this](const machine_info& each) {
         return m_options.layout->owner_of(each.rack) != m_options.shard;
     });
-    m_planner.note_machine_list(machines, requested_at,
-                                list.is_complete ? list_extent::complete : list_extent::partial);
+    m_planner.note_machine_list(machines, requested_at, list.extent);
     for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
             "worker {} has ended according to the machine list requested {} ms ago: {}", id.str(),
