job: Enumerate waiting long-running tasks in one place

Placing them and reporting them each walked occurrences, steps and tasks. Both ask the job now. The report counts the tasks of a step on a worker by step_record::runs_by_worker(), and the conditions for a worker to take tasks that is_usable() and missing_workers shared stand in accepts_tasks().

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -214,6 +214,8 @@
     void note_not_running(const task_name& name, const task_run& run, time_point since);
     /// Records that the long-running tasks wait whose turn has come, unless they already do.
     void note_waiting(time_point since);
+    /// The long-running tasks that wait for a worker, in order.
+    [[nodiscard]] std::vector<task_name> waiting_tasks() const;
 
     /// Returns the state to persist, as JSON text.
     [[nodiscard]] std::string progress() const;
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -217,6 +217,8 @@
     [[nodiscard]] instance_id incarnation() const;
     /// Whether the platform has no machine of the listed name, so that the row is not a worker's.
     [[nodiscard]] bool has_no_machine() const { return lists_without_machine >= 2; }
+    /// Whether the worker takes new tasks, apart from what may have passed in a moment.
+    [[nodiscard]] bool accepts_tasks() const;
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
     [[nodiscard]] resources capacity() const
--- a/packages/job/src/missing_workers.cpp
+++ b/packages/job/src/missing_workers.cpp
@@ -16,8 +16,7 @@
     // One that has just been full or hasn't answered a poll usually takes tasks again in a moment.
     const bool answers =
         !worker.unresponsive_since || m_now - *worker.unresponsive_since < brief_silence;
-    return answers && worker.listed && worker.token_acknowledged && !worker.cordoned &&
-           !worker.listing.draining && m_now >= worker.quarantined_until;
+    return answers && worker.accepts_tasks() && m_now >= worker.quarantined_until;
 }
 
 void missing_workers::read_workers()
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -395,6 +395,25 @@
     }
 }
 
+std::vector<task_name> job_record::waiting_tasks() const
+{
+    std::vector<task_name> waiting;
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].waiting == 0) {
+                continue;
+            }
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].waiting_since) {
+                    waiting.push_back({m_id, number, step, index});
+                }
+            }
+        }
+    }
+    return waiting;
+}
+
 void job_record::note_waiting(time_point since)
 {
     for (auto& [number, occurrence] : m_occurrences) {
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -14,19 +14,6 @@
     task_name name;
 };
 
-void add_waiting(std::vector<waiting_task>& waiting, job_record& job, std::uint32_t occurrence,
-                 std::uint32_t step)
-{
-    const auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].waiting_since && !tasks[index].must_be_isolated()) {
-            waiting.push_back({.since = *tasks[index].waiting_since,
-                               .job = &job,
-                               .name = {job.id(), occurrence, step, index}});
-        }
-    }
-}
-
 policy::short_run short_run_of(const worker_run& run, const worker_record& worker,
                                const step_spec* spec, time_point now)
 {
@@ -131,12 +118,10 @@
         if (!each.long_running_first || !m_candidates.contains(each.job->queue().service)) {
             continue;
         }
-        for (auto& [number, occurrence] : each.job->occurrences()) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const step_spec& spec = each.job->spec().steps[step];
-                if (spec.long_running && !spec.gang && occurrence.steps[step].waiting > 0) {
-                    add_waiting(waiting, *each.job, number, step);
-                }
+        for (const task_name& name : each.job->waiting_tasks()) {
+            const task_record& task = *each.job->find(name);
+            if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated()) {
+                waiting.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
             }
         }
     }
--- a/packages/job/src/scheduler_waits.cpp
+++ b/packages/job/src/scheduler_waits.cpp
@@ -22,29 +22,17 @@
         if (!job->is_long_running()) {
             continue;
         }
-        for (auto& [number, occurrence] : job->occurrences()) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (occurrence.steps[step].waiting == 0) {
-                    continue;
-                }
-                auto& tasks = occurrence.steps[step].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    task_record& task = tasks[index];
-                    if (!task.waiting_since) {
-                        continue;
-                    }
-                    const milliseconds waited = waited_by(*task.waiting_since, now);
-                    ++m_waits.tasks;
-                    m_waits.longest = std::max(m_waits.longest, waited);
-                    if (waited >= wait_report_delay && !task.wait_reported) {
-                        task.wait_reported = true;
-                        const task_name name{id, number, step, index};
-                        note_decision(*job, {.kind = decision_kind::task_waits,
-                                             .run = {name, task.last_attempt},
-                                             .waited = waited,
-                                             .obstacles = obstacles_of(*job, name, now)});
-                    }
-                }
+        for (const task_name& name : job->waiting_tasks()) {
+            task_record& task = *job->find(name);
+            const milliseconds waited = waited_by(*task.waiting_since, now);
+            ++m_waits.tasks;
+            m_waits.longest = std::max(m_waits.longest, waited);
+            if (waited >= wait_report_delay && !task.wait_reported) {
+                task.wait_reported = true;
+                note_decision(*job, {.kind = decision_kind::task_waits,
+                                     .run = {name, task.last_attempt},
+                                     .waited = waited,
+                                     .obstacles = obstacles_of(*job, name, now)});
             }
         }
     }
@@ -68,12 +56,11 @@
                                             time_point now) const
 {
     const step_spec& spec = job.spec().steps[name.step];
-    const auto& tasks = job.occurrences().at(name.occurrence).steps[name.step].tasks;
-    const auto siblings_on = [&](const instance_id& worker) {
-        return std::count_if(tasks.begin(), tasks.end(), [&](const task_record& task) {
-            return std::any_of(task.runs.begin(), task.runs.end(),
-                               [&](const task_run& run) { return run.worker == worker; });
-        });
+    const auto siblings = job.occurrences().at(name.occurrence).steps[name.step].runs_by_worker();
+    const auto is_at_limit = [&](const instance_id& worker) {
+        const auto count = siblings.find(worker);
+        return spec.max_per_worker > 0 && count != siblings.end() &&
+               count->second >= spec.max_per_worker;
     };
     placement_obstacles found{.in_doubt = in_doubt(job, now)};
     for (const auto& [id, worker] : m_workers) {
@@ -87,7 +74,7 @@
         else if (!spec.required_label.empty() && !worker.listing.has_label(spec.required_label)) {
             ++found.lacking_label;
         }
-        else if (spec.max_per_worker > 0 && siblings_on(id) >= spec.max_per_worker) {
+        else if (is_at_limit(id)) {
             ++found.at_limit;
         }
         else if (!worker.free_capacity().can_fit(spec.footprint())) {
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -19,10 +19,14 @@
                        std::to_string(started_at->time_since_epoch().count()));
 }
 
+bool worker_record::accepts_tasks() const
+{
+    return listed && token_acknowledged && !cordoned && !listing.draining;
+}
+
 bool worker_record::is_usable(time_point now) const
 {
-    return listed && token_acknowledged && !cordoned && !listing.draining && missed_polls == 0 &&
-           now >= quarantined_until && now >= full_until;
+    return accepts_tasks() && missed_polls == 0 && now >= quarantined_until && now >= full_until;
 }
 
 resources worker_record::capacity_beside_long_running() const
