fleet: Count a pool's machines by one function

Four counts differed in their condition only. The order in which pools give machines away is derived when the pools are set and no longer three times a round. Behaviour is unchanged; fleet tests pass (release build).

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -163,6 +163,8 @@
     /// Whether the long-running steps have enough machines if the pool loses one.
     [[nodiscard]] bool can_spare(const service_id& pool,
                                  const std::map<service_id, job::service_load>& loads) const;
+    template<class Predicate>
+    [[nodiscard]] std::uint32_t count_machines(Predicate counts) const;
     [[nodiscard]] std::uint32_t under_maintenance(const service_id& pool) const;
     void plan_pools(time_point now, const job::scheduler& scheduler,
                     const std::map<service_id, job::service_load>& loads, machine_orders& out);
@@ -196,6 +198,8 @@
 
     machine_planner_options m_options;
     std::map<service_id, pool_settings> m_pools;
+    /// The pools in the order in which they give machines away.
+    std::vector<service_id> m_sources;
     std::map<std::string, machine_record> m_machines;
     std::map<std::string, time_point> m_blocked;
     std::map<std::uint64_t, wave_progress> m_waves;
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -27,6 +27,11 @@
     for (const pool_settings& pool : pools) {
         m_pools.emplace(pool.id, pool);
     }
+    m_sources.clear();
+    for (const auto& [id, pool] : m_pools) {
+        // Machines of standby pools are off, so moving them costs nothing; they are used first.
+        m_sources.insert(pool.standby ? m_sources.begin() : m_sources.end(), id);
+    }
 }
 
 bool machine_planner::is_standby(const service_id& pool) const
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -74,23 +74,21 @@
         const double needed = needed_capacity(pool, load, per_machine, now);
         const auto machines = static_cast<std::uint32_t>(
             std::ceil(needed / per_machine * percent / m_options.max_load_percent));
+        pool_figures& state = states[pool];
         // Long-running steps must fit onto the remaining machines while others are maintained.
-        states[pool].wanted =
-            load.min_workers == 0
-                ? machines
-                : std::max(machines, load.min_workers + spare + under_maintenance(pool));
+        state.wanted = load.min_workers == 0
+                           ? machines
+                           : std::max(machines, load.min_workers + spare + under_maintenance(pool));
         if (load.blocked_workers > 0) {
             // All machines of the pool together may have room enough, but none has it for one task.
-            states[pool].wanted =
-                std::max(states[pool].wanted, count_settled(pool) + load.blocked_workers);
+            state.wanted = std::max(state.wanted, count_settled(pool) + load.blocked_workers);
         }
-        states[pool].required = std::max(load.min_workers, load.long_running_workers);
+        state.required = std::max(load.min_workers, load.long_running_workers);
         if (load.missing_workers > 0) {
             // Workers without a long-running task may be unable to take one.
-            states[pool].required =
-                std::max(states[pool].required, count_settled(pool) + load.missing_workers);
+            state.required = std::max(state.required, count_settled(pool) + load.missing_workers);
         }
-        states[pool].wanted = std::max(states[pool].wanted, states[pool].required);
+        state.wanted = std::max(state.wanted, state.required);
     }
     for (const auto& [pool, settings] : m_pools) {
         states[pool].present = count_present(pool);
@@ -99,16 +97,22 @@
     return states;
 }
 
-std::uint32_t machine_planner::under_maintenance(const service_id& pool) const
+template<class Predicate>
+std::uint32_t machine_planner::count_machines(Predicate counts) const
 {
     return static_cast<std::uint32_t>(
-        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            const machine_record& machine = each.second;
-            const bool maintenance_planned =
-                machine.planned_order && machine.planned_order->action == machine_action::maintain;
-            return machine.pool == pool &&
-                   (maintenance_planned || machine.state == machine_state::maintenance);
-        }));
+        std::count_if(m_machines.begin(), m_machines.end(),
+                      [&](const auto& each) { return counts(each.second); }));
+}
+
+std::uint32_t machine_planner::under_maintenance(const service_id& pool) const
+{
+    return count_machines([&](const machine_record& machine) {
+        const bool maintenance_planned =
+            machine.planned_order && machine.planned_order->action == machine_action::maintain;
+        return machine.pool == pool &&
+               (maintenance_planned || machine.state == machine_state::maintenance);
+    });
 }
 
 bool machine_planner::can_spare(const service_id& pool,
@@ -123,32 +127,26 @@
 
 std::uint32_t machine_planner::count_present(const service_id& pool) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            const machine_record& machine = each.second;
-            const bool move_planned =
-                machine.planned_order && machine.planned_order->action == machine_action::move;
-            return machine.state != machine_state::down && !machine.leaving && machine.expected &&
-                   (move_planned ? machine.planned_order->pool : machine.pool) == pool;
-        }));
+    return count_machines([&](const machine_record& machine) {
+        const bool move_planned =
+            machine.planned_order && machine.planned_order->action == machine_action::move;
+        return machine.state != machine_state::down && !machine.leaving && machine.expected &&
+               (move_planned ? machine.planned_order->pool : machine.pool) == pool;
+    });
 }
 
 std::uint32_t machine_planner::count_leaving(const service_id& pool) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            return each.second.pool == pool && each.second.leaving;
-        }));
+    return count_machines(
+        [&](const machine_record& machine) { return machine.pool == pool && machine.leaving; });
 }
 
 std::uint32_t machine_planner::count_settled(const service_id& pool) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
-            const machine_record& machine = each.second;
-            return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
-                   !machine.leaving && !machine.planned_order;
-        }));
+    return count_machines([&](const machine_record& machine) {
+        return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
+               !machine.leaving && !machine.planned_order;
+    });
 }
 
 std::string machine_planner::move_candidate(const service_id& pool, time_point now) const
@@ -204,16 +202,11 @@
                                  std::uint32_t pool_figures::*needed,
                                  std::uint32_t pool_figures::*kept, machine_orders& out)
 {
-    std::vector<service_id> sources;
-    for (const auto& [id, pool] : m_pools) {
-        // Machines of standby pools are off, so moving them costs nothing; they are used first.
-        sources.insert(pool.standby ? sources.begin() : sources.end(), id);
-    }
     for (auto& [pool, state] : states) {
         if (is_standby(pool) || !m_pools.contains(pool)) {
             continue;
         }
-        for (const service_id& source : sources) {
+        for (const service_id& source : m_sources) {
             while (source != pool && state.present < state.*needed) {
                 pool_figures& source_state = states[source];
                 const std::string name = move_candidate(source, now);
