fleet: Share the set-up of the planner's tests

A job of one step was submitted by the same lambda in two tests and by hand in a third; two tests let the same two workers leave, and two looked for a worker of the other pool.

--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -23,6 +23,24 @@
             .max_unavailable = 1};
 }
 
+/// The first by its id.
+instance_id worker_of_other_pool(const departing_pool& pool)
+{
+    for (const auto& [id, worker] : pool.scheduler.workers()) {
+        if (worker.listing.service == other_pool) {
+            return id;
+        }
+    }
+    return {};
+}
+
+void leave_two_workers_of(const job_id& job, departing_pool& pool)
+{
+    const std::vector<instance_id> leaving = pool.workers_of(job);
+    pool.leave(leaving.at(0));
+    pool.leave(leaving.at(1));
+}
+
 } // namespace
 
 // Guards against long-running tasks that wait for a machine until a departing worker has ended.
@@ -68,21 +86,9 @@
     departing_pool pool(4, 3);
     const job_id job = pool.submit("checks", one_per_worker(3));
     pool.run_for(seconds(1));
-    for (const auto& [id, worker] : pool.scheduler.workers()) {
-        if (worker.listing.service == other_pool) {
-            pool.leave(id);
-            break;
-        }
-    }
+    const instance_id leaving = worker_of_other_pool(pool);
+    pool.leave(leaving);
     pool.leave(pool.workers_of(job).front());
-    const instance_id leaving = [&] {
-        for (const auto& [id, worker] : pool.scheduler.workers()) {
-            if (worker.listing.service == other_pool && worker.listing.draining) {
-                return id;
-            }
-        }
-        return instance_id();
-    }();
     pool.run_for(seconds(1));
     REQUIRE(!pool.orders.empty());
     for (const machine_order& each : pool.orders) {
@@ -135,9 +141,7 @@
     const job_id job = pool.submit("checks", one_per_worker(3));
     pool.run_for(seconds(1));
     pool.lose_new_workers();
-    const std::vector<instance_id> leaving = pool.workers_of(job);
-    pool.leave(leaving.at(0));
-    pool.leave(leaving.at(1));
+    leave_two_workers_of(job, pool);
     pool.run_for(milliseconds(300));
     const std::size_t lost = pool.orders.size();
     REQUIRE(lost > 0);
@@ -152,15 +156,8 @@
     departing_pool pool(4, 4);
     const job_id job = pool.submit("checks", one_per_worker(3));
     pool.run_for(seconds(1));
-    for (const auto& [id, worker] : pool.scheduler.workers()) {
-        if (worker.listing.service == other_pool) {
-            pool.refuse_moves(id);
-            break;
-        }
-    }
-    const std::vector<instance_id> leaving = pool.workers_of(job);
-    pool.leave(leaving.at(0));
-    pool.leave(leaving.at(1));
+    pool.refuse_moves(worker_of_other_pool(pool));
+    leave_two_workers_of(job, pool);
     pool.run_for(seconds(8));
     CHECK(pool.workers_of(job).size() == 3);
     CHECK(pool.longest_wait(job) < longest_allowed_wait);
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -52,6 +52,15 @@
     return listing;
 }
 
+/// Submits a job of one step to the queue "q".
+void submit(job::scheduler& scheduler, const std::string& id, time_point at,
+            const job::step_spec& step)
+{
+    auto spec = std::make_shared<job::job_spec>();
+    spec->steps = {step};
+    scheduler.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = at});
+}
+
 std::vector<std::string> machines_of(const machine_orders& planned)
 {
     std::vector<std::string> names;
@@ -541,15 +550,11 @@
     job::scheduler scheduler = scheduler_with(workers);
     scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
     scheduler.note_live_workers({}, start);
-    const auto submit = [&](const std::string& id, const job::step_spec& step) {
-        auto spec = std::make_shared<job::job_spec>();
-        spec->steps = {step};
-        scheduler.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = start});
-    };
-    submit("lasting",
+    submit(scheduler, "lasting", start,
            {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
     REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
-    submit("wide", {.count = 1, .need = {.cpu_millis = 900}, .estimate = seconds(1)});
+    submit(scheduler, "wide", start,
+           {.count = 1, .need = {.cpu_millis = 900}, .estimate = seconds(1)});
     REQUIRE(scheduler.plan(start, wall_time()).starts.empty());
 
     machine_planner planner({});
@@ -602,15 +607,11 @@
     scheduler.note_worker_listed(odd, start);
     scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
     scheduler.note_live_workers({}, start);
-    const auto submit = [&](const std::string& id, const job::step_spec& step) {
-        auto spec = std::make_shared<job::job_spec>();
-        spec->steps = {step};
-        scheduler.submit(job_id(id), {.queue = "q", .spec = std::move(spec), .at = start});
-    };
-    submit("lasting",
+    submit(scheduler, "lasting", start,
            {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
     REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
-    submit("wide", {.count = 2, .need = {.cpu_millis = 900}, .estimate = milliseconds(1)});
+    submit(scheduler, "wide", start,
+           {.count = 2, .need = {.cpu_millis = 900}, .estimate = milliseconds(1)});
     REQUIRE(scheduler.plan(start, wall_time()).starts.empty());
 
     machine_planner planner({});
@@ -656,12 +657,11 @@
     planner.note_machine_list(machines, start);
     CHECK(planner.plan(start, scheduler).orders.empty());
     const time_point later = start + seconds(20);
-    auto spec = std::make_shared<job::job_spec>();
-    spec->steps.push_back({.count = 1,
-                           .need = {.cpu_millis = 100, .memory_mb = 1},
-                           .max_per_worker = 1,
-                           .long_running = true});
-    scheduler.submit(job_id("j"), {.queue = "q", .spec = spec, .at = later});
+    submit(scheduler, "j", later,
+           {.count = 1,
+            .need = {.cpu_millis = 100, .memory_mb = 1},
+            .max_per_worker = 1,
+            .long_running = true});
     const auto first = planner.plan(later, scheduler).orders;
     REQUIRE(first.size() == 1);
     CHECK(planner.plan(later + milliseconds(100), scheduler).orders.empty());
