job: Don't take a run that a cut list of ends lacks for gone

Cause: resolve_unreported_runs() took the list of ends for complete; nothing told it otherwise.

Whether a list is whole is now part of the list (list_extent, which machine lists had already), and what concludes from absence takes it as an argument without a default. Under a partial list no run is released, neither a running nor a stopped one, nor one that may have reached the worker's next incarnation. The poll after a partial list doesn't wait, so that the rest comes at once.

--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -101,7 +101,7 @@
             add_worker(number);
         }
         m_scheduler.note_live_workers({}, m_now);
-        m_planner.note_machine_list(m_machines, m_now);
+        m_planner.note_machine_list(m_machines, m_now, list_extent::complete);
     }
 
     void run(seconds time)
--- a/packages/fleet/include/plantaindoor/fleet/gateways.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/gateways.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 #include "plantaindoor/job/worker.hpp"
@@ -71,12 +72,9 @@
     unanswered, ///< it may have been carried out
 };
 
-/// A list is partial if entries were left out since they couldn't be read: a machine that it lacks
-/// may exist.
-enum class list_extent { complete, partial };
-
 struct machine_list {
     std::vector<machine_info> machines;
+    /// Partial if entries were left out since they couldn't be read.
     list_extent extent = list_extent::complete;
 };
 
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -95,7 +95,7 @@
     /// Applies a machine list that was requested at `requested_at`. Machines that a partial one
     /// lacks stay as they were.
     void note_machine_list(const std::vector<machine_info>& machines, time_point requested_at,
-                           list_extent extent = list_extent::complete);
+                           list_extent extent);
     /// Gives no new orders for the machine until then, as a previous leader has recently given one.
     void block(const std::string& machine, time_point until) { m_blocked[machine] = until; }
     void note_worker(const job::worker_listing& listing);
--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -137,7 +137,7 @@
         end_runs(each);
         job::worker_report report{
             .worker_clock = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()),
-            .ended = each.ended};
+            .ended = {each.ended}};
         for (const auto& [run, active] : each.running) {
             report.running.push_back({.run = run, .percent = active.percent(now)});
         }
@@ -176,7 +176,7 @@
                         .state = is_up ? machine_state::up : machine_state::moving,
                         .worker = is_up ? each.worker : instance_id()});
     }
-    planner.note_machine_list(list, now);
+    planner.note_machine_list(list, now, list_extent::complete);
 }
 
 void departing_pool::execute(const job::orders& given)
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -79,7 +79,7 @@
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")},
-                              start);
+                              start, list_extent::complete);
     planner.note_wave(
         {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 1}, start, {});
 
@@ -105,7 +105,7 @@
     job::scheduler scheduler = scheduler_with({listing});
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
-    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
                       start, {});
     const auto first = planner.plan(start, scheduler);
@@ -129,14 +129,16 @@
     {
         planner.note_answer(first.orders[0], machine_answer::accepted, start);
         planner.note_worker(listing);
-        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2));
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2),
+                                  list_extent::complete);
         CHECK(orders_of_next_wave() == 0);
     }
     SECTION("the order is answered before")
     {
         planner.note_answer(first.orders[0], machine_answer::accepted, start);
         start_again();
-        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2));
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(2),
+                                  list_extent::complete);
         CHECK(orders_of_next_wave() == 1);
     }
     SECTION("the order is answered after it")
@@ -144,7 +146,7 @@
         start_again();
         planner.note_answer(first.orders[0], machine_answer::accepted, start + seconds(2));
         planner.note_machine_list({machine_up("m1", checks, "w1")},
-                                  start + seconds(2) + milliseconds(1));
+                                  start + seconds(2) + milliseconds(1), list_extent::complete);
         CHECK(orders_of_next_wave() == 1);
     }
 }
@@ -159,7 +161,7 @@
     job::scheduler scheduler = scheduler_with({listing});
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
-    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
                       start, {});
     const auto first = planner.plan(start, scheduler);
@@ -175,7 +177,8 @@
         scheduler.note_worker_listed(next, start + seconds(2));
         planner.note_worker(next);
         planner.note_answer(first.orders[0], machine_answer::accepted, start + seconds(2));
-        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(3));
+        planner.note_machine_list({machine_up("m1", checks, "w1")}, start + seconds(3),
+                                  list_extent::complete);
     }
     SECTION("it answers before the order is answered, and its row is read after")
     {
@@ -197,13 +200,13 @@
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     const std::vector listed{machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")};
-    planner.note_machine_list(listed, start);
+    planner.note_machine_list(listed, start, list_extent::complete);
     planner.note_wave(
         {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 1}, start, {});
     const auto first = planner.plan(start, scheduler);
     REQUIRE(first.orders.size() == 1);
 
-    planner.note_machine_list(listed, start + milliseconds(100));
+    planner.note_machine_list(listed, start + milliseconds(100), list_extent::complete);
     CHECK(planner.plan(start + milliseconds(600), scheduler).orders.empty());
 
     planner.note_answer(first.orders[0], machine_answer::accepted, start + milliseconds(700));
@@ -216,7 +219,7 @@
     job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
-    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20), .max_down = 1},
                       start, {});
     const auto planned = planner.plan(start, scheduler);
@@ -231,7 +234,8 @@
     scheduler.note_worker_ended(instance_id("w1"), job::worker_end::order, start);
     scheduler.note_worker_listed(listing_of("m1", "w2"), start);
     scheduler.note_report(instance_id("w2"), {.worker_clock = milliseconds(1)}, start, start);
-    planner.note_machine_list({machine_up("m1", checks, "w2")}, start + milliseconds(3500));
+    planner.note_machine_list({machine_up("m1", checks, "w2")}, start + milliseconds(3500),
+                              list_extent::complete);
     CHECK(machines_of(planner.plan(start + seconds(4), scheduler)) ==
           std::vector<std::string>{"m1"});
 }
@@ -244,7 +248,7 @@
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")},
-                              start);
+                              start, list_extent::complete);
     planner.note_wave(
         {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 2}, start, {});
     const auto planned = planner.plan(start, scheduler);
@@ -258,13 +262,13 @@
     {
         auto listed = machine_up(planned.orders[1].machine, checks, "");
         listed.state = machine_state::maintenance;
-        planner.note_machine_list({listed}, start + milliseconds(500));
+        planner.note_machine_list({listed}, start + milliseconds(500), list_extent::complete);
         CHECK(planner.waves().at(1).completed());
     }
     SECTION("the machine is no longer listed")
     {
         planner.note_machine_list({machine_up(planned.orders[0].machine, checks, "w9")},
-                                  start + milliseconds(500));
+                                  start + milliseconds(500), list_extent::complete);
         CHECK(planner.waves().at(1).completed());
     }
     SECTION("otherwise the order is repeated")
@@ -280,7 +284,7 @@
     machine_planner planner({});
     planner.block("m1", start + seconds(3));
     planner.set_pools({{.id = checks}});
-    planner.note_machine_list({machine_up("m1", checks, "w1")}, start);
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20)}, start, {});
     CHECK(planner.plan(start + milliseconds(2900), scheduler).orders.empty());
     CHECK(planner.plan(start + milliseconds(3000), scheduler).orders.size() == 1);
@@ -294,7 +298,8 @@
     machine_planner planner({});
     planner.set_pools({{.id = checks}});
     planner.note_machine_list(
-        {machine_up("m1", checks, "w1"), machine_up("m2", checks, "unlisted")}, start);
+        {machine_up("m1", checks, "w1"), machine_up("m2", checks, "unlisted")}, start,
+        list_extent::complete);
     planner.note_wave(
         {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(1), .max_down = 2}, start, {});
     CHECK(planner.plan(start + milliseconds(900), scheduler).orders.empty());
@@ -312,7 +317,7 @@
     planner.set_pools({{.id = checks}, {.id = reserve, .standby = true}});
     planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", reserve, ""),
                                machine_up("m3", reserve, "")},
-                              start);
+                              start, list_extent::complete);
     scheduler.note_worker_listed(listing_of("m1", "w1"), start);
     auto spec = std::make_shared<job::job_spec>();
     spec->steps.push_back(
@@ -357,7 +362,7 @@
             scheduler.note_worker_listed(listing, start);
             scheduler.note_report(listing.id, {.worker_clock = milliseconds(1)}, start, start);
         }
-        planner.note_machine_list(machines, start);
+        planner.note_machine_list(machines, start, list_extent::complete);
     }
 
     void submit(const std::string& queue, std::uint32_t tasks, std::int64_t cpu,
@@ -480,7 +485,7 @@
     planner.set_pools({{.id = checks}});
     planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2"),
                                machine_up("m3", checks, "w3")},
-                              start);
+                              start, list_extent::complete);
     planner.note_wave(
         {.number = 1, .machines = {"m1", "m2", "m3"}, .deadline = seconds(1), .max_down = 3}, start,
         {});
@@ -561,7 +566,7 @@
     planner.set_pools({{.id = checks}, {.id = reserve}});
     planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2"),
                                machine_up("m3", reserve, "w3"), machine_up("m4", reserve, "w4")},
-                              start);
+                              start, list_extent::complete);
     const auto planned = planner.plan(start, scheduler);
     REQUIRE(planned.orders.size() == 1);
     CHECK(planned.orders[0].action == machine_action::move);
@@ -616,7 +621,7 @@
 
     machine_planner planner({});
     planner.set_pools({{.id = checks}, {.id = reserve}});
-    planner.note_machine_list(machines, start);
+    planner.note_machine_list(machines, start, list_extent::complete);
     CHECK(planner.plan(start, scheduler).orders.size() == 2);
 }
 
@@ -630,7 +635,7 @@
         machine_planner planner({});
         planner.set_pools({{.id = checks}});
         planner.note_machine_list({machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")},
-                                  start);
+                                  start, list_extent::complete);
         planner.note_wave(
             {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 2}, start,
             {});
@@ -654,7 +659,7 @@
     const std::vector<machine_info> machines{
         machine_up("m1", checks, "w1"), machine_up("m2", reserve, ""),
         machine_up("m3", reserve, ""), machine_up("m4", reserve, "")};
-    planner.note_machine_list(machines, start);
+    planner.note_machine_list(machines, start, list_extent::complete);
     CHECK(planner.plan(start, scheduler).orders.empty());
     const time_point later = start + seconds(20);
     submit(scheduler, "j", later,
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -1,6 +1,7 @@
 #include "model_workers.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace plantaindoor::fleet::testing {
@@ -17,6 +18,8 @@
 constexpr milliseconds max_cancel_delay{3000};
 /// How long after a task's start it crashes its worker.
 constexpr milliseconds crash_delay{5};
+/// A worker lists at most this many ends; the others follow once these are acknowledged.
+constexpr std::size_t max_listed_ends = 500;
 /// A task that has crashed this many workers may be started fewer than this many times more.
 constexpr std::uint32_t tolerated_crashes = 3;
 
@@ -342,7 +345,11 @@
     }
     poll_result result{.answer = job::order_answer::accepted, .report = {}};
     result.report.worker_clock = clock_of(worker);
-    result.report.ended = worker.ended;
+    const auto listed = std::min(worker.ended.size(), max_listed_ends);
+    result.report.ended.runs.assign(worker.ended.begin(),
+                                    worker.ended.begin() + std::ptrdiff_t(listed));
+    result.report.ended.extent =
+        listed == worker.ended.size() ? list_extent::complete : list_extent::partial;
     for (const auto& [run, active] : worker.running) {
         result.report.running.push_back({.run = run, .percent = 100});
     }
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/decision.hpp"
 #include "plantaindoor/job/record.hpp"
@@ -310,8 +311,9 @@
                                     time_point sent);
     /// Records that the worker has started again, as its report shows that was requested at `sent`.
     void begin_incarnation(worker_record& worker, const worker_report& report, time_point sent);
-    /// Resolves runs that the latest report doesn't list; `sent` is when it was requested.
-    void resolve_unreported_runs(worker_record& worker, time_point sent);
+    /// Resolves runs that the latest report lists neither as running nor as ended; `sent` is when
+    /// it was requested.
+    void resolve_unreported_runs(worker_record& worker, list_extent ended, time_point sent);
     /// Records a reported run of a waiting task, such as one that a predecessor started.
     void adopt_run(worker_record& worker, const reported_run& reported, job_record& job,
                    task_record& task, time_point now);
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -3,6 +3,7 @@
 
 #include "plantaindoor/common/enum_names.hpp"
 #include "plantaindoor/common/ids.hpp"
+#include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
@@ -59,6 +60,13 @@
     std::string checkpoint;
 };
 
+/// The ends of which a worker hasn't received an acknowledgement, in order of their sequence
+/// numbers. Partial if there are more of them, which are listed once these are acknowledged.
+struct ended_run_list {
+    std::vector<ended_run> runs;
+    list_extent extent = list_extent::complete;
+};
+
 /// A worker's report of the runs that are active there and those that have ended.
 struct worker_report {
     milliseconds worker_clock{0};
@@ -67,7 +75,7 @@
     /// nullopt if the report doesn't tell.
     std::optional<resources> capacity;
     std::vector<reported_run> running;
-    std::vector<ended_run> ended;
+    ended_run_list ended;
 };
 
 /// Outcome of an order to a worker.
@@ -183,6 +191,8 @@
     std::map<run_name, worker_run> runs;
     std::uint32_t long_running_runs = 0;
     std::uint32_t isolated_runs = 0;
+    /// The last report listed only some of the worker's unacknowledged ends.
+    bool has_unlisted_ends = false;
     /// Last ended run that was applied, and the last whose effects are durable.
     std::uint64_t applied_sequence = 0;
     std::uint64_t committed_sequence = 0;
--- a/packages/job/src/scheduler_incarnations.cpp
+++ b/packages/job/src/scheduler_incarnations.cpp
@@ -51,14 +51,16 @@
     // Orders that were sent before the restart was known may have reached this incarnation.
     keep([&](const auto& each) {
         return each.second.last_report == 0 &&
-               (names(report.running, each.first) || names(report.ended, each.first));
+               (names(report.running, each.first) || names(report.ended.runs, each.first));
     });
     const bool planned = is_planned_end(worker);
     const auto suspects = planned ? std::vector<crash_suspect>() : crash_suspects(worker);
     // Those without an answer may still reach it, so they are not over until it refuses them.
+    // A partial list may yet name any of them.
     keep([&](const auto& each) {
         return each.second.last_report == 0 &&
-               (each.second.confirmed == time_point{} || each.second.confirmed >= sent);
+               (report.ended.extent == list_extent::partial ||
+                each.second.confirmed == time_point{} || each.second.confirmed >= sent);
     });
     remove_lost_runs(worker, worker_end::restarted);
     worker.runs = std::move(kept);
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -141,7 +141,8 @@
     const bool may_have_restarted =
         worker.latest_start() && (worker.missed_polls > 0 || worker.listed_start);
     poll_order poll{.acknowledged = may_have_restarted ? 0 : worker.committed_sequence};
-    if (worker.token_acknowledged && worker.missed_polls == 0) {
+    // The next part of a partial list is available as soon as this part is acknowledged.
+    if (worker.token_acknowledged && worker.missed_polls == 0 && !worker.has_unlisted_ends) {
         poll.wait = worker.runs.empty()         ? idle_poll_wait
                     : worker.isolated_runs == 0 ? busy_poll_wait
                                                 : isolating_poll_wait;
@@ -189,7 +190,8 @@
     note_token_acknowledged(id);
     ++worker.reports;
     worker.has_new_loads = true;
-    for (const ended_run& end : report.ended) {
+    worker.has_unlisted_ends = report.ended.extent == list_extent::partial;
+    for (const ended_run& end : report.ended.runs) {
         if (end.sequence > worker.applied_sequence) {
             apply_end(worker, end, now);
             worker.applied_sequence = end.sequence;
@@ -198,7 +200,7 @@
     for (const reported_run& reported : report.running) {
         apply_running(worker, reported, now);
     }
-    resolve_unreported_runs(worker, sent);
+    resolve_unreported_runs(worker, report.ended.extent, sent);
 }
 
 void scheduler::apply_running(worker_record& worker, const reported_run& reported, time_point now)
@@ -287,7 +289,7 @@
     worker.runs.emplace(run, std::move(unexpected));
 }
 
-void scheduler::resolve_unreported_runs(worker_record& worker, time_point sent)
+void scheduler::resolve_unreported_runs(worker_record& worker, list_extent ended, time_point sent)
 {
     std::vector<run_name> absent;
     for (auto& [name, run] : worker.runs) {
@@ -298,6 +300,10 @@
         const bool stop_confirmed =
             run.phase == run_phase::stopping && run.stop_answered && *run.stop_answered < sent;
         if (ended_unreported || stop_confirmed) {
+            // How it ended may be in the part of a partial list that is still to come.
+            if (ended == list_extent::partial) {
+                continue;
+            }
             absent.push_back(name);
         }
         else if (run.phase == run_phase::unconfirmed) {
--- a/packages/job/tests/contended_pool.hpp
+++ b/packages/job/tests/contended_pool.hpp
@@ -267,7 +267,7 @@
                                     .checkpoint = running.step.checkpointing ? "saved" : "",
                                     .percent = percent_of(running)});
         }
-        sent.ended = std::move(ends);
+        sent.ended.runs = std::move(ends);
         subject.note_report(id, sent, now - milliseconds(2), now);
         static_cast<void>(subject.begin_persist());
         subject.note_persisted();
--- a/packages/job/tests/crash_pool.hpp
+++ b/packages/job/tests/crash_pool.hpp
@@ -100,7 +100,7 @@
 
     void report(const instance_id& worker, std::vector<ended_run> ended = {})
     {
-        worker_report result{.worker_clock = milliseconds(1000), .ended = std::move(ended)};
+        worker_report result{.worker_clock = milliseconds(1000), .ended = {std::move(ended)}};
         for (const active_run& each : running[worker]) {
             result.running.push_back(each.run);
         }
--- a/packages/job/tests/incarnation_fixture.hpp
+++ b/packages/job/tests/incarnation_fixture.hpp
@@ -102,7 +102,7 @@
                                std::vector<ended_run> ended = {})
 {
     worker_report report{
-        .worker_clock = worker_clock, .started_at = started_at, .ended = std::move(ended)};
+        .worker_clock = worker_clock, .started_at = started_at, .ended = {std::move(ended)}};
     for (run_name& each : running) {
         report.running.push_back({.run = std::move(each), .percent = 100});
     }
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -45,7 +45,7 @@
         subject.note_report(worker,
                             {.worker_clock = milliseconds(1000),
                              .running = running[worker],
-                             .ended = std::move(ended)},
+                             .ended = {std::move(ended)}},
                             now - milliseconds(5), now);
     }
 
--- a/packages/job/tests/shares_test.cpp
+++ b/packages/job/tests/shares_test.cpp
@@ -54,7 +54,7 @@
         subject.note_report(worker,
                             {.worker_clock = milliseconds(1000),
                              .running = running[worker],
-                             .ended = std::move(ended)},
+                             .ended = {std::move(ended)}},
                             now - milliseconds(1), now);
     }
 
--- a/packages/job/tests/simulated_workers.hpp
+++ b/packages/job/tests/simulated_workers.hpp
@@ -146,7 +146,7 @@
                  .percent = running.step.long_running ? 100 : std::uint32_t(running.done * 100),
                  .load = std::int64_t(double(target) / 2 * slow_down_of(each, running))});
         }
-        sent.ended = each.ended;
+        sent.ended.runs = each.ended;
         subject.note_report(id, sent, now - milliseconds(2), now);
         (void)subject.begin_persist();
         subject.note_persisted();
