job: Wait for all ends of a worker before starting inherited tasks

Cause: a new leader waits for the first answer of each worker of a service, and took it for all that its predecessor had started there. That answer lists 500 ends at most.

A worker's earlier runs now count as known with the first complete report, and until then its service is in doubt, also after all leases have lapsed, as an end may be done however old it is. The doubt ends with the worker, or when it is silent and its leases have lapsed, so that no task waits for an end that will never be listed. A partial list of machines ends no doubt any more either, and a machine whose worker's runs aren't known isn't idle.

--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -100,7 +100,7 @@
         for (std::size_t number = 0; number < workers; ++number) {
             add_worker(number);
         }
-        m_scheduler.note_live_workers({}, m_now);
+        m_scheduler.note_live_workers({}, list_extent::complete, m_now);
         m_planner.note_machine_list(m_machines, m_now, list_extent::complete);
     }
 
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -205,9 +205,8 @@
     for (auto& [name, machine] : m_machines) {
         const auto worker = scheduler.workers().find(machine.worker);
         const bool known = worker != scheduler.workers().end();
-        // The runs of a worker that hasn't acknowledged this leader's token aren't known.
-        machine.idle = machine.worker.empty() ||
-                       (known && worker->second.token_acknowledged && worker->second.runs.empty());
+        machine.idle = machine.worker.empty() || (known && worker->second.predecessor_runs_known &&
+                                                  worker->second.runs.empty());
         if (known) {
             machine.worker_start = worker->second.latest_start();
         }
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -264,9 +264,8 @@
 {
     std::vector<machine_info>& machines = list.machines;
     const time_point now = m_loop.now();
-    if (m_scheduler.has_predecessor_doubt(now) && list.extent == list_extent::complete &&
-        !machines.empty()) {
-        m_scheduler.note_machines(names_of(machines), requested_at);
+    if (m_scheduler.has_predecessor_doubt(now) && !machines.empty()) {
+        m_scheduler.note_machines(names_of(machines), list.extent, requested_at);
     }
     std::erase_if(machines, [this](const machine_info& each) {
         return m_options.layout->owner_of(each.rack) != m_options.shard;
@@ -285,7 +284,7 @@
             live_workers.emplace(machine.worker, machine.pool);
         }
     }
-    m_scheduler.note_live_workers(live_workers, now);
+    m_scheduler.note_live_workers(live_workers, list.extent, now);
 }
 
 void machine_session::send_order(const machine_order& order)
--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -19,7 +19,7 @@
 {
     scheduler.set_queues({{.name = "checks", .service = served_pool, .max_attempts = 3},
                           {.name = "orders", .service = other_pool, .max_attempts = 3}});
-    scheduler.note_live_workers({}, now);
+    scheduler.note_live_workers({}, list_extent::complete, now);
     planner.set_pools({{.id = served_pool}, {.id = other_pool}});
     for (int number = 0; number < served; ++number) {
         add_machine(served_pool);
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -554,7 +554,7 @@
                               in_pool(at_address(listing_of("m4", "w4"), "10.0.0.4:80"), reserve)};
     job::scheduler scheduler = scheduler_with(workers);
     scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
-    scheduler.note_live_workers({}, start);
+    scheduler.note_live_workers({}, list_extent::complete, start);
     submit(scheduler, "lasting", start,
            {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
     REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
@@ -611,7 +611,7 @@
     odd.capacity = {.cpu_millis = 1'000'000'000'000, .memory_mb = 1'000'000'000'000};
     scheduler.note_worker_listed(odd, start);
     scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
-    scheduler.note_live_workers({}, start);
+    scheduler.note_live_workers({}, list_extent::complete, start);
     submit(scheduler, "lasting", start,
            {.count = 2, .need = {.cpu_millis = 200}, .max_per_worker = 1, .long_running = true});
     REQUIRE(scheduler.plan(start, wall_time()).starts.size() == 2);
@@ -653,7 +653,7 @@
 {
     job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
     scheduler.set_queues({{.name = "q", .service = checks, .max_attempts = 3}});
-    scheduler.note_live_workers({}, start);
+    scheduler.note_live_workers({}, list_extent::complete, start);
     machine_planner planner({});
     planner.set_pools({{.id = checks}, {.id = reserve, .standby = true}});
     const std::vector<machine_info> machines{
--- a/packages/fleet/tests/quota_exchange_test.cpp
+++ b/packages/fleet/tests/quota_exchange_test.cpp
@@ -111,7 +111,7 @@
     fixture.store.rows.push_back(
         {.at = quota_address(0), .value = to_text(policy::quota_row{}, 1), .version = 7});
     fixture.begin();
-    fixture.scheduler.note_live_workers({}, fixture.loop.now());
+    fixture.scheduler.note_live_workers({}, list_extent::complete, fixture.loop.now());
     fixture.run_for(milliseconds(500));
     REQUIRE_FALSE(fixture.store.transactions.empty());
     const auto& conditions = fixture.store.transactions[0].conditions;
@@ -160,7 +160,7 @@
 {
     exchange_fixture fixture({});
     fixture.begin();
-    fixture.scheduler.note_live_workers({}, fixture.loop.now());
+    fixture.scheduler.note_live_workers({}, list_extent::complete, fixture.loop.now());
     fixture.run_for(seconds(3));
     CHECK(fixture.store.reads == 0);
     CHECK(fixture.store.transactions.empty());
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -194,11 +194,13 @@
     void cancel_planned_end(const std::string& machine) { m_planned_ends.erase(machine); }
     /// Records all machines of the platform, as of a list that was requested then. A listed worker
     /// that hasn't answered and has none of them, by two lists in a row, doesn't exist.
-    void note_machines(const std::set<std::string>& machines, time_point requested_at);
+    void note_machines(const std::set<std::string>& machines, list_extent extent,
+                       time_point requested_at);
     /// Records which workers are alive, and their services, including workers that are not listed.
     /// Workers that start well after this process became leader can't run what a predecessor
     /// started.
-    void note_live_workers(const std::map<instance_id, service_id>& live_workers, time_point now);
+    void note_live_workers(const std::map<instance_id, service_id>& live_workers,
+                           list_extent extent, time_point now);
     /// Cordons a worker before planned work, or uncordons it.
     void cordon_worker(const instance_id& id, bool cordoned);
 
@@ -259,8 +261,8 @@
     [[nodiscard]] const policy::workspace_quota& quota() const noexcept { return m_quota; }
     /// Whether a task of the job waits because of its workspace's cap.
     [[nodiscard]] bool waits_at_cap(const job_id& id) const;
-    /// Whether a worker that hasn't answered this process may still run tasks that a predecessor
-    /// started.
+    /// Whether some worker may run, or have done, tasks that a predecessor started and that aren't
+    /// known to this process.
     [[nodiscard]] bool has_predecessor_doubt(time_point now) const;
     /// Whether a worker is to be polled: it is listed, or tasks may run there. Until its leases
     /// must have expired, these may be a predecessor's on a worker that has never answered.
@@ -458,11 +460,17 @@
     /// that `tasks` is not 0.
     [[nodiscard]] std::uint32_t workers_for_blocked(const step_spec& step, std::uint32_t tasks,
                                                     const std::vector<resources>& rooms) const;
-    void note_token_acknowledged(const instance_id& id);
+    void note_predecessor_runs_known(worker_record& worker);
+    /// Whether the worker answers and has ended runs that it couldn't list yet. These may be done
+    /// however long ago they were started.
+    [[nodiscard]] static bool may_list_earlier_ends(const worker_record& worker, time_point now);
+    /// Forgets the workers whose earlier runs, still unknown, have lost their leases.
+    void drop_lapsed_doubt(time_point now);
     void refresh_services_in_doubt();
     /// When all leases that a predecessor extended have expired.
     [[nodiscard]] time_point predecessor_bound() const;
-    /// Whether a worker that hasn't answered this process may still run tasks of an inherited job.
+    /// Whether some worker may run, or have done, tasks of an inherited job that aren't known to
+    /// this process.
     [[nodiscard]] bool in_doubt(const job_record& job, time_point now) const;
     /// Extends the worker's lease; returns its new end on the worker's clock, or nullopt if that
     /// clock is unknown or the worker has missed its last poll.
@@ -518,10 +526,10 @@
     std::map<instance_id, worker_record> m_workers;
     /// The worker that has answered last at each address.
     std::unordered_map<std::string, instance_id> m_worker_at_address;
-    /// Workers that were alive when this process became leader and haven't answered it; nullopt
-    /// until live workers were reported.
-    std::optional<std::map<instance_id, service_id>> m_unacknowledged_workers;
-    /// The services of m_unacknowledged_workers.
+    /// Workers that were alive when this process became leader and whose runs from before aren't
+    /// known to it; nullopt until live workers were reported.
+    std::optional<std::map<instance_id, service_id>> m_unknown_workers;
+    /// The services of m_unknown_workers.
     std::set<service_id> m_services_in_doubt;
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs without other constraints that fitted on no worker of a service in this round.
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -193,6 +193,9 @@
     std::uint32_t isolated_runs = 0;
     /// The last report listed only some of the worker's unacknowledged ends.
     bool has_unlisted_ends = false;
+    /// All that a predecessor has started there is known: a report has listed everything that runs,
+    /// and the reports up to it have listed all ends.
+    bool predecessor_runs_known = false;
     /// Last ended run that was applied, and the last whose effects are durable.
     std::uint64_t applied_sequence = 0;
     std::uint64_t committed_sequence = 0;
--- a/packages/job/src/scheduler_incarnations.cpp
+++ b/packages/job/src/scheduler_incarnations.cpp
@@ -69,6 +69,7 @@
         run.stop_answered.reset();
     }
     worker.token_acknowledged = false;
+    worker.predecessor_runs_known = false;
     worker.reported_capacity.reset();
     worker.clock.reset();
     worker.applied_sequence = 0;
@@ -89,6 +90,7 @@
     worker.listed_start_noted = now;
     if (worker.started_at) {
         worker.token_acknowledged = false;
+        worker.predecessor_runs_known = false;
         worker.clock.reset();
         worker.last_answer = now;
         worker.planned_restart = worker.planned_restart || worker.listing.draining ||
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -108,7 +108,8 @@
     // What a predecessor has started on a worker that hasn't answered yet isn't known; only the
     // worker's report tells which runs to stop.
     return !worker.listed && worker.runs.empty() &&
-           (worker.token_acknowledged || now > worker.lease_bound);
+           (worker.predecessor_runs_known ||
+            (now > worker.lease_bound && !may_list_earlier_ends(worker, now)));
 }
 
 bool scheduler::needs_polling(const instance_id& id) const
@@ -187,7 +188,6 @@
     worker.last_contact = now;
     worker.unresponsive_since.reset();
     worker.token_acknowledged = true;
-    note_token_acknowledged(id);
     ++worker.reports;
     worker.has_new_loads = true;
     worker.has_unlisted_ends = report.ended.extent == list_extent::partial;
@@ -200,6 +200,9 @@
     for (const reported_run& reported : report.running) {
         apply_running(worker, reported, now);
     }
+    if (report.ended.extent == list_extent::complete) {
+        note_predecessor_runs_known(worker);
+    }
     resolve_unreported_runs(worker, report.ended.extent, sent);
 }
 
@@ -405,6 +408,7 @@
 
 void scheduler::expire_unresponsive_workers(time_point now)
 {
+    drop_lapsed_doubt(now);
     for (auto at = m_workers.begin(); at != m_workers.end();) {
         worker_record& worker = at->second;
         const bool unresponsive = worker.missed_polls > 0 || !worker.listed;
@@ -415,8 +419,12 @@
     }
 }
 
-void scheduler::note_machines(const std::set<std::string>& machines, time_point requested_at)
+void scheduler::note_machines(const std::set<std::string>& machines, list_extent extent,
+                              time_point requested_at)
 {
+    if (extent == list_extent::partial) {
+        return;
+    }
     for (auto& [id, worker] : m_workers) {
         const bool absent = !worker.token_acknowledged && worker.last_answer < requested_at &&
                             !machines.contains(worker.listing.machine);
@@ -425,37 +433,63 @@
 }
 
 void scheduler::note_live_workers(const std::map<instance_id, service_id>& live_workers,
-                                  time_point now)
+                                  list_extent extent, time_point now)
 {
-    if (!m_unacknowledged_workers || now < m_started + m_options.predecessor_detection) {
-        m_unacknowledged_workers = live_workers;
+    if (extent == list_extent::partial) {
+        return;
+    }
+    if (!m_unknown_workers || now < m_started + m_options.predecessor_detection) {
+        m_unknown_workers = live_workers;
         for (const auto& [id, worker] : m_workers) {
             if (worker.listed) {
-                m_unacknowledged_workers->emplace(id, worker.listing.service);
+                m_unknown_workers->emplace(id, worker.listing.service);
             }
         }
     }
-    std::erase_if(*m_unacknowledged_workers, [&](const auto& each) {
+    std::erase_if(*m_unknown_workers, [&](const auto& each) {
         const auto worker = m_workers.find(each.first);
         const bool known = worker != m_workers.end();
         const bool may_exist = known && worker->second.listed && !worker->second.has_no_machine();
-        return (known && worker->second.token_acknowledged) ||
+        return (known && worker->second.predecessor_runs_known) ||
                (!may_exist && !live_workers.contains(each.first));
     });
+    drop_lapsed_doubt(now);
     refresh_services_in_doubt();
 }
 
-void scheduler::note_token_acknowledged(const instance_id& id)
+void scheduler::note_predecessor_runs_known(worker_record& worker)
 {
-    if (m_unacknowledged_workers && m_unacknowledged_workers->erase(id) != 0) {
+    worker.predecessor_runs_known = true;
+    if (m_unknown_workers && m_unknown_workers->erase(worker.listing.id) != 0) {
         refresh_services_in_doubt();
     }
 }
 
+bool scheduler::may_list_earlier_ends(const worker_record& worker, time_point now)
+{
+    return worker.token_acknowledged && worker.has_unlisted_ends &&
+           !worker.predecessor_runs_known &&
+           (worker.missed_polls == 0 || now <= worker.lease_bound);
+}
+
+void scheduler::drop_lapsed_doubt(time_point now)
+{
+    if (now < predecessor_bound()) {
+        return;
+    }
+    m_unknown_workers.emplace();
+    for (const auto& [id, worker] : m_workers) {
+        if (may_list_earlier_ends(worker, now)) {
+            m_unknown_workers->emplace(id, worker.listing.service);
+        }
+    }
+    refresh_services_in_doubt();
+}
+
 void scheduler::refresh_services_in_doubt()
 {
     m_services_in_doubt.clear();
-    for (const auto& [id, service] : *m_unacknowledged_workers) {
+    for (const auto& [id, service] : *m_unknown_workers) {
         m_services_in_doubt.insert(service);
     }
 }
@@ -467,17 +501,16 @@
 
 bool scheduler::has_predecessor_doubt(time_point now) const
 {
-    return now < predecessor_bound() &&
-           (!m_unacknowledged_workers || !m_unacknowledged_workers->empty());
+    return m_unknown_workers ? !m_unknown_workers->empty() : now < predecessor_bound();
 }
 
 bool scheduler::in_doubt(const job_record& job, time_point now) const
 {
-    if (now >= predecessor_bound() || !m_inherited.contains(job.id())) {
+    if (!has_predecessor_doubt(now) || !m_inherited.contains(job.id())) {
         return false;
     }
-    if (!m_unacknowledged_workers || !m_options.former_services_known) {
-        return !m_unacknowledged_workers || !m_unacknowledged_workers->empty();
+    if (!m_unknown_workers || !m_options.former_services_known) {
+        return true;
     }
     const queue_policy& queue = job.queue();
     return m_services_in_doubt.contains(queue.service) ||
--- a/packages/job/tests/cancelled_run_test.cpp
+++ b/packages/job/tests/cancelled_run_test.cpp
@@ -209,7 +209,7 @@
     cancelled_fixture fixture;
     fixture.subject.note_worker_unlisted(w1, fixture.now + milliseconds(10));
     REQUIRE(fixture.subject.needs_polling(w1));
-    fixture.subject.note_live_workers({}, fixture.now + milliseconds(20));
+    fixture.subject.note_live_workers({}, list_extent::complete, fixture.now + milliseconds(20));
     SECTION("after the bound on the leases")
     {
         static_cast<void>(fixture.plan(seconds(7)));
@@ -228,7 +228,8 @@
         fixture.now += milliseconds(30);
         fixture.subject.note_report(instance_id("w2"), {.worker_clock = milliseconds(1000)},
                                     fixture.now, fixture.now);
-        fixture.subject.note_live_workers({{instance_id("w2"), checks}}, start + seconds(2));
+        fixture.subject.note_live_workers({{instance_id("w2"), checks}}, list_extent::complete,
+                                          start + seconds(2));
         CHECK(fixture.plan(milliseconds(2000)).starts.size() == 1);
     }
     SECTION("a leader that is older than any lease of a predecessor drops it at once")
--- a/packages/job/tests/contended_pool.hpp
+++ b/packages/job/tests/contended_pool.hpp
@@ -81,7 +81,7 @@
               .priority = 1,
               .target_latency = seconds(30)},
              {.name = "urgent", .service = service, .target_latency = seconds(30)}});
-        subject.note_live_workers({}, now);
+        subject.note_live_workers({}, list_extent::complete, now);
     }
 
     instance_id add_worker(resources capacity = {.cpu_millis = 16000, .memory_mb = 128000})
--- a/packages/job/tests/quota_test.cpp
+++ b/packages/job/tests/quota_test.cpp
@@ -241,7 +241,8 @@
     fixture.subject.cancel(cancelled, fixture.now);
     static_cast<void>(fixture.submit("b", tasks(2, 500), alpha));
     fixture.report(w1);
-    fixture.subject.note_live_workers({{w1, checks}, {w2, checks}}, fixture.now);
+    fixture.subject.note_live_workers({{w1, checks}, {w2, checks}}, list_extent::complete,
+                                      fixture.now);
     CHECK(fixture.plan().starts.empty());
     CHECK(fixture.used() == 1500);
     CHECK(fixture.subject.has_predecessor_doubt(fixture.now));
--- a/packages/job/tests/scheduler_test.cpp
+++ b/packages/job/tests/scheduler_test.cpp
@@ -366,30 +366,33 @@
 
     SECTION("a worker that started after the predecessor detected the change is not waited for")
     {
-        subject.note_live_workers({{own, checks}}, start + milliseconds(1100));
-        subject.note_live_workers({{own, checks}, {unresponsive, checks}},
+        subject.note_live_workers({{own, checks}}, list_extent::complete,
+                                  start + milliseconds(1100));
+        subject.note_live_workers({{own, checks}, {unresponsive, checks}}, list_extent::complete,
                                   start + milliseconds(1500));
         CHECK(starts_at(milliseconds(1600)) == 2);
     }
     SECTION("a worker that started before that is waited for")
     {
-        subject.note_live_workers({{own, checks}}, start + milliseconds(200));
-        subject.note_live_workers({{own, checks}, {unresponsive, checks}},
+        subject.note_live_workers({{own, checks}}, list_extent::complete,
+                                  start + milliseconds(200));
+        subject.note_live_workers({{own, checks}, {unresponsive, checks}}, list_extent::complete,
                                   start + milliseconds(600));
         CHECK(starts_at(milliseconds(700)) == 0);
     }
     SECTION("an unresponsive worker of the service delays both queues, listed or not")
     {
-        subject.note_live_workers({{own, checks}, {unresponsive, checks}},
+        subject.note_live_workers({{own, checks}, {unresponsive, checks}}, list_extent::complete,
                                   start + milliseconds(500));
         CHECK(starts_at(milliseconds(600)) == 0);
-        subject.note_live_workers({{own, checks}}, start + milliseconds(650));
+        subject.note_live_workers({{own, checks}}, list_extent::complete,
+                                  start + milliseconds(650));
         CHECK(starts_at(milliseconds(700)) == 2);
     }
     SECTION("an unresponsive worker of another service delays only queues which that service ran "
             "before")
     {
-        subject.note_live_workers({{own, checks}, {unresponsive, essays}},
+        subject.note_live_workers({{own, checks}, {unresponsive, essays}}, list_extent::complete,
                                   start + milliseconds(500));
         CHECK(starts_at(milliseconds(600)) == 1);
     }
@@ -416,8 +419,9 @@
     list("w1", "m1", start);
     subject.note_report(own, {.worker_clock = milliseconds(1000)}, start, start);
     const auto starts_after_list = [&](milliseconds requested) {
-        subject.note_machines({"m1", "m2"}, start + requested);
-        subject.note_live_workers({{own, checks}}, start + requested + milliseconds(20));
+        subject.note_machines({"m1", "m2"}, list_extent::complete, start + requested);
+        subject.note_live_workers({{own, checks}}, list_extent::complete,
+                                  start + requested + milliseconds(20));
         return subject.plan(start + requested + milliseconds(30), wall_time{}).starts.size();
     };
 
--- a/packages/job/tests/simulated_workers.hpp
+++ b/packages/job/tests/simulated_workers.hpp
@@ -47,7 +47,7 @@
                                        now);
             workers[id];
         }
-        subject.note_live_workers({}, now);
+        subject.note_live_workers({}, list_extent::complete, now);
         advance(milliseconds(100));
     }
 
