job: Persist the policy of a queue with its accepted jobs

Cause: the last policy of a removed queue was kept in the memory of one leader. The next one made one up, with one attempt and no service, so that it also started none of the job's tasks.

The row of an accepted job now holds the policy, written in the transaction that accepts it. A configured policy goes before it; a change of the service or of the attempts is persisted with the progress of the open jobs. A policy that isn't known at all limits no attempts. A job's own former services now count for the doubt about a predecessor's runs, which a dropped and restored route hid.

--- a/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
+#include "plantaindoor/job/spec.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -21,6 +22,8 @@
 /// An accepted job as its caller sent it.
 struct accepted_job {
     std::string queue;
+    /// The queue's policy under which the job was accepted; nullopt in a row that lacks it.
+    std::optional<job::queue_policy> policy;
     /// Empty for a job of no workspace.
     workspace_id workspace;
     wall_time accepted{};
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -2,6 +2,7 @@
 
 #include "plantaindoor/common/hash.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
+#include "plantaindoor/job/queue_policy.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -68,6 +69,9 @@
     json row{{"queue", accepted.queue},
              {"accepted_ms", accepted.accepted.time_since_epoch().count()},
              {"body", accepted.body}};
+    if (accepted.policy) {
+        row["policy"] = to_json(*accepted.policy);
+    }
     if (!accepted.workspace.empty()) {
         row["workspace"] = accepted.workspace.str();
     }
@@ -81,8 +85,12 @@
         return std::nullopt;
     }
     try {
+        const auto policy = parsed.find("policy");
         return accepted_job{
             .queue = parsed.at("queue"),
+            .policy = policy == parsed.end()
+                          ? std::nullopt
+                          : std::optional(job::parse_queue_policy(parsed.at("queue"), *policy)),
             .workspace = workspace_id(parsed.value("workspace", "")),
             .accepted = wall_time(milliseconds(parsed.at("accepted_ms").get<std::int64_t>())),
             .body = parsed.at("body")};
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -220,6 +220,7 @@
         const bool inherited = !m_ready || predecessor_may_start;
         m_scheduler.submit(id,
                            {.queue = accepted->queue,
+                            .policy = accepted->policy,
                             .workspace = accepted->workspace,
                             .spec = spec,
                             .at = now - age,
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -140,7 +140,9 @@
 
     [[nodiscard]] const job_id& id() const noexcept { return m_id; }
     [[nodiscard]] const queue_policy& queue() const noexcept { return m_queue; }
-    void set_queue(queue_policy queue) { m_queue = std::move(queue); }
+    /// Applies a later version of the queue's policy. Returns whether anything changed that must be
+    /// persisted.
+    bool set_queue(queue_policy queue);
     /// Empty for a job of no workspace.
     [[nodiscard]] const workspace_id& workspace() const noexcept { return m_workspace; }
     void set_workspace(workspace_id workspace) { m_workspace = std::move(workspace); }
@@ -219,8 +221,8 @@
 
     /// Returns the state to persist, as JSON text.
     [[nodiscard]] std::string progress() const;
-    /// Restores the state that progress() returned. Throws spec_error where it doesn't fit the
-    /// specification.
+    /// Restores the state that progress() returned, with the queue's policy if that had changed
+    /// since the job was accepted. Throws spec_error where it doesn't fit the specification.
     void restore(std::string_view progress);
 
 private:
@@ -230,6 +232,8 @@
 
     job_id m_id;
     queue_policy m_queue;
+    /// The outcome depends on a later policy than that of the accepted request.
+    bool m_queue_changed = false;
     workspace_id m_workspace;
     bool m_beyond_rate = false;
     std::shared_ptr<const job_spec> m_spec;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -142,6 +142,9 @@
 /// An accepted job.
 struct submission {
     std::string queue;
+    /// The queue's policy when the job was accepted, for a queue that the configuration no longer
+    /// names; nullopt if it isn't known.
+    std::optional<queue_policy> policy;
     /// Empty for a job of no workspace.
     workspace_id workspace;
     /// Must have passed check_spec().
@@ -286,6 +289,8 @@
     };
 
     job_record* find_job(const job_id& id);
+    /// Applies the configured policy of the job's queue, if there is one.
+    void apply_queue(job_record& job);
     void mark_dirty(const job_id& id) { m_dirty.insert(id); }
     void note_decision(const job_record& job, decision recorded);
     /// Counts the long-running tasks that wait, and records a decision on each that has waited for
--- a/packages/job/include/plantaindoor/job/spec.hpp
+++ b/packages/job/include/plantaindoor/job/spec.hpp
@@ -124,6 +124,10 @@
     bool requires_ticket = false;
     /// Services that ran the queue's tasks in earlier versions of the configuration.
     std::set<service_id> former_services;
+
+    /// Replaces the policy by that of a later version of the configuration. Returns whether
+    /// anything changed on which the outcome of the queue's jobs depends.
+    bool update(queue_policy later);
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -1,5 +1,7 @@
 #include "plantaindoor/job/record.hpp"
 
+#include "plantaindoor/job/queue_policy.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -197,6 +199,13 @@
     }
 }
 
+bool job_record::set_queue(queue_policy queue)
+{
+    const bool changed = m_queue.update(std::move(queue));
+    m_queue_changed = m_queue_changed || changed;
+    return changed;
+}
+
 milliseconds job_record::remaining_path() const
 {
     milliseconds longest{0};
@@ -453,6 +462,9 @@
             }
             occurrences[std::to_string(number)] = std::move(steps);
         }
+        if (m_queue_changed) {
+            result["policy"] = to_json(m_queue);
+        }
         result["begun"] = m_started_occurrences;
         result["occurrences"] = std::move(occurrences);
     }
@@ -485,6 +497,9 @@
 void job_record::restore_occurrences(std::string_view progress)
 {
     const json parsed = json::parse(progress);
+    if (const auto policy = parsed.find("policy"); policy != parsed.end()) {
+        set_queue(parse_queue_policy(m_queue.name, *policy));
+    }
     m_started_occurrences = parsed.at("begun").get<std::uint32_t>();
     m_occurrences.clear();
     for (const auto& [number, steps] : parsed.at("occurrences").items()) {
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -35,10 +36,15 @@
         m_queues.emplace(queue.name, queue);
     }
     for (auto& [id, job] : m_jobs) {
-        const auto queue = m_queues.find(job.queue().name);
-        if (queue != m_queues.end()) {
-            job.set_queue(queue->second);
-        }
+        apply_queue(job);
+    }
+}
+
+void scheduler::apply_queue(job_record& job)
+{
+    const auto queue = m_queues.find(job.queue().name);
+    if (queue != m_queues.end() && job.set_queue(queue->second) && !is_terminal(job.state())) {
+        mark_dirty(job.id());
     }
 }
 
@@ -74,16 +80,20 @@
         return;
     }
     queue_policy policy{.name = submitted.queue};
-    if (const auto known = m_queues.find(submitted.queue); known != m_queues.end()) {
+    if (submitted.policy) {
+        policy = std::move(*submitted.policy);
+    }
+    else if (const auto known = m_queues.find(submitted.queue); known != m_queues.end()) {
         policy = known->second;
     }
+    else {
+        // No limit that isn't known may fail the job.
+        policy.max_attempts = std::numeric_limits<std::uint32_t>::max();
+    }
     double work = 0;
     for (const step_spec& step : submitted.spec->steps) {
         work += step.long_running ? 0 : step.work_of(step.count);
     }
-    submission_count& counted = m_submitted[policy.service];
-    counted.work += work;
-    ++counted.jobs;
     m_specs.emplace(id, submitted.spec);
     m_open_with_best_effort += has_best_effort(*submitted.spec) ? 1 : 0;
     const auto added = m_jobs.emplace(
@@ -96,13 +106,18 @@
                                                   ? m_options.shard_count
                                                   : submitted.queue_shards});
     }
-    added.first->second.set_workspace(std::move(submitted.workspace));
-    m_open.emplace(id, &added.first->second);
+    job_record& job = added.first->second;
+    apply_queue(job);
+    submission_count& counted = m_submitted[job.queue().service];
+    counted.work += work;
+    ++counted.jobs;
+    job.set_workspace(std::move(submitted.workspace));
+    m_open.emplace(id, &job);
     if (submitted.inherited) {
         m_inherited.insert(id);
     }
     if (m_cancelled_early.erase(id) != 0) {
-        end_job(*find_job(id), job_state::cancelled);
+        end_job(job, job_state::cancelled);
     }
 }
 
@@ -114,6 +129,7 @@
     }
     const bool cancelled = job->state() == job_state::cancelled;
     job->restore(progress);
+    apply_queue(*job);
     if (cancelled) {
         job->set_state(job_state::cancelled);
     }
--- a/packages/job/src/spec.cpp
+++ b/packages/job/src/spec.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/spec.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantaindoor::job {
 
@@ -67,4 +68,14 @@
     return *std::max_element(path_lengths.begin(), path_lengths.end());
 }
 
+bool queue_policy::update(queue_policy later)
+{
+    const bool changed = later.service != service || later.max_attempts != max_attempts;
+    later.former_services.merge(former_services);
+    later.former_services.insert(service);
+    later.former_services.erase(later.service);
+    *this = std::move(later);
+    return changed;
+}
+
 } // namespace plantaindoor::job
