fleet: Ask for the lease when an order is sent

Cause: the lease was checked where orders are planned, and not where they are sent after the store's answer. The condition on the claim had been checked by the store before the suspension.

leader_lease hands out the leader's authority for the moment, by a clock that runs while the system is suspended, and nothing keeps a copy: each order for a machine, start, stop, throttle and poll asks for it when it is sent. Polls that were due while the process was suspended left before the check, too, and would have extended leases that the successor counts as lapsed.

Without the check in send_order() the first new test fails, without the one in poll() the poller's.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/leader_lease.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 #include "plantaindoor/fleet/learned_log.hpp"
 #include "plantaindoor/fleet/machine_session.hpp"
@@ -120,6 +121,7 @@
     event m_on_lost;
     std::shared_ptr<bool> m_alive;
     time_point m_started;
+    leader_lease m_lease;
     job::scheduler m_scheduler;
     std::map<job_id, std::string> m_persisted_progress;
     struct ended_job {
@@ -138,7 +140,6 @@
     quota_reporter m_quota_reporter;
     timer_id m_plan_timer = timer_id::none;
     timer_id m_tick_timer = timer_id::none;
-    time_point m_lease_until{};
     bool m_paused = false;
     /// Set when an expired lease has been renewed: nothing is planned until the job rows are up to
     /// date, so that no task of a job that was cancelled meanwhile is started.
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/leader_lease.hpp"
 #include "plantaindoor/fleet/machine_planner.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/pool_reporter.hpp"
@@ -26,7 +27,6 @@
 namespace plantaindoor::fleet {
 
 struct machine_session_options {
-    machine_authority authority;
     row_condition claim;
     shard_number shard = 0;
     std::shared_ptr<const shard_layout> layout;
@@ -45,7 +45,8 @@
     /// Everything passed must outlive the session.
     machine_session(event_loop& loop, row_store& store, machine_gateway& machines,
                     const platform_codec& codec, job::scheduler& scheduler,
-                    metrics_registry& metrics, machine_session_options options);
+                    const leader_lease& lease, metrics_registry& metrics,
+                    machine_session_options options);
     machine_session(const machine_session&) = delete;
     machine_session& operator=(const machine_session&) = delete;
     ~machine_session();
@@ -81,6 +82,7 @@
     /// Persists the affected machines, which a successor should leave alone for handover_delay, and
     /// then sends the orders.
     void persist_and_send(const std::vector<machine_order>& orders, time_point now);
+    /// The order counts as refused if the lease has expired.
     void send_order(const machine_order& order);
     /// `start` is the start of the order's worker that was known when the order was sent.
     void handle_answer(const machine_order& order, const std::optional<wall_time>& start,
@@ -94,6 +96,7 @@
     machine_gateway& m_machines;
     const platform_codec& m_codec;
     job::scheduler& m_scheduler;
+    const leader_lease& m_lease;
     machine_session_options m_options;
     machine_planner m_planner;
     recent_orders m_recent_orders;
--- a/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
@@ -4,6 +4,7 @@
 #include "plantaindoor/common/event_loop.hpp"
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/leader_lease.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <functional>
@@ -14,7 +15,6 @@
 namespace plantaindoor::fleet {
 
 struct worker_poller_options {
-    fencing_token token = 0;
     /// Delay between two polls of a worker, so that one poll reports several ended runs.
     milliseconds poll_interval{80};
     /// Up to which the delay rises while the process can't keep up: then fewer reports, of more
@@ -35,17 +35,18 @@
 
     /// Everything passed must outlive the poller.
     worker_poller(event_loop& loop, worker_gateway& workers, job::scheduler& scheduler,
-                  metrics_registry& metrics, worker_poller_options options, event on_change,
-                  event on_stale_token);
+                  const leader_lease& lease, metrics_registry& metrics,
+                  worker_poller_options options, event on_change, event on_stale_token);
     worker_poller(const worker_poller&) = delete;
     worker_poller& operator=(const worker_poller&) = delete;
     ~worker_poller();
 
     /// Starts to poll new workers and removes those that no longer need polling.
     void refresh();
-    /// Sends the orders to their workers.
+    /// Sends the orders to their workers, as long as the lease is valid.
     void send(const job::orders& orders);
-    /// While paused no polls are sent; the results of polls in flight are still processed.
+    /// While paused, or without a valid lease, no polls are sent; the results of polls in flight
+    /// are still processed.
     void set_paused(bool paused);
     /// The delay between two polls of a worker at the current load.
     [[nodiscard]] milliseconds current_interval() const noexcept { return m_interval; }
@@ -59,6 +60,8 @@
     };
 
     void poll(const instance_id& id);
+    void send_stop(const job::stop_order& order, fencing_token token);
+    void send_start(const job::start_order& order, fencing_token token);
     /// `start` is the worker's latest start that was known when the poll was sent.
     void handle_poll_result(const instance_id& id, time_point sent,
                             const std::optional<wall_time>& start, const poll_result& result);
@@ -74,6 +77,7 @@
     event_loop& m_loop;
     worker_gateway& m_workers;
     job::scheduler& m_scheduler;
+    const leader_lease& m_lease;
     worker_poller_options m_options;
     event m_on_change;
     event m_on_stale_token;
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -56,6 +56,8 @@
       m_on_lost(std::move(on_lost)),
       m_alive(std::make_shared<bool>(true)),
       m_started(context.loop.now()),
+      m_lease(context.clock, {.leader = m_options.entry, .token = m_options.claim_row.version},
+              m_options.claimed_at + m_options.lease),
       m_scheduler(m_options.scheduling, m_started),
       m_quota_reporter(context.metrics, m_options.shard.number),
       m_plan_seconds(context.metrics.summary({"plan_seconds", "Duration of placement rounds", {}})),
@@ -79,7 +81,6 @@
                       "Longest present wait of a long-running task", m_options.shard.number))),
       m_learned_gauges(context.metrics, m_options.shard.number)
 {
-    m_lease_until = m_options.claimed_at + m_options.lease;
     m_scheduler.set_queues(queues_of(*m_config));
     m_scheduler.set_workspaces(m_config->workspaces);
     m_quota_exchange = std::make_unique<quota_exchange>(
@@ -89,9 +90,8 @@
                                .shards = m_options.shard.layout->count()},
         [this] { schedule_plan(); });
     m_poller = std::make_unique<worker_poller>(
-        m_context.loop, m_context.workers, m_scheduler, m_context.metrics,
-        worker_poller_options{.token = m_options.claim_row.version}, [this] { schedule_plan(); },
-        [this] { step_down(); });
+        m_context.loop, m_context.workers, m_scheduler, m_lease, m_context.metrics,
+        worker_poller_options{}, [this] { schedule_plan(); }, [this] { step_down(); });
     m_progress_writer = std::make_unique<progress_writer>(
         m_context.loop, m_context.store, m_scheduler, m_context.metrics,
         progress_writer_options{.claim = m_options.claim_row,
@@ -104,15 +104,13 @@
             .on_persisted = [this] { schedule_plan(); },
             .on_renewed = [this](time_point sent) { handle_renewal(sent); },
             .on_lost = [this] { step_down(); }});
-    m_machines = std::make_unique<machine_session>(
-        m_context.loop, m_context.store, m_context.machines, m_context.codec, m_scheduler,
-        m_context.metrics,
-        machine_session_options{
-            .authority = {.leader = m_options.entry, .token = m_options.claim_row.version},
-            .claim = m_options.claim_row,
-            .shard = m_options.shard.number,
-            .layout = m_options.shard.layout,
-            .planning = m_options.planning});
+    m_machines =
+        std::make_unique<machine_session>(m_context.loop, m_context.store, m_context.machines,
+                                          m_context.codec, m_scheduler, m_lease, m_context.metrics,
+                                          machine_session_options{.claim = m_options.claim_row,
+                                                                  .shard = m_options.shard.number,
+                                                                  .layout = m_options.shard.layout,
+                                                                  .planning = m_options.planning});
     m_machines->set_pools(m_config->pools);
     read_progress();
     read_workers();
@@ -454,13 +452,13 @@
 
 void leader_session::handle_renewal(time_point sent)
 {
-    m_lease_until = sent + m_options.lease;
+    m_lease.extend(sent + m_options.lease);
     check_lease();
 }
 
 void leader_session::check_lease()
 {
-    const bool expired = m_context.clock() >= m_lease_until;
+    const bool expired = !m_lease.authority();
     if (expired != m_paused) {
         m_paused = expired;
         leader_log.warning(expired ? "leader lease expired: sending no orders"
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -52,12 +52,14 @@
 
 machine_session::machine_session(event_loop& loop, row_store& store, machine_gateway& machines,
                                  const platform_codec& codec, job::scheduler& scheduler,
-                                 metrics_registry& metrics, machine_session_options options)
+                                 const leader_lease& lease, metrics_registry& metrics,
+                                 machine_session_options options)
     : m_loop(loop),
       m_store(store),
       m_machines(machines),
       m_codec(codec),
       m_scheduler(scheduler),
+      m_lease(lease),
       m_options(std::move(options)),
       m_planner(m_options.planning),
       m_recent_orders(store, {.at = recent_orders_address(m_options.shard),
@@ -289,6 +291,13 @@
 
 void machine_session::send_order(const machine_order& order)
 {
+    const auto authority = m_lease.authority();
+    if (!authority) {
+        machine_log.warning(
+            fmt::format("machine {}: order not sent: the leader lease has expired", order.machine));
+        m_planner.note_answer(order, machine_answer::refused, m_loop.now());
+        return;
+    }
     m_scheduler.expect_planned_end(order.machine, m_loop.now() + max_order_delay);
     auto done = [this, order, start = m_scheduler.latest_start(order.worker),
                  alive = m_alive](machine_answer answer) {
@@ -298,11 +307,11 @@
     };
     if (order.action == machine_action::move) {
         m_moves.add();
-        m_machines.move(m_options.authority, order.machine, order.pool, std::move(done));
+        m_machines.move(*authority, order.machine, order.pool, std::move(done));
     }
     else {
         m_maintenance_orders.add();
-        m_machines.maintain(m_options.authority, order.machine, order.wave, std::move(done));
+        m_machines.maintain(*authority, order.machine, order.wave, std::move(done));
     }
 }
 
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -24,11 +24,12 @@
 } // namespace
 
 worker_poller::worker_poller(event_loop& loop, worker_gateway& workers, job::scheduler& scheduler,
-                             metrics_registry& metrics, worker_poller_options options,
-                             event on_change, event on_stale_token)
+                             const leader_lease& lease, metrics_registry& metrics,
+                             worker_poller_options options, event on_change, event on_stale_token)
     : m_loop(loop),
       m_workers(workers),
       m_scheduler(scheduler),
+      m_lease(lease),
       m_options(options),
       m_on_change(std::move(on_change)),
       m_on_stale_token(std::move(on_stale_token)),
@@ -99,14 +100,15 @@
 
 void worker_poller::poll(const instance_id& id)
 {
-    if (m_paused || !m_scheduler.needs_polling(id)) {
+    const auto authority = m_lease.authority();
+    if (m_paused || !authority || !m_scheduler.needs_polling(id)) {
         return;
     }
     m_polled[id].polling = true;
     m_polls.add();
     const time_point sent = m_loop.now();
     const job::poll_order order = m_scheduler.next_poll(id, sent);
-    m_workers.poll(address_of(id), order, m_options.token,
+    m_workers.poll(address_of(id), order, authority->token,
                    [this, id, sent, start = m_scheduler.latest_start(id),
                     alive = m_alive](const poll_result& result) {
                        if (*alive) {
@@ -187,48 +189,69 @@
 void worker_poller::send(const job::orders& orders)
 {
     for (const job::stop_order& order : orders.stops) {
-        m_stops.add();
-        m_workers.stop(address_of(order.worker), order, m_options.token,
-                       [this, order, start = m_scheduler.latest_start(order.worker),
-                        alive = m_alive](job::order_answer answer) {
-                           // The later incarnation of a worker is sent its own stop.
-                           if (*alive && !has_restarted(order.worker, start)) {
-                               m_scheduler.note_stop(order.worker, order.run, answer, m_loop.now());
-                               m_on_change();
-                           }
-                       });
+        if (const auto authority = m_lease.authority()) {
+            send_stop(order, authority->token);
+        }
     }
     for (const job::start_order& order : orders.starts) {
-        m_starts.add();
-        m_workers.start(address_of(order.worker), order, m_options.token,
-                        [this, worker = order.worker, run = order.run,
-                         start = m_scheduler.latest_start(order.worker),
-                         alive = m_alive](job::order_answer answer) {
-                            if (!*alive) {
-                                return;
-                            }
-                            if (answer != job::order_answer::accepted) {
-                                worker_log.info(fmt::format("start of {} attempt {} on {}: {}",
-                                                            to_string(run.task), run.attempt,
-                                                            worker.str(), name_of(answer)));
-                            }
-                            if (answer == job::order_answer::stale_token) {
-                                m_on_stale_token();
-                            }
-                            if (has_restarted(worker, start)) {
-                                // Either incarnation may have given it.
-                                answer = job::order_answer::unanswered;
-                            }
-                            m_scheduler.note_start(worker, run, answer, m_loop.now());
-                            m_on_change();
-                        });
+        if (const auto authority = m_lease.authority()) {
+            send_start(order, authority->token);
+        }
+        else {
+            m_scheduler.note_start(order.worker, order.run, job::order_answer::lease_expired,
+                                   m_loop.now());
+        }
     }
     for (const job::throttle_order& order : orders.throttles) {
-        m_throttles.add();
-        m_workers.throttle(address_of(order.worker), order, m_options.token, [](job::order_answer) {
-            // The next report shows whether the throttling has taken effect.
-        });
+        if (const auto authority = m_lease.authority()) {
+            m_throttles.add();
+            m_workers.throttle(address_of(order.worker), order, authority->token,
+                               [](job::order_answer) {
+                                   // The next report shows whether the throttling has taken effect.
+                               });
+        }
     }
 }
 
+void worker_poller::send_stop(const job::stop_order& order, fencing_token token)
+{
+    m_stops.add();
+    m_workers.stop(address_of(order.worker), order, token,
+                   [this, order, start = m_scheduler.latest_start(order.worker),
+                    alive = m_alive](job::order_answer answer) {
+                       // The later incarnation of a worker is sent its own stop.
+                       if (*alive && !has_restarted(order.worker, start)) {
+                           m_scheduler.note_stop(order.worker, order.run, answer, m_loop.now());
+                           m_on_change();
+                       }
+                   });
+}
+
+void worker_poller::send_start(const job::start_order& order, fencing_token token)
+{
+    m_starts.add();
+    m_workers.start(address_of(order.worker), order, token,
+                    [this, worker = order.worker, run = order.run,
+                     start = m_scheduler.latest_start(order.worker),
+                     alive = m_alive](job::order_answer answer) {
+                        if (!*alive) {
+                            return;
+                        }
+                        if (answer != job::order_answer::accepted) {
+                            worker_log.info(fmt::format("start of {} attempt {} on {}: {}",
+                                                        to_string(run.task), run.attempt,
+                                                        worker.str(), name_of(answer)));
+                        }
+                        if (answer == job::order_answer::stale_token) {
+                            m_on_stale_token();
+                        }
+                        if (has_restarted(worker, start)) {
+                            // Either incarnation may have given it.
+                            answer = job::order_answer::unanswered;
+                        }
+                        m_scheduler.note_start(worker, run, answer, m_loop.now());
+                        m_on_change();
+                    });
+}
+
 } // namespace plantaindoor::fleet
--- /dev/null
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -0,0 +1,140 @@
+// Orders for machines around a process that was suspended, and around a change of the leader.
+#include "plantaindoor/fleet/machine_session.hpp"
+
+#include "memory_rows.hpp"
+#include "plantaindoor/fleet/leader_tracker.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaindoor;
+using namespace plantaindoor::fleet;
+using plantaindoor::fleet::testing::entry_store;
+using plantaindoor::fleet::testing::memory_rows;
+
+namespace {
+
+const service_id checks{"checks"};
+constexpr milliseconds list_delay{5};
+
+/// Machines whose maintenance takes a moment; counts those that are down at once.
+class maintained_machines final : public machine_gateway {
+public:
+    explicit maintained_machines(event_loop& loop) : m_loop(loop) {}
+
+    void list(list_callback done) override
+    {
+        m_loop.call_after(list_delay, [this, done = std::move(done)] { done(listed); });
+    }
+    void move(const machine_authority& /*by*/, const std::string& /*machine*/,
+              const service_id& /*pool*/, machine_callback /*done*/) override
+    {
+    }
+    void maintain(const machine_authority& /*by*/, const std::string& machine,
+                  std::uint64_t /*wave*/, machine_callback done) override
+    {
+        ordered.push_back(machine);
+        m_loop.call_after(list_delay, [done = std::move(done)] { done(machine_answer::accepted); });
+    }
+
+    machine_list listed;
+    std::vector<std::string> ordered;
+
+private:
+    event_loop& m_loop;
+};
+
+/// A session with two idle machines and a wave that allows one to be down, in a store whose answers
+/// the process may get only after it was suspended.
+struct machine_session_fixture {
+    fakes::virtual_loop loop;
+    memory_rows rows{loop};
+    std::mt19937_64 random{7};
+    entry_store store{loop, loop, rows, random};
+    maintained_machines machines{loop};
+    platform_codec codec;
+    metrics_registry metrics;
+    job::scheduler scheduler{{.predecessor_grace = milliseconds(0)}, time_point{}};
+    /// Time for which the process was suspended.
+    milliseconds suspended{0};
+    row_address claim{"leaders", control_partition(0), "claim"};
+    leader_lease lease{[this] { return loop.now() + suspended; },
+                       {.leader = "e1", .token = 7},
+                       loop.now() + seconds(30)};
+    std::unique_ptr<machine_session> subject;
+
+    machine_session_fixture()
+    {
+        codec.wave_status = [](std::uint64_t wave, bool completed) -> row_write {
+            return {{"status", "", std::to_string(wave)}, completed ? "completed" : "running"};
+        };
+        rows.put(claim, "e1");
+        for (const std::string name : {"m1", "m2"}) {
+            const instance_id worker("w-" + name);
+            machines.listed.machines.push_back({.machine = name, .pool = checks, .worker = worker});
+            scheduler.note_worker_listed({.id = worker,
+                                          .service = checks,
+                                          .address = name + ":80",
+                                          .machine = name,
+                                          .capacity = {.cpu_millis = 1000, .memory_mb = 1000}},
+                                         loop.now());
+            scheduler.note_report(worker, {.worker_clock = milliseconds(1)}, loop.now(),
+                                  loop.now());
+        }
+        begin_session();
+        tick_for(milliseconds(500));
+    }
+
+    void begin_session()
+    {
+        subject = std::make_unique<machine_session>(
+            loop, store, machines, codec, scheduler, lease, metrics,
+            machine_session_options{.claim = {claim, rows.version()},
+                                    .layout = std::make_shared<const shard_layout>()});
+        subject->set_pools({{.id = checks}});
+    }
+
+    void add_wave()
+    {
+        subject->add_wave(
+            {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(20), .max_down = 1},
+            loop.now());
+    }
+
+    void tick_for(milliseconds time)
+    {
+        constexpr milliseconds period{100};
+        for (milliseconds passed{0}; passed < time; passed += period) {
+            subject->tick(loop.now());
+            loop.run_for(period);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against LIMIT: a leader that was suspended while it waited for the store woke after its
+// lease, and ordered machines down beside those of its successor.
+TEST_CASE("no order for a machine is sent after the lease has expired")
+{
+    machine_session_fixture fixture;
+    fixture.add_wave();
+
+    SECTION("while the order was persisted")
+    {
+        fixture.subject->tick(fixture.loop.now());
+        REQUIRE(fixture.machines.ordered.empty());
+        fixture.suspended = seconds(40);
+        fixture.loop.run_for(seconds(1));
+        CHECK(fixture.machines.ordered.empty());
+
+        // Nobody has taken over, and the lease is renewed.
+        fixture.lease.extend(fixture.loop.now() + fixture.suspended + seconds(30));
+        fixture.tick_for(seconds(1));
+        CHECK(fixture.machines.ordered.size() == 1);
+    }
+    SECTION("the lease is still valid")
+    {
+        fixture.tick_for(milliseconds(500));
+        CHECK(fixture.machines.ordered.size() == 1);
+    }
+}
--- a/packages/fleet/tests/worker_poller_test.cpp
+++ b/packages/fleet/tests/worker_poller_test.cpp
@@ -52,7 +52,13 @@
     job::scheduler scheduler{{.predecessor_grace = milliseconds(0)}, time_point{}};
     metrics_registry metrics;
     std::size_t stale_tokens = 0;
-    worker_poller subject{loop, workers, scheduler, metrics, {}, [] {}, [this] { ++stale_tokens; }};
+    /// Time for which the process was suspended.
+    milliseconds suspended{0};
+    leader_lease lease{[this] { return loop.now() + suspended; },
+                       {.leader = "e1", .token = 7},
+                       loop.now() + seconds(3600)};
+    worker_poller subject{loop,    workers, scheduler, lease,
+                          metrics, {},      [] {},     [this] { ++stale_tokens; }};
 
     poller_fixture()
     {
@@ -170,3 +176,31 @@
     fixture.answer_poll(second_start);
     CHECK(fixture.worker().token_acknowledged);
 }
+
+// Guards against TWICE: a leader that was suspended extended leases of runs, or started tasks,
+// after its successor had taken over.
+TEST_CASE("nothing is sent to a worker after the lease has expired")
+{
+    poller_fixture fixture;
+    const job::run_name run = fixture.workers.starts[0].first.run;
+    fixture.workers.starts[0].second(job::order_answer::accepted);
+    fixture.answer_poll(first_start, {{.run = run, .percent = 100}});
+    auto spec = std::make_shared<job::job_spec>();
+    spec->steps.push_back({.count = 1, .need = {.cpu_millis = 100, .memory_mb = 1}});
+    fixture.scheduler.submit(job_id("k"), {.queue = "q", .spec = spec, .at = fixture.loop.now()});
+    fixture.suspended = seconds(7200);
+
+    // The poll that was due before.
+    fixture.loop.run_for(seconds(1));
+    CHECK(fixture.workers.polls.empty());
+    fixture.plan();
+    CHECK(fixture.workers.starts.size() == 1);
+
+    // Nobody has taken over, and the lease is renewed.
+    fixture.lease.extend(fixture.loop.now() + fixture.suspended + seconds(3600));
+    fixture.subject.refresh();
+    CHECK(fixture.workers.polls.size() == 1);
+    fixture.plan();
+    REQUIRE(fixture.workers.starts.size() == 2);
+    CHECK(fixture.workers.starts[1].first.run.task.job == job_id("k"));
+}
