fleet: Count machines that a predecessor may still take down

Such a machine now counts as down until the list of machines shows it so, or an order of this leader for it is answered, after which the platform refuses the earlier one, or 13 s have passed. It is the first to get an order, so that a wave with a small cap doesn't wait for that time. One for which the predecessor had persisted the answer counts no longer than it is left alone.

Without the count two tests fail, one of the planner and one of the session.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -63,6 +63,15 @@
     std::vector<machine_order> orders;
 };
 
+/// An order of a previous leader that may still be carried out.
+struct expected_order {
+    /// Until then the machine gets no order of this leader.
+    time_point blocked_until{};
+    /// Until then the order may be carried out, unless a later order for the machine is answered
+    /// first: the platform then refuses the earlier one.
+    time_point possible_until{};
+};
+
 /// The machines of one pool in the last round.
 struct pool_figures {
     /// Machines that the demand needs, and those that serve the pool or will after a planned move.
@@ -96,8 +105,12 @@
     /// lacks stay as they were.
     void note_machine_list(const std::vector<machine_info>& machines, time_point requested_at,
                            list_extent extent);
-    /// Gives no new orders for the machine until then, as a previous leader has recently given one.
-    void block(const std::string& machine, time_point until) { m_blocked[machine] = until; }
+    /// Records that a previous leader may have given an order for the machine, which then counts as
+    /// down for its waves, and is the first of those to be maintained.
+    void expect_order(const std::string& machine, expected_order order)
+    {
+        m_expected_orders[machine] = order;
+    }
     void note_worker(const job::worker_listing& listing);
     void note_wave(const wave_request& request, time_point first_seen,
                    const std::set<std::string>& started);
@@ -151,6 +164,9 @@
     };
 
     [[nodiscard]] bool is_standby(const service_id& pool) const;
+    /// Whether an order of a previous leader may still take the machine down for the wave.
+    [[nodiscard]] bool may_be_taken_down(const std::string& name, const wave_progress& wave,
+                                         time_point now) const;
     /// Whether the machine is up, has no planned order, isn't blocked and its worker stays.
     [[nodiscard]] bool is_free(const std::string& name, const machine_record& machine,
                                time_point now) const;
@@ -201,6 +217,9 @@
     /// The pools in the order in which they give machines away.
     std::vector<service_id> m_sources;
     std::map<std::string, machine_record> m_machines;
+    /// By machine.
+    std::map<std::string, expected_order> m_expected_orders;
+    /// Machines that the platform wouldn't move, and until when none is tried again.
     std::map<std::string, time_point> m_blocked;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -54,6 +54,9 @@
         machine.rack = entry.rack;
         machine.pool = entry.pool;
         machine.state = entry.state;
+        if (entry.state != machine_state::up) {
+            m_expected_orders.erase(entry.machine);
+        }
         if (entry.state == machine_state::up && entry.worker != machine.worker) {
             machine.worker = entry.worker;
             machine.awaited_since = requested_at;
@@ -140,6 +143,9 @@
     machine.changed = now;
     machine.awaited_since = now;
     machine.in_flight = false;
+    if (answer == machine_answer::accepted || answer == machine_answer::not_in_wave) {
+        m_expected_orders.erase(order.machine);
+    }
     switch (answer) {
     case machine_answer::accepted:
         if (order.action == machine_action::maintain) {
@@ -173,7 +179,7 @@
     case machine_answer::stale_token:
         if (order.action == machine_action::move) {
             // Another machine may be moved at once.
-            block(order.machine, now + refused_move_delay);
+            m_blocked[order.machine] = now + refused_move_delay;
         }
         machine.ordered = false;
         break;
@@ -229,12 +235,24 @@
     }
 }
 
+bool machine_planner::may_be_taken_down(const std::string& name, const wave_progress& wave,
+                                        time_point now) const
+{
+    const auto expected = m_expected_orders.find(name);
+    // An order that was answered takes effect at once, but a machine list may be older.
+    return expected != m_expected_orders.end() &&
+           now < (wave.started.contains(name) ? expected->second.blocked_until
+                                              : expected->second.possible_until);
+}
+
 bool machine_planner::is_free(const std::string& name, const machine_record& machine,
                               time_point now) const
 {
     const auto blocked = m_blocked.find(name);
+    const auto expected = m_expected_orders.find(name);
     return machine.state == machine_state::up && !machine.planned_order && !machine.leaving &&
-           (blocked == m_blocked.end() || now >= blocked->second);
+           (blocked == m_blocked.end() || now >= blocked->second) &&
+           (expected == m_expected_orders.end() || now >= expected->second.blocked_until);
 }
 
 void machine_planner::cordon(machine_record& machine, machine_order planned_order,
@@ -275,14 +293,20 @@
         const bool for_this = machine.planned_order &&
                               machine.planned_order->wave == wave.request.number &&
                               machine.planned_order->action == machine_action::maintain;
-        reserved += for_this || machine.state == machine_state::maintenance ? 1 : 0;
+        const bool counts = for_this || machine.state == machine_state::maintenance ||
+                            may_be_taken_down(name, wave, now);
+        reserved += counts ? 1 : 0;
         evacuating += for_this && machine.long_running ? 1 : 0;
         if (!wave.started.contains(name) && is_free(name, machine, now)) {
             waiting.push_back(name);
         }
     }
     std::sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) {
-        return m_machines[left].used < m_machines[right].used;
+        // The answer to an order of this leader shows that none of a previous one is outstanding.
+        const auto rank = [&](const std::string& name) {
+            return std::pair(!may_be_taken_down(name, wave, now), m_machines[name].used);
+        };
+        return rank(left) < rank(right);
     });
     const auto batches = (waiting.size() + wave.request.max_down - 1) /
                          std::max<std::uint32_t>(wave.request.max_down, 1);
@@ -292,7 +316,8 @@
                         m_options.maintenance_time * 2 * static_cast<std::int64_t>(batches);
     for (const std::string& name : waiting) {
         machine_record& machine = m_machines[name];
-        if (reserved >= wave.request.max_down) {
+        const bool is_counted = may_be_taken_down(name, wave, now);
+        if (!is_counted && reserved >= wave.request.max_down) {
             break;
         }
         // Machines with long-running tasks never become idle, so a quarter of the allowed number,
@@ -307,7 +332,7 @@
         cordon(machine,
                {.machine = name, .action = machine_action::maintain, .wave = wave.request.number},
                out);
-        ++reserved;
+        reserved += is_counted ? 0 : 1;
     }
 }
 
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -116,10 +116,12 @@
     const std::set<std::string> machines = parse_machines(row.value);
     if (row.at.key == recent_orders_key) {
         if (own) {
-            const time_point until = m_loop.now() + m_options.handover_delay;
+            const time_point now = m_loop.now();
+            const expected_order expected{.blocked_until = now + m_options.handover_delay,
+                                          .possible_until = now + max_order_delay};
             for (const std::string& machine : machines) {
-                m_planner.block(machine, until);
-                m_scheduler.expect_planned_end(machine, until);
+                m_planner.expect_order(machine, expected);
+                m_scheduler.expect_planned_end(machine, expected.blocked_until);
             }
         }
         return;
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -282,7 +282,8 @@
 {
     job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
     machine_planner planner({});
-    planner.block("m1", start + seconds(3));
+    planner.expect_order(
+        "m1", {.blocked_until = start + seconds(3), .possible_until = start + seconds(13)});
     planner.set_pools({{.id = checks}});
     planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
     planner.note_wave({.number = 1, .machines = {"m1"}, .deadline = seconds(20)}, start, {});
@@ -290,6 +291,65 @@
     CHECK(planner.plan(start + milliseconds(3000), scheduler).orders.size() == 1);
 }
 
+// Guards against LIMIT: an order whose answer was lost is carried out seconds later, beside those
+// of the next leader.
+TEST_CASE("a machine that a previous leader may still take down counts for its wave")
+{
+    job::scheduler scheduler =
+        scheduler_with({listing_of("m1", "w1"), at_address(listing_of("m2", "w2"), "10.0.0.2:80")});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    const std::vector listed{machine_up("m1", checks, "w1"), machine_up("m2", checks, "w2")};
+    planner.note_machine_list(listed, start, list_extent::complete);
+    planner.expect_order(
+        "m2", {.blocked_until = start + seconds(3), .possible_until = start + seconds(13)});
+    const auto add_wave = [&](const std::set<std::string>& started) {
+        planner.note_wave(
+            {.number = 1, .machines = {"m1", "m2"}, .deadline = seconds(60), .max_down = 1}, start,
+            started);
+    };
+    const auto orders_at = [&](milliseconds after) {
+        return machines_of(planner.plan(start + after, scheduler));
+    };
+
+    SECTION("it is the first to get an order, whose answer shows that none is outstanding")
+    {
+        add_wave({});
+        CHECK(orders_at(milliseconds(2900)).empty());
+        const auto own = planner.plan(start + seconds(3), scheduler);
+        REQUIRE(machines_of(own) == std::vector<std::string>{"m2"});
+        planner.note_answer(own.orders[0], machine_answer::accepted, start + seconds(3));
+        planner.note_worker(listing_of("m2", "w3"));
+        CHECK(orders_at(seconds(6)) == std::vector<std::string>{"m1"});
+    }
+    SECTION("it is busy: no other machine is taken down while the order may be carried out")
+    {
+        scheduler.note_worker_ended(instance_id("w2"), job::worker_end::other_address, start);
+        scheduler.note_worker_listed(at_address(listing_of("m2", "w2"), "10.0.0.2:80"), start);
+        add_wave({});
+        CHECK(orders_at(seconds(12)).empty());
+        CHECK(orders_at(seconds(13)) == std::vector<std::string>{"m1"});
+    }
+    SECTION("the list shows that the order has been carried out")
+    {
+        add_wave({});
+        auto down = listed;
+        down[1].state = machine_state::maintenance;
+        down[1].worker = instance_id();
+        planner.note_machine_list(down, start + seconds(1), list_extent::complete);
+        CHECK(orders_at(seconds(2)).empty());
+        down[1] = machine_up("m2", checks, "w3");
+        planner.note_machine_list(down, start + milliseconds(2500), list_extent::complete);
+        CHECK(orders_at(milliseconds(2600)) == std::vector<std::string>{"m1"});
+    }
+    SECTION("the previous leader had an answer: the order isn't outstanding for long")
+    {
+        add_wave({"m2"});
+        CHECK(orders_at(milliseconds(2900)).empty());
+        CHECK(orders_at(seconds(3)) == std::vector<std::string>{"m1"});
+    }
+}
+
 TEST_CASE("a machine whose worker hasn't answered the new leader gets no order")
 {
     // Tasks that the previous leader started may be running there.
--- a/packages/fleet/tests/machine_session_test.cpp
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -138,3 +138,18 @@
         CHECK(fixture.machines.ordered.size() == 1);
     }
 }
+
+// Guards against LIMIT: the machines that a predecessor had listed, and not ordered yet, didn't
+// count against the cap of the successor's wave.
+TEST_CASE("machines that a predecessor may order count as down for their waves")
+{
+    machine_session_fixture fixture;
+    fixture.rows.put({"waves", control_partition(0), "ordered"}, to_text(std::set<std::string>{"m2"}));
+    fixture.rows.put(fixture.claim, "e2");
+    fixture.begin_session();
+    fixture.add_wave();
+    fixture.tick_for(seconds(3));
+    CHECK(fixture.machines.ordered.empty());
+    fixture.tick_for(seconds(1));
+    CHECK(fixture.machines.ordered == std::vector<std::string>{"m2"});
+}
