fleet: Take a machine that stays up after its maintenance for up

Cause: the planner takes the worker for ended, and ignores each list that still shows it, so that the machine counts as down for good.

A list that was requested after the time that the order takes, and shows the machine as up with the same worker, now counts.

Without that the new test of the session fails.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -200,6 +200,10 @@
                                          double per_machine, time_point now);
     void order_idle_machines(time_point now, machine_orders& out);
     void cordon(machine_record& machine, machine_order planned_order, machine_orders& out);
+    /// Whether the entry, of a list that was requested then, shows the machine as up after the time
+    /// that the last order takes: one that was done before is accepted without any effect.
+    [[nodiscard]] bool was_done_before(const machine_record& machine, const machine_info& entry,
+                                       time_point requested_at) const;
     /// Forgets the order for a machine that is up, and uncordons its worker.
     void drop_planned_order(machine_record& machine);
     /// The least used machine that may leave the pool; empty if there is none.
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -47,10 +47,15 @@
     for (const machine_info& entry : machines) {
         listed.insert(entry.machine);
         machine_record& machine = m_machines[entry.machine];
-        if (machine.in_flight || machine.changed > requested_at ||
-            (!entry.worker.empty() && entry.worker == machine.ended_worker)) {
+        if (machine.in_flight || machine.changed > requested_at) {
             continue;
         }
+        if (!entry.worker.empty() && entry.worker == machine.ended_worker) {
+            if (!was_done_before(machine, entry, requested_at)) {
+                continue;
+            }
+            machine.ended_worker = instance_id();
+        }
         machine.rack = entry.rack;
         machine.pool = entry.pool;
         machine.state = entry.state;
@@ -87,6 +92,18 @@
     }
 }
 
+bool machine_planner::was_done_before(const machine_record& machine, const machine_info& entry,
+                                      time_point requested_at) const
+{
+    if (entry.state != machine_state::up || !machine.planned_order || !machine.ordered) {
+        return false;
+    }
+    const milliseconds duration = machine.planned_order->action == machine_action::maintain
+                                      ? m_options.maintenance_time
+                                      : m_options.move_time;
+    return requested_at > machine.changed + duration;
+}
+
 void machine_planner::note_worker(const job::worker_listing& listing)
 {
     const auto found = m_machines.find(listing.machine);
--- a/packages/fleet/tests/machine_session_test.cpp
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -153,3 +153,16 @@
     fixture.tick_for(seconds(1));
     CHECK(fixture.machines.ordered == std::vector<std::string>{"m2"});
 }
+
+// Guards against a wave that never goes on: maintenance that a predecessor had ordered was ordered
+// again, which is accepted without any effect, and the machine counted as down for good.
+TEST_CASE("a machine that stays up after its maintenance was accepted doesn't hold up its wave")
+{
+    machine_session_fixture fixture;
+    fixture.add_wave();
+    fixture.tick_for(seconds(1));
+    REQUIRE(fixture.machines.ordered.size() == 1);
+    // A maintenance takes 2 s.
+    fixture.tick_for(seconds(3));
+    CHECK(fixture.machines.ordered.size() == 2);
+}
