fleet: Don't take a row that can't be read for a removed one

A page of rows now says whether it is complete, and a partial read removes nothing. The new test of the watcher fails without it.

--- a/packages/fleet/include/plantaindoor/fleet/row_store.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/row_store.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "plantaindoor/common/enum_names.hpp"
+#include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 
 #include <array>
@@ -85,6 +86,9 @@
 /// Rows of one snapshot, in ascending order of their keys.
 struct row_page {
     std::vector<stored_row> rows;
+    /// Partial if rows were left out since they couldn't be read.
+    list_extent extent = list_extent::complete;
+    /// Further rows follow in the next page.
     bool more = false;
     /// The store's newest version at the time of the snapshot.
     row_version version = absent;
--- a/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/table_watcher.hpp
@@ -76,7 +76,8 @@
     void watch_for(milliseconds wait);
     void handle_changes(const row_watch_result& result);
     void schedule(milliseconds delay, void (table_watcher::*method)());
-    void report_removed_rows();
+    /// Reports the known rows that a full read of this extent lacks.
+    void report_removed_rows(list_extent extent);
 
     event_loop& m_loop;
     row_store& m_store;
@@ -99,6 +100,7 @@
     /// Versions of the rows passed on, so that a full read detects removed rows.
     std::map<row_address, row_version> m_known_rows;
     std::map<row_address, row_version> m_read_rows;
+    list_extent m_read_extent = list_extent::complete;
     std::size_t m_partitions_remaining = 0;
     /// Numbers the full reads and watch calls; answers to earlier ones are ignored.
     std::uint64_t m_attempt = 0;
--- a/packages/fleet/src/table_watcher.cpp
+++ b/packages/fleet/src/table_watcher.cpp
@@ -43,6 +43,7 @@
     ++m_attempt;
     note_sent();
     m_read_rows.clear();
+    m_read_extent = list_extent::complete;
     m_oldest_page_version = absent;
     m_partitions_remaining = m_options.partitions.size();
     for (std::size_t partition = 0; partition < m_options.partitions.size(); ++partition) {
@@ -116,12 +117,15 @@
             m_handlers.on_row(row);
         }
     }
+    if (page.extent == list_extent::partial) {
+        m_read_extent = list_extent::partial;
+    }
     if (page.more && !page.rows.empty()) {
         read_page(partition, page.rows.back().at.key + '\0');
         return;
     }
     if (--m_partitions_remaining == 0) {
-        report_removed_rows();
+        report_removed_rows(m_read_extent);
         m_version = m_oldest_page_version;
         m_complete = true;
         m_current_as_of = m_sent_at;
@@ -132,8 +136,12 @@
     }
 }
 
-void table_watcher::report_removed_rows()
+void table_watcher::report_removed_rows(list_extent extent)
 {
+    if (extent == list_extent::partial) {
+        store_log.warning(fmt::format("table {} has rows that can't be read", m_options.table));
+        return;
+    }
     std::vector<row_address> removed_rows;
     for (const auto& [at, version] : m_known_rows) {
         if (!m_read_rows.contains(at)) {
--- a/packages/fleet/tests/table_watcher_test.cpp
+++ b/packages/fleet/tests/table_watcher_test.cpp
@@ -96,6 +96,40 @@
     std::size_t m_reads = 0;
 };
 
+/// Loses its history once; the full read after that lacks the row.
+class rereading_store final : public row_store {
+public:
+    rereading_store(event_loop& loop, list_extent second) : m_loop(loop), m_second(second) {}
+
+    void commit(row_transaction, milliseconds, commit_callback) override {}
+
+    void read(row_query query, milliseconds, read_callback done) override
+    {
+        row_page page{.extent = m_reads == 0 ? list_extent::complete : m_second, .version = 9};
+        if (m_reads == 0) {
+            page.rows.push_back({.at = {query.table, query.partition, "row"}, .version = 8});
+        }
+        ++m_reads;
+        m_loop.call_after(latency, [page, done = std::move(done)] { done(page); });
+    }
+
+    void watch(const std::string&, row_version after, milliseconds wait,
+               row_watch_callback done) override
+    {
+        const bool lost = m_reads == 1;
+        m_loop.call_after(lost ? seconds(1) : wait + latency, [lost, after,
+                                                               done = std::move(done)] {
+            done({.outcome = lost ? row_watch_outcome::history_lost : row_watch_outcome::changed,
+                  .version = after});
+        });
+    }
+
+private:
+    event_loop& m_loop;
+    list_extent m_second;
+    std::size_t m_reads = 0;
+};
+
 struct watched_table {
     explicit watched_table(double failed_share)
         : store(loop, failed_share),
@@ -161,3 +195,24 @@
     loop.run_for(seconds(1));
     CHECK(loop.now() - watcher.current_as_of() <= milliseconds(1000) + 2 * latency);
 }
+
+// Guards against workers and jobs that seem to be removed as their rows couldn't be read once.
+TEST_CASE("only a complete read shows that a row was removed")
+{
+    const auto removed_by = [](list_extent second) {
+        fakes::virtual_loop loop;
+        rereading_store store(loop, second);
+        std::size_t removed = 0;
+        table_watcher watcher(
+            loop, store, {.table = "t", .wait = milliseconds(1000)},
+            {.on_row = [&](const stored_row& row) { removed += row.removed ? 1 : 0; },
+             .on_complete = [] {},
+             .on_response = [] {},
+             .on_failure = [] {}});
+        loop.run_for(seconds(4));
+        CHECK(watcher.is_complete());
+        return removed;
+    };
+    CHECK(removed_by(list_extent::complete) == 1);
+    CHECK(removed_by(list_extent::partial) == 0);
+}
