job: Restart a long-running task that this leader has seen run

A task whose run this leader has been told of as running has no other run: a predecessor starts the next one only after this one, and not after its lease.

The doubt about a job now spares such tasks of its long-running steps. A task of which only an end is known stays in doubt, as that end may be an old one.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -77,6 +77,8 @@
     /// nullopt while it runs or while its step is blocked.
     std::optional<time_point> waiting_since;
     bool wait_reported = false;
+    /// Whether this process has known a run of the task: a predecessor has no other one then.
+    bool run_known = false;
 
     /// All crashes that the task hasn't outlived, whatever the blame.
     [[nodiscard]] std::size_t crash_count() const noexcept
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -286,6 +286,9 @@
         bool above_share = false;
         /// Its long-running tasks are placed before all others.
         bool long_running_first = false;
+        /// A predecessor's runs of it may exist that aren't known to this process: only the
+        /// long-running tasks are placed of which a run has been known.
+        bool in_doubt = false;
     };
 
     job_record* find_job(const job_id& id);
@@ -406,6 +409,7 @@
     /// Lets knowledge fade and marks the workers that begin or cease to count as slow.
     void refresh_learned(time_point now);
     void place_all(time_point now);
+    /// Returns the open jobs of which any task may be placed, in the order of their placement.
     [[nodiscard]] std::vector<candidate> ranked_jobs(time_point now);
     /// Marks the jobs that their workspaces submitted beyond their rates since the last call.
     void judge_submissions(time_point now);
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -205,7 +205,7 @@
     }
     for (const candidate& each : ranked) {
         const job_record& job = *each.job;
-        if (!m_suspect_jobs.contains(job.id())) {
+        if (each.in_doubt || !m_suspect_jobs.contains(job.id())) {
             continue;
         }
         if (has_waiting_suspect(job)) {
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -120,7 +120,9 @@
         }
         for (const task_name& name : each.job->waiting_tasks()) {
             const task_record& task = *each.job->find(name);
-            if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated()) {
+            const bool may_run_elsewhere = each.in_doubt && !task.run_known;
+            if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated() &&
+                !may_run_elsewhere) {
                 waiting.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
             }
         }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -91,14 +91,16 @@
         if (job.is_long_running()) {
             job.note_waiting(now);
         }
-        if (in_doubt(job, now)) {
+        const bool doubtful = in_doubt(job, now);
+        const tier job_tier = tier_of(job, now);
+        if (doubtful && job_tier != long_running_tier) {
             continue;
         }
-        const tier job_tier = tier_of(job, now);
         all.push_back({.job = &job,
                        .tier = job_tier,
                        .objective = job.objective(),
-                       .long_running_first = job_tier == long_running_tier});
+                       .long_running_first = job_tier == long_running_tier,
+                       .in_doubt = doubtful});
     }
     std::sort(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
         const auto rank = [](const candidate& each) {
@@ -140,7 +142,7 @@
 void scheduler::place_job(const candidate& ranked, time_point now)
 {
     job_record& job = *ranked.job;
-    if (!m_candidates.contains(job.queue().service)) {
+    if (ranked.in_doubt || !m_candidates.contains(job.queue().service)) {
         return;
     }
     for (auto& [number, occurrence] : job.occurrences()) {
--- a/packages/job/src/scheduler_waits.cpp
+++ b/packages/job/src/scheduler_waits.cpp
@@ -62,7 +62,8 @@
         return spec.max_per_worker > 0 && count != siblings.end() &&
                count->second >= spec.max_per_worker;
     };
-    placement_obstacles found{.in_doubt = in_doubt(job, now)};
+    const auto& task = job.occurrences().at(name.occurrence).steps[name.step].tasks[name.index];
+    placement_obstacles found{.in_doubt = !task.run_known && in_doubt(job, now)};
     for (const auto& [id, worker] : m_workers) {
         if (!worker.listed || worker.listing.service != job.queue().service) {
             continue;
