job: Start a suspect again only once its crash is durable

Cause: only from the second crash on, and only for isolated starts, did a further one wait until they were durable.

Now every start of a task under which a worker has crashed waits for that, so that a leader can lose one crash of a task, and not two. It waits only for the crashes: a job whose other tasks keep ending is never durable as a whole.

The three new tests failed without it. Tests that start a task again after a crash now persist before; one that kept the store away from the beginning now does so before the second crash, as the first one has to be durable, too.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -355,6 +355,13 @@
     [[nodiscard]] std::vector<crash_suspect> crash_suspects(worker_record& worker);
     /// Records a crash for each suspect, and fails the jobs of tasks that are to blame.
     void note_crash(const std::vector<crash_suspect>& suspects);
+    /// Whether a crash under the task isn't durable yet: a successor must know of it before the
+    /// task can cause a further one. What else of its job isn't durable doesn't matter.
+    [[nodiscard]] bool awaits_durable_crash(const job_record& job, const task_record& task) const
+    {
+        return task.crash_count() > 0 &&
+               (m_new_crashes.contains(job.id()) || m_persisting_crashes.contains(job.id()));
+    }
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Forgets the end of an incarnation that has answered a request sent after it.
@@ -555,6 +562,9 @@
     std::set<instance_id> m_stopping;
     std::set<job_id> m_dirty;
     std::set<job_id> m_persisting;
+    /// Jobs with crashes that were noted since begin_persist(), and those that it returned last.
+    std::set<job_id> m_new_crashes;
+    std::set<job_id> m_persisting_crashes;
     std::map<instance_id, std::uint64_t> m_persisting_sequences;
     orders m_orders;
     std::vector<decision> m_decisions;
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -72,6 +72,7 @@
         if (m_isolation.is_explained(each.crash.worker)) {
             if (job->note_explained_crash(name)) {
                 mark_dirty(name.job);
+                m_new_crashes.insert(name.job);
                 m_suspect_jobs.insert(name.job);
             }
             continue;
@@ -80,6 +81,7 @@
             continue;
         }
         mark_dirty(name.job);
+        m_new_crashes.insert(name.job);
         const std::vector<task_crash>& crashes = job->find(name)->crashes;
         note_decision(*job, {.kind = decision_kind::crash_noted,
                              .run = each.run,
@@ -251,8 +253,7 @@
         if (!cap_allows(job, occurrence, step, 1)) {
             return;
         }
-        // A successor must know of earlier crashes before the task can cause a further one.
-        if (task.crash_count() >= 2 && !is_durable(job.id())) {
+        if (awaits_durable_crash(job, task)) {
             m_isolation.note_not_durable(suspect);
             continue;
         }
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -377,6 +377,7 @@
 std::vector<job_id> scheduler::begin_persist()
 {
     m_persisting.swap(m_dirty);
+    m_persisting_crashes.swap(m_new_crashes);
     m_persisting_sequences.clear();
     for (const auto& [id, worker] : m_workers) {
         if (worker.committed_sequence < worker.applied_sequence) {
@@ -389,6 +390,7 @@
 void scheduler::note_persisted()
 {
     m_persisting.clear();
+    m_persisting_crashes.clear();
     for (const auto& [id, sequence] : m_persisting_sequences) {
         if (const auto worker = m_workers.find(id); worker != m_workers.end()) {
             worker->second.committed_sequence =
@@ -401,6 +403,8 @@
 {
     m_dirty.merge(m_persisting);
     m_persisting.clear();
+    m_new_crashes.merge(m_persisting_crashes);
+    m_persisting_crashes.clear();
 }
 
 std::size_t scheduler::pending(const std::string& queue) const
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -122,7 +122,7 @@
             const task_record& task = *each.job->find(name);
             const bool may_run_elsewhere = each.in_doubt && !task.run_known;
             if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated() &&
-                !may_run_elsewhere) {
+                !may_run_elsewhere && !awaits_durable_crash(*each.job, task)) {
                 waiting.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
             }
         }
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -167,7 +167,7 @@
     auto& tasks = job.occurrences().at(occurrence).steps[step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         task_record& task = tasks[index];
-        if (!task.is_waiting() || task.must_be_isolated()) {
+        if (!task.is_waiting() || task.must_be_isolated() || awaits_durable_crash(job, task)) {
             continue;
         }
         if (!cap_allows(job, occurrence, step, 1)) {
@@ -192,8 +192,9 @@
 {
     occurrence_record& current = job.occurrences().at(occurrence);
     auto& tasks = current.steps[step].tasks;
-    const bool all_waiting = std::all_of(tasks.begin(), tasks.end(),
-                                         [](const task_record& task) { return task.is_waiting(); });
+    const bool all_waiting = std::all_of(tasks.begin(), tasks.end(), [&](const task_record& task) {
+        return task.is_waiting() && !awaits_durable_crash(job, task);
+    });
     if (!all_waiting ||
         !cap_allows(job, occurrence, step, static_cast<std::uint32_t>(tasks.size()))) {
         return;
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -63,6 +63,77 @@
     CHECK(fixture.subject->find(bad)->status().failure == failure_reason::crashed_workers);
 }
 
+// Guards against BUDGET: the writes of two leaders in succession were lost, and each had started
+// the task twice before it waited for them.
+TEST_CASE("a task under which a worker has crashed starts again only once that is durable")
+{
+    crash_pool pool(6);
+    const bool culprit = GENERATE(true, false);
+    const job_id suspect = pool.submit("suspect", tasks(1, 300), std::nullopt, culprit);
+    pool.store_answers = false;
+    pool.step();
+    if (!culprit) {
+        // Long after its start, so that it isn't isolated.
+        pool.run_for(milliseconds(300));
+        pool.crash_all();
+    }
+    pool.run_for(seconds(4));
+    CHECK(pool.starts[{suspect, 0, 0, 0}] == 1);
+
+    pool.store_answers = true;
+    pool.run_for(seconds(4));
+    CHECK(pool.state(suspect) == (culprit ? job_state::failed : job_state::completed));
+    CHECK(pool.starts[{suspect, 0, 0, 0}] == 2);
+}
+
+TEST_CASE("a leader none of whose writes are durable starts a task that crashes workers once")
+{
+    crash_pool pool(6);
+    pool.store_answers = false;
+    const task_name culprit{job_id("bad"), 0, 0, 0};
+    for (std::uint32_t leader = 1; leader <= 3; ++leader) {
+        pool.submit("bad", tasks(1, 300), std::nullopt, true);
+        pool.run_for(seconds(4));
+        CHECK(pool.starts[culprit] == leader);
+        pool.begin_leader();
+        for (const auto& [machine, worker] : pool.workers) {
+            pool.subject->note_worker_listed(crash_pool::listing(machine, worker), pool.now);
+            pool.report(worker);
+        }
+    }
+}
+
+// Guards against a task that waits as long as the other tasks of its job keep ending.
+TEST_CASE("only the crashes of a task have to be durable before it starts again")
+{
+    crash_pool pool(2);
+    pool.store_answers = false;
+    const job_id job = pool.submit("j", tasks(3, 300), seconds(60));
+    pool.plan();
+    const instance_id first = pool.subject->workers().begin()->first;
+    REQUIRE(pool.running[first].size() == 3);
+    const auto ended = pool.running[first].back().run.run;
+    pool.running[first].pop_back();
+    const auto crashed = std::find_if(pool.workers.begin(), pool.workers.end(),
+                                      [&](const auto& each) { return each.second == first; });
+    pool.now += milliseconds(500);
+    pool.subject->note_report(
+        first,
+        {.worker_clock = milliseconds(1500),
+         .running = {pool.running[first][0].run, pool.running[first][1].run},
+         .ended = {{{.sequence = 1, .run = ended, .end_reason = run_end_reason::done}}}},
+        pool.now, pool.now);
+    pool.crash(crashed->first);
+    static_cast<void>(pool.subject->begin_persist());
+    pool.plan();
+    CHECK(pool.starts[{job, 0, 0, 0}] == 1);
+    // The job changes again meanwhile.
+    pool.subject->note_worker_listed(crash_pool::listing("m9", instance_id("w9")), pool.now);
+    pool.subject->note_persisted();
+    pool.plan();
+    CHECK(pool.starts[{job, 0, 0, 0}] == 2);
+}
+
 // Guards against a rule for crashes that gives up sound work: workers that crash by themselves.
 TEST_CASE("plain crashes fail no job, one worker, a rack or all of them at a time")
 {
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -113,7 +113,6 @@
 TEST_CASE("a suspect that waits is reported once for each wait, with its position")
 {
     crash_pool pool(8);
-    pool.store_answers = false;
     const job_id suspect = pool.submit("suspect", tasks(1, 300), milliseconds(800));
     const job_id other = pool.submit("other", tasks(1, 300), milliseconds(800));
     const auto& task = pool.subject->find(suspect)->occurrences().at(0).steps[0].tasks[0];
@@ -124,10 +123,11 @@
         pool.step();
     }
     pool.run_for(milliseconds(300));
+    // The store is unavailable, so that a task with a further crash must not start.
+    pool.store_answers = false;
     pool.crash_all();
     REQUIRE(task.crashes.size() == 2);
     pool.decisions.clear();
-    // The store is unavailable, so that a task with two crashes must not start.
     pool.run_for(seconds(5));
     const auto position = pool.subject->isolation_position(suspect);
     REQUIRE(position);
--- a/packages/job/tests/ended_list_test.cpp
+++ b/packages/job/tests/ended_list_test.cpp
@@ -76,6 +76,7 @@
     {
         fixture.add_worker();
         fixture.subject.note_worker_ended(w1, worker_end::machine_down, fixture.now);
+        fixture.persist();
         CHECK(fixture.plan().starts.size() == 2);
     }
 }
@@ -108,6 +109,7 @@
         worker_report report = report_of_ends(std::move(ended), extent, 2);
         report.started_at = second_start;
         fixture.report(w1, report);
+        fixture.persist();
         return fixture.plan().starts.size();
     };
     CHECK(report_at(list_extent::partial, {}) == 0);
--- a/packages/job/tests/incarnation_test.cpp
+++ b/packages/job/tests/incarnation_test.cpp
@@ -33,6 +33,7 @@
     CHECK(std::count_if(decisions.begin(), decisions.end(), [](const decision& each) {
               return each.kind == decision_kind::crash_noted;
           }) == 2);
+    fixture.persist();
     const auto again = fixture.start_tasks();
     REQUIRE(again.size() == 2);
     CHECK(again[0].run.attempt == 2);
@@ -237,6 +238,8 @@
     const auto restart = [&](std::vector<run_name> running, std::vector<ended_run> ended) {
         fixture.report(order.worker, report_of(second_start, milliseconds(50), std::move(running),
                                                std::move(ended)));
+        // A task whose worker has crashed starts again only once that is durable.
+        fixture.persist();
     };
 
     SECTION("it is running there")
@@ -320,6 +323,7 @@
         w1, report_of(first_start, seconds(100), {starts[1].run},
                       {{.sequence = 1, .run = starts[0].run, .end_reason = run_end_reason::done}}));
     fixture.report(w1, report_of(second_start, milliseconds(50)));
+    fixture.persist();
     const auto again = fixture.start_tasks();
     REQUIRE(again.size() == 1);
     CHECK(again[0].run.task == starts[1].run.task);
