--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -85,12 +85,11 @@
     {
         return crashes.size() + explained_crashes;
     }
-    /// Whether the task crashes its workers. Explained crashes count only towards
-    /// max_explained_crashes: two culprits that crash workers together explain the crashes of each
-    /// other.
-    [[nodiscard]] bool is_blamed() const noexcept
+    /// Whether the task crashes its workers. Explained crashes count only towards `most_crashes`:
+    /// two culprits that crash workers together explain the crashes of each other.
+    [[nodiscard]] bool is_blamed(std::size_t most_crashes) const noexcept
     {
-        return is_to_blame(crashes) || crash_count() >= max_explained_crashes;
+        return is_to_blame(crashes) || crash_count() >= most_crashes;
     }
     /// Whether a crash of the next run may be the last one before the task is given up.
     [[nodiscard]] bool is_on_last_start() const noexcept
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -362,6 +362,8 @@
         return task.crash_count() > 0 &&
                (m_new_crashes.contains(job.id()) || m_persisting_crashes.contains(job.id()));
     }
+    /// After how many crashes a task of the job is given up, also if others explain them.
+    [[nodiscard]] std::size_t most_crashes_of(const job_record& job) const;
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
     /// Forgets the end of an incarnation that has answered a request sent after it.
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -95,12 +95,18 @@
             continue;
         }
         const task_record* const task = job->find(each.run.task);
-        if (task != nullptr && task->is_blamed()) {
+        if (task != nullptr && task->is_blamed(most_crashes_of(*job))) {
             fail_crashing_task(*job, each.run.task);
         }
     }
 }
 
+std::size_t scheduler::most_crashes_of(const job_record& job) const
+{
+    // A predecessor may have ended before it could persist a first crash.
+    return m_inherited.contains(job.id()) ? max_crashes : max_explained_crashes;
+}
+
 void scheduler::fail_crashing_task(job_record& job, const task_name& name)
 {
     std::vector<instance_id> crashes;
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -218,6 +218,31 @@
     CHECK(pool.state(id) == job_state::completed);
 }
 
+// Guards against BUDGET: a first crash that the predecessor couldn't persist came on top of those
+// that a successor tolerates.
+TEST_CASE(
+    "an inherited task is given up after four crashes that are known, also if others explain them")
+{
+    const bool inherited = GENERATE(true, false);
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), std::nullopt, true);
+    const std::string progress =
+        R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","explained":{"0":3}}]}})";
+    pool.begin_leader();
+    pool.subject->submit(
+        id, {.queue = "q", .spec = pool.jobs.at(id).spec, .at = pool.now, .inherited = inherited});
+    pool.subject->restore(id, progress);
+    for (const auto& [machine, worker] : pool.workers) {
+        pool.subject->note_worker_listed(crash_pool::listing(machine, worker), pool.now);
+        pool.report(worker);
+    }
+    const auto& task = pool.subject->find(id)->occurrences().at(0).steps[0].tasks[0];
+    while (task.crash_count() < 4 && !is_terminal(pool.state(id))) {
+        pool.step();
+    }
+    CHECK(is_terminal(pool.state(id)) == inherited);
+}
+
 // Guards against a culprit that is started without end while other culprits explain its crashes.
 TEST_CASE("a task is given up after five crashes, also if others explain them")
 {
