bench: Give the simulated report its list of ends as such

The linter objected to elided braces where the list of ends became a type of its own, and the formatter to one line of a test. Behaviour is unchanged.

--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -221,7 +221,7 @@
                                         .end_reason = run_end_reason::done});
                 return true;
             });
-            worker_report report{.worker_clock = milliseconds(1), .ended = worker.ended};
+            worker_report report{.worker_clock = milliseconds(1), .ended = {worker.ended}};
             for (const simulated_run& each : worker.running) {
                 report.running.push_back({.run = each.run, .percent = 100});
             }
--- a/packages/fleet/tests/machine_session_test.cpp
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -144,7 +144,8 @@
 TEST_CASE("machines that a predecessor may order count as down for their waves")
 {
     machine_session_fixture fixture;
-    fixture.rows.put({"waves", control_partition(0), "ordered"}, to_text(std::set<std::string>{"m2"}));
+    fixture.rows.put({"waves", control_partition(0), "ordered"},
+                     to_text(std::set<std::string>{"m2"}));
     fixture.rows.put(fixture.claim, "e2");
     fixture.begin_session();
     fixture.add_wave();
