fleet: Keep a wave's cap for machines that a predecessor may take down

Cause: such machines counted already, so that an order for one of them added nothing, and all of them got one at once. A predecessor lists moves as well as maintenance, so there may be more of them than the cap.

An order for such a machine now takes a place of the cap, and only their being expected doesn't keep them from getting one.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -299,6 +299,7 @@
                                        machine_orders& out)
 {
     std::uint32_t reserved = 0;
+    std::uint32_t expected = 0;
     std::uint32_t evacuating = 0;
     std::vector<std::string> waiting;
     for (const std::string& name : wave.request.machines) {
@@ -310,9 +311,9 @@
         const bool for_this = machine.planned_order &&
                               machine.planned_order->wave == wave.request.number &&
                               machine.planned_order->action == machine_action::maintain;
-        const bool counts = for_this || machine.state == machine_state::maintenance ||
-                            may_be_taken_down(name, wave, now);
-        reserved += counts ? 1 : 0;
+        const bool is_reserved = for_this || machine.state == machine_state::maintenance;
+        reserved += is_reserved ? 1 : 0;
+        expected += !is_reserved && may_be_taken_down(name, wave, now) ? 1 : 0;
         evacuating += for_this && machine.long_running ? 1 : 0;
         if (!wave.started.contains(name) && is_free(name, machine, now)) {
             waiting.push_back(name);
@@ -333,8 +334,8 @@
                         m_options.maintenance_time * 2 * static_cast<std::int64_t>(batches);
     for (const std::string& name : waiting) {
         machine_record& machine = m_machines[name];
-        const bool is_counted = may_be_taken_down(name, wave, now);
-        if (!is_counted && reserved >= wave.request.max_down) {
+        const bool is_expected = may_be_taken_down(name, wave, now);
+        if (reserved + (is_expected ? 0 : expected) >= wave.request.max_down) {
             break;
         }
         // Machines with long-running tasks never become idle, so a quarter of the allowed number,
@@ -349,7 +350,8 @@
         cordon(machine,
                {.machine = name, .action = machine_action::maintain, .wave = wave.request.number},
                out);
-        reserved += is_counted ? 0 : 1;
+        ++reserved;
+        expected -= is_expected ? 1 : 0;
     }
 }
 
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -322,6 +322,14 @@
         planner.note_worker(listing_of("m2", "w3"));
         CHECK(orders_at(seconds(6)) == std::vector<std::string>{"m1"});
     }
+    SECTION("several of them get no more orders than the wave allows")
+    {
+        planner.expect_order(
+            "m1", {.blocked_until = start + seconds(3), .possible_until = start + seconds(13)});
+        add_wave({});
+        CHECK(orders_at(seconds(3)).size() == 1);
+        CHECK(orders_at(seconds(4)).empty());
+    }
     SECTION("it is busy: no other machine is taken down while the order may be carried out")
     {
         scheduler.note_worker_ended(instance_id("w2"), job::worker_end::other_address, start);
