job: Log runs of long-running tasks that a new leader finds

An operator who asked how long a long-running task had been without a run found the end of its last run at one leader and nothing after that: the next leader took over the run that its predecessor had started just before it ended, and logged nothing. Such a wait looked as if it had no end.

--- a/packages/fleet/src/decision_log.cpp
+++ b/packages/fleet/src/decision_log.cpp
@@ -54,6 +54,9 @@
         return fmt::format("{} attempt {} started again on {} after {} ms",
                            to_string(made.run.task), made.run.attempt, made.worker.str(),
                            made.waited.count());
+    case job::decision_kind::task_adopted:
+        return fmt::format("{} attempt {} found running on {}", to_string(made.run.task),
+                           made.run.attempt, made.worker.str());
     case job::decision_kind::worker_slow:
     case job::decision_kind::interference:
         break; // These concern no job.
--- a/packages/job/include/plantaindoor/job/decision.hpp
+++ b/packages/job/include/plantaindoor/job/decision.hpp
@@ -27,6 +27,7 @@
     isolation_awaited, ///< a suspected task has waited for some time to be started in isolation
     task_waits,        ///< a long-running task has waited for some time for a worker
     task_restarted,    ///< a long-running task has been started again
+    task_adopted,      ///< a worker has reported a run of a long-running task that is new here
     worker_slow,       ///< a worker begins or ceases to count as slow; concerns no job
     interference,      ///< a pair of kinds begins or ceases to count; concerns no job
 };
@@ -82,7 +83,7 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 10> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 11> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
@@ -91,6 +92,7 @@
         {job::decision_kind::isolation_awaited, "isolation-awaited"},
         {job::decision_kind::task_waits, "task-waits"},
         {job::decision_kind::task_restarted, "task-restarted"},
+        {job::decision_kind::task_adopted, "task-adopted"},
         {job::decision_kind::worker_slow, "worker-slow"},
         {job::decision_kind::interference, "interference"},
     }};
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -270,6 +270,11 @@
     worker.runs.emplace(reported.run, std::move(run));
     task.last_attempt = std::max(task.last_attempt, reported.run.attempt);
     job.note_started(reported.run.task, {worker.listing.id, reported.run.attempt});
+    if (job.spec().steps[reported.run.task.step].long_running) {
+        note_decision(job, {.kind = decision_kind::task_adopted,
+                            .run = reported.run,
+                            .worker = worker.listing.id});
+    }
     // The bound must cover the adopted run's lease as it does those of runs started by this
     // process.
     worker.lease_bound = std::max(worker.lease_bound, now + with_margins(m_options.lease));
--- a/packages/job/tests/long_running_report_test.cpp
+++ b/packages/job/tests/long_running_report_test.cpp
@@ -48,3 +48,25 @@
     static_cast<void>(fixture.plan());
     CHECK(waits_reported().empty());
 }
+
+// Guards against a wait that seems to have no end in the logs, as a new leader has found the run
+// that its predecessor started.
+TEST_CASE("a run of a long-running task that a worker reports is told to operators")
+{
+    incarnation_fixture fixture;
+    const bool long_running = GENERATE(true, false);
+    const job_id id = fixture.submit(
+        "j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = long_running});
+    fixture.report(w1, report_of(first_start, seconds(200), {{{id, 0, 0, 0}, 7}}));
+    std::vector<decision> adopted;
+    for (const decision& each : fixture.subject.take_decisions()) {
+        if (each.kind == decision_kind::task_adopted) {
+            adopted.push_back(each);
+        }
+    }
+    REQUIRE(adopted.size() == (long_running ? 1 : 0));
+    if (long_running) {
+        CHECK(adopted[0].run == run_name{{id, 0, 0, 0}, 7});
+        CHECK(adopted[0].worker == w1);
+    }
+}
