job: Ask for a machine for an inherited task that has no other run

A long-running task whose worker left shortly after a change of the leader could stay without a run for up to 8 s where its pool had no room for it: the new leader knew that the task had no other run, and would have started it at once, but asked for no machine as long as any worker of the service that its predecessor may have used didn't answer.

Cause: loads() left out all long-running steps of jobs in doubt, though placement leaves out only their tasks of which no run has been known.

The new test in inherited_task_test.cpp fails without the change (0 missing workers instead of 1). Tasks that may run on a silent worker still ask for nothing.

--- a/packages/job/include/plantaindoor/job/missing_workers.hpp
+++ b/packages/job/include/plantaindoor/job/missing_workers.hpp
@@ -22,8 +22,9 @@
     {
     }
 
-    /// Places the waiting tasks of a step.
-    void add(const job_record& job, const occurrence_record& occurrence, std::uint32_t step);
+    /// Places `waiting` of the waiting tasks of a step.
+    void add(const job_record& job, const occurrence_record& occurrence, std::uint32_t step,
+             std::uint32_t waiting);
     [[nodiscard]] std::uint32_t of(const service_id& service) const;
     /// Present workers of a service with waiting tasks that run long-running tasks or on which
     /// waiting ones were placed.
--- a/packages/job/src/missing_workers.cpp
+++ b/packages/job/src/missing_workers.cpp
@@ -36,7 +36,7 @@
 }
 
 void missing_workers::add(const job_record& job, const occurrence_record& occurrence,
-                          std::uint32_t step)
+                          std::uint32_t step, std::uint32_t waiting)
 {
     const step_spec& spec = job.spec().steps[step];
     // Which machines have a label isn't known before they have a worker.
@@ -48,7 +48,6 @@
     }
     const resources need = spec.footprint();
     const auto runs = occurrence.steps[step].runs_by_worker();
-    std::uint32_t waiting = occurrence.steps[step].waiting;
     const auto fill = [&](place& at) {
         std::uint32_t limit = waiting;
         if (spec.max_per_worker > 0) {
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -6,6 +6,18 @@
 
 namespace plantaindoor::job {
 
+namespace {
+
+/// Tasks that wait and have no other run, whatever a predecessor has started.
+std::uint32_t waiting_with_known_run(const step_record& step)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(step.tasks.begin(), step.tasks.end(),
+                      [](const task_record& task) { return task.is_waiting() && task.run_known; }));
+}
+
+} // namespace
+
 std::map<service_id, std::vector<resources>> scheduler::lasting_room() const
 {
     std::map<service_id, std::vector<resources>> rooms;
@@ -64,11 +76,13 @@
                     const std::uint32_t limit = spec.max_per_worker;
                     load.min_workers = std::max(load.min_workers,
                                                 limit == 0 ? 1 : (spec.count + limit - 1) / limit);
-                    if (record.waiting > 0 && !waits_for_predecessor &&
+                    const std::uint32_t startable =
+                        waits_for_predecessor ? waiting_with_known_run(record) : record.waiting;
+                    if (startable > 0 &&
                         !m_waiting_at_cap.contains(
                             {id, number, static_cast<std::uint32_t>(step), 0}) &&
                         job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
-                        missing.add(job, occurrence, static_cast<std::uint32_t>(step));
+                        missing.add(job, occurrence, static_cast<std::uint32_t>(step), startable);
                     }
                     continue;
                 }
--- a/packages/job/tests/inherited_task_test.cpp
+++ b/packages/job/tests/inherited_task_test.cpp
@@ -90,6 +90,27 @@
     CHECK(later[0].run.task.index == 1);
 }
 
+// Guards against a long-running task that waits for a machine until all leases of a predecessor
+// have expired: none was asked for while another worker of its service didn't answer.
+TEST_CASE("a long-running task that a new leader has seen run is given another machine at once")
+{
+    inherited_fixture fixture(true);
+    CHECK(fixture.plan().empty());
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 0);
+    for (const instance_id& each : {w1, w2}) {
+        fixture.subject.note_worker_listed({.id = each,
+                                            .service = checks,
+                                            .address = each.str() + ":80",
+                                            .capacity = {.cpu_millis = 4000, .memory_mb = 4000},
+                                            .draining = true},
+                                           fixture.now);
+    }
+    fixture.end_first(run_end_reason::stopped);
+    CHECK(fixture.plan().empty());
+    // The second task may run on the worker that doesn't answer.
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
+}
+
 // Guards against TWICE: the end of a run that the new leader hasn't seen running may be an old one.
 TEST_CASE("a long-running task of which a new leader has seen only an end is not restarted at once")
 {
