job: Keep a long-running task on a worker that leaves until it has a place

A long-running task was stopped as soon as its worker announced that it leaves, also where no other worker had room for it.

Such a task now runs on until another worker has room, which is kept for it between the stop and the start, or until the announced time ends. That time is read from the worker's row and its report (remainingMs), which nothing read before; a worker that doesn't tell gets the time of one poll. Tasks that leave ask for machines as waiting ones do, and the reservations keep room for them, without stopping short runs for a task that still runs.

It is still one run at a time: the start follows the reported end of the stopped run.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -46,6 +46,15 @@
     return queues;
 }
 
+std::string describe_departure(const job::worker_listing& listing)
+{
+    if (!listing.draining) {
+        return {};
+    }
+    return listing.remaining ? fmt::format(", draining, {} ms left", listing.remaining->count())
+                             : std::string(", draining");
+}
+
 } // namespace
 
 leader_session::leader_session(const session_context& context, session_options options,
@@ -289,7 +298,7 @@
     }
     worker_log.info(fmt::format("worker {} listed at {} in {}{}, version {}", id.str(),
                                 listing->address, listing->service.str(),
-                                listing->draining ? ", draining" : "", row.version));
+                                describe_departure(*listing), row.version));
     m_workers_changed = true;
     m_machines->note_worker(*listing);
     m_scheduler.note_worker_listed(std::move(*listing), m_context.loop.now());
--- a/packages/fleet/tests/departing_pool.hpp
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -29,6 +29,8 @@
                   std::optional<milliseconds> run_time = std::nullopt);
     /// The worker announces that it leaves; it ends `drain_time` later, and its machine with it.
     void leave(const instance_id& worker);
+    /// Workers tell from now on how long they stay when they leave.
+    void announce_remaining() { m_announces_remaining = true; }
     /// From now on the worker that a machine gets by a move never answers.
     void lose_new_workers() { m_lose_new_workers = true; }
     /// The platform refuses to move the machine of this worker from now on.
@@ -88,6 +90,7 @@
     int m_next_machine = 0;
     int m_next_worker = 0;
     int m_ticks = 0;
+    bool m_announces_remaining = false;
     bool m_lose_new_workers = false;
     std::map<job::task_name, time_point> m_waiting;
     std::map<job_id, milliseconds> m_longest;
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -433,9 +433,20 @@
     /// Places the waiting long-running tasks, those first that have waited longest.
     void place_long_running(const std::vector<candidate>& ranked, time_point now);
     struct reservation_round;
+    /// A long-running task that waits, or has to move as its worker leaves.
+    struct unplaced_task;
+    [[nodiscard]] std::vector<unplaced_task>
+    unplaced_long_running(const std::vector<candidate>& ranked, time_point now);
+    /// Adds the tasks of the candidates that run on workers that leave.
+    void add_departing(const std::vector<candidate>& ranked, std::vector<unplaced_task>& unplaced,
+                       time_point now);
+    /// Keeps room on another worker for a task whose worker leaves, and stops it there.
+    void hand_over(const unplaced_task& leaving, worker_record& destination,
+                   reservation_round& round);
+    /// The tasks on workers that leave, by the first task of their step.
+    [[nodiscard]] std::map<task_name, std::uint32_t> departing_tasks() const;
     /// Reserves a worker for the task; returns whether any suits.
-    bool reserve_worker(reservation_round& round, const job_record& job, const task_name& name,
-                        time_point now);
+    bool reserve_worker(reservation_round& round, const unplaced_task& unplaced, time_point now);
     void place_job(const candidate& ranked, time_point now);
     void place_step(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
     void place_gang(job_record& job, std::uint32_t occurrence, std::uint32_t step, time_point now);
@@ -465,7 +476,8 @@
     /// Returns the started run, or nullptr if the worker's lease can't be extended.
     worker_run* order_start(job_record& job, const task_name& name, worker_record& worker,
                             std::uint32_t attempt, time_point now);
-    /// Requests the stop of long-running tasks on cordoned and draining workers.
+    /// Requests the stop of long-running tasks on cordoned workers, and of those that can't run on
+    /// until they have another place on workers that leave.
     void evacuate(time_point now);
     /// Whether enough other tasks of the step are running at full rate to stop this one.
     [[nodiscard]] bool may_evict(job_record& job, const task_name& name, time_point now);
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -7,6 +7,7 @@
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/task_name.hpp"
+#include "plantaindoor/policy/departure.hpp"
 #include "plantaindoor/policy/neighbours.hpp"
 #include "plantaindoor/policy/peer_pace.hpp"
 
@@ -33,6 +34,8 @@
     std::string machine;
     resources capacity;
     bool draining = false;
+    /// Shortest time that is left to a worker that drains; nullopt if the row doesn't tell.
+    std::optional<milliseconds> remaining;
     /// When this incarnation of the worker started: a worker may start again under its id. nullopt
     /// on a platform that doesn't tell.
     std::optional<wall_time> started_at;
@@ -74,6 +77,8 @@
     std::optional<wall_time> started_at;
     /// nullopt if the report doesn't tell.
     std::optional<resources> capacity;
+    /// As in worker_listing.
+    std::optional<milliseconds> remaining;
     std::vector<reported_run> running;
     ended_run_list ended;
 };
@@ -181,6 +186,8 @@
     /// The later incarnation is listed in another service, or the earlier one was draining: the end
     /// of the earlier one is not a crash.
     bool planned_restart = false;
+    /// Of a worker that drains, or whose report says that it leaves.
+    std::optional<policy::departure> departure;
     /// Awaits planned work: no new task is placed there, except a long-running one that fits on no
     /// usable worker.
     bool cordoned = false;
--- a/packages/job/src/scheduler_incarnations.cpp
+++ b/packages/job/src/scheduler_incarnations.cpp
@@ -71,6 +71,7 @@
     worker.token_acknowledged = false;
     worker.predecessor_runs_known = false;
     worker.reported_capacity.reset();
+    worker.departure.reset();
     worker.clock.reset();
     worker.applied_sequence = 0;
     worker.committed_sequence = 0;
@@ -92,6 +93,7 @@
         worker.token_acknowledged = false;
         worker.predecessor_runs_known = false;
         worker.clock.reset();
+        worker.departure.reset();
         worker.last_answer = now;
         worker.planned_restart = worker.planned_restart || worker.listing.draining ||
                                  worker.listing.service != listing.service;
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-struct waiting_task {
-    time_point since{};
-    job_record* job = nullptr;
-    task_name name;
-};
-
 policy::short_run short_run_of(const worker_run& run, const worker_record& worker,
                                const step_spec* spec, time_point now)
 {
@@ -106,14 +100,29 @@
         return eligible;
     }
 
+    /// Of a run that is only planned.
+    static constexpr std::uint32_t no_attempt = 0;
+
     /// By the first task.
     std::map<task_name, step_state> steps;
+    /// Tasks that leave their workers, and where room is kept for them.
+    std::vector<std::pair<task_record*, instance_id>> handed_over;
     std::map<service_id, pool_view> pools;
 };
 
-void scheduler::place_long_running(const std::vector<candidate>& ranked, time_point now)
+struct scheduler::unplaced_task {
+    time_point since{};
+    job_record* job = nullptr;
+    task_name name;
+    /// Where it runs; nullptr if it waits.
+    worker_record* leaving = nullptr;
+    std::uint32_t attempt = 0;
+};
+
+std::vector<scheduler::unplaced_task>
+scheduler::unplaced_long_running(const std::vector<candidate>& ranked, time_point now)
 {
-    std::vector<waiting_task> waiting;
+    std::vector<unplaced_task> unplaced;
     for (const candidate& each : ranked) {
         if (!each.long_running_first || !m_candidates.contains(each.job->queue().service)) {
             continue;
@@ -123,44 +132,124 @@
             const bool may_run_elsewhere = each.in_doubt && !task.run_known;
             if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated() &&
                 !may_run_elsewhere && !awaits_durable_crash(*each.job, task)) {
-                waiting.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
+                unplaced.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
             }
         }
     }
-    std::stable_sort(waiting.begin(), waiting.end(),
+    add_departing(ranked, unplaced, now);
+    std::stable_sort(unplaced.begin(), unplaced.end(),
                      [](const auto& left, const auto& right) { return left.since < right.since; });
+    return unplaced;
+}
+
+void scheduler::add_departing(const std::vector<candidate>& ranked,
+                              std::vector<unplaced_task>& unplaced, time_point now)
+{
+    std::map<job_id, job_record*> jobs;
+    for (auto& [id, worker] : m_workers) {
+        if (!worker.listing.draining || worker.long_running_runs == 0) {
+            continue;
+        }
+        if (jobs.empty()) {
+            for (const candidate& each : ranked) {
+                if (each.long_running_first && m_candidates.contains(each.job->queue().service)) {
+                    jobs.emplace(each.job->id(), each.job);
+                }
+            }
+        }
+        for (const auto& [name, run] : worker.runs) {
+            const auto job = jobs.find(name.task.job);
+            if (!run.long_running || job == jobs.end()) {
+                continue;
+            }
+            if (!job->second->find(name.task)->must_be_isolated() &&
+                !job->second->spec().steps[name.task.step].gang) {
+                unplaced.push_back({.since = now,
+                                    .job = job->second,
+                                    .name = name.task,
+                                    .leaving = &worker,
+                                    .attempt = name.attempt});
+            }
+        }
+    }
+}
+
+std::map<task_name, std::uint32_t> scheduler::departing_tasks() const
+{
+    std::map<task_name, std::uint32_t> departing;
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker.listing.draining || worker.long_running_runs == 0) {
+            continue;
+        }
+        for (const auto& [name, run] : worker.runs) {
+            if (run.long_running) {
+                ++departing[{name.task.job, name.task.occurrence, name.task.step, 0}];
+            }
+        }
+    }
+    return departing;
+}
+
+void scheduler::place_long_running(const std::vector<candidate>& ranked, time_point now)
+{
     reservation_round round;
     m_reservations.begin_round(now);
-    for (const waiting_task& each : waiting) {
+    for (const unplaced_task& each : unplaced_long_running(ranked, now)) {
         const task_name& name = each.name;
         auto& step = round.step_of(name);
         if (step.exhausted) {
             continue;
         }
-        if (!cap_allows(*each.job, name.occurrence, name.step, step.reserved + 1)) {
+        // What runs is counted against the cap already.
+        if (each.leaving == nullptr &&
+            !cap_allows(*each.job, name.occurrence, name.step, step.reserved + 1)) {
             step.exhausted = true;
             continue;
         }
         task_record& task = *each.job->find(name);
         // Equal tasks find no room either.
-        worker_record* const worker =
+        worker_record* worker =
             step.reserved > 0
                 ? nullptr
                 : choose_worker(*each.job, each.job->occurrences().at(name.occurrence), name.step,
                                 task, now);
-        if (worker != nullptr) {
-            order_start(*each.job, name, *worker, next_attempt(task), now);
+        if (each.leaving != nullptr && worker != nullptr && worker->cordoned) {
+            worker = nullptr;
+        }
+        if (worker == nullptr) {
+            step.exhausted = !reserve_worker(round, each, now);
+        }
+        else if (each.leaving != nullptr) {
+            hand_over(each, *worker, round);
         }
         else {
-            step.exhausted = !reserve_worker(round, *each.job, name, now);
+            order_start(*each.job, name, *worker, next_attempt(task), now);
         }
     }
+    for (const auto& [task, destination] : round.handed_over) {
+        task->remove_run(destination, reservation_round::no_attempt);
+    }
     m_reservations.end_round();
 }
 
-bool scheduler::reserve_worker(reservation_round& round, const job_record& job,
-                               const task_name& name, time_point now)
+void scheduler::hand_over(const unplaced_task& leaving, worker_record& destination,
+                          reservation_round& round)
+{
+    request_stop(*leaving.leaving, {leaving.name, leaving.attempt});
+    const resources need = leaving.job->spec().steps[leaving.name.step].footprint();
+    destination.used += need;
+    m_reserved_room.emplace_back(&destination, need);
+    // Counts as a sibling of the others that are placed in this round.
+    task_record& task = *leaving.job->find(leaving.name);
+    task.runs.push_back({destination.listing.id, reservation_round::no_attempt});
+    round.handed_over.emplace_back(&task, destination.listing.id);
+}
+
+bool scheduler::reserve_worker(reservation_round& round, const unplaced_task& unplaced,
+                               time_point now)
 {
+    const job_record& job = *unplaced.job;
+    const task_name& name = unplaced.name;
     const step_record& record = job.occurrences().at(name.occurrence).steps[name.step];
     const step_spec& spec = job.spec().steps[name.step];
     const task_record& task = record.tasks[name.index];
@@ -170,7 +259,7 @@
     }
     auto& pool = round.pool_of(*this, job.queue().service, now);
     const policy::waiting_long_running waiting{
-        .task = to_string(name), .need = spec.footprint(), .since = *task.waiting_since};
+        .task = to_string(name), .need = spec.footprint(), .since = unplaced.since};
     auto reservation = m_reservations.reserve(
         waiting, reservation_round::eligible_workers(pool, step, spec, task.avoided));
     if (!reservation && !task.avoided.empty()) {
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -402,8 +402,10 @@
                 !job->spec().steps[name.task.step].long_running) {
                 continue;
             }
-            if (worker.listing.draining ||
-                (!stops_may_be_pending && may_evict(*job, name.task, now))) {
+            const bool evicted = worker.listing.draining
+                                     ? now >= worker.departure->last_stop(m_options.stop_time)
+                                     : !stops_may_be_pending && may_evict(*job, name.task, now);
+            if (evicted) {
                 request_stop(worker, name);
             }
         }
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -25,6 +25,16 @@
 /// another one.
 constexpr int stop_time_factor = 2;
 
+void note_departure(worker_record& worker, std::optional<milliseconds> remaining, time_point now)
+{
+    if (!worker.departure) {
+        worker.departure.emplace(now);
+    }
+    if (remaining) {
+        worker.departure->note_remaining(*remaining, now);
+    }
+}
+
 /// Longest time by this process's clock in which `time` passes on a worker's clock.
 milliseconds with_margins(milliseconds time)
 {
@@ -69,6 +79,12 @@
         m_persisting_sequences.erase(id);
     }
     note_listed_start(worker, listing, now);
+    if (!listing.draining) {
+        worker.departure.reset();
+    }
+    else {
+        note_departure(worker, listing.remaining, now);
+    }
     worker.listing = std::move(listing);
     worker.listed = true;
 }
@@ -182,6 +198,9 @@
     if (report.capacity) {
         worker.reported_capacity = report.capacity;
     }
+    if (report.remaining) {
+        note_departure(worker, report.remaining, now);
+    }
     worker.clock_read_at = now;
     worker.last_answer = now;
     worker.missed_polls = 0;
