--- a/tests/process/long_running_gaps_test.py
+++ b/tests/process/long_running_gaps_test.py
@@ -18,8 +18,9 @@
     return line(second, f"{JOB}.0.0.{task} attempt 1 on w1 ended as stopped")
 
 
-def started(second, waited_ms, task=0):
-    return line(second, f"{JOB}.0.0.{task} attempt 2 started again on w2 after {waited_ms} ms")
+def started(second, waited_ms, task=0, attempt=2):
+    return line(second, f"{JOB}.0.0.{task} attempt {attempt} started again on w2 "
+                        f"after {waited_ms} ms")
 
 
 class LongRunningGapsTest(unittest.TestCase):
@@ -42,8 +43,15 @@
         found = line(4, f"{JOB}.0.0.0 attempt 1001 found running on w3")
         self.check(["front-1 " + ended(1), "front-2 " + found], 3, 0)
 
+    def test_a_later_leader_that_finds_the_same_run_doesn_t_prolong_a_gap(self):
+        found = line(20, f"{JOB}.0.0.0 attempt 2 found running on w2")
+        self.check([ended(1), started(2, 1000), found], 1, 0)
+
+    def test_an_earlier_end_that_is_logged_late_begins_no_gap(self):
+        self.check([ended(1), started(2, 1000), ended(3), started(20, 0, task=1)], 1, 0)
+
     def test_a_start_that_came_to_nothing_ends_no_gap(self):
-        self.check([ended(1), started(2, 1000), started(9, 8000)], 8, 1)
+        self.check([ended(1), started(2, 1000), started(9, 8000, attempt=3)], 8, 1)
 
     def test_an_end_that_nobody_logged_is_known_from_the_wait(self):
         self.check([started(9, 6500)], 6.5, 1)
