job: Count a task on a worker that leaves as away before an eviction

Since long-running tasks run on while their worker drains, may_evict() counted them as at work, and planned work stopped others of the step beside them. In a step that may miss one task, one on a cordoned worker was stopped while another waited on a draining one for a place, which it lost at the announced end; none was left. With room, both were stopped in the same round.

Both tests failed on (no task at work). Both pass with this change.

--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -424,7 +424,8 @@
         const bool is_working = std::any_of(
             tasks[index].runs.begin(), tasks[index].runs.end(), [&](const task_run& run) {
                 const auto worker = m_workers.find(run.worker);
-                if (worker == m_workers.end()) {
+                // A task on a worker that leaves is about to be stopped.
+                if (worker == m_workers.end() || worker->second.listing.draining) {
                     return false;
                 }
                 const auto known = worker->second.runs.find(
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -29,6 +29,18 @@
     return job;
 }
 
+/// The tasks that run and aren't being stopped.
+std::ptrdiff_t not_being_stopped(const contended_pool& pool, const job_id& job)
+{
+    std::ptrdiff_t found = 0;
+    for (const auto& [id, each] : pool.workers) {
+        found += std::count_if(each.runs.begin(), each.runs.end(), [&](const auto& run) {
+            return run.name.task.job == job && !run.end;
+        });
+    }
+    return found;
+}
+
 } // namespace
 
 // Guards against a task that is stopped for a place which a later job then takes, though its worker
@@ -46,3 +58,58 @@
     pool.advance(seconds(3));
     CHECK(pool.workers_of(job).size() == 4);
 }
+
+// Guards against AVAIL: a step that may miss one task loses one to planned work and one to a
+// departure in the same round.
+TEST_CASE("a task isn't evicted from a cordoned worker while another of its step leaves")
+{
+    contended_pool pool;
+    pool.announces_remaining = true;
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    step_spec step = one_per_worker(2);
+    step.max_unavailable = 1;
+    const job_id job = pool.submit(step, "serving");
+    pool.advance(seconds(1));
+    const auto workers = pool.workers_of(job);
+    REQUIRE(workers.size() == 2);
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    pool.cordon(workers[0], true);
+    pool.drain(workers[1]);
+    std::ptrdiff_t fewest_at_work = 2;
+    for (int round = 0; round < 60; ++round) {
+        pool.advance(contended_pool::tick);
+        fewest_at_work = std::min(fewest_at_work, not_being_stopped(pool, job));
+    }
+    CHECK(fewest_at_work >= 1);
+    CHECK(pool.workers_of(job).size() == 2);
+}
+
+// Guards against a step that loses a task to planned work while one on a worker that leaves, which
+// counts as at work, has no other place.
+TEST_CASE("a task on a cordoned worker stays until one that leaves has its next place")
+{
+    contended_pool pool;
+    pool.announces_remaining = true;
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    step_spec step = one_per_worker(2);
+    step.max_unavailable = 1;
+    const job_id job = pool.submit(step, "serving");
+    pool.advance(seconds(1));
+    const auto workers = pool.workers_of(job);
+    REQUIRE(workers.size() == 2);
+    pool.drain(workers[1]);
+    pool.advance(seconds(1));
+    pool.cordon(workers[0], true);
+    std::ptrdiff_t fewest_at_work = 2;
+    for (int round = 0; round < 120; ++round) {
+        pool.advance(contended_pool::tick);
+        fewest_at_work = std::min(fewest_at_work, not_being_stopped(pool, job));
+    }
+    CHECK(fewest_at_work == 1);
+}
