job: Give a restarted worker whose row says that it drains a departure

begin_incarnation() drops the departure of the earlier incarnation, while the row may still be that one's and say that it drains. With a run that the report of the new incarnation lists, evacuate() then read an empty optional, which is undefined.

--- a/packages/job/src/scheduler_incarnations.cpp
+++ b/packages/job/src/scheduler_incarnations.cpp
@@ -72,6 +72,10 @@
     worker.predecessor_runs_known = false;
     worker.reported_capacity.reset();
     worker.departure.reset();
+    if (worker.listing.draining) {
+        // The row may still be the earlier incarnation's.
+        worker.departure.emplace(m_now);
+    }
     worker.clock.reset();
     worker.applied_sequence = 0;
     worker.committed_sequence = 0;
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -113,3 +113,22 @@
     }
     CHECK(fewest_at_work == 1);
 }
+
+// Guards against reading the departure of an incarnation that has ended: the row may still be the
+// earlier incarnation's.
+TEST_CASE("a worker that starts again under its id while its row says that it drains has a "
+          "departure of its own")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    const job_id id =
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true});
+    worker_listing draining = incarnation_fixture::listing(w1, first_start);
+    draining.draining = true;
+    draining.remaining = milliseconds(2000);
+    fixture.subject.note_worker_listed(draining, fixture.now);
+    fixture.now += seconds(3);
+    fixture.report(w1, report_of(second_start, seconds(1), {{{id, 0, 0, 0}, 7}}));
+    REQUIRE(fixture.worker().runs.size() == 1);
+    CHECK((!fixture.worker().listing.draining || fixture.worker().departure.has_value()));
+}
