job: Test that an isolated task takes no room kept for one that leaves (fails)

place_isolated() comes before place_long_running(), and isolation_pool_of() leaves out reserved workers only; a hand-over reserves none. The place of a task that is being stopped is mostly an empty worker, which is what a suspect prefers.

Fails on: 2 of 3 tasks run, the third has waited for 2700 ms when the test ends.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -132,3 +132,26 @@
     REQUIRE(fixture.worker().runs.size() == 1);
     CHECK((!fixture.worker().listing.draining || fixture.worker().departure.has_value()));
 }
+
+// Guards against a suspected task that takes the room kept for one that leaves, after its stop.
+TEST_CASE("a task that must be isolated doesn't take the place of one that leaves")
+{
+    contended_pool pool;
+    const job_id job = run_on_each(pool, 3);
+    const instance_id crashing = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.need = {.cpu_millis = 10000, .memory_mb = 4000}, .estimate = seconds(60)}, "urgent"));
+    pool.advance(contended_pool::tick);
+    REQUIRE(pool.workers.at(crashing).runs.size() == 1);
+    pool.add_worker();
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(contended_pool::tick);
+    REQUIRE(not_being_stopped(pool, job) == 2);
+    pool.workers.erase(crashing);
+    pool.subject.note_worker_unlisted(crashing, pool.now);
+    pool.subject.note_worker_ended(crashing, worker_end::machine_down, pool.now);
+    pool.advance(seconds(3));
+    INFO("waited " << pool.worst_wait().count() << " ms");
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.worst_wait() <= 2 * contended_pool::stop_time);
+}
