job: Test how long a task waits in a full pool after a silent end (fails)

The wait of a lost task begins when the leases of its worker have expired, up to 5.45 s after the last answer. Short runs are stopped for it another 2.5 s later, so the time without a run is the sum of both bounds.

LOST counts from 6 s.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -155,3 +155,39 @@
     CHECK(pool.workers_of(job).size() == 3);
     CHECK(pool.worst_wait() <= 2 * contended_pool::stop_time);
 }
+
+// Guards against a wait that is counted from the end of the leases only: the task has been without
+// a run since its worker ended without notice, and gets no room in a full pool until 3.5 s later.
+TEST_CASE("a task of a worker that has ended without notice has waited since its last answer")
+{
+    milliseconds worst{0};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        contended_pool pool(seed);
+        const job_id job = run_on_each(pool, 4);
+        for (int each = 0; each < 4; ++each) {
+            pool.add_worker();
+        }
+        pool.min_run = seconds(20);
+        pool.max_run = seconds(40);
+        pool.short_estimate = seconds(30);
+        pool.backlog = 30;
+        pool.advance(seconds(4));
+        const instance_id ended = pool.workers_of(job).front();
+        static_cast<void>(pool.subject.next_poll(ended, pool.now));
+        for (const auto& run : pool.workers.at(ended).runs) {
+            if (run.step.long_running) {
+                pool.ended[run.name.task] = pool.now;
+            }
+        }
+        pool.workers.erase(ended);
+        pool.longest_wait.clear();
+        for (int round = 0; round < 24; ++round) {
+            pool.subject.note_missed_poll(ended, pool.now);
+            pool.advance(milliseconds(500));
+        }
+        worst = std::max(worst, pool.worst_wait());
+        CHECK(pool.violations.empty());
+    }
+    INFO("longest wait " << worst.count() << " ms");
+    CHECK(worst < seconds(6));
+}
