job: Test that a machine is asked for the tasks of a silent worker (fails)

missing_workers takes the room of a worker away 1.5 s after its last answer, but its long-running tasks count as running until their leases expire. The order for a machine follows that wait instead of going along with it.

Fails on: no worker is missing 3 s after the last answer.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -191,3 +191,20 @@
     INFO("longest wait " << worst.count() << " ms");
     CHECK(worst < seconds(6));
 }
+
+// Guards against a task whose machine is ordered only when the leases of a worker have expired that
+// has ended without notice: the wait for the machine then follows the wait for the leases.
+TEST_CASE("a machine is asked for the tasks of a worker that doesn't answer")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    static_cast<void>(
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true}));
+    REQUIRE(fixture.start_tasks().size() == 1);
+    fixture.subject.note_missed_poll(w1, fixture.now);
+    fixture.now += seconds(3);
+    fixture.subject.note_missed_poll(w1, fixture.now);
+    static_cast<void>(fixture.plan());
+    REQUIRE(fixture.worker().runs.size() == 1);
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
+}
