job: Test that an isolating worker isn't counted as room (fails)

No other task is placed on a worker with an isolated run, or one that is kept for the next suspect; missing_workers counts its room all the same, so that no machine is asked for a long-running task that fits nowhere else.

Fails on: no worker is missing.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -208,3 +208,26 @@
     REQUIRE(fixture.worker().runs.size() == 1);
     CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
 }
+
+// Guards against room that is counted although it is kept for suspected tasks.
+TEST_CASE("a worker that runs a task in isolation isn't counted as room for a long-running one")
+{
+    contended_pool pool;
+    const job_id job = run_on_each(pool, 1);
+    const instance_id crashing = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.need = {.cpu_millis = 10000, .memory_mb = 4000}, .estimate = seconds(60)}, "urgent"));
+    pool.advance(contended_pool::tick);
+    REQUIRE(pool.workers.at(crashing).runs.size() == 1);
+    pool.workers.erase(crashing);
+    pool.subject.note_worker_unlisted(crashing, pool.now);
+    pool.subject.note_worker_ended(crashing, worker_end::machine_down, pool.now);
+    pool.add_worker();
+    pool.advance(milliseconds(200));
+    static_cast<void>(pool.submit(
+        {.count = 1, .need = {.cpu_millis = 10000, .memory_mb = 4000}, .long_running = true},
+        "serving"));
+    pool.advance(milliseconds(200));
+    REQUIRE(pool.ended.size() == 1);
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
