--- /dev/null
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -0,0 +1,233 @@
+// Departures of workers beside restarts, waves, caps and other jobs.
+#include "contended_pool.hpp"
+#include "incarnation_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaindoor;
+using namespace plantaindoor::job;
+
+namespace {
+
+step_spec one_per_worker(std::uint32_t count)
+{
+    return {.count = count,
+            .need = {.cpu_millis = 9600, .memory_mb = 34000},
+            .max_per_worker = 1,
+            .long_running = true};
+}
+
+job_id run_on_each(contended_pool& pool, std::uint32_t tasks)
+{
+    pool.announces_remaining = true;
+    for (std::uint32_t each = 0; each < tasks; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(tasks), "serving");
+    pool.advance(milliseconds(500));
+    pool.longest_wait.clear();
+    return job;
+}
+
+/// The tasks that run and aren't being stopped.
+std::ptrdiff_t not_being_stopped(const contended_pool& pool, const job_id& job)
+{
+    std::ptrdiff_t found = 0;
+    for (const auto& [id, each] : pool.workers) {
+        found += std::count_if(each.runs.begin(), each.runs.end(), [&](const auto& run) {
+            return run.name.task.job == job && !run.end;
+        });
+    }
+    return found;
+}
+
+} // namespace
+
+// Guards against a task that is stopped for a place which a later job then takes, though its worker
+// would have stayed for seconds.
+TEST_CASE("the room kept for a task that leaves isn't given to a job submitted after its stop")
+{
+    contended_pool pool;
+    const job_id job = run_on_each(pool, 4);
+    pool.add_worker();
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(contended_pool::tick);
+    // The stop is under way.
+    REQUIRE(pool.ended.empty());
+    static_cast<void>(pool.submit(one_per_worker(1), "serving"));
+    pool.advance(seconds(3));
+    CHECK(pool.workers_of(job).size() == 4);
+}
+
+// Guards against AVAIL: a step that may miss one task loses one to planned work and one to a
+// departure in the same round.
+TEST_CASE("a task isn't evicted from a cordoned worker while another of its step leaves")
+{
+    contended_pool pool;
+    pool.announces_remaining = true;
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    step_spec step = one_per_worker(2);
+    step.max_unavailable = 1;
+    const job_id job = pool.submit(step, "serving");
+    pool.advance(seconds(1));
+    const auto workers = pool.workers_of(job);
+    REQUIRE(workers.size() == 2);
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    pool.cordon(workers[0], true);
+    pool.drain(workers[1]);
+    std::ptrdiff_t fewest_at_work = 2;
+    for (int round = 0; round < 60; ++round) {
+        pool.advance(contended_pool::tick);
+        fewest_at_work = std::min(fewest_at_work, not_being_stopped(pool, job));
+    }
+    CHECK(fewest_at_work >= 1);
+    CHECK(pool.workers_of(job).size() == 2);
+}
+
+// Guards against a step that loses a task to planned work while one on a worker that leaves, which
+// counts as at work, has no other place.
+TEST_CASE("a task on a cordoned worker stays until one that leaves has its next place")
+{
+    contended_pool pool;
+    pool.announces_remaining = true;
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    step_spec step = one_per_worker(2);
+    step.max_unavailable = 1;
+    const job_id job = pool.submit(step, "serving");
+    pool.advance(seconds(1));
+    const auto workers = pool.workers_of(job);
+    REQUIRE(workers.size() == 2);
+    pool.drain(workers[1]);
+    pool.advance(seconds(1));
+    pool.cordon(workers[0], true);
+    std::ptrdiff_t fewest_at_work = 2;
+    for (int round = 0; round < 120; ++round) {
+        pool.advance(contended_pool::tick);
+        fewest_at_work = std::min(fewest_at_work, not_being_stopped(pool, job));
+    }
+    CHECK(fewest_at_work == 1);
+}
+
+// Guards against reading the departure of an incarnation that has ended: the row may still be the
+// earlier incarnation's.
+TEST_CASE("a worker that starts again under its id while its row says that it drains has a "
+          "departure of its own")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    const job_id id =
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true});
+    worker_listing draining = incarnation_fixture::listing(w1, first_start);
+    draining.draining = true;
+    draining.remaining = milliseconds(2000);
+    fixture.subject.note_worker_listed(draining, fixture.now);
+    fixture.now += seconds(3);
+    fixture.report(w1, report_of(second_start, seconds(1), {{{id, 0, 0, 0}, 7}}));
+    REQUIRE(fixture.worker().runs.size() == 1);
+    CHECK((!fixture.worker().listing.draining || fixture.worker().departure.has_value()));
+}
+
+// Guards against a suspected task that takes the room kept for one that leaves, after its stop.
+TEST_CASE("a task that must be isolated doesn't take the place of one that leaves")
+{
+    contended_pool pool;
+    const job_id job = run_on_each(pool, 3);
+    const instance_id crashing = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.need = {.cpu_millis = 10000, .memory_mb = 4000}, .estimate = seconds(60)}, "urgent"));
+    pool.advance(contended_pool::tick);
+    REQUIRE(pool.workers.at(crashing).runs.size() == 1);
+    pool.add_worker();
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(contended_pool::tick);
+    REQUIRE(not_being_stopped(pool, job) == 2);
+    pool.workers.erase(crashing);
+    pool.subject.note_worker_unlisted(crashing, pool.now);
+    pool.subject.note_worker_ended(crashing, worker_end::machine_down, pool.now);
+    pool.advance(seconds(3));
+    INFO("waited " << pool.worst_wait().count() << " ms");
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.worst_wait() <= 2 * contended_pool::stop_time);
+}
+
+// Guards against a wait that is counted from the end of the leases only: the task has been without
+// a run since its worker ended without notice, and gets no room in a full pool until 3.5 s later.
+TEST_CASE("a task of a worker that has ended without notice has waited since its last answer")
+{
+    milliseconds worst{0};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        contended_pool pool(seed);
+        const job_id job = run_on_each(pool, 4);
+        for (int each = 0; each < 4; ++each) {
+            pool.add_worker();
+        }
+        pool.min_run = seconds(20);
+        pool.max_run = seconds(40);
+        pool.short_estimate = seconds(30);
+        pool.backlog = 30;
+        pool.advance(seconds(4));
+        const instance_id ended = pool.workers_of(job).front();
+        static_cast<void>(pool.subject.next_poll(ended, pool.now));
+        for (const auto& run : pool.workers.at(ended).runs) {
+            if (run.step.long_running) {
+                pool.ended[run.name.task] = pool.now;
+            }
+        }
+        pool.workers.erase(ended);
+        pool.longest_wait.clear();
+        for (int round = 0; round < 24; ++round) {
+            pool.subject.note_missed_poll(ended, pool.now);
+            pool.advance(milliseconds(500));
+        }
+        worst = std::max(worst, pool.worst_wait());
+        CHECK(pool.violations.empty());
+    }
+    INFO("longest wait " << worst.count() << " ms");
+    CHECK(worst < seconds(6));
+}
+
+// Guards against a task whose machine is ordered only when the leases of a worker have expired that
+// has ended without notice: the wait for the machine then follows the wait for the leases.
+TEST_CASE("a machine is asked for the tasks of a worker that doesn't answer")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    static_cast<void>(
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true}));
+    REQUIRE(fixture.start_tasks().size() == 1);
+    fixture.subject.note_missed_poll(w1, fixture.now);
+    fixture.now += seconds(3);
+    fixture.subject.note_missed_poll(w1, fixture.now);
+    static_cast<void>(fixture.plan());
+    REQUIRE(fixture.worker().runs.size() == 1);
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
+}
+
+// Guards against room that is counted although it is kept for suspected tasks.
+TEST_CASE("a worker that runs a task in isolation isn't counted as room for a long-running one")
+{
+    contended_pool pool;
+    const job_id job = run_on_each(pool, 1);
+    const instance_id crashing = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.need = {.cpu_millis = 10000, .memory_mb = 4000}, .estimate = seconds(60)}, "urgent"));
+    pool.advance(contended_pool::tick);
+    REQUIRE(pool.workers.at(crashing).runs.size() == 1);
+    pool.workers.erase(crashing);
+    pool.subject.note_worker_unlisted(crashing, pool.now);
+    pool.subject.note_worker_ended(crashing, worker_end::machine_down, pool.now);
+    pool.add_worker();
+    pool.advance(milliseconds(200));
+    static_cast<void>(pool.submit(
+        {.count = 1, .need = {.cpu_millis = 10000, .memory_mb = 4000}, .long_running = true},
+        "serving"));
+    pool.advance(milliseconds(200));
+    REQUIRE(pool.ended.size() == 1);
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
