job: Keep the room for a task that leaves until it has started there

A long-running task that was stopped because another worker had room for it could lose that room before its stop had ended, though its own worker would have stayed for seconds: to a job submitted meanwhile, as the leaving task counted as waiting since now, or to a suspected task, as tasks in isolation are placed first and heed only reservations.

A task that leaves now ranks by the announcement of its worker's departure until it has started again, and its destination counts as reserved.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -77,6 +77,8 @@
     /// nullopt while it runs or while its step is blocked.
     std::optional<time_point> waiting_since;
     bool wait_reported = false;
+    /// When the worker of the last run announced that it leaves; nullopt while the task runs.
+    std::optional<time_point> displaced_since;
     /// Whether this process has known a run of the task: a predecessor has no other one then.
     bool run_known = false;
 
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -382,6 +382,7 @@
     }
     task.last_attempt = std::max(task.last_attempt, run.attempt);
     task.waiting_since.reset();
+    task.displaced_since.reset();
     task.wait_reported = false;
     task.run_known = true;
     task.runs.push_back(std::move(run));
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -111,6 +111,8 @@
 };
 
 struct scheduler::unplaced_task {
+    /// Decides the order. What has had to leave keeps its place before what came later.
+    time_point rank{};
     time_point since{};
     job_record* job = nullptr;
     task_name name;
@@ -132,13 +134,17 @@
             const bool may_run_elsewhere = each.in_doubt && !task.run_known;
             if (!each.job->spec().steps[name.step].gang && !task.must_be_isolated() &&
                 !may_run_elsewhere && !awaits_durable_crash(*each.job, task)) {
-                unplaced.push_back({.since = *task.waiting_since, .job = each.job, .name = name});
+                const time_point since = *task.waiting_since;
+                unplaced.push_back({.rank = std::min(since, task.displaced_since.value_or(since)),
+                                    .since = since,
+                                    .job = each.job,
+                                    .name = name});
             }
         }
     }
     add_departing(ranked, unplaced, now);
     std::stable_sort(unplaced.begin(), unplaced.end(),
-                     [](const auto& left, const auto& right) { return left.since < right.since; });
+                     [](const auto& left, const auto& right) { return left.rank < right.rank; });
     return unplaced;
 }
 
@@ -164,7 +170,8 @@
             }
             if (!job->second->find(name.task)->must_be_isolated() &&
                 !job->second->spec().steps[name.task.step].gang) {
-                unplaced.push_back({.since = now,
+                unplaced.push_back({.rank = worker.departure->announced(),
+                                    .since = now,
                                     .job = job->second,
                                     .name = name.task,
                                     .leaving = &worker,
@@ -239,6 +246,7 @@
     const resources need = leaving.job->spec().steps[leaving.name.step].footprint();
     destination.used += need;
     m_reserved_room.emplace_back(&destination, need);
+    m_reservations.keep(to_string(leaving.name), destination.listing.id);
     // Counts as a sibling of the others that are placed in this round.
     task_record& task = *leaving.job->find(leaving.name);
     task.runs.push_back({destination.listing.id, reservation_round::no_attempt});
--- a/packages/policy/include/plantaindoor/policy/departure.hpp
+++ b/packages/policy/include/plantaindoor/policy/departure.hpp
@@ -12,6 +12,7 @@
 public:
     explicit departure(time_point announced) : m_announced(announced) {}
 
+    [[nodiscard]] time_point announced() const noexcept { return m_announced; }
     /// Records that the worker stays for at least that time from `now` on. The earliest end holds,
     /// as what was told may be old.
     void note_remaining(milliseconds remaining, time_point now);
--- a/packages/policy/include/plantaindoor/policy/long_running_reservations.hpp
+++ b/packages/policy/include/plantaindoor/policy/long_running_reservations.hpp
@@ -78,6 +78,8 @@
     /// their runs.
     [[nodiscard]] std::optional<worker_reservation>
     reserve(const waiting_long_running& task, const std::vector<const reservable_worker*>& workers);
+    /// Reserves that worker for a task that is to move there.
+    void keep(const std::string& task, const instance_id& worker) { m_renewed[task] = worker; }
     /// Ends the round: what was not reserved again is released.
     void end_round();
 
