job: Test that an eviction isn't repeated for want of a place (fails)

evacuate() stops a task on a cordoned worker whether or not another has room. If none has, find_cordoned_worker() places it there again beside another long-running run, and once it works it, or the other one, is stopped again.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -231,3 +231,25 @@
     REQUIRE(pool.ended.size() == 1);
     CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
 }
+
+// Guards against a task that is stopped for planned work, placed on the same worker again for want
+// of another, and stopped again.
+TEST_CASE("a long-running task on a cordoned worker isn't stopped again and again")
+{
+    contended_pool pool;
+    const instance_id full = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.count = 1, .need = {.cpu_millis = 15000, .memory_mb = 34000}, .long_running = true},
+        "serving"));
+    pool.advance(seconds(1));
+    const instance_id cordoned = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.count = 2, .need = {.cpu_millis = 6000, .memory_mb = 34000}, .long_running = true},
+        "serving"));
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers.at(cordoned).runs.size() == 2);
+    pool.cordon(cordoned, true);
+    pool.advance(seconds(20));
+    // Each of the two may be stopped once.
+    CHECK(pool.starts.size() <= 5);
+}
