job: Test that a task that leaves a capped step asks for a machine (fails)

place_long_running() gives up the whole step once a waiting task of it is refused by the workspace's cap, and loads() skips the step. A task of it that leaves counts against the cap already, yet isn't handed over and asks for no machine before it has been stopped.

Fails on: no worker is missing.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -253,3 +253,23 @@
     // Each of the two may be stopped once.
     CHECK(pool.starts.size() <= 5);
 }
+
+// Guards against a task that asks for no machine before it has been stopped, as another of its step
+// waits for the cap, which the leaving task uses already.
+TEST_CASE("a machine is asked for a task that leaves beside one that waits at the cap")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.announces_remaining = true;
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(3), "serving", alpha);
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(milliseconds(500));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
