job: Test that a task over a lowered cap isn't handed over (fails)

hand_over() doesn't ask whether the cap will let the task start again. If the workspace is over its cap, lowered meanwhile, the task is stopped seconds before its worker leaves and starts nowhere.

Fails on: 1 of 2 tasks runs 2 s after the announcement.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -273,3 +273,23 @@
     REQUIRE(pool.workers_of(job).size() == 2);
     CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
 }
+
+// Guards against a task that is stopped seconds before its worker leaves although its workspace's
+// cap, lowered meanwhile, lets it start nowhere.
+TEST_CASE("a long-running task beyond a lowered cap runs on while its worker leaves")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.announces_remaining = true;
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    for (int each = 0; each < 3; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(2), "serving", alpha);
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 9600, .memory_mb = 50000}}});
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(seconds(2));
+    CHECK(pool.workers_of(job).size() == 2);
+}
