job: Test that a worker whose report says that it leaves gets no task (fails)

note_report() keeps the remaining time that a report tells, but accepts_tasks(), evacuate() and loads() look at the row only. Until the row is read, which takes as long as the store is away, tasks are started on the worker and no machine is asked for those on it. Whether a worker's answer to a poll tells it at all wasn't seen.

Fails on: the task is started there, no worker is missing.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -293,3 +293,17 @@
     pool.advance(seconds(2));
     CHECK(pool.workers_of(job).size() == 2);
 }
+
+// Guards against tasks that wait for a place on a worker which has told that it leaves.
+TEST_CASE("no task is started on a worker whose report tells that it leaves")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    worker_report leaving = report_of(first_start, seconds(101));
+    leaving.remaining = seconds(2);
+    fixture.report(w1, leaving);
+    static_cast<void>(
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true}));
+    CHECK(fixture.plan().starts.empty());
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
+}
