job: Test that no machine is asked for tasks beyond a cap (fails)

Where no worker can be reserved for the first waiting task of a step, the cap isn't asked about the others, and a machine is asked for each of them.

Fails on: 2 workers are missing where the cap allows 1 task more.

--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -307,3 +307,17 @@
     CHECK(fixture.plan().starts.empty());
     CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
 }
+
+// Guards against machines that are moved for tasks which wait for their workspace's cap.
+TEST_CASE("no machine is asked for the tasks of a step that are beyond the workspace's cap")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    pool.add_worker();
+    static_cast<void>(pool.submit(one_per_worker(3), "serving", alpha));
+    pool.advance(seconds(2));
+    REQUIRE(pool.starts.size() == 1);
+    // The cap has room for one more.
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
