--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -231,3 +231,93 @@
     REQUIRE(pool.ended.size() == 1);
     CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
 }
+
+// Guards against a task that is stopped for planned work, placed on the same worker again for want
+// of another, and stopped again.
+TEST_CASE("a long-running task on a cordoned worker isn't stopped again and again")
+{
+    contended_pool pool;
+    const instance_id full = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.count = 1, .need = {.cpu_millis = 15000, .memory_mb = 34000}, .long_running = true},
+        "serving"));
+    pool.advance(seconds(1));
+    const instance_id cordoned = pool.add_worker();
+    static_cast<void>(pool.submit(
+        {.count = 2, .need = {.cpu_millis = 6000, .memory_mb = 34000}, .long_running = true},
+        "serving"));
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers.at(cordoned).runs.size() == 2);
+    pool.cordon(cordoned, true);
+    pool.advance(seconds(20));
+    // Each of the two may be stopped once.
+    CHECK(pool.starts.size() <= 5);
+}
+
+// Guards against a task that asks for no machine before it has been stopped, as another of its step
+// waits for the cap, which the leaving task uses already.
+TEST_CASE("a machine is asked for a task that leaves beside one that waits at the cap")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.announces_remaining = true;
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(3), "serving", alpha);
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(milliseconds(500));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
+
+// Guards against a task that is stopped seconds before its worker leaves although its workspace's
+// cap, lowered meanwhile, lets it start nowhere.
+TEST_CASE("a long-running task beyond a lowered cap runs on while its worker leaves")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.announces_remaining = true;
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    for (int each = 0; each < 3; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(2), "serving", alpha);
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(job).size() == 2);
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 9600, .memory_mb = 50000}}});
+    pool.drain(pool.workers_of(job).front());
+    pool.advance(seconds(2));
+    CHECK(pool.workers_of(job).size() == 2);
+}
+
+// Guards against tasks that wait for a place on a worker which has told that it leaves.
+TEST_CASE("no task is started on a worker whose report tells that it leaves")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    worker_report leaving = report_of(first_start, seconds(101));
+    leaving.remaining = seconds(2);
+    fixture.report(w1, leaving);
+    static_cast<void>(
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true}));
+    CHECK(fixture.plan().starts.empty());
+    CHECK(fixture.subject.loads().at(checks).missing_workers == 1);
+}
+
+// Guards against machines that are moved for tasks which wait for their workspace's cap.
+TEST_CASE("no machine is asked for the tasks of a step that are beyond the workspace's cap")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    pool.add_worker();
+    static_cast<void>(pool.submit(one_per_worker(3), "serving", alpha));
+    pool.advance(seconds(2));
+    REQUIRE(pool.starts.size() == 1);
+    // The cap has room for one more.
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+}
