job: Count the wait of a long-running task from its worker's last answer

A machine was asked for as late. Two bounds of one wait followed each other.

The wait begins with the worker's last answer, and a machine is asked for the tasks of a worker that has been silent for 1.5 s, when its room is no longer counted either; nothing starts before the leases have expired. A worker whose report alone says that it leaves counts as leaving too, and one that runs a task in isolation isn't room for a long-running one. A machine whose worker is kept for a long-running task isn't moved or maintained as an idle one.

The planner's part has no test yet.

--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -248,7 +248,10 @@
         machine.expected =
             now - *machine.awaited_since <= m_options.move_time + m_options.arrival_margin;
         machine.used = known ? worker->second.used.cpu_millis : 0;
-        machine.long_running = known && worker->second.long_running_runs > 0;
+        // A worker that is kept for a long-running task counts as if the task ran there already.
+        const bool reserved = known && scheduler.is_reserved(machine.worker);
+        machine.long_running = reserved || (known && worker->second.long_running_runs > 0);
+        machine.idle = machine.idle && !reserved;
     }
 }
 
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -273,6 +273,11 @@
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// The long-running tasks that wait for a worker, as of the last plan().
     [[nodiscard]] const long_running_waits& waits() const noexcept { return m_waits; }
+    /// Whether room on the worker is kept for a long-running task, as of the last plan().
+    [[nodiscard]] bool is_reserved(const instance_id& worker) const
+    {
+        return m_reservations.is_reserved(worker);
+    }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
     [[nodiscard]] learned_figures learned() const;
@@ -443,8 +448,9 @@
     /// Keeps room on another worker for a task whose worker leaves, and stops it there.
     void hand_over(const unplaced_task& leaving, worker_record& destination,
                    reservation_round& round);
-    /// The tasks on workers that leave, by the first task of their step.
-    [[nodiscard]] std::map<task_name, std::uint32_t> departing_tasks() const;
+    /// The long-running tasks on workers that leave or that don't answer, by the first task of
+    /// their step.
+    [[nodiscard]] std::map<task_name, std::uint32_t> displaced_tasks() const;
     /// Reserves a worker for the task; returns whether any suits.
     bool reserve_worker(reservation_round& round, const unplaced_task& unplaced, time_point now);
     void place_job(const candidate& ranked, time_point now);
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -237,6 +237,10 @@
     [[nodiscard]] instance_id incarnation() const;
     /// Whether the platform has no machine of the listed name, so that the row is not a worker's.
     [[nodiscard]] bool has_no_machine() const { return lists_without_machine >= 2; }
+    /// Whether the worker drains, by its row or by its own report.
+    [[nodiscard]] bool is_leaving() const noexcept { return departure.has_value(); }
+    /// Whether the worker hasn't answered for so long that its tasks may be lost.
+    [[nodiscard]] bool is_silent(time_point now) const;
     /// Whether the worker takes new tasks, apart from what may have passed in a moment.
     [[nodiscard]] bool accepts_tasks() const;
     /// Whether new tasks may be placed on the worker.
--- a/packages/job/src/missing_workers.cpp
+++ b/packages/job/src/missing_workers.cpp
@@ -4,19 +4,12 @@
 
 namespace plantaindoor::job {
 
-namespace {
-
-/// Longer silence of a worker makes its tasks count on others.
-constexpr milliseconds brief_silence{1500};
-
-} // namespace
-
 bool missing_workers::will_take_tasks(const worker_record& worker) const
 {
     // One that has just been full or hasn't answered a poll usually takes tasks again in a moment.
-    const bool answers =
-        !worker.unresponsive_since || m_now - *worker.unresponsive_since < brief_silence;
-    return answers && worker.accepts_tasks() && m_now >= worker.quarantined_until;
+    // One with a task in isolation may be kept for another.
+    return !worker.is_silent(m_now) && worker.accepts_tasks() &&
+           m_now >= worker.quarantined_until && worker.isolated_runs == 0;
 }
 
 void missing_workers::read_workers()
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -318,6 +318,9 @@
             // The task hasn't run since.
             waiting_since = found->second.waited_since.value_or(m_now);
         }
+        else if (worker.missed_polls > 0 && worker.unresponsive_since) {
+            waiting_since = *worker.unresponsive_since;
+        }
         speed_learner::note_left(worker, found->second, m_now);
         worker.used -= found->second.footprint;
         worker.long_running_runs -= found->second.long_running ? 1 : 0;
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -62,7 +62,7 @@
         return (*rooms)[service];
     };
     missing_workers missing(m_workers, m_now);
-    const std::map<task_name, std::uint32_t> departing = departing_tasks();
+    const std::map<task_name, std::uint32_t> displaced = displaced_tasks();
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
         service_load& load = loads[job.queue().service];
@@ -77,11 +77,11 @@
                     const std::uint32_t limit = spec.max_per_worker;
                     load.min_workers = std::max(load.min_workers,
                                                 limit == 0 ? 1 : (spec.count + limit - 1) / limit);
-                    const auto leaving =
-                        departing.find({id, number, static_cast<std::uint32_t>(step), 0});
+                    const auto elsewhere =
+                        displaced.find({id, number, static_cast<std::uint32_t>(step), 0});
                     const std::uint32_t startable =
                         (waits_for_predecessor ? waiting_with_known_run(record) : record.waiting) +
-                        (leaving == departing.end() ? 0 : leaving->second);
+                        (elsewhere == displaced.end() ? 0 : elsewhere->second);
                     if (startable > 0 &&
                         !m_waiting_at_cap.contains(
                             {id, number, static_cast<std::uint32_t>(step), 0}) &&
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -36,6 +36,8 @@
     struct step_state {
         /// The round has no worker for a further task.
         bool exhausted = false;
+        /// The cap of the workspace allows no further task to start.
+        bool at_cap = false;
         std::uint32_t reserved = 0;
         /// Tasks of the step by worker, with those for which it is reserved.
         std::map<instance_id, std::uint32_t> siblings;
@@ -153,7 +155,7 @@
 {
     std::map<job_id, job_record*> jobs;
     for (auto& [id, worker] : m_workers) {
-        if (!worker.listing.draining || worker.long_running_runs == 0) {
+        if (!worker.is_leaving() || worker.long_running_runs == 0) {
             continue;
         }
         if (jobs.empty()) {
@@ -181,11 +183,11 @@
     }
 }
 
-std::map<task_name, std::uint32_t> scheduler::departing_tasks() const
+std::map<task_name, std::uint32_t> scheduler::displaced_tasks() const
 {
     std::map<task_name, std::uint32_t> departing;
     for (const auto& [id, worker] : m_workers) {
-        if (!worker.listing.draining || worker.long_running_runs == 0) {
+        if ((!worker.is_leaving() && !worker.is_silent(m_now)) || worker.long_running_runs == 0) {
             continue;
         }
         for (const auto& [name, run] : worker.runs) {
@@ -204,13 +206,13 @@
     for (const unplaced_task& each : unplaced_long_running(ranked, now)) {
         const task_name& name = each.name;
         auto& step = round.step_of(name);
-        if (step.exhausted) {
+        if (step.exhausted || (step.at_cap && each.leaving == nullptr)) {
             continue;
         }
         // What runs is counted against the cap already.
         if (each.leaving == nullptr &&
             !cap_allows(*each.job, name.occurrence, name.step, step.reserved + 1)) {
-            step.exhausted = true;
+            step.at_cap = true;
             continue;
         }
         task_record& task = *each.job->find(name);
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -347,7 +347,7 @@
         // A cordoned worker keeps its long-running tasks until enough others are at full rate, and
         // the task to be placed may be one of those others.
         if (worker.listing.service == service && worker.cordoned && worker.listed &&
-            worker.token_acknowledged && !worker.listing.draining && worker.missed_polls == 0 &&
+            worker.token_acknowledged && !worker.is_leaving() && worker.missed_polls == 0 &&
             worker.long_running_runs > 0 && suits(worker)) {
             return &worker;
         }
@@ -393,7 +393,7 @@
     // A task that a predecessor has just ordered to stop is still reported as running.
     const bool stops_may_be_pending = now < m_started + 2 * m_options.stop_time;
     for (auto& [id, worker] : m_workers) {
-        if (!worker.cordoned && !worker.listing.draining) {
+        if (!worker.cordoned && !worker.is_leaving()) {
             continue;
         }
         for (auto& [name, run] : worker.runs) {
@@ -402,7 +402,7 @@
                 !job->spec().steps[name.task.step].long_running) {
                 continue;
             }
-            const bool evicted = worker.listing.draining
+            const bool evicted = worker.is_leaving()
                                      ? now >= worker.departure->last_stop(m_options.stop_time)
                                      : !stops_may_be_pending && may_evict(*job, name.task, now);
             if (evicted) {
@@ -425,7 +425,7 @@
             tasks[index].runs.begin(), tasks[index].runs.end(), [&](const task_run& run) {
                 const auto worker = m_workers.find(run.worker);
                 // A task on a worker that leaves is about to be stopped.
-                if (worker == m_workers.end() || worker->second.listing.draining) {
+                if (worker == m_workers.end() || worker->second.is_leaving()) {
                     return false;
                 }
                 const auto known = worker->second.runs.find(
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -5,6 +5,13 @@
 
 namespace plantaindoor::job {
 
+namespace {
+
+/// Longer silence of a worker makes its tasks count on others.
+constexpr milliseconds brief_silence{1500};
+
+} // namespace
+
 bool worker_listing::has_label(const std::string& label) const
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -19,9 +26,14 @@
                        std::to_string(started_at->time_since_epoch().count()));
 }
 
+bool worker_record::is_silent(time_point now) const
+{
+    return unresponsive_since && now - *unresponsive_since >= brief_silence;
+}
+
 bool worker_record::accepts_tasks() const
 {
-    return listed && token_acknowledged && !cordoned && !listing.draining;
+    return listed && token_acknowledged && !cordoned && !is_leaving();
 }
 
 bool worker_record::is_usable(time_point now) const
