job: Ask for machines for what may start under a workspace's cap

A long-running task whose worker leaves asked for no machine, and got no place before it was stopped, where another task of its step waited at its workspace's cap: the wait of one kept the whole step from being placed or counted. The task that leaves uses the cap already. The other way round, machines were moved for waiting tasks that the cap wouldn't have let start on them.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -489,6 +489,10 @@
     [[nodiscard]] bool may_evict(job_record& job, const task_name& name, time_point now);
     void send_stops(time_point now);
     void throttle_best_effort(time_point now);
+    /// The waiting tasks of a long-running step that could start on further workers; `first`: its
+    /// first task.
+    [[nodiscard]] std::uint32_t startable_tasks(const job_record& job,
+                                                const task_name& first) const;
     /// The capacity that long-running tasks leave on each usable worker, by service.
     [[nodiscard]] std::map<service_id, std::vector<resources>> lasting_room() const;
     /// The number of empty workers that `tasks` ready tasks of the step need since no worker of the
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -50,6 +50,22 @@
     return per_worker == 0 ? 0 : static_cast<std::uint32_t>((tasks + per_worker - 1) / per_worker);
 }
 
+std::uint32_t scheduler::startable_tasks(const job_record& job, const task_name& first) const
+{
+    if (m_waiting_at_cap.contains(first)) {
+        return 0;
+    }
+    const step_record& record = job.occurrences().at(first.occurrence).steps[first.step];
+    std::uint32_t startable =
+        in_doubt(job, m_now) ? waiting_with_known_run(record) : record.waiting;
+    const resources& need = job.spec().steps[first.step].need;
+    while (startable > 0 &&
+           m_quota.check(job.workspace(), need, startable) != policy::quota_verdict::allowed) {
+        --startable;
+    }
+    return startable;
+}
+
 std::map<service_id, service_load> scheduler::loads() const
 {
     std::map<service_id, service_load> loads;
@@ -66,7 +82,6 @@
     for (const auto& [id, unfinished] : m_open) {
         const job_record& job = *unfinished;
         service_load& load = loads[job.queue().service];
-        const bool waits_for_predecessor = in_doubt(job, m_now);
         for (const auto& [number, occurrence] : job.occurrences()) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_spec& spec = job.spec().steps[step];
@@ -77,16 +92,12 @@
                     const std::uint32_t limit = spec.max_per_worker;
                     load.min_workers = std::max(load.min_workers,
                                                 limit == 0 ? 1 : (spec.count + limit - 1) / limit);
-                    const auto elsewhere =
-                        displaced.find({id, number, static_cast<std::uint32_t>(step), 0});
-                    const std::uint32_t startable =
-                        (waits_for_predecessor ? waiting_with_known_run(record) : record.waiting) +
-                        (elsewhere == displaced.end() ? 0 : elsewhere->second);
-                    if (startable > 0 &&
-                        !m_waiting_at_cap.contains(
-                            {id, number, static_cast<std::uint32_t>(step), 0}) &&
-                        job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
-                        missing.add(job, occurrence, static_cast<std::uint32_t>(step), startable);
+                    const task_name first{id, number, static_cast<std::uint32_t>(step), 0};
+                    const auto moving = displaced.find(first);
+                    const std::uint32_t unplaced = startable_tasks(job, first) +
+                                                   (moving == displaced.end() ? 0 : moving->second);
+                    if (unplaced > 0 && job.is_unblocked(occurrence, first.step)) {
+                        missing.add(job, occurrence, first.step, unplaced);
                     }
                     continue;
                 }
