job: Count the crashes that predecessors may have lost

Cause: a successor knew only what was persisted, and took off one crash for all its predecessors together. Each can lose one, as it doesn't start a task again before its last crash is durable. A claim now lists the versions of the claims before it. Compared with the version of a job's row they tell how many leaders may have started the job. With n of them a task is given up after 5 - n known crashes, at the third one at the earliest, and at that one only if the task was the only suspect. Outliving the suspicion clears the count. A task that reaches its limit by the change of the leader isn't started again.

Test: "crashes that two predecessors noted and couldn't persist count against a task".

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -20,6 +20,7 @@
 #include "plantaindoor/fleet/worker_poller.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -95,6 +96,8 @@
     void read_jobs();
     void read_workers();
     void handle_job_row(const stored_row& row);
+    /// Adds a job that as many earlier leaders may have started.
+    void load_job(const job_id& id, const std::string& row_value, std::uint32_t predecessors);
     void handle_worker_row(const stored_row& row);
     /// Whether this shard owns the worker's machine.
     [[nodiscard]] bool owns(const job::worker_listing& listing) const;
--- a/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_tracker.hpp
@@ -26,10 +26,20 @@
     std::uint32_t generation = 0;
     /// The leader has resigned voluntarily.
     bool released = false;
+    /// Versions of the latest claims before this one, oldest first; a released claim adds its own.
+    std::vector<row_version> earlier;
 
     friend bool operator==(const leader_claim&, const leader_claim&) = default;
 };
 
+/// The `earlier` of the claim that follows this one, or that releases it, if the row with this
+/// claim has this version.
+[[nodiscard]] std::vector<row_version> claims_until(const leader_claim& claim, row_version version);
+/// How many leaders there had been when this claim was written, since the store had this version.
+/// Not more than are known by their claims.
+[[nodiscard]] std::uint32_t predecessors_since(const leader_claim& claim, row_version claim_version,
+                                               row_version since);
+
 [[nodiscard]] std::string to_text(const leader_claim& claim);
 /// No value for text that isn't a valid claim.
 [[nodiscard]] std::optional<leader_claim> parse_leader_claim(std::string_view text);
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -133,7 +133,9 @@
     const leader_claim claim{.entry = m_options.name,
                              .peer_address = m_options.peer_address,
                              .incarnation = m_options.incarnation,
-                             .generation = previous ? previous->generation + 1 : 0};
+                             .generation = previous ? previous->generation + 1 : 0,
+                             .earlier = previous ? claims_until(*previous, m_leadership.version())
+                                                 : std::vector<row_version>()};
     leader_log.info(fmt::format("shard {}: claiming leadership as generation {}, after version {}",
                                 m_shard.number, claim.generation, m_leadership.version()));
     row_transaction transaction;
@@ -265,6 +267,7 @@
     leader_claim claim = *m_leadership.claim();
     const row_version version = m_leadership.version();
     end_session("resigned");
+    claim.earlier = claims_until(claim, version);
     claim.released = true;
     row_transaction transaction;
     transaction.conditions.push_back({leader_claim_address(m_shard.number), version});
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -193,11 +193,18 @@
         cancel(key.id);
     }
     else {
-        submit(key.id, row.value);
+        load_job(key.id, row.value,
+                 predecessors_since(m_options.claim, m_options.claim_row.version, row.version));
     }
 }
 
 void leader_session::submit(const job_id& id, const std::string& row_value)
+{
+    load_job(id, row_value, 0);
+}
+
+void leader_session::load_job(const job_id& id, const std::string& row_value,
+                              std::uint32_t predecessors)
 {
     if (m_scheduler.find(id) != nullptr) {
         return;
@@ -223,6 +230,7 @@
                             .spec = spec,
                             .at = now - age,
                             .inherited = inherited,
+                            .predecessors = predecessors,
                             .queue_shards = m_options.shard.layout->shards_of(accepted->queue)});
         if (const auto progress = m_persisted_progress.find(id);
             progress != m_persisted_progress.end()) {
--- a/packages/fleet/src/leader_tracker.cpp
+++ b/packages/fleet/src/leader_tracker.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view claim_key = "claim";
+/// What a leader knows of a task depends on a few predecessors only.
+constexpr std::size_t max_earlier_claims = 8;
 
 } // namespace
 
@@ -21,7 +23,8 @@
                 {"peer", claim.peer_address},
                 {"incarnation", claim.incarnation},
                 {"generation", claim.generation},
-                {"released", claim.released}}
+                {"released", claim.released},
+                {"earlier", claim.earlier}}
         .dump();
 }
 
@@ -36,13 +39,35 @@
                             .peer_address = parsed.at("peer"),
                             .incarnation = parsed.at("incarnation"),
                             .generation = parsed.at("generation"),
-                            .released = parsed.at("released")};
+                            .released = parsed.at("released"),
+                            .earlier = parsed.value("earlier", std::vector<row_version>())};
     }
     catch (const json::exception&) {
         return std::nullopt;
     }
 }
 
+std::vector<row_version> claims_until(const leader_claim& claim, row_version version)
+{
+    std::vector<row_version> versions = claim.earlier;
+    if (!claim.released) {
+        versions.push_back(version);
+    }
+    if (versions.size() > max_earlier_claims) {
+        versions.erase(versions.begin());
+    }
+    return versions;
+}
+
+std::uint32_t predecessors_since(const leader_claim& claim, row_version claim_version,
+                                 row_version since)
+{
+    const auto later = std::count_if(claim.earlier.begin(), claim.earlier.end(),
+                                     [since](row_version each) { return each > since; });
+    // Each claim that is later than that has ended the leadership before it.
+    return static_cast<std::uint32_t>(later) + (claim_version > since ? 1 : 0);
+}
+
 std::string control_partition(shard_number shard)
 {
     return shard == 0 ? "control" : "control-" + std::to_string(shard);
--- a/packages/fleet/tests/fleet_simulation_test.cpp
+++ b/packages/fleet/tests/fleet_simulation_test.cpp
@@ -169,6 +169,42 @@
     }
 }
 
+// Guards against BUDGET: each of two leaders in succession lost the first crash that it noted, and
+// the third one began at none.
+TEST_CASE("crashes that two predecessors noted and couldn't persist count against a task")
+{
+    fleet_simulation world(14, fleet_simulation::machine_list::answers);
+    world.run_for(seconds(2));
+    // Long after its start, so that only the number of the crashes tells that the task is to blame.
+    model_job job = two_step_job(1, milliseconds(2000));
+    job.crashing_tasks.insert(0);
+    job.crash_delay = milliseconds(600);
+    job_id id;
+    for (std::uint32_t crashes = 1; crashes <= 2; ++crashes) {
+        while (!world.leader()) {
+            world.run_for(milliseconds(1));
+        }
+        const std::size_t leader = *world.leader();
+        world.entry(leader).store().set_fault(store_fault::refusing_commits);
+        while (!world.accepted().contains(id)) {
+            id = world.submit(job);
+            world.run_for(milliseconds(50));
+        }
+        while (world.workers().most_crashes(id) < crashes) {
+            REQUIRE(world.leader() == leader);
+            world.run_for(milliseconds(10));
+        }
+        // Lets the leader notice the crash.
+        world.run_for(milliseconds(600));
+        world.kill(leader);
+        REQUIRE(world.stored_state(id) == "none");
+    }
+    world.run_for(seconds(40));
+    CHECK(world.stored_state(id) == "failed");
+    CHECK(world.workers().most_crashes(id) == 5);
+    check_no_violations(world.workers());
+}
+
 TEST_CASE("with control divided into shards, no rule is violated under faults")
 {
     for (std::uint64_t seed = 9000; seed < 9100; ++seed) {
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds max_late_delay{12000};
 /// Tasks of a job may be started for this long after its cancellation was acknowledged.
 constexpr milliseconds max_cancel_delay{3000};
-/// How long after a task's start it crashes its worker.
-constexpr milliseconds crash_delay{5};
 /// A worker lists at most this many ends; the others follow once these are acknowledged.
 constexpr std::size_t max_listed_ends = 500;
 /// A task that has crashed this many workers may be started fewer than this many times more.
@@ -249,7 +247,7 @@
     active.footprint = need;
     check_cap(order);
     if (job.crashes_worker(order.run.task)) {
-        m_loop.call_after(crash_delay, [this, id = order.worker] { m_on_crashing_start(id); });
+        m_loop.call_after(job.crash_delay, [this, id = order.worker] { m_on_crashing_start(id); });
     }
     if (!order.spec->steps[order.run.task.step].long_running) {
         const auto end_reason = job.failing_tasks.contains(order.run.task.index)
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -36,6 +36,8 @@
     std::set<std::uint32_t> failing_tasks;
     /// Indices of the tasks that crash each worker that starts them, in the first step.
     std::set<std::uint32_t> crashing_tasks;
+    /// How long after their start these do so.
+    milliseconds crash_delay{5};
     std::uint32_t max_attempts = 3;
     [[nodiscard]] bool crashes_worker(const job::task_name& task) const
     {
--- a/packages/job/include/plantaindoor/job/crash_history.hpp
+++ b/packages/job/include/plantaindoor/job/crash_history.hpp
@@ -12,6 +12,7 @@
 using policy::isolation_after;
 using policy::max_crashes;
 using policy::max_explained_crashes;
+using policy::most_known_crashes;
 using policy::needs_isolation;
 using policy::task_crash;
 
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -73,6 +73,9 @@
     std::vector<task_crash> crashes;
     /// Crashes for which another job's task turned out to be to blame.
     std::uint32_t explained_crashes = 0;
+    /// Crashes that predecessors may not have persisted. Each can lose only one: it doesn't start
+    /// the task again before that is durable.
+    std::uint32_t lost_crashes = 0;
     /// Since when a long-running task has waited for a worker, as far as this process knows;
     /// nullopt while it runs or while its step is blocked.
     std::optional<time_point> waiting_since;
@@ -85,16 +88,20 @@
     {
         return crashes.size() + explained_crashes;
     }
-    /// Whether the task crashes its workers. Explained crashes count only towards `most_crashes`:
-    /// two culprits that crash workers together explain the crashes of each other.
-    [[nodiscard]] bool is_blamed(std::size_t most_crashes) const noexcept
+    /// Whether the task crashes its workers. Explained crashes count only towards the limit on all
+    /// crashes: two culprits that crash workers together explain the crashes of each other.
+    [[nodiscard]] bool is_blamed() const noexcept
     {
-        return is_to_blame(crashes) || crash_count() >= most_crashes;
+        // Beside other suspects, the last of fewer crashes may well be the fault of another task.
+        const bool last_alone = !crashes.empty() && crashes.back().alone;
+        const std::size_t most = most_known_crashes(lost_crashes);
+        return is_to_blame(crashes) ||
+               crash_count() >= (last_alone ? most : std::max(most, max_crashes));
     }
     /// Whether a crash of the next run may be the last one before the task is given up.
     [[nodiscard]] bool is_on_last_start() const noexcept
     {
-        return crash_count() + 1 >= max_crashes;
+        return crash_count() + 1 >= std::min(max_crashes, most_known_crashes(lost_crashes));
     }
     /// Whether the next run must be isolated, for which explained crashes count too.
     [[nodiscard]] bool must_be_isolated() const noexcept
@@ -195,12 +202,18 @@
 
     /// Whether a worker has crashed for which any of the tasks may be to blame.
     [[nodiscard]] bool has_crashes() const;
+    /// A task that crashes its workers and doesn't run; nullopt if there is none.
+    [[nodiscard]] std::optional<task_name> find_blamed_waiting() const;
     /// Returns the task, or nullptr if no current occurrence has one of this name.
     [[nodiscard]] task_record* find(const task_name& name);
     [[nodiscard]] step_record& step_of(const task_name& name);
     /// Whether all steps that this one depends on are complete.
     [[nodiscard]] bool is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const;
 
+    /// Records how many earlier leaders may have started the job. Occurrences that become due
+    /// after the first start_due() don't count as started by them.
+    void note_predecessors(std::uint32_t count);
+
     /// The following return whether anything changed that must be persisted.
     bool note_done(const task_name& name);
     /// Records a crash of a worker, once for each worker.
@@ -247,6 +260,7 @@
     std::vector<instance_id> m_culprit_of;
     std::map<std::uint32_t, occurrence_record> m_occurrences;
     std::uint32_t m_started_occurrences = 0;
+    std::uint32_t m_predecessors = 0;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -150,8 +150,9 @@
     /// Must have passed check_spec().
     std::shared_ptr<const job_spec> spec;
     time_point at{};
-    /// A predecessor may have started the job.
+    /// A predecessor may have started the job; as many may have, at least one if it is set.
     bool inherited = false;
+    std::uint32_t predecessors = 0;
     /// Number of shards that the jobs of its queue are distributed over; 0: over all.
     std::uint32_t queue_shards = 0;
 };
@@ -362,10 +363,10 @@
         return task.crash_count() > 0 &&
                (m_new_crashes.contains(job.id()) || m_persisting_crashes.contains(job.id()));
     }
-    /// After how many crashes a task of the job is given up, also if others explain them.
-    [[nodiscard]] std::size_t most_crashes_of(const job_record& job) const;
     /// Fails the job of a task that is to blame, and clears the other jobs of its crashes.
     void fail_crashing_task(job_record& job, const task_name& name);
+    /// Fails the inherited jobs whose tasks had reached the limit on crashes when they were loaded.
+    void fail_blamed_jobs(time_point now);
     /// Forgets the end of an incarnation that has answered a request sent after it.
     void forget_refuted_end(const worker_record& worker, time_point sent);
     /// Resolves the end of the machine's previous worker when a new one has answered.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -87,6 +87,15 @@
     return result;
 }
 
+void set_lost_crashes(occurrence_record& occurrence, std::uint32_t count)
+{
+    for (step_record& step : occurrence.steps) {
+        for (task_record& task : step.tasks) {
+            task.lost_crashes = count;
+        }
+    }
+}
+
 void restore_step(step_record& step, const json& from)
 {
     const auto marks = from.at("tasks").get<std::string>();
@@ -243,9 +252,18 @@
         ++m_started_occurrences;
         started = true;
     }
+    m_predecessors = 0;
     return started;
 }
 
+void job_record::note_predecessors(std::uint32_t count)
+{
+    m_predecessors = count;
+    for (auto& [number, occurrence] : m_occurrences) {
+        set_lost_crashes(occurrence, count);
+    }
+}
+
 bool job_record::remove_complete_occurrences()
 {
     if (!m_spec->repeats) {
@@ -266,6 +284,23 @@
     });
 }
 
+std::optional<task_name> job_record::find_blamed_waiting() const
+{
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            const auto found = std::find_if(tasks.begin(), tasks.end(), [](const auto& task) {
+                return task.is_waiting() && task.is_blamed();
+            });
+            if (found != tasks.end()) {
+                const auto index = static_cast<std::uint32_t>(found - tasks.begin());
+                return task_name{m_id, number, step, index};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 task_record* job_record::find(const task_name& name)
 {
     const auto occurrence = m_occurrences.find(name.occurrence);
@@ -351,7 +386,11 @@
 bool job_record::clear_crashes(const task_name& name)
 {
     task_record* const task = find(name);
-    if (task == nullptr || task->crash_count() == 0) {
+    if (task == nullptr) {
+        return false;
+    }
+    task->lost_crashes = 0;
+    if (task->crash_count() == 0) {
         return false;
     }
     task->crashes.clear();
@@ -521,6 +560,7 @@
         created.steps[step].tasks.resize(m_spec->steps[step].count);
         created.steps[step].waiting = m_spec->steps[step].count;
     }
+    set_lost_crashes(created, m_predecessors);
     return created;
 }
 
--- a/packages/job/src/scheduler_crashes.cpp
+++ b/packages/job/src/scheduler_crashes.cpp
@@ -53,10 +53,8 @@
 
 void scheduler::clear_suspicion(const task_name& name)
 {
-    if (!m_suspect_jobs.contains(name.job)) {
-        return;
-    }
-    if (m_open.at(name.job)->clear_crashes(name)) {
+    const auto job = m_open.find(name.job);
+    if (job != m_open.end() && job->second->clear_crashes(name)) {
         mark_dirty(name.job);
     }
 }
@@ -95,18 +93,12 @@
             continue;
         }
         const task_record* const task = job->find(each.run.task);
-        if (task != nullptr && task->is_blamed(most_crashes_of(*job))) {
+        if (task != nullptr && task->is_blamed()) {
             fail_crashing_task(*job, each.run.task);
         }
     }
 }
 
-std::size_t scheduler::most_crashes_of(const job_record& job) const
-{
-    // A predecessor may have ended before it could persist a first crash.
-    return m_inherited.contains(job.id()) ? max_crashes : max_explained_crashes;
-}
-
 void scheduler::fail_crashing_task(job_record& job, const task_name& name)
 {
     std::vector<instance_id> crashes;
@@ -125,6 +117,19 @@
     note_culprit(job);
 }
 
+void scheduler::fail_blamed_jobs(time_point now)
+{
+    for (auto at = m_suspect_jobs.begin(); at != m_suspect_jobs.end();) {
+        job_record& job = *m_open.at(*at++);
+        if (in_doubt(job, now)) {
+            continue;
+        }
+        if (const auto blamed = job.find_blamed_waiting()) {
+            fail_crashing_task(job, *blamed);
+        }
+    }
+}
+
 void scheduler::note_culprit(const job_record& job)
 {
     m_isolation.note_culprit(job.id(), job.culprit_of());
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -114,6 +114,7 @@
     job.set_workspace(std::move(submitted.workspace));
     m_open.emplace(id, &job);
     if (submitted.inherited) {
+        job.note_predecessors(std::max<std::uint32_t>(submitted.predecessors, 1));
         m_inherited.insert(id);
     }
     if (m_cancelled_early.erase(id) != 0) {
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -57,6 +57,7 @@
     start_due_occurrences(wall_now);
     refresh_learned(now);
     evacuate(now);
+    fail_blamed_jobs(now);
     place_all(now);
     report_long_waits(now);
     throttle_best_effort(now);
--- a/packages/job/tests/crash_test.cpp
+++ b/packages/job/tests/crash_test.cpp
@@ -360,6 +360,10 @@
     CHECK_FALSE(is_to_blame({later, alone}));
     CHECK_FALSE(is_to_blame({alone, later, later}));
     CHECK(is_to_blame({later, later, later, later}));
+    CHECK(most_known_crashes(0) == 5);
+    CHECK(most_known_crashes(1) == 4);
+    CHECK(most_known_crashes(2) == 3);
+    CHECK(most_known_crashes(9) == 3);
     CHECK(isolation_after({later, later}) < crash_suspicion_time);
     CHECK(isolation_after({later, later, later}) == crash_suspicion_time);
     CHECK(needs_isolation({crowd}));
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -243,6 +243,125 @@
     CHECK(is_terminal(pool.state(id)) == inherited);
 }
 
+namespace {
+
+/// Replaces the leader by one that reads this progress of the only job, which as many earlier
+/// leaders may have started.
+void begin_successor(crash_pool& pool, const job_id& id, std::uint32_t predecessors,
+                     std::string_view progress)
+{
+    pool.begin_leader();
+    pool.subject->submit(id, {.queue = "q",
+                              .spec = pool.jobs.at(id).spec,
+                              .at = pool.now,
+                              .inherited = predecessors > 0,
+                              .predecessors = predecessors});
+    pool.subject->restore(id, progress);
+    for (const auto& [machine, worker] : pool.workers) {
+        pool.subject->note_worker_listed(crash_pool::listing(machine, worker), pool.now);
+        pool.report(worker);
+    }
+}
+
+/// Crashes the worker of the job's only task this long after its start; returns whether the task is
+/// given up.
+bool crash_after(crash_pool& pool, const job_id& id, milliseconds time)
+{
+    const auto& task = pool.subject->find(id)->occurrences().at(0).steps[0].tasks[0];
+    while (task.runs.empty()) {
+        pool.step();
+    }
+    const instance_id worker = task.runs[0].worker;
+    const std::string machine = pool.subject->workers().at(worker).listing.machine;
+    pool.run_for(time);
+    pool.crash(machine);
+    return is_terminal(pool.state(id));
+}
+
+constexpr std::string_view no_crashes =
+    R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"."}]}})";
+
+} // namespace
+
+// Guards against BUDGET: a successor didn't count the crashes that its predecessors lost.
+TEST_CASE("a task is given up after fewer crashes if several predecessors may have lost one")
+{
+    const std::uint32_t predecessors = GENERATE(0, 1, 2, 3, 20);
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(60));
+    begin_successor(pool, id, predecessors, no_crashes);
+    std::uint32_t crashes = 1;
+    while (!crash_after(pool, id, seconds(1)) && crashes < 10) {
+        ++crashes;
+    }
+    CHECK(crashes == (predecessors < 2 ? 4 : 3));
+}
+
+// Guards against BUDGET: the crashes that are durable and those that predecessors may have lost
+// reach the limit only with the change of the leader.
+TEST_CASE("an inherited task that has reached its limit is given up without another start")
+{
+    const bool runs = GENERATE(false, true);
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(60));
+    if (runs) {
+        pool.plan();
+    }
+    pool.starts.clear();
+    begin_successor(pool, id, 2,
+                    R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","crashes":)"
+                    R"({"0":[{"worker":"a","on_start":false,"alone":false},)"
+                    R"({"worker":"b","on_start":false,"alone":false},)"
+                    R"({"worker":"c","on_start":false,"alone":true}]}}]}})");
+    pool.run_for(seconds(5));
+    CHECK(pool.starts.empty());
+    // One that runs is given up only if it crashes its worker too.
+    CHECK(is_terminal(pool.state(id)) == !runs);
+}
+
+// Guards against giving up a sound task whose last crash may be the fault of its neighbours.
+TEST_CASE("crashes that may be lost give no task up for one that it shared with other suspects")
+{
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(2));
+    begin_successor(pool, id, 3,
+                    R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":".","crashes":)"
+                    R"({"0":[{"worker":"a","on_start":false,"alone":true},)"
+                    R"({"worker":"b","on_start":false,"alone":true},)"
+                    R"({"worker":"c","on_start":false,"alone":false}]}}]}})");
+    pool.run_for(seconds(5));
+    CHECK(pool.state(id) == job_state::completed);
+}
+
+// Guards against giving up sound tasks: each change of a leader would lower their limit for good.
+TEST_CASE("a task that outlives its suspicion is not charged with what predecessors may have lost")
+{
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(1, 300), seconds(60));
+    begin_successor(pool, id, 3, no_crashes);
+    CHECK_FALSE(crash_after(pool, id, seconds(4)));
+    for (int crash = 1; crash <= 3; ++crash) {
+        CHECK_FALSE(crash_after(pool, id, seconds(1)));
+    }
+    CHECK(crash_after(pool, id, seconds(1)));
+}
+
+TEST_CASE("only occurrences that were due under a predecessor are charged with what it lost")
+{
+    job_spec spec;
+    spec.steps.push_back(tasks(1, 300));
+    spec.repeats =
+        repetition{.first = wall_time{seconds(100)}, .interval = milliseconds(10000), .count = 3};
+    job_record job(job_id("j"), {}, std::make_shared<const job_spec>(spec), {});
+    job.note_predecessors(2);
+    job.restore(R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"."}]}})");
+    REQUIRE(job.start_due(wall_time{seconds(111)}));
+    REQUIRE(job.start_due(wall_time{seconds(121)}));
+    CHECK(job.find({job.id(), 0, 0, 0})->lost_crashes == 2);
+    CHECK(job.find({job.id(), 1, 0, 0})->lost_crashes == 2);
+    CHECK(job.find({job.id(), 2, 0, 0})->lost_crashes == 0);
+}
+
 // Guards against a culprit that is started without end while other culprits explain its crashes.
 TEST_CASE("a task is given up after five crashes, also if others explain them")
 {
--- a/packages/policy/include/plantaindoor/policy/crash_history.hpp
+++ b/packages/policy/include/plantaindoor/policy/crash_history.hpp
@@ -4,6 +4,8 @@
 #include "plantaindoor/common/ids.hpp"
 #include "plantaindoor/common/time.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace plantaindoor::policy {
@@ -19,6 +21,8 @@
 /// The same if other tasks are to blame for some of them. It bounds the starts of a task after
 /// three workers have crashed under it to two.
 inline constexpr std::size_t max_explained_crashes = max_crashes + 1;
+/// The same if predecessors may have lost any number of crashes: fewer may be mere coincidence.
+inline constexpr std::size_t min_inherited_crashes = max_crashes - 1;
 
 /// A worker that crashed while it ran a task, before the task had outlived crash_suspicion_time.
 struct task_crash {
@@ -45,4 +49,8 @@
 /// last one alone, or max_crashes in all. Thread-safe.
 [[nodiscard]] bool is_to_blame(const std::vector<task_crash>& crashes) noexcept;
 
+/// After how many known crashes a task is given up, whatever the blame, if `lost` further ones may
+/// not be known. Thread-safe.
+[[nodiscard]] std::size_t most_known_crashes(std::uint32_t lost) noexcept;
+
 } // namespace plantaindoor::policy
--- a/packages/policy/src/crash_history.cpp
+++ b/packages/policy/src/crash_history.cpp
@@ -25,4 +25,10 @@
     return last.alone && last.on_start && crashes[crashes.size() - 2].on_start;
 }
 
+std::size_t most_known_crashes(std::uint32_t lost) noexcept
+{
+    return lost < max_explained_crashes - min_inherited_crashes ? max_explained_crashes - lost
+                                                                : min_inherited_crashes;
+}
+
 } // namespace plantaindoor::policy
