fleet: Simulate a shard that loses its workers while another has room

Callers see a long-running task without a run although the deployment has room for it many times over: the leader of its shard counts and uses the workers of the shard only.

In the simulation the two workers of a shard leave one after the other, with notice, while each runs the task; the other shard has two idle ones.

--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -181,6 +181,20 @@
     });
 }
 
+void fleet_simulation::retire_worker(std::size_t worker, milliseconds drain_time)
+{
+    const instance_id id = m_worker_ids[worker];
+    job::worker_listing& listing = m_listings.at(id.str());
+    listing.draining = true;
+    listing.remaining = drain_time;
+    m_rows.put({"workers", "", id.str()}, "draining");
+    m_loop.call_after(drain_time, [this, worker, id] {
+        m_workers.end_worker(id);
+        m_worker_ids[worker] = instance_id();
+        m_rows.remove({"workers", "", id.str()});
+    });
+}
+
 void fleet_simulation::unlist_worker(std::size_t worker, milliseconds unlisted_time)
 {
     const instance_id id = m_worker_ids[worker];
@@ -212,6 +226,9 @@
 {
     std::vector<machine_info> listed;
     for (std::size_t worker = 0; worker < worker_count; ++worker) {
+        if (m_worker_ids[worker].empty()) {
+            continue;
+        }
         listed.push_back({.machine = fmt::format("m{}", worker),
                           .pool = pool,
                           .state = m_machine_down[worker] ? machine_state::down : machine_state::up,
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -117,6 +117,9 @@
     void restart(std::size_t entry);
     /// Ends a worker and starts another instance at the same address after the time `down`.
     void crash_worker(std::size_t worker, milliseconds down);
+    /// The worker announces that it leaves, and ends after `drain_time`. Its machine is no longer
+    /// listed then, and gets no other worker.
+    void retire_worker(std::size_t worker, milliseconds drain_time);
     /// Removes the row of a live worker from the store for a time, as when its reports to the
     /// platform are lost.
     void unlist_worker(std::size_t worker, milliseconds unlisted_time);
@@ -157,6 +160,7 @@
     std::shared_ptr<const fleet_config> m_config;
     std::map<std::string, std::shared_ptr<const job::job_spec>> m_specs;
     std::map<std::string, job::worker_listing> m_listings;
+    /// Empty for workers that have retired.
     std::vector<instance_id> m_worker_ids;
     /// Whether each worker's machine is down.
     std::vector<bool> m_machine_down;
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -99,6 +99,18 @@
     return count;
 }
 
+std::optional<instance_id> model_workers::worker_of(const job::task_name& task) const
+{
+    for (const auto& [id, worker] : m_instances) {
+        for (const auto& [run, active] : worker.running) {
+            if (run.task == task) {
+                return id;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 path_fault model_workers::fault(const std::string& entry, const instance_id& worker) const
 {
     const auto found = m_path_faults.find({entry, worker});
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -87,6 +88,8 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
     /// Runs on all workers.
     [[nodiscard]] std::size_t running() const;
+    /// The worker that runs the task now; nullopt if none does.
+    [[nodiscard]] std::optional<instance_id> worker_of(const job::task_name& task) const;
     /// Runs started since the beginning.
     [[nodiscard]] std::size_t starts() const { return m_starts; }
 
