job: Move the doubt about a predecessor's runs out of the scheduler

Which workers may run, or have done, tasks that a predecessor started was spread over two members and eight functions of the scheduler, so that the rule could be read and tested only through placements. It is now a class of its own, predecessor_doubt, which knows workers and services and is asked whether it concerns a queue. The margins of a lease and the question whether a worker may yet list earlier ends go to worker.hpp, with the worker's state.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/decision.hpp"
+#include "plantaindoor/job/predecessor_doubt.hpp"
 #include "plantaindoor/job/record.hpp"
 #include "plantaindoor/job/spec.hpp"
 #include "plantaindoor/job/speed_learner.hpp"
@@ -266,7 +267,7 @@
     [[nodiscard]] bool waits_at_cap(const job_id& id) const;
     /// Whether some worker may run, or have done, tasks that a predecessor started and that aren't
     /// known to this process.
-    [[nodiscard]] bool has_predecessor_doubt(time_point now) const;
+    [[nodiscard]] bool has_predecessor_doubt(time_point now) const { return m_doubt.exists(now); }
     /// Whether a worker is to be polled: it is listed, or tasks may run there. Until its leases
     /// must have expired, these may be a predecessor's on a worker that has never answered.
     [[nodiscard]] bool needs_polling(const instance_id& id) const;
@@ -490,15 +491,6 @@
     /// that `tasks` is not 0.
     [[nodiscard]] std::uint32_t workers_for_blocked(const step_spec& step, std::uint32_t tasks,
                                                     const std::vector<resources>& rooms) const;
-    void note_predecessor_runs_known(worker_record& worker);
-    /// Whether the worker answers and has ended runs that it couldn't list yet. These may be done
-    /// however long ago they were started.
-    [[nodiscard]] static bool may_list_earlier_ends(const worker_record& worker, time_point now);
-    /// Forgets the workers whose earlier runs, still unknown, have lost their leases.
-    void drop_lapsed_doubt(time_point now);
-    void refresh_services_in_doubt();
-    /// When all leases that a predecessor extended have expired.
-    [[nodiscard]] time_point predecessor_bound() const;
     /// Whether some worker may run, or have done, tasks of an inherited job that aren't known to
     /// this process.
     [[nodiscard]] bool in_doubt(const job_record& job, time_point now) const;
@@ -541,6 +533,7 @@
     };
     std::map<service_id, held_capacity> m_held;
     policy::long_running_reservations m_reservations;
+    predecessor_doubt m_doubt;
     /// What is kept from other tasks in this round.
     std::vector<std::pair<worker_record*, resources>> m_reserved_room;
     std::map<job_id, job_record> m_jobs;
@@ -556,11 +549,6 @@
     std::map<instance_id, worker_record> m_workers;
     /// The worker that has answered last at each address.
     std::unordered_map<std::string, instance_id> m_worker_at_address;
-    /// Workers that were alive when this process became leader and whose runs from before aren't
-    /// known to it; nullopt until live workers were reported.
-    std::optional<std::map<instance_id, service_id>> m_unknown_workers;
-    /// The services of m_unknown_workers.
-    std::set<service_id> m_services_in_doubt;
     std::map<service_id, std::vector<worker_record*>> m_candidates;
     /// Needs without other constraints that fitted on no worker of a service in this round.
     std::map<service_id, std::vector<resources>> m_unplaceable;
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -20,6 +20,9 @@
 
 namespace plantaindoor::job {
 
+/// Longest time by this process's clock in which `time` passes on a worker's clock. Thread-safe.
+[[nodiscard]] milliseconds with_clock_margins(milliseconds time);
+
 /// A worker as listed by the platform.
 struct worker_listing {
     instance_id id;
@@ -241,6 +244,9 @@
     [[nodiscard]] bool accepts_tasks() const;
     /// Whether new tasks may be placed on the worker.
     [[nodiscard]] bool is_usable(time_point now) const;
+    /// Whether the worker answers and has ended runs that it couldn't list yet. These may be done
+    /// however long ago they were started.
+    [[nodiscard]] bool may_list_earlier_ends(time_point now) const;
     [[nodiscard]] resources capacity() const
     {
         return reported_capacity.value_or(listing.capacity);
--- a/packages/job/src/scheduler_quota.cpp
+++ b/packages/job/src/scheduler_quota.cpp
@@ -26,7 +26,7 @@
     m_quota.begin_round();
     m_waiting_at_cap.clear();
     m_room_at_cap.clear();
-    if (!m_quota.has_caps() || !has_predecessor_doubt(now)) {
+    if (!m_quota.has_caps() || !m_doubt.exists(now)) {
         return;
     }
     for (const job_id& id : m_inherited) {
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Margins of a lease bound: a worker's clock may be 2% slow according to the platform's
-/// documentation, and an answer takes time.
-constexpr double clock_margin_factor = 1.03;
-constexpr milliseconds lease_slack{300};
 /// How long a worker with runs, or without, may wait for a run to end before it answers a poll.
 constexpr milliseconds busy_poll_wait{1000};
 constexpr milliseconds idle_poll_wait{2000};
@@ -35,13 +31,6 @@
     }
 }
 
-/// Longest time by this process's clock in which `time` passes on a worker's clock.
-milliseconds with_margins(milliseconds time)
-{
-    return milliseconds(static_cast<std::int64_t>(double(time.count()) * clock_margin_factor)) +
-           lease_slack;
-}
-
 } // namespace
 
 void scheduler::note_answer_at(const worker_record& worker, time_point sent)
@@ -72,8 +61,7 @@
     }
     if (worker.listing.id.empty()) {
         // A predecessor may have started tasks there and extended their leases.
-        worker.lease_bound =
-            m_started + m_options.predecessor_grace + with_margins(m_options.lease);
+        worker.lease_bound = m_doubt.lease_bound();
         worker.last_answer = now;
         // What is being persisted is of another record of this id.
         m_persisting_sequences.erase(id);
@@ -125,7 +113,7 @@
     // worker's report tells which runs to stop.
     return !worker.listed && worker.runs.empty() &&
            (worker.predecessor_runs_known ||
-            (now > worker.lease_bound && !may_list_earlier_ends(worker, now)));
+            (now > worker.lease_bound && !worker.may_list_earlier_ends(now)));
 }
 
 bool scheduler::needs_polling(const instance_id& id) const
@@ -138,7 +126,7 @@
     if (!worker.clock || worker.missed_polls > 0) {
         return std::nullopt;
     }
-    worker.lease_bound = std::max(worker.lease_bound, now + with_margins(m_options.lease));
+    worker.lease_bound = std::max(worker.lease_bound, now + with_clock_margins(m_options.lease));
     const auto passed = std::chrono::duration_cast<milliseconds>(now - worker.clock_read_at);
     return *worker.clock + passed + m_options.lease;
 }
@@ -187,7 +175,7 @@
         begin_incarnation(worker, report, sent);
         // Deadlines by the clock of the earlier incarnation may have extended the lease of this
         // one.
-        worker.lease_bound = now + with_margins(m_options.max_lease);
+        worker.lease_bound = now + with_clock_margins(m_options.max_lease);
     }
     note_reported_start(worker, report, sent);
     forget_refuted_end(worker, sent);
@@ -220,7 +208,8 @@
         apply_running(worker, reported, now);
     }
     if (report.ended.extent == list_extent::complete) {
-        note_predecessor_runs_known(worker);
+        worker.predecessor_runs_known = true;
+        m_doubt.note_runs_known(id);
     }
     resolve_unreported_runs(worker, report.ended.extent, sent);
 }
@@ -296,7 +285,7 @@
     }
     // The bound must cover the adopted run's lease as it does those of runs started by this
     // process.
-    worker.lease_bound = std::max(worker.lease_bound, now + with_margins(m_options.lease));
+    worker.lease_bound = std::max(worker.lease_bound, now + with_clock_margins(m_options.lease));
 }
 
 void scheduler::stop_unexpected_run(worker_record& worker, const run_name& run, time_point now)
@@ -432,7 +421,7 @@
 
 void scheduler::expire_unresponsive_workers(time_point now)
 {
-    drop_lapsed_doubt(now);
+    m_doubt.drop_lapsed(m_workers, now);
     for (auto at = m_workers.begin(); at != m_workers.end();) {
         worker_record& worker = at->second;
         const bool unresponsive = worker.missed_polls > 0 || !worker.listed;
@@ -459,87 +448,12 @@
 void scheduler::note_live_workers(const std::map<instance_id, service_id>& live_workers,
                                   list_extent extent, time_point now)
 {
-    if (extent == list_extent::partial) {
-        return;
-    }
-    if (!m_unknown_workers || now < m_started + m_options.predecessor_detection) {
-        m_unknown_workers = live_workers;
-        for (const auto& [id, worker] : m_workers) {
-            if (worker.listed) {
-                m_unknown_workers->emplace(id, worker.listing.service);
-            }
-        }
-    }
-    std::erase_if(*m_unknown_workers, [&](const auto& each) {
-        const auto worker = m_workers.find(each.first);
-        const bool known = worker != m_workers.end();
-        const bool may_exist = known && worker->second.listed && !worker->second.has_no_machine();
-        return (known && worker->second.predecessor_runs_known) ||
-               (!may_exist && !live_workers.contains(each.first));
-    });
-    drop_lapsed_doubt(now);
-    refresh_services_in_doubt();
-}
-
-void scheduler::note_predecessor_runs_known(worker_record& worker)
-{
-    worker.predecessor_runs_known = true;
-    if (m_unknown_workers && m_unknown_workers->erase(worker.listing.id) != 0) {
-        refresh_services_in_doubt();
-    }
-}
-
-bool scheduler::may_list_earlier_ends(const worker_record& worker, time_point now)
-{
-    return worker.token_acknowledged && worker.has_unlisted_ends &&
-           !worker.predecessor_runs_known &&
-           (worker.missed_polls == 0 || now <= worker.lease_bound);
-}
-
-void scheduler::drop_lapsed_doubt(time_point now)
-{
-    if (now < predecessor_bound()) {
-        return;
-    }
-    m_unknown_workers.emplace();
-    for (const auto& [id, worker] : m_workers) {
-        if (may_list_earlier_ends(worker, now)) {
-            m_unknown_workers->emplace(id, worker.listing.service);
-        }
-    }
-    refresh_services_in_doubt();
-}
-
-void scheduler::refresh_services_in_doubt()
-{
-    m_services_in_doubt.clear();
-    for (const auto& [id, service] : *m_unknown_workers) {
-        m_services_in_doubt.insert(service);
-    }
-}
-
-time_point scheduler::predecessor_bound() const
-{
-    return m_started + m_options.predecessor_grace + with_margins(m_options.lease);
-}
-
-bool scheduler::has_predecessor_doubt(time_point now) const
-{
-    return m_unknown_workers ? !m_unknown_workers->empty() : now < predecessor_bound();
+    m_doubt.note_live_workers(live_workers, extent, m_workers, now);
 }
 
 bool scheduler::in_doubt(const job_record& job, time_point now) const
 {
-    if (!has_predecessor_doubt(now) || !m_inherited.contains(job.id())) {
-        return false;
-    }
-    if (!m_unknown_workers || !m_options.former_services_known) {
-        return true;
-    }
-    const queue_policy& queue = job.queue();
-    return m_services_in_doubt.contains(queue.service) ||
-           std::any_of(queue.former_services.begin(), queue.former_services.end(),
-                       [this](const auto& each) { return m_services_in_doubt.contains(each); });
+    return m_inherited.contains(job.id()) && m_doubt.concerns(job.queue(), now);
 }
 
 } // namespace plantaindoor::job
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -5,6 +5,21 @@
 
 namespace plantaindoor::job {
 
+namespace {
+
+/// Margins of a lease bound: a worker's clock may be 2% slow according to the platform's
+/// documentation, and an answer takes time.
+constexpr double clock_margin_factor = 1.03;
+constexpr milliseconds lease_slack{300};
+
+} // namespace
+
+milliseconds with_clock_margins(milliseconds time)
+{
+    return milliseconds(static_cast<std::int64_t>(double(time.count()) * clock_margin_factor)) +
+           lease_slack;
+}
+
 bool worker_listing::has_label(const std::string& label) const
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -29,6 +44,12 @@
     return accepts_tasks() && missed_polls == 0 && now >= quarantined_until && now >= full_until;
 }
 
+bool worker_record::may_list_earlier_ends(time_point now) const
+{
+    return token_acknowledged && has_unlisted_ends && !predecessor_runs_known &&
+           (missed_polls == 0 || now <= lease_bound);
+}
+
 resources worker_record::capacity_beside_long_running() const
 {
     resources left = capacity();
