--- a/packages/job/tests/contended_pool.hpp
+++ b/packages/job/tests/contended_pool.hpp
@@ -197,10 +197,11 @@
     {
         std::size_t found = ended.size();
         for (const auto& [id, each] : workers) {
-            found += static_cast<std::size_t>(
-                std::count_if(each.runs.begin(), each.runs.end(), [&](const run& running) {
-                    return each.listing.draining && running.step.long_running;
-                }));
+            if (each.listing.draining) {
+                found += static_cast<std::size_t>(
+                    std::count_if(each.runs.begin(), each.runs.end(),
+                                  [](const run& running) { return running.step.long_running; }));
+            }
         }
         return found;
     }
