job: Keep the wait of a long-running task over changes of the leader

A long-running task that had lost its worker in a full pool waited longer with each change of the leader: the order of placement (longest wait first) and the time after which short runs are stopped for it counted from the first round of the present leader.

Cause: waiting_since is a time of one process's clock and lived only there.

The wait is kept in the job's progress by the wall clock. It is written once it has lasted 500 ms, and removed when a run is confirmed, so that most restarts write nothing and a rejected start neither ends the wait nor writes it again. A task that may run on a worker of a predecessor isn't recorded as waiting. A successor counts the wait for 60 s at most, and not from before the job was accepted, as clocks jump. Without a persisted wait it counts from its own start as before; the test of that is unchanged.

contended_pool can replace its leader now, and its wall clock goes on with its time. Two further tests fail if the end of a wait isn't persisted, and one if tasks in doubt are recorded.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -52,6 +52,10 @@
 /// Thread-safe.
 [[nodiscard]] std::optional<job_status> status_of_progress(std::string_view progress);
 
+/// Longest wait that a leader takes over: wall clocks may jump, and a stale row may tell of a wait
+/// that has ended.
+inline constexpr milliseconds max_inherited_wait{60000};
+
 /// One attempt of a task, on a worker where it runs or may run.
 struct task_run {
     instance_id worker;
@@ -76,6 +80,9 @@
     /// Since when a long-running task has waited for a worker, as far as this process knows;
     /// nullopt while it runs or while its step is blocked.
     std::optional<time_point> waiting_since;
+    /// The same by the wall clock, for the next leader; set once the wait has lasted, and kept
+    /// until a run is confirmed.
+    std::optional<wall_time> durable_wait;
     bool wait_reported = false;
     /// Whether this process has known a run of the task: a predecessor has no other one then.
     bool run_known = false;
@@ -215,8 +222,12 @@
     void note_started(const task_name& name, task_run run);
     /// A long-running task without another run waits since `since`.
     void note_not_running(const task_name& name, const task_run& run, time_point since);
-    /// Records that the long-running tasks wait whose turn has come, unless they already do.
-    void note_waiting(time_point since);
+    /// Records that the long-running tasks wait whose turn has come, unless they already do: since
+    /// now, or since a durable wait began, which counts for no longer than max_inherited_wait.
+    void note_waiting(time_point now, wall_time wall_now);
+    /// Forgets the durable wait of a task that runs; returns whether it had one, so that the job
+    /// must be persisted.
+    bool end_durable_wait(const task_name& name);
     /// The long-running tasks that wait for a worker, in order.
     [[nodiscard]] std::vector<task_name> waiting_tasks() const;
 
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -297,9 +297,11 @@
     void apply_queue(job_record& job);
     void mark_dirty(const job_id& id) { m_dirty.insert(id); }
     void note_decision(const job_record& job, decision recorded);
-    /// Counts the long-running tasks that wait, and records a decision on each that has waited for
-    /// wait_report_delay.
+    /// Counts the long-running tasks that wait, makes their waits durable, and records a decision
+    /// on each that has waited for wait_report_delay.
     void report_long_waits(time_point now);
+    /// Marks the end of the wait of a long-running task of which a run is confirmed.
+    void end_durable_wait(const task_name& name);
     /// Records that a task is started that has run before or has waited for long.
     void note_restart(const job_record& job, const run_name& run, const instance_id& worker,
                       time_point now);
@@ -573,8 +575,9 @@
     speed_learner m_learner;
     std::uint64_t m_placements_changed = 0;
     long_running_waits m_waits;
-    /// Time of the event that is being processed.
+    /// Time of the event that is being processed, and of the current round by the wall clock.
     time_point m_now{};
+    wall_time m_wall_now{};
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -55,6 +55,39 @@
     return workers;
 }
 
+/// The durable waits as [start, first task, number of tasks]: tasks of a step often begin to wait
+/// together.
+json waits_json(const std::vector<task_record>& tasks)
+{
+    json result = json::array();
+    std::optional<wall_time> previous;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const std::optional<wall_time> since =
+            tasks[index].done ? std::nullopt : tasks[index].durable_wait;
+        if (since && since == previous) {
+            json& count = result.back().back();
+            count = count.get<std::size_t>() + 1;
+        }
+        else if (since) {
+            result.push_back(json::array({since->time_since_epoch().count(), index, 1}));
+        }
+        previous = since;
+    }
+    return result;
+}
+
+void restore_waits(std::vector<task_record>& tasks, const json& from)
+{
+    for (const json& each : from) {
+        const wall_time since(milliseconds(each.at(0).get<std::int64_t>()));
+        const auto first = each.at(1).get<std::size_t>();
+        const auto count = each.at(2).get<std::size_t>();
+        for (std::size_t offset = 0; offset < count; ++offset) {
+            tasks.at(first + offset).durable_wait = since;
+        }
+    }
+}
+
 json step_json(const step_record& step)
 {
     std::string marks;
@@ -84,6 +117,9 @@
     if (!explained.empty()) {
         result["explained"] = explained;
     }
+    if (json waits = waits_json(step.tasks); !waits.empty()) {
+        result["waits"] = std::move(waits);
+    }
     return result;
 }
 
@@ -108,6 +144,7 @@
     for (const auto& [index, count] : explained_by_task.items()) {
         step.tasks.at(std::stoul(index)).explained_crashes = count.get<std::uint32_t>();
     }
+    restore_waits(step.tasks, from.value("waits", json::array()));
     const json failures_by_task = from.value("failed", json::object());
     for (const auto& [index, attempts] : failures_by_task.items()) {
         task_record& task = step.tasks.at(std::stoul(index));
@@ -424,8 +461,14 @@
     return waiting;
 }
 
-void job_record::note_waiting(time_point since)
+void job_record::note_waiting(time_point now, wall_time wall_now)
 {
+    const auto start_of = [&](const task_record& task) {
+        const milliseconds age = task.durable_wait ? std::clamp(wall_now - *task.durable_wait,
+                                                                milliseconds(0), max_inherited_wait)
+                                                   : milliseconds(0);
+        return std::max(now - age, std::min(now, m_submitted));
+    };
     for (auto& [number, occurrence] : m_occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!m_spec->steps[step].long_running || occurrence.steps[step].waiting == 0 ||
@@ -434,13 +477,19 @@
             }
             for (task_record& task : occurrence.steps[step].tasks) {
                 if (task.is_waiting() && !task.waiting_since) {
-                    task.waiting_since = since;
+                    task.waiting_since = start_of(task);
                 }
             }
         }
     }
 }
 
+bool job_record::end_durable_wait(const task_name& name)
+{
+    task_record* const task = find(name);
+    return task != nullptr && std::exchange(task->durable_wait, std::nullopt).has_value();
+}
+
 std::string job_record::progress() const
 {
     json result{{"state", name_of(m_state)}};
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -53,6 +53,7 @@
 {
     m_orders = {};
     m_now = now;
+    m_wall_now = wall_now;
     expire_unresponsive_workers(now);
     start_due_occurrences(wall_now);
     refresh_learned(now);
@@ -89,7 +90,7 @@
     for (const auto& [id, unfinished] : m_open) {
         job_record& job = *unfinished;
         if (job.is_long_running()) {
-            job.note_waiting(now);
+            job.note_waiting(now, m_wall_now);
         }
         const bool doubtful = in_doubt(job, now);
         const tier job_tier = tier_of(job, now);
--- a/packages/job/src/scheduler_waits.cpp
+++ b/packages/job/src/scheduler_waits.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr milliseconds wait_report_delay{2000};
+/// Most tasks start sooner, so that nothing has to be persisted for them.
+constexpr milliseconds wait_persist_delay{500};
 
 milliseconds waited_by(time_point since, time_point now)
 {
@@ -22,11 +24,18 @@
         if (!job->is_long_running()) {
             continue;
         }
+        const bool doubtful = in_doubt(*job, now);
         for (const task_name& name : job->waiting_tasks()) {
             task_record& task = *job->find(name);
             const milliseconds waited = waited_by(*task.waiting_since, now);
             ++m_waits.tasks;
             m_waits.longest = std::max(m_waits.longest, waited);
+            // A task in doubt may run.
+            if (waited >= wait_persist_delay && !task.durable_wait &&
+                (task.run_known || !doubtful)) {
+                task.durable_wait = m_wall_now - waited;
+                mark_dirty(id);
+            }
             if (waited >= wait_report_delay && !task.wait_reported) {
                 task.wait_reported = true;
                 note_decision(*job, {.kind = decision_kind::task_waits,
@@ -38,6 +47,13 @@
     }
 }
 
+void scheduler::end_durable_wait(const task_name& name)
+{
+    if (job_record* const job = find_job(name.job); job != nullptr && job->end_durable_wait(name)) {
+        mark_dirty(name.job);
+    }
+}
+
 void scheduler::note_restart(const job_record& job, const run_name& run, const instance_id& worker,
                              time_point now)
 {
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -236,6 +236,9 @@
     }
     run.last_report = worker.reports;
     note_run_arrived(run);
+    if (run.long_running) {
+        end_durable_wait(reported.run.task);
+    }
     if (run.phase == run_phase::ordered || run.phase == run_phase::unconfirmed) {
         run.phase = run_phase::running;
         run.confirmed = now;
@@ -369,6 +372,9 @@
         }
         known->second.confirmed = now;
         note_run_arrived(known->second);
+        if (known->second.long_running) {
+            end_durable_wait(run.task);
+        }
         worker.last_contact = now;
         break;
     case order_answer::unanswered:
--- a/packages/job/tests/contended_pool.hpp
+++ b/packages/job/tests/contended_pool.hpp
@@ -73,18 +73,48 @@
                   return options;
               }(),
               now - seconds(60)),
-          random(seed)
+          random(seed),
+          m_options(options)
     {
-        subject.set_queues(
-            {{.name = "serving", .service = service, .priority = 2, .target_latency = seconds(30)},
-             {.name = "serving-urgent",
-              .service = service,
-              .priority = 1,
-              .target_latency = seconds(30)},
-             {.name = "urgent", .service = service, .target_latency = seconds(30)}});
+        set_queues();
         subject.note_live_workers({}, list_extent::complete, now);
     }
 
+    /// A new leader takes over with the persisted progress; all workers report to it.
+    void replace_leader()
+    {
+        constexpr std::uint32_t attempts_per_leader = 1000;
+        m_options.attempt_base += attempts_per_leader;
+        subject = scheduler(m_options, now);
+        set_queues();
+        for (const auto& [id, step] : jobs) {
+            submission inherited = m_submissions.at(id);
+            inherited.inherited = true;
+            subject.submit(id, std::move(inherited));
+            if (const auto persisted = m_persisted.find(id); persisted != m_persisted.end()) {
+                subject.restore(id, persisted->second);
+            }
+        }
+        std::map<instance_id, service_id> live;
+        for (const auto& [id, each] : workers) {
+            live.emplace(id, service);
+            subject.note_worker_listed(each.listing, now);
+        }
+        subject.note_live_workers(live, list_extent::complete, now);
+        for (auto& [id, each] : workers) {
+            report(id, each, {});
+        }
+    }
+    /// Of the leaders' wall clock from that of the first.
+    milliseconds wall_offset{0};
+    [[nodiscard]] wall_time wall_now() const
+    {
+        return wall_time(std::chrono::duration_cast<milliseconds>(now.time_since_epoch())) +
+               wall_offset;
+    }
+    /// Rows of long-running jobs that were persisted.
+    std::size_t long_running_rows = 0;
+
     instance_id add_worker(resources capacity = {.cpu_millis = 16000, .memory_mb = 128000})
     {
         instance_id id("w" + std::to_string(100 + workers.size() + m_removed));
@@ -106,8 +136,13 @@
         jobs[id] = step;
         auto spec = std::make_shared<job_spec>();
         spec->steps.push_back(step);
-        subject.submit(
-            id, {.queue = queue, .workspace = workspace, .spec = std::move(spec), .at = now});
+        const submission& submitted = m_submissions
+                                          .emplace(id, submission{.queue = queue,
+                                                                  .workspace = workspace,
+                                                                  .spec = std::move(spec),
+                                                                  .at = now})
+                                          .first->second;
+        subject.submit(id, submitted);
         for (std::uint32_t index = 0; step.long_running && index < step.count; ++index) {
             ended[{id, 0, 0, index}] = now;
         }
@@ -157,7 +192,7 @@
                 advance_worker(id, each);
             }
             keep_backlog(backlog);
-            apply(subject.plan(now, wall_time{}));
+            apply(subject.plan(now, wall_now()));
             static_cast<void>(subject.take_decisions());
             forget_ended_jobs();
             measure();
@@ -216,6 +251,17 @@
     }
 
 private:
+    void set_queues()
+    {
+        subject.set_queues(
+            {{.name = "serving", .service = service, .priority = 2, .target_latency = seconds(30)},
+             {.name = "serving-urgent",
+              .service = service,
+              .priority = 1,
+              .target_latency = seconds(30)},
+             {.name = "urgent", .service = service, .target_latency = seconds(30)}});
+    }
+
     void remove_ended_workers()
     {
         for (auto at = workers.begin(); at != workers.end();) {
@@ -289,7 +335,12 @@
         }
         sent.ended.runs = std::move(ends);
         subject.note_report(id, sent, now - milliseconds(2), now);
-        static_cast<void>(subject.begin_persist());
+        for (const job_id& persisted : subject.begin_persist()) {
+            if (const job_record* const job = subject.find(persisted)) {
+                m_persisted[persisted] = job->progress();
+                long_running_rows += job->is_long_running() ? 1 : 0;
+            }
+        }
         subject.note_persisted();
     }
 
@@ -367,6 +418,8 @@
             const bool is_over = is_terminal(subject.find(each.first)->state());
             if (is_over) {
                 subject.remove_job(each.first);
+                m_submissions.erase(each.first);
+                m_persisted.erase(each.first);
             }
             return is_over;
         });
@@ -385,6 +438,9 @@
 
     std::size_t m_removed = 0;
     std::size_t m_submitted = 0;
+    scheduler_options m_options;
+    std::map<job_id, submission> m_submissions;
+    std::map<job_id, std::string> m_persisted;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/tests/inherited_task_test.cpp
+++ b/packages/job/tests/inherited_task_test.cpp
@@ -121,3 +121,16 @@
              .ended = {{{.sequence = 1, .run = second, .end_reason = run_end_reason::stopped}}}});
     CHECK(fixture.plan().empty());
 }
+
+// Guards against a wait that later leaders count for a task that runs on a worker that doesn't
+// answer.
+TEST_CASE("no wait is persisted for a task that may run on a worker that doesn't answer")
+{
+    inherited_fixture fixture(true);
+    CHECK(fixture.plan().empty());
+    fixture.now += seconds(3);
+    CHECK(fixture.plan().empty());
+    CHECK(fixture.subject.find(fixture.first.task.job)->progress().find("waits") ==
+          std::string::npos);
+    CHECK(fixture.subject.dirty_jobs().empty());
+}
--- a/packages/job/tests/long_running_wait_test.cpp
+++ b/packages/job/tests/long_running_wait_test.cpp
@@ -210,6 +210,118 @@
     }
 }
 
+// Guards against LOST: each new leader counted the wait anew, so that short tasks were stopped for
+// the long-running one only once a leader had lasted for as long as a task may wait.
+TEST_CASE("a long-running task starts again in time where the leader changes while it waits")
+{
+    for (int changes = 1; changes <= 3; ++changes) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            full_pool pool(seed, 8);
+            const job_id job = pool.submit(serving_step(4, 1), "serving");
+            pool.short_estimate = seconds(15);
+            pool.fill();
+            pool.min_run = seconds(12);
+            pool.max_run = seconds(15);
+            pool.advance(seconds(8));
+            pool.longest_wait.clear();
+            pool.workers.at(pool.workers_of(job).front()).ends_at = pool.now;
+            for (int change = 0; change < changes; ++change) {
+                pool.advance(milliseconds(1500));
+                pool.replace_leader();
+            }
+            pool.advance(seconds(12));
+            INFO(changes << " changes, seed " << seed << ": waited " << pool.worst_wait().count()
+                         << " ms");
+            CHECK(pool.worst_wait() < wait_bound);
+            CHECK(pool.violations.empty());
+        }
+    }
+}
+
+// Guards against a task that waits while tasks stopped later get the new workers of a new leader.
+TEST_CASE("a new leader starts first the long-running task that has waited longest")
+{
+    contended_pool pool;
+    for (int each = 0; each < 4; ++each) {
+        pool.add_worker();
+    }
+    pool.submit(serving_step(4, 1), "serving");
+    pool.advance(milliseconds(500));
+    REQUIRE(pool.starts.size() == 4);
+    std::map<std::uint32_t, instance_id> worker_of;
+    for (const auto& [id, worker] : pool.workers) {
+        worker_of[worker.runs.front().name.task.index] = id;
+    }
+    pool.starts.clear();
+    const std::vector<std::uint32_t> order{3, 1, 2, 0};
+    pool.add_worker({.cpu_millis = 100, .memory_mb = 100});
+    for (const std::uint32_t index : order) {
+        pool.workers.at(worker_of[index]).ends_at = pool.now;
+        pool.advance(milliseconds(1200));
+        pool.replace_leader();
+    }
+    for (int each = 0; each < 4; ++each) {
+        pool.add_worker();
+        pool.advance(milliseconds(200));
+    }
+    CHECK(indices_of(pool.starts) == order);
+    CHECK(pool.violations.empty());
+}
+
+// Guards against a wait of hours, or one that ends in the future, after a jump of the wall clock.
+TEST_CASE("the wait that a new leader takes over is bounded when the wall clock jumps")
+{
+    contended_pool pool;
+    pool.add_worker({.cpu_millis = 100, .memory_mb = 100});
+    const job_id job = pool.submit(serving_step(1), "serving");
+    pool.advance(seconds(100));
+    const auto jump = GENERATE(-3600, 0, 3600);
+    pool.wall_offset = seconds(jump);
+    pool.replace_leader();
+    const time_point replaced = pool.now;
+    pool.advance(contended_pool::tick);
+    const auto since =
+        pool.subject.find(job)->occurrences().at(0).steps.front().tasks.front().waiting_since;
+    REQUIRE(since);
+    CHECK(*since >= replaced - max_inherited_wait);
+    CHECK(*since <= replaced + (jump < 0 ? contended_pool::tick : -seconds(50)));
+}
+
+// Guards against rows that are written in every round while a task waits.
+TEST_CASE("the wait of a long-running task is persisted once, and its end once")
+{
+    contended_pool pool;
+    pool.add_worker({.cpu_millis = 100, .memory_mb = 100});
+    pool.submit(serving_step(1), "serving");
+    pool.advance(seconds(10));
+    CHECK(pool.long_running_rows == 1);
+    pool.add_worker();
+    pool.advance(seconds(10));
+    CHECK(pool.starts.size() == 1);
+    CHECK(pool.long_running_rows == 2);
+}
+
+// Guards against a task that, stopped after its wait was persisted, seems to have waited since.
+TEST_CASE("a wait that has ended doesn't count for a later leader")
+{
+    contended_pool pool;
+    pool.add_worker({.cpu_millis = 100, .memory_mb = 100});
+    const job_id job = pool.submit(serving_step(1), "serving");
+    pool.advance(seconds(10));
+    pool.add_worker();
+    pool.advance(seconds(10));
+    REQUIRE(pool.workers_of(job).size() == 1);
+    pool.workers.at(pool.workers_of(job).front()).ends_at = pool.now;
+    pool.advance(contended_pool::tick);
+    const time_point ended = pool.now;
+    pool.replace_leader();
+    pool.advance(contended_pool::tick);
+    const task_record& task =
+        pool.subject.find(job)->occurrences().at(0).steps.front().tasks.front();
+    REQUIRE(task.waiting_since);
+    CHECK(*task.waiting_since >= ended);
+}
+
 // Guards against tasks that wait because the reserved room serves only one of them at a time.
 TEST_CASE("several long-running tasks of two jobs start again in time in a full pool")
 {
