fleet: Stop short runs on a machine that long-running tasks need in time

A long-running task whose pool had no room left got a machine of another pool only once that was idle.

The machines of a pool that gives some away were ranked by the processor time in use, whatever was left of their runs, and the move waited for the last of them.

For the machines that long-running tasks can't do without, the planner now prefers those that are free in time, then those where stopping costs least, over all pools. Short runs that would end too late are stopped, at the latest moment at which the move still leaves the task within the time of a reservation. The decision is policy::vacating_deadline; the scheduler gives the runs and stops them, those of a gang with all its members. Long-running runs are never stopped for it, nothing is stopped for a task that still runs on a worker that leaves, and the limits on evictions don't change.

--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -133,6 +133,7 @@
     leadership.scheduling.lease = std::min(worker_lease, settings.max_lease);
     leadership.scheduling.max_lease = settings.max_lease;
     leadership.scheduling.stop_time = settings.stop_time;
+    leadership.planning.stop_time = settings.stop_time;
     leadership.scheduling.learn_worker_speed = settings.tasks_interfere;
     leadership.scheduling.learn_interference = settings.tasks_interfere;
     leadership.scheduling.unavailable_after = settings.unavailable_after;
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
 #include "plantaindoor/job/scheduler.hpp"
+#include "plantaindoor/policy/worker_vacating.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -22,6 +23,8 @@
     milliseconds move_time{1500};
     /// How long after a move the machine's new worker may take to answer.
     milliseconds arrival_margin{2000};
+    /// How long a worker takes to stop a run.
+    milliseconds stop_time{1000};
     /// Time that a machine is unavailable during its maintenance.
     milliseconds maintenance_time{2000};
     /// The arrival rate is measured over a window that contains this many jobs, within the bounds
@@ -58,8 +61,16 @@
     bool cordoned = true;
 };
 
+/// Runs to stop on a worker whose machine is to be moved for long-running tasks; none of them is
+/// long-running itself.
+struct vacating_stops {
+    instance_id worker;
+    std::vector<job::run_name> runs;
+};
+
 struct machine_orders {
     std::vector<cordon_change> cordons;
+    std::vector<vacating_stops> stops;
     std::vector<machine_order> orders;
 };
 
@@ -206,15 +217,35 @@
                                        time_point requested_at) const;
     /// Forgets the order for a machine that is up, and uncordons its worker.
     void drop_planned_order(machine_record& machine);
+    /// What the moves planned in one call share.
+    struct move_round {
+        time_point now{};
+        const job::scheduler& scheduler;
+        const std::map<service_id, job::service_load>& loads;
+        std::map<service_id, pool_figures> states;
+        machine_orders& out;
+    };
+    /// A machine that may be moved for long-running tasks.
+    struct required_candidate;
+    /// Whether another machine may leave the pool if it retains `kept`.
+    [[nodiscard]] bool can_give(const service_id& pool, const pool_figures& state,
+                                std::uint32_t pool_figures::*kept) const;
+    [[nodiscard]] required_candidate
+    required_candidate_of(const std::string& name, const machine_record& machine,
+                          const policy::vacating_deadline& deadline, const move_round& round) const;
+    /// The machines that may leave other pools than `pool`, the best of them first.
+    [[nodiscard]] std::vector<required_candidate>
+    required_candidates(const service_id& pool, const policy::vacating_deadline& deadline,
+                        const move_round& round) const;
     /// The least used machine that may leave the pool; empty if there is none.
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
-    void move_machines(time_point now, std::map<service_id, pool_figures>& states,
-                       machine_orders& out);
-    /// Moves machines to each pool that has fewer present than `needed`, from pools that have more
-    /// than `kept`.
-    void fill_pools(time_point now, std::map<service_id, pool_figures>& states,
-                    std::uint32_t pool_figures::*needed, std::uint32_t pool_figures::*kept,
-                    machine_orders& out);
+    void move_machines(move_round& round);
+    void plan_move(const std::string& machine, const service_id& destination, move_round& round);
+    /// Moves machines to each pool that has fewer present than wanted, from pools that have more.
+    void move_wanted(move_round& round);
+    /// Moves machines to each pool that has fewer present than required, from pools that have more
+    /// than `kept`, and stops the short runs on them that would end too late.
+    void move_required(move_round& round, std::uint32_t pool_figures::*kept);
 
     machine_planner_options m_options;
     std::map<service_id, pool_settings> m_pools;
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 namespace plantaindoor::fleet {
@@ -176,9 +178,13 @@
             machine.planned_order.reset();
         }
     }
-    auto states = pool_states(now, scheduler, loads);
-    move_machines(now, states, out);
-    m_pool_figures = std::move(states);
+    move_round round{.now = now,
+                     .scheduler = scheduler,
+                     .loads = loads,
+                     .states = pool_states(now, scheduler, loads),
+                     .out = out};
+    move_machines(round);
+    m_pool_figures = std::move(round.states);
     for (const std::string& name : m_previous_moves) {
         const machine_record& machine = m_machines[name];
         if (!machine.planned_order && !machine.worker.empty()) {
@@ -188,38 +194,136 @@
     m_previous_moves.clear();
 }
 
-void machine_planner::move_machines(time_point now, std::map<service_id, pool_figures>& states,
-                                    machine_orders& out)
+void machine_planner::move_machines(move_round& round)
 {
     // Spare machines go to long-running tasks first.
-    fill_pools(now, states, &pool_figures::required, &pool_figures::wanted, out);
-    fill_pools(now, states, &pool_figures::wanted, &pool_figures::wanted, out);
+    move_required(round, &pool_figures::wanted);
+    move_wanted(round);
     // Where there are none, pools give up those that they want for short tasks only.
-    fill_pools(now, states, &pool_figures::required, &pool_figures::required, out);
+    move_required(round, &pool_figures::required);
 }
 
-void machine_planner::fill_pools(time_point now, std::map<service_id, pool_figures>& states,
-                                 std::uint32_t pool_figures::*needed,
-                                 std::uint32_t pool_figures::*kept, machine_orders& out)
+bool machine_planner::can_give(const service_id& pool, const pool_figures& state,
+                               std::uint32_t pool_figures::*kept) const
 {
-    for (auto& [pool, state] : states) {
+    return is_standby(pool) || state.present > std::max(state.*kept, m_options.min_machines);
+}
+
+void machine_planner::plan_move(const std::string& machine, const service_id& destination,
+                                move_round& round)
+{
+    machine_record& moved = m_machines[machine];
+    --round.states[moved.pool].present;
+    ++round.states[destination].present;
+    cordon(moved, {.machine = machine, .action = machine_action::move, .pool = destination},
+           round.out);
+}
+
+void machine_planner::move_wanted(move_round& round)
+{
+    for (auto& [pool, state] : round.states) {
         if (is_standby(pool) || !m_pools.contains(pool)) {
             continue;
         }
         for (const service_id& source : m_sources) {
-            while (source != pool && state.present < state.*needed) {
-                pool_figures& source_state = states[source];
-                const std::string name = move_candidate(source, now);
-                const bool can_give =
-                    is_standby(source) ||
-                    source_state.present > std::max(source_state.*kept, m_options.min_machines);
-                if (name.empty() || !can_give) {
+            while (source != pool && state.present < state.wanted) {
+                const std::string name = move_candidate(source, round.now);
+                if (name.empty() ||
+                    !can_give(source, round.states[source], &pool_figures::wanted)) {
                     break;
                 }
-                cordon(m_machines[name],
-                       {.machine = name, .action = machine_action::move, .pool = pool}, out);
-                --source_state.present;
-                ++state.present;
+                plan_move(name, pool, round);
+            }
+        }
+    }
+}
+
+struct machine_planner::required_candidate {
+    std::string machine;
+    service_id pool;
+    instance_id worker;
+    /// Planned to be moved in the last round.
+    bool was_chosen = false;
+    /// What runs there isn't known.
+    bool is_unknown = false;
+    policy::worker_vacating vacating;
+    std::vector<job::run_name> stops;
+
+    [[nodiscard]] auto rank() const
+    {
+        return std::tuple(is_unknown, !vacating.in_time, vacating.cost, !was_chosen, vacating.wait);
+    }
+};
+
+machine_planner::required_candidate
+machine_planner::required_candidate_of(const std::string& name, const machine_record& machine,
+                                       const policy::vacating_deadline& deadline,
+                                       const move_round& round) const
+{
+    required_candidate result{.machine = name,
+                              .pool = machine.pool,
+                              .worker = machine.worker,
+                              .was_chosen = m_previous_moves.contains(name)};
+    if (machine.idle) {
+        return result;
+    }
+    std::vector<policy::short_run> runs;
+    std::vector<job::run_name> names;
+    for (const auto& [run, state] : round.scheduler.short_runs(machine.worker, round.now)) {
+        names.push_back(run);
+        runs.push_back(state);
+    }
+    result.is_unknown = runs.empty();
+    result.vacating = deadline.vacate(runs, round.now);
+    for (const std::size_t each : result.vacating.stops) {
+        result.stops.push_back(names[each]);
+    }
+    return result;
+}
+
+std::vector<machine_planner::required_candidate>
+machine_planner::required_candidates(const service_id& pool,
+                                     const policy::vacating_deadline& deadline,
+                                     const move_round& round) const
+{
+    std::vector<required_candidate> candidates;
+    for (const service_id& source : m_sources) {
+        for (const auto& [name, machine] : m_machines) {
+            if (source != pool && machine.pool == source && is_free(name, machine, round.now) &&
+                !machine.long_running) {
+                candidates.push_back(required_candidate_of(name, machine, deadline, round));
+            }
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
+        return left.rank() < right.rank();
+    });
+    return candidates;
+}
+
+void machine_planner::move_required(move_round& round, std::uint32_t pool_figures::*kept)
+{
+    for (auto& [pool, state] : round.states) {
+        if (is_standby(pool) || !m_pools.contains(pool) || state.present >= state.required) {
+            continue;
+        }
+        const auto load = round.loads.find(pool);
+        const auto waiting_since =
+            load == round.loads.end() ? std::nullopt : load->second.missing_since;
+        const policy::vacating_deadline deadline(
+            waiting_since.value_or(round.now) + policy::max_reserved_wait - m_options.move_time,
+            m_options.stop_time);
+        for (const required_candidate& each : required_candidates(pool, deadline, round)) {
+            if (state.present >= state.required) {
+                break;
+            }
+            if (!can_give(each.pool, round.states[each.pool], kept)) {
+                continue;
+            }
+            plan_move(each.machine, pool, round);
+            // A task that still runs on a worker that leaves can do without.
+            if (waiting_since && deadline.may_stop(round.now) && !each.stops.empty()) {
+                round.out.stops.push_back({each.worker, each.stops});
             }
         }
     }
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -224,6 +224,9 @@
     for (const cordon_change& each : orders.cordons) {
         m_scheduler.cordon_worker(each.worker, each.cordoned);
     }
+    for (const vacating_stops& each : orders.stops) {
+        m_scheduler.stop_short_runs(each.worker, each.runs);
+    }
     if (!orders.orders.empty()) {
         persist_and_send(orders.orders, now);
     }
--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -162,7 +162,7 @@
         if (ends) {
             at.ended.push_back({.sequence = ++at.sequence,
                                 .run = each.first,
-                                .end_reason = job::run_end_reason::done});
+                                .end_reason = each.second.end_reason});
         }
         return ends;
     });
@@ -193,12 +193,21 @@
     }
     for (const job::stop_order& each : given.stops) {
         scheduler.note_stop(each.worker, each.run, job::order_answer::accepted, now);
-        machine& at = *machine_of(each.worker);
-        if (at.running.erase(each.run) != 0) {
-            at.ended.push_back({.sequence = ++at.sequence,
-                                .run = each.run,
-                                .end_reason = job::run_end_reason::stopped});
-        }
+        stop_run(*machine_of(each.worker), each.run);
+    }
+}
+
+void departing_pool::stop_run(machine& at, const job::run_name& run)
+{
+    const auto found = at.running.find(run);
+    if (found == at.running.end() || found->second.end_reason == job::run_end_reason::stopped) {
+        return;
+    }
+    stopped_short_runs += found->second.end == time_point::max() ? 0 : 1;
+    found->second.end = now + m_stop_time;
+    found->second.end_reason = job::run_end_reason::stopped;
+    if (m_stop_time == milliseconds(0)) {
+        end_runs(at);
     }
 }
 
@@ -207,6 +216,9 @@
     for (const cordon_change& each : given.cordons) {
         scheduler.cordon_worker(each.worker, each.cordoned);
     }
+    for (const vacating_stops& each : given.stops) {
+        scheduler.stop_short_runs(each.worker, each.runs);
+    }
     for (const machine_order& each : given.orders) {
         orders.push_back(each);
         machine& at = m_machines.at(each.machine);
--- a/packages/fleet/tests/departing_pool.hpp
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -31,6 +31,8 @@
     void leave(const instance_id& worker);
     /// Workers tell from now on how long they stay when they leave.
     void announce_remaining() { m_announces_remaining = true; }
+    /// A worker takes that long from now on to stop a run; until then none.
+    void take_to_stop(milliseconds time) { m_stop_time = time; }
     /// From now on the worker that a machine gets by a move never answers.
     void lose_new_workers() { m_lose_new_workers = true; }
     /// The platform refuses to move the machine of this worker from now on.
@@ -48,12 +50,15 @@
     machine_planner planner{{}};
     /// All orders to machines so far.
     std::vector<machine_order> orders;
+    /// Runs that were stopped before they had ended by themselves.
+    std::size_t stopped_short_runs = 0;
 
 private:
     struct active_run {
         time_point start{};
         /// When it ends by itself.
         time_point end{};
+        job::run_end_reason end_reason = job::run_end_reason::done;
 
         [[nodiscard]] std::uint32_t percent(time_point at) const;
     };
@@ -84,6 +89,7 @@
     void end_runs(machine& at);
     void execute(const job::orders& given);
     void execute(const machine_orders& given);
+    void stop_run(machine& at, const job::run_name& run);
     void count_waits();
 
     std::map<std::string, machine> m_machines;
@@ -92,6 +98,7 @@
     int m_ticks = 0;
     bool m_announces_remaining = false;
     bool m_lose_new_workers = false;
+    milliseconds m_stop_time{0};
     std::map<job::task_name, time_point> m_waiting;
     std::map<job_id, milliseconds> m_longest;
     std::map<job_id, std::optional<milliseconds>> m_run_times;
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -34,6 +34,15 @@
     return {};
 }
 
+/// Keeps all machines of the other pool busy with runs of that time.
+void fill_other_pool(departing_pool& pool, std::uint32_t machines, milliseconds run_time)
+{
+    static_cast<void>(pool.submit(
+        "orders",
+        {.count = machines, .need = {.cpu_millis = 900, .memory_mb = 10}, .estimate = run_time},
+        run_time));
+}
+
 void leave_two_workers_of(const job_id& job, departing_pool& pool)
 {
     const std::vector<instance_id> leaving = pool.workers_of(job);
@@ -149,6 +158,61 @@
     CHECK(pool.longest_wait(job) < longest_allowed_wait);
 }
 
+// Guards against a machine that is moved for long-running tasks only once its short runs have ended
+// by themselves.
+TEST_CASE("a long-running task gets a machine in time from a pool with long runs on all machines")
+{
+    departing_pool pool(3, 4);
+    pool.take_to_stop(seconds(1));
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    fill_other_pool(pool, 4, seconds(15));
+    pool.run_for(seconds(1));
+    REQUIRE(pool.orders.empty());
+    leave_two_workers_of(job, pool);
+    pool.run_for(seconds(35));
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+    // The other two machines are still enough for what is left.
+    CHECK(pool.stopped_short_runs == 2);
+    CHECK(pool.scheduler.open_count() == 1);
+}
+
+// Guards against work that is thrown away for a machine that would have been free in time.
+TEST_CASE("short runs that end in time aren't stopped before a machine is moved")
+{
+    departing_pool pool(3, 4);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(1));
+    fill_other_pool(pool, 4, milliseconds(1500));
+    pool.run_for(milliseconds(200));
+    leave_two_workers_of(job, pool);
+    pool.run_for(seconds(10));
+    CHECK(pool.workers_of(job).size() == 3);
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+    CHECK(pool.stopped_short_runs == 0);
+}
+
+// Guards against short runs that are stopped on a machine which can't be moved, as other
+// long-running tasks run there.
+TEST_CASE("nothing is stopped on a machine that other long-running tasks need")
+{
+    departing_pool pool(3, 3);
+    const job_id job = pool.submit("checks", one_per_worker(3));
+    const job_id other = pool.submit("orders", one_per_worker(3));
+    pool.run_for(seconds(1));
+    static_cast<void>(pool.submit(
+        "orders",
+        {.count = 3, .need = {.cpu_millis = 700, .memory_mb = 10}, .estimate = seconds(15)},
+        seconds(15)));
+    pool.run_for(seconds(1));
+    REQUIRE(pool.workers_of(other).size() == 3);
+    leave_two_workers_of(job, pool);
+    pool.run_for(seconds(8));
+    CHECK(pool.stopped_short_runs == 0);
+    CHECK(pool.orders.empty());
+    CHECK(pool.longest_wait(other) <= milliseconds(100));
+}
+
 // Guards against a pool that counts for ever on a worker that never comes.
 TEST_CASE("a long-running task doesn't wait for a moved machine whose worker never answers")
 {
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -137,6 +137,9 @@
     /// and all workers that have, or could take, long-running tasks of the service.
     std::uint32_t missing_workers = 0;
     std::uint32_t long_running_workers = 0;
+    /// Since when the first task of the steps that lack workers has been without a run; nullopt if
+    /// all of these run, on workers that leave.
+    std::optional<time_point> missing_since;
 };
 
 /// An accepted job.
@@ -206,6 +209,11 @@
                            list_extent extent, time_point now);
     /// Cordons a worker before planned work, or uncordons it.
     void cordon_worker(const instance_id& id, bool cordoned);
+    /// The runs on a worker that aren't long-running; none for an unknown worker.
+    [[nodiscard]] std::map<run_name, policy::short_run> short_runs(const instance_id& id,
+                                                                   time_point now) const;
+    /// Requests the stop of such runs, and with one of a gang that of all others.
+    void stop_short_runs(const instance_id& id, const std::vector<run_name>& runs);
 
     /// Returns the poll to send to a worker now; extends the lease of a responsive worker with
     /// runs.
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -16,6 +16,19 @@
                       [](const task_record& task) { return task.is_waiting() && task.run_known; }));
 }
 
+/// Since when the first waiting task of the step has had no run; the tasks of which none has been
+/// known count only where the job isn't in doubt.
+std::optional<time_point> waiting_since(const step_record& step, bool in_doubt)
+{
+    std::optional<time_point> first;
+    for (const task_record& task : step.tasks) {
+        if (task.is_waiting() && task.waiting_since && (task.run_known || !in_doubt)) {
+            first = std::min(first.value_or(*task.waiting_since), *task.waiting_since);
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 std::map<service_id, std::vector<resources>> scheduler::lasting_room() const
@@ -86,7 +99,15 @@
                         !m_waiting_at_cap.contains(
                             {id, number, static_cast<std::uint32_t>(step), 0}) &&
                         job.is_unblocked(occurrence, static_cast<std::uint32_t>(step))) {
+                        const std::uint32_t before = missing.of(job.queue().service);
                         missing.add(job, occurrence, static_cast<std::uint32_t>(step), startable);
+                        const auto since = missing.of(job.queue().service) == before
+                                               ? std::nullopt
+                                               : waiting_since(record, waits_for_predecessor);
+                        if (since) {
+                            load.missing_since =
+                                std::min(load.missing_since.value_or(*since), *since);
+                        }
                     }
                     continue;
                 }
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -31,6 +31,57 @@
 
 } // namespace
 
+std::map<run_name, policy::short_run> scheduler::short_runs(const instance_id& id,
+                                                            time_point now) const
+{
+    std::map<run_name, policy::short_run> found;
+    const auto worker = m_workers.find(id);
+    if (worker == m_workers.end()) {
+        return found;
+    }
+    for (const auto& [name, run] : worker->second.runs) {
+        if (!run.long_running) {
+            const job_record* const job = this->find(name.task.job);
+            found.emplace(
+                name, short_run_of(run, worker->second,
+                                   job == nullptr ? nullptr : &job->spec().steps.at(name.task.step),
+                                   now));
+        }
+    }
+    return found;
+}
+
+void scheduler::stop_short_runs(const instance_id& id, const std::vector<run_name>& runs)
+{
+    const auto worker = m_workers.find(id);
+    if (worker == m_workers.end()) {
+        return;
+    }
+    for (const run_name& name : runs) {
+        const auto run = worker->second.runs.find(name);
+        if (run == worker->second.runs.end() || run->second.long_running) {
+            continue;
+        }
+        job_record* const job = find_job(name.task.job);
+        if (job == nullptr || !job->spec().steps[name.task.step].gang ||
+            job->find(name.task) == nullptr) {
+            request_stop(worker->second, name);
+            continue;
+        }
+        // The others would wait for this member in vain.
+        task_name member = name.task;
+        const auto& tasks = job->step_of(name.task).tasks;
+        for (member.index = 0; member.index < tasks.size(); ++member.index) {
+            for (const task_run& each : tasks[member.index].runs) {
+                const auto other = m_workers.find(each.worker);
+                if (each.attempt == name.attempt && other != m_workers.end()) {
+                    request_stop(other->second, {member, each.attempt});
+                }
+            }
+        }
+    }
+}
+
 /// What the waiting tasks of a round share.
 struct scheduler::reservation_round {
     struct step_state {
--- a/packages/job/tests/long_running_wait_test.cpp
+++ b/packages/job/tests/long_running_wait_test.cpp
@@ -369,3 +369,38 @@
         CHECK(pool.violations.empty());
     }
 }
+
+// Guards against members of a gang that wait for one that was stopped.
+TEST_CASE("a worker's short runs are stopped with the rest of their gang")
+{
+    contended_pool pool;
+    std::vector<instance_id> ids;
+    for (int worker = 0; worker < 3; ++worker) {
+        ids.push_back(pool.add_worker());
+    }
+    const job_id gang = pool.submit({.count = 3,
+                                     .need = {.cpu_millis = 6000, .memory_mb = 1000},
+                                     .estimate = seconds(20),
+                                     .gang = true},
+                                    "urgent");
+    const job_id serving = pool.submit(serving_step(3, 1), "serving");
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(gang).size() == 3);
+    REQUIRE(pool.workers_of(serving).size() == 3);
+
+    const auto runs = pool.subject.short_runs(ids.front(), pool.now);
+    REQUIRE(runs.size() == 1);
+    CHECK(runs.begin()->second.gang_width == 3);
+    std::vector<run_name> stopped;
+    for (const auto& [name, run] : pool.subject.workers().at(ids.front()).runs) {
+        stopped.push_back(name);
+    }
+    REQUIRE(stopped.size() == 2);
+    pool.subject.stop_short_runs(ids.front(), stopped);
+    pool.advance(milliseconds(100));
+    CHECK(pool.stopped_short_runs == 3);
+    CHECK(pool.starts.size() == 3);
+    pool.advance(seconds(2));
+    CHECK(pool.workers_of(serving).size() == 3);
+    CHECK(pool.starts.size() == 3);
+}
