fleet: Move machines with the label that a long-running task requires

A long-running task that requires a label waited for ever when no machine of its pool had the label, though machines of other pools had it: such a step asked for no machine, as the labels in the machine list weren't read. They stay with a machine when it is moved.

The labels are now read. Missing workers are counted by the label that they must have, and only a machine with that label is moved for them; machines that have it and are on their way count. Where no other pool has such a machine, none is moved, as any other would be of no use.

Short tasks with a required label still ask for no machine (loads()).

--- a/packages/fleet/include/plantaindoor/fleet/gateways.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/gateways.hpp
@@ -58,6 +58,8 @@
     machine_state state = machine_state::up;
     rack_id rack;
     availability_zone_id zone;
+    /// All labels that a step may require, including the rack; they stay with the machine.
+    std::vector<std::string> labels;
     /// Its current worker; empty while the machine is not up.
     instance_id worker;
 };
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -90,6 +90,9 @@
     std::uint32_t present = 0;
     /// The part of those wanted that the long-running tasks can't do without.
     std::uint32_t required = 0;
+    /// Further machines that the long-running tasks can't do without and that must have a label, by
+    /// label.
+    std::map<std::string, std::uint32_t> required_with_label;
     /// Machines whose worker has announced that it leaves; they aren't present.
     std::uint32_t leaving = 0;
 
@@ -146,6 +149,7 @@
         instance_id ended_worker;
         std::optional<wall_time> ended_start;
         rack_id rack;
+        std::vector<std::string> labels;
         /// The order that the machine is being drained for or that has been given.
         std::optional<machine_order> planned_order;
         /// Whether planned_order has been given.
@@ -205,6 +209,12 @@
     /// Counts the machines of the pool whose worker has answered and stays, without a planned
     /// order.
     [[nodiscard]] std::uint32_t count_settled(const service_id& pool) const;
+    /// Counts the machines with the label that serve the pool soon, but not yet.
+    [[nodiscard]] std::uint32_t count_arriving(const service_id& pool,
+                                               const std::string& label) const;
+    /// Whether the machine serves the pool, or will after a planned move.
+    [[nodiscard]] static bool is_present(const machine_record& machine, const service_id& pool);
+    [[nodiscard]] static bool is_settled(const machine_record& machine, const service_id& pool);
     [[nodiscard]] double arrival_rate(const service_id& pool, const job::service_load& load,
                                       time_point now);
     [[nodiscard]] double needed_capacity(const service_id& pool, const job::service_load& load,
@@ -239,6 +249,9 @@
                         const move_round& round) const;
     /// The least used machine that may leave the pool; empty if there is none.
     [[nodiscard]] std::string move_candidate(const service_id& pool, time_point now) const;
+    /// Whether the pool requires a further machine with these labels; counts it as required.
+    [[nodiscard]] static bool take_requirement(pool_figures& state,
+                                               const std::vector<std::string>& labels);
     void move_machines(move_round& round);
     void plan_move(const std::string& machine, const service_id& destination, move_round& round);
     /// Moves machines to each pool that has fewer present than wanted, from pools that have more.
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -57,6 +57,7 @@
             machine.ended_worker = instance_id();
         }
         machine.rack = entry.rack;
+        machine.labels = entry.labels;
         machine.pool = entry.pool;
         machine.state = entry.state;
         if (entry.state != machine_state::up) {
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -85,10 +85,18 @@
             // All machines of the pool together may have room enough, but none has it for one task.
             state.wanted = std::max(state.wanted, count_settled(pool) + load.blocked_workers);
         }
-        state.required = std::max(load.min_workers, load.long_running_workers);
+        // Any other machine would be of no use for these.
+        std::uint32_t with_label = 0;
+        for (const auto& [label, missing] : load.missing_with_label) {
+            const std::uint32_t arriving = std::min(missing, count_arriving(pool, label));
+            state.required_with_label.emplace(label, missing - arriving);
+            with_label += missing - arriving;
+        }
+        state.required = std::max(load.min_workers, load.long_running_workers - with_label);
         if (load.missing_workers > 0) {
             // Workers without a long-running task may be unable to take one.
-            state.required = std::max(state.required, count_settled(pool) + load.missing_workers);
+            state.required =
+                std::max(state.required, count_settled(pool) + load.missing_workers - with_label);
         }
         state.wanted = std::max(state.wanted, state.required);
     }
@@ -128,12 +136,31 @@
 }
 
 std::uint32_t machine_planner::count_present(const service_id& pool) const
+{
+    return count_machines([&](const machine_record& machine) { return is_present(machine, pool); });
+}
+
+bool machine_planner::is_present(const machine_record& machine, const service_id& pool)
+{
+    const bool move_planned =
+        machine.planned_order && machine.planned_order->action == machine_action::move;
+    return machine.state != machine_state::down && !machine.leaving && machine.expected &&
+           (move_planned ? machine.planned_order->pool : machine.pool) == pool;
+}
+
+bool machine_planner::is_settled(const machine_record& machine, const service_id& pool)
+{
+    return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
+           !machine.leaving && !machine.planned_order;
+}
+
+std::uint32_t machine_planner::count_arriving(const service_id& pool,
+                                              const std::string& label) const
 {
     return count_machines([&](const machine_record& machine) {
-        const bool move_planned =
-            machine.planned_order && machine.planned_order->action == machine_action::move;
-        return machine.state != machine_state::down && !machine.leaving && machine.expected &&
-               (move_planned ? machine.planned_order->pool : machine.pool) == pool;
+        return is_present(machine, pool) && !is_settled(machine, pool) &&
+               std::find(machine.labels.begin(), machine.labels.end(), label) !=
+                   machine.labels.end();
     });
 }
 
@@ -145,10 +172,7 @@
 
 std::uint32_t machine_planner::count_settled(const service_id& pool) const
 {
-    return count_machines([&](const machine_record& machine) {
-        return machine.pool == pool && machine.state == machine_state::up && machine.answered &&
-               !machine.leaving && !machine.planned_order;
-    });
+    return count_machines([&](const machine_record& machine) { return is_settled(machine, pool); });
 }
 
 std::string machine_planner::move_candidate(const service_id& pool, time_point now) const
@@ -304,7 +328,11 @@
 void machine_planner::move_required(move_round& round, std::uint32_t pool_figures::*kept)
 {
     for (auto& [pool, state] : round.states) {
-        if (is_standby(pool) || !m_pools.contains(pool) || state.present >= state.required) {
+        const bool lacks_label =
+            std::any_of(state.required_with_label.begin(), state.required_with_label.end(),
+                        [](const auto& each) { return each.second > 0; });
+        if (is_standby(pool) || !m_pools.contains(pool) ||
+            (state.present >= state.required && !lacks_label)) {
             continue;
         }
         const auto load = round.loads.find(pool);
@@ -313,20 +341,33 @@
         const policy::vacating_deadline deadline(
             waiting_since.value_or(round.now) + policy::max_reserved_wait - m_options.move_time,
             m_options.stop_time);
+        // A task that still runs on a worker that leaves can do without a stop.
+        const bool may_stop = waiting_since && deadline.may_stop(round.now);
         for (const required_candidate& each : required_candidates(pool, deadline, round)) {
-            if (state.present >= state.required) {
-                break;
-            }
-            if (!can_give(each.pool, round.states[each.pool], kept)) {
+            if (!can_give(each.pool, round.states[each.pool], kept) ||
+                !take_requirement(state, m_machines[each.machine].labels)) {
                 continue;
             }
             plan_move(each.machine, pool, round);
-            // A task that still runs on a worker that leaves can do without.
-            if (waiting_since && deadline.may_stop(round.now) && !each.stops.empty()) {
+            if (may_stop && !each.stops.empty()) {
                 round.out.stops.push_back({each.worker, each.stops});
             }
         }
     }
 }
 
+bool machine_planner::take_requirement(pool_figures& state, const std::vector<std::string>& labels)
+{
+    for (const std::string& label : labels) {
+        const auto required = state.required_with_label.find(label);
+        if (required != state.required_with_label.end() && required->second > 0) {
+            --required->second;
+            ++state.required;
+            state.wanted = std::max(state.wanted, state.required);
+            return true;
+        }
+    }
+    return state.present < state.required;
+}
+
 } // namespace plantaindoor::fleet
--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -50,6 +50,7 @@
     return {.id = at.worker,
             .service = at.pool,
             .address = "10.0.0.1:" + at.worker.str().substr(1),
+            .labels = at.labels,
             .machine = name,
             .capacity = worker_capacity,
             .draining = at.leaving,
@@ -68,6 +69,16 @@
     return id;
 }
 
+void departing_pool::set_label(const instance_id& worker, const std::string& label)
+{
+    for (auto& [name, each] : m_machines) {
+        if (each.worker == worker) {
+            each.labels = {label};
+            scheduler.note_worker_listed(listing_of(name, each), now);
+        }
+    }
+}
+
 void departing_pool::leave(const instance_id& worker)
 {
     for (auto& [name, each] : m_machines) {
@@ -176,6 +187,7 @@
         list.push_back({.machine = name,
                         .pool = each.pool,
                         .state = is_up ? machine_state::up : machine_state::moving,
+                        .labels = each.labels,
                         .worker = is_up ? each.worker : instance_id()});
     }
     planner.note_machine_list(list, now, list_extent::complete);
@@ -229,6 +241,7 @@
         scheduler.note_worker_ended(at.worker, job::worker_end::order, now);
         planner.note_answer(each, machine_answer::accepted, now);
         at = {.pool = each.pool,
+              .labels = at.labels,
               .worker = instance_id("w" + std::to_string(m_next_worker++)),
               .ready = now + move_time,
               .silent = m_lose_new_workers};
--- a/packages/fleet/tests/departing_pool.hpp
+++ b/packages/fleet/tests/departing_pool.hpp
@@ -35,6 +35,8 @@
     void take_to_stop(milliseconds time) { m_stop_time = time; }
     /// From now on the worker that a machine gets by a move never answers.
     void lose_new_workers() { m_lose_new_workers = true; }
+    /// The machine of this worker has a label, as have all its workers.
+    void set_label(const instance_id& worker, const std::string& label);
     /// The platform refuses to move the machine of this worker from now on.
     void refuse_moves(const instance_id& worker) { machine_of(worker)->busy = true; }
     /// The workers of served_pool that run a task of the job, by its index.
@@ -64,7 +66,7 @@
     };
     struct machine {
         service_id pool;
-
+        std::vector<std::string> labels;
         /// Empty while the machine is moved.
         instance_id worker;
         bool listed = false;
--- a/packages/fleet/tests/departing_workers_test.cpp
+++ b/packages/fleet/tests/departing_workers_test.cpp
@@ -34,6 +34,17 @@
     return {};
 }
 
+std::vector<instance_id> workers_of_other_pool(const departing_pool& pool)
+{
+    std::vector<instance_id> found;
+    for (const auto& [id, worker] : pool.scheduler.workers()) {
+        if (worker.listing.service == other_pool) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 /// Keeps all machines of the other pool busy with runs of that time.
 void fill_other_pool(departing_pool& pool, std::uint32_t machines, milliseconds run_time)
 {
@@ -213,6 +224,59 @@
     CHECK(pool.longest_wait(other) <= milliseconds(100));
 }
 
+// Guards against a long-running task that never runs since no machine of its pool has the label
+// that it requires, while others have it.
+TEST_CASE("a long-running task gets a machine with the label that it requires")
+{
+    departing_pool pool(2, 4);
+    const std::vector<instance_id> others = workers_of_other_pool(pool);
+    pool.set_label(others.at(2), "large");
+    pool.run_for(milliseconds(500));
+    // The machines with the label aren't the first that are free.
+    fill_other_pool(pool, 1, seconds(15));
+    pool.run_for(milliseconds(500));
+    job::step_spec step = one_per_worker(1);
+    step.required_label = "large";
+    const job_id job = pool.submit("checks", step);
+    pool.run_for(seconds(10));
+    REQUIRE(pool.workers_of(job).size() == 1);
+    CHECK(pool.scheduler.workers().at(pool.workers_of(job).front()).listing.has_label("large"));
+    CHECK(pool.longest_wait(job) < longest_allowed_wait);
+    CHECK(pool.orders.size() == 1);
+}
+
+// Guards against machines that are moved one after another though none of them has the label.
+TEST_CASE("no machine is moved for a label that none has")
+{
+    departing_pool pool(3, 6);
+    job::step_spec step = one_per_worker(2);
+    step.required_label = "large";
+    const job_id job = pool.submit("checks", step);
+    pool.run_for(seconds(10));
+    CHECK(pool.workers_of(job).empty());
+    CHECK(pool.orders.empty());
+}
+
+// Guards against a task that needs a label and one that doesn't, of which one gets no machine as
+// the other's counts for both.
+TEST_CASE("long-running tasks with and without a required label each get their machines")
+{
+    departing_pool pool(1, 6);
+    for (const instance_id& each : workers_of_other_pool(pool)) {
+        pool.set_label(each, each.str().back() % 2 == 0 ? "large" : "small");
+    }
+    pool.run_for(milliseconds(500));
+    job::step_spec labelled = one_per_worker(2);
+    labelled.required_label = "large";
+    const job_id first = pool.submit("checks", labelled);
+    const job_id second = pool.submit("checks", one_per_worker(3));
+    pool.run_for(seconds(10));
+    CHECK(pool.workers_of(first).size() == 2);
+    CHECK(pool.workers_of(second).size() == 3);
+    CHECK(pool.longest_wait(first) < longest_allowed_wait);
+    CHECK(pool.longest_wait(second) < longest_allowed_wait);
+}
+
 // Guards against a pool that counts for ever on a worker that never comes.
 TEST_CASE("a long-running task doesn't wait for a moved machine whose worker never answers")
 {
--- a/packages/job/include/plantaindoor/job/missing_workers.hpp
+++ b/packages/job/include/plantaindoor/job/missing_workers.hpp
@@ -26,13 +26,18 @@
     void add(const job_record& job, const occurrence_record& occurrence, std::uint32_t step,
              std::uint32_t waiting);
     [[nodiscard]] std::uint32_t of(const service_id& service) const;
+    /// Those of them that need a label, by label.
+    [[nodiscard]] std::map<std::string, std::uint32_t> labelled_of(const service_id& service) const;
     /// Present workers of a service with waiting tasks that run long-running tasks or on which
     /// waiting ones were placed.
     [[nodiscard]] std::uint32_t in_use(const service_id& service) const;
 
 private:
     struct place {
-        instance_id worker;
+        /// nullptr: a worker to be added.
+        const worker_record* worker = nullptr;
+        /// Of a worker to be added; empty: any.
+        std::string label;
         resources room;
         bool in_use = false;
     };
@@ -41,6 +46,11 @@
         std::uint32_t added = 0;
     };
 
+    [[nodiscard]] static bool has_label(const place& at, const std::string& label);
+    /// The capacity of a worker on which a task of the step fits: one with the label that it
+    /// requires, if any such is known.
+    [[nodiscard]] std::optional<resources> suitable_capacity(const step_spec& spec) const;
+
     /// Whether the worker takes new tasks, now or in a moment.
     [[nodiscard]] bool will_take_tasks(const worker_record& worker) const;
     void read_workers();
@@ -49,8 +59,8 @@
     time_point m_now;
     bool m_read = false;
     std::map<service_id, pool> m_pools;
-    /// The capacities of all workers that have answered: those that an added worker may have.
-    std::vector<resources> m_capacities;
+    /// All that have answered: an added worker may be as these.
+    std::vector<const worker_record*> m_answered;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -137,6 +137,8 @@
     /// and all workers that have, or could take, long-running tasks of the service.
     std::uint32_t missing_workers = 0;
     std::uint32_t long_running_workers = 0;
+    /// Those of the missing workers that must have a label, by label.
+    std::map<std::string, std::uint32_t> missing_with_label;
     /// Since when the first task of the steps that lack workers has been without a run; nullopt if
     /// all of these run, on workers that leave.
     std::optional<time_point> missing_since;
--- a/packages/job/src/missing_workers.cpp
+++ b/packages/job/src/missing_workers.cpp
@@ -24,11 +24,11 @@
     m_read = true;
     for (const auto& [id, worker] : m_workers) {
         if (worker.token_acknowledged) {
-            m_capacities.push_back(worker.capacity());
+            m_answered.push_back(&worker);
         }
         if (will_take_tasks(worker)) {
             m_pools[worker.listing.service].places.push_back(
-                {.worker = id,
+                {.worker = &worker,
                  .room = worker.capacity_beside_long_running(),
                  .in_use = worker.long_running_runs > 0});
         }
@@ -39,22 +39,24 @@
                           std::uint32_t step, std::uint32_t waiting)
 {
     const step_spec& spec = job.spec().steps[step];
-    // Which machines have a label isn't known before they have a worker.
-    if (!spec.required_label.empty()) {
-        return;
-    }
     if (!m_read) {
         read_workers();
     }
     const resources need = spec.footprint();
     const auto runs = occurrence.steps[step].runs_by_worker();
     const auto fill = [&](place& at) {
+        if (!has_label(at, spec.required_label)) {
+            return;
+        }
         std::uint32_t limit = waiting;
-        if (spec.max_per_worker > 0) {
-            const auto known = runs.find(at.worker);
+        if (spec.max_per_worker > 0 && at.worker != nullptr) {
+            const auto known = runs.find(at.worker->listing.id);
             const std::uint32_t siblings = known == runs.end() ? 0 : known->second;
             limit = std::min(limit, spec.max_per_worker - std::min(spec.max_per_worker, siblings));
         }
+        else if (spec.max_per_worker > 0) {
+            limit = std::min(limit, spec.max_per_worker);
+        }
         for (; limit > 0 && at.room.can_fit(need); --limit) {
             at.room -= need;
             at.in_use = true;
@@ -65,16 +67,37 @@
     for (place& each : chosen.places) {
         fill(each);
     }
-    const auto suits =
-        std::find_if(m_capacities.begin(), m_capacities.end(),
-                     [&](const resources& capacity) { return capacity.can_fit(need); });
-    while (waiting > 0 && suits != m_capacities.end()) {
-        chosen.places.push_back({.worker = instance_id(), .room = *suits});
+    const auto capacity = waiting > 0 ? suitable_capacity(spec) : std::nullopt;
+    while (waiting > 0 && capacity) {
+        chosen.places.push_back({.label = spec.required_label, .room = *capacity});
         fill(chosen.places.back());
         ++chosen.added;
     }
 }
 
+bool missing_workers::has_label(const place& at, const std::string& label)
+{
+    return label.empty() ||
+           (at.worker == nullptr ? at.label == label : at.worker->listing.has_label(label));
+}
+
+std::optional<resources> missing_workers::suitable_capacity(const step_spec& spec) const
+{
+    const resources need = spec.footprint();
+    const auto find = [&](const auto& suits) -> std::optional<resources> {
+        const auto found =
+            std::find_if(m_answered.begin(), m_answered.end(), [&](const auto* each) {
+                return each->capacity().can_fit(need) && suits(*each);
+            });
+        return found == m_answered.end() ? std::nullopt : std::optional((*found)->capacity());
+    };
+    const auto of_label = find([&](const worker_record& worker) {
+        return spec.required_label.empty() || worker.listing.has_label(spec.required_label);
+    });
+    // The machines that have the label may all be off.
+    return of_label ? of_label : find([](const worker_record& /*worker*/) { return true; });
+}
+
 std::uint32_t missing_workers::in_use(const service_id& service) const
 {
     const auto found = m_pools.find(service);
@@ -82,7 +105,7 @@
                ? 0
                : static_cast<std::uint32_t>(std::count_if(
                      found->second.places.begin(), found->second.places.end(),
-                     [](const place& each) { return each.in_use && !each.worker.empty(); }));
+                     [](const place& each) { return each.in_use && each.worker != nullptr; }));
 }
 
 std::uint32_t missing_workers::of(const service_id& service) const
@@ -91,4 +114,17 @@
     return found == m_pools.end() ? 0 : found->second.added;
 }
 
+std::map<std::string, std::uint32_t> missing_workers::labelled_of(const service_id& service) const
+{
+    std::map<std::string, std::uint32_t> counts;
+    if (const auto found = m_pools.find(service); found != m_pools.end()) {
+        for (const place& each : found->second.places) {
+            if (each.worker == nullptr && !each.label.empty()) {
+                ++counts[each.label];
+            }
+        }
+    }
+    return counts;
+}
+
 } // namespace plantaindoor::job
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -130,6 +130,7 @@
     }
     for (auto& [service, load] : loads) {
         load.missing_workers = missing.of(service);
+        load.missing_with_label = missing.labelled_of(service);
         load.long_running_workers = missing.in_use(service) + load.missing_workers;
     }
     for (const auto& [service, counted] : m_submitted) {
