--- a/packages/fleet/tests/departing_pool.cpp
+++ b/packages/fleet/tests/departing_pool.cpp
@@ -50,6 +50,7 @@
     return {.id = at.worker,
             .service = at.pool,
             .address = "10.0.0.1:" + at.worker.str().substr(1),
+            .labels = at.labels,
             .machine = name,
             .capacity = worker_capacity,
             .draining = at.leaving,
@@ -68,6 +69,16 @@
     return id;
 }
 
+void departing_pool::set_label(const instance_id& worker, const std::string& label)
+{
+    for (auto& [name, each] : m_machines) {
+        if (each.worker == worker) {
+            each.labels = {label};
+            scheduler.note_worker_listed(listing_of(name, each), now);
+        }
+    }
+}
+
 void departing_pool::leave(const instance_id& worker)
 {
     for (auto& [name, each] : m_machines) {
@@ -162,7 +173,7 @@
         if (ends) {
             at.ended.push_back({.sequence = ++at.sequence,
                                 .run = each.first,
-                                .end_reason = job::run_end_reason::done});
+                                .end_reason = each.second.end_reason});
         }
         return ends;
     });
@@ -176,6 +187,7 @@
         list.push_back({.machine = name,
                         .pool = each.pool,
                         .state = is_up ? machine_state::up : machine_state::moving,
+                        .labels = each.labels,
                         .worker = is_up ? each.worker : instance_id()});
     }
     planner.note_machine_list(list, now, list_extent::complete);
@@ -193,12 +205,21 @@
     }
     for (const job::stop_order& each : given.stops) {
         scheduler.note_stop(each.worker, each.run, job::order_answer::accepted, now);
-        machine& at = *machine_of(each.worker);
-        if (at.running.erase(each.run) != 0) {
-            at.ended.push_back({.sequence = ++at.sequence,
-                                .run = each.run,
-                                .end_reason = job::run_end_reason::stopped});
-        }
+        stop_run(*machine_of(each.worker), each.run);
+    }
+}
+
+void departing_pool::stop_run(machine& at, const job::run_name& run)
+{
+    const auto found = at.running.find(run);
+    if (found == at.running.end() || found->second.end_reason == job::run_end_reason::stopped) {
+        return;
+    }
+    stopped_short_runs += found->second.end == time_point::max() ? 0 : 1;
+    found->second.end = now + m_stop_time;
+    found->second.end_reason = job::run_end_reason::stopped;
+    if (m_stop_time == milliseconds(0)) {
+        end_runs(at);
     }
 }
 
@@ -207,6 +228,9 @@
     for (const cordon_change& each : given.cordons) {
         scheduler.cordon_worker(each.worker, each.cordoned);
     }
+    for (const vacating_stops& each : given.stops) {
+        scheduler.stop_short_runs(each.worker, each.runs);
+    }
     for (const machine_order& each : given.orders) {
         orders.push_back(each);
         machine& at = m_machines.at(each.machine);
@@ -217,6 +241,7 @@
         scheduler.note_worker_ended(at.worker, job::worker_end::order, now);
         planner.note_answer(each, machine_answer::accepted, now);
         at = {.pool = each.pool,
+              .labels = at.labels,
               .worker = instance_id("w" + std::to_string(m_next_worker++)),
               .ready = now + move_time,
               .silent = m_lose_new_workers};
