job: Start a long-running task elsewhere after an unanswered start

The next run now avoids the worker that left the start unanswered, if another has room.

The new test fails without the change (w1 again). Also the linter's complaint on a constant that is returned.

--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -381,6 +381,11 @@
         note_no_answer(worker, now);
         if (known->second.phase == run_phase::ordered) {
             known->second.phase = run_phase::unconfirmed;
+            job_record* const job = find_job(run.task.job);
+            if (known->second.long_running && job != nullptr) {
+                // Another start there, left unanswered too, would cost as much time again.
+                job->find(run.task)->avoided.push_back(id);
+            }
         }
         break;
     case order_answer::other_instance:
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -23,7 +23,7 @@
     for (std::uint32_t each = 0; each < tasks; ++each) {
         pool.add_worker();
     }
-    const job_id job = pool.submit(one_per_worker(tasks), "serving");
+    job_id job = pool.submit(one_per_worker(tasks), "serving");
     pool.advance(milliseconds(500));
     pool.longest_wait.clear();
     return job;
@@ -323,3 +323,25 @@
     // The cap has room for one more.
     CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
 }
+
+// Guards against a wait that begins anew with each start on a worker that leaves orders unanswered.
+TEST_CASE("a long-running task isn't started again on the worker that left its start unanswered")
+{
+    using namespace job::testing;
+    incarnation_fixture fixture;
+    fixture.add_worker();
+    static_cast<void>(
+        fixture.submit("j", {.count = 1, .need = {.cpu_millis = 1000}, .long_running = true}));
+    const auto starts = fixture.plan().starts;
+    REQUIRE(starts.size() == 1);
+    const instance_id silent = starts[0].worker;
+    fixture.subject.note_start(silent, starts[0].run, order_answer::unanswered, fixture.now);
+    fixture.report(silent, report_of(first_start, seconds(101)));
+    const auto stops = fixture.plan().stops;
+    REQUIRE(stops.size() == 1);
+    fixture.subject.note_stop(silent, stops[0].run, order_answer::accepted, fixture.now);
+    fixture.report(silent, report_of(first_start, seconds(102)));
+    const auto restarts = fixture.plan().starts;
+    REQUIRE(restarts.size() == 1);
+    CHECK(restarts[0].worker != silent);
+}
