job: Report ordinary jobs that have nothing running

A leader now logs such a wait once it has lasted 2 s, with the step, what it needs, the pool, the shard and what keeps the task from each worker, and the run that ends it with the whole wait. A start that comes to nothing doesn't end a wait.

At most 20 begun waits a second are logged, but always the longest of each service; the next line says how many lines were left out. The end of a logged wait is always logged. jobs_waiting_without_a_run and jobs_longest_wait_seconds show the present waits by service and shard.

No decision about a job depends on it.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -6,6 +6,7 @@
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/fleet_config.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
+#include "plantaindoor/fleet/job_wait_gauges.hpp"
 #include "plantaindoor/fleet/leader_lease.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 #include "plantaindoor/fleet/learned_log.hpp"
@@ -161,6 +162,7 @@
     metric_gauge& m_usable_workers;
     metric_gauge& m_waiting_long_running;
     metric_gauge& m_longest_wait;
+    job_wait_gauges m_job_wait_gauges;
     learned_gauges m_learned_gauges;
 };
 
--- a/packages/fleet/src/decision_log.cpp
+++ b/packages/fleet/src/decision_log.cpp
@@ -18,6 +18,22 @@
     return text;
 }
 
+std::string describe_workers(const job::placement_obstacles& obstacles)
+{
+    return fmt::format("of {} of its service, {} can't be used, {} lack its label, {} have as many "
+                       "tasks of the step as may be, {} lack capacity{}{}",
+                       obstacles.workers, obstacles.unusable, obstacles.lacking_label,
+                       obstacles.at_limit, obstacles.lacking_capacity,
+                       obstacles.workspace_at_cap ? "; its workspace is at its cap" : "",
+                       obstacles.in_doubt ? "; a predecessor may still run it" : "");
+}
+
+std::string describe_omitted(const job::job_wait_place& place)
+{
+    return place.omitted == 0 ? std::string()
+                              : fmt::format("; {} lines of other waits left out", place.omitted);
+}
+
 std::string describe_kind(const job::decision& made)
 {
     switch (made.kind) {
@@ -43,13 +59,8 @@
                            made.isolation.waited.count(), made.isolation.position,
                            made.isolation.count, name_of(made.isolation.reason));
     case job::decision_kind::task_waits:
-        return fmt::format("{} has waited {} ms for a worker; of {} of its service, {} can't be "
-                           "used, {} lack its label, {} have as many tasks of the step as may be, "
-                           "{} lack capacity{}",
-                           to_string(made.run.task), made.waited.count(), made.obstacles.workers,
-                           made.obstacles.unusable, made.obstacles.lacking_label,
-                           made.obstacles.at_limit, made.obstacles.lacking_capacity,
-                           made.obstacles.in_doubt ? "; a predecessor may still run it" : "");
+        return fmt::format("{} has waited {} ms for a worker; {}", to_string(made.run.task),
+                           made.waited.count(), describe_workers(made.obstacles));
     case job::decision_kind::task_restarted:
         return fmt::format("{} attempt {} started again on {} after {} ms",
                            to_string(made.run.task), made.run.attempt, made.worker.str(),
@@ -57,6 +68,22 @@
     case job::decision_kind::task_adopted:
         return fmt::format("{} attempt {} found running on {}", to_string(made.run.task),
                            made.run.attempt, made.worker.str());
+    case job::decision_kind::job_waits:
+        return fmt::format("nothing has run for {} ms: step {}.{} waits in pool {}, shard {}, with "
+                           "{} tasks of {}/{}/{} (thousandths of a core/MB/accelerators); {}{}",
+                           made.waited.count(), made.run.task.occurrence, made.run.task.step,
+                           made.place.pool.str(), made.place.shard, made.place.tasks,
+                           made.place.need.cpu_millis, made.place.need.memory_mb,
+                           made.place.need.accelerators, describe_workers(made.obstacles),
+                           describe_omitted(made.place));
+    case job::decision_kind::job_wait_ended:
+        return fmt::format("runs after {} ms without a run in pool {}, shard {}{}{}",
+                           made.waited.count(), made.place.pool.str(), made.place.shard,
+                           made.worker.empty()
+                               ? std::string()
+                               : fmt::format(": {} attempt {} on {}", to_string(made.run.task),
+                                             made.run.attempt, made.worker.str()),
+                           describe_omitted(made.place));
     case job::decision_kind::worker_slow:
     case job::decision_kind::interference:
         break; // These concern no job.
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -88,6 +88,7 @@
       m_longest_wait(context.metrics.gauge(
           shard_gauge("long_running_longest_wait_seconds",
                       "Longest present wait of a long-running task", m_options.shard.number))),
+      m_job_wait_gauges(context.metrics, m_options.shard.number),
       m_learned_gauges(context.metrics, m_options.shard.number)
 {
     m_scheduler.set_queues(queues_of(*m_config));
@@ -433,6 +434,7 @@
     m_open_jobs.set(double(m_scheduler.open_count()));
     m_waiting_long_running.set(double(m_scheduler.waits().tasks));
     m_longest_wait.set(std::chrono::duration<double>(m_scheduler.waits().longest).count());
+    m_job_wait_gauges.set(m_scheduler.waiting_jobs().by_service());
     m_quota_reporter.refresh(m_scheduler.quota(), now);
     m_learned_gauges.set(m_scheduler.learned());
 }
--- a/packages/job/include/plantaindoor/job/decision.hpp
+++ b/packages/job/include/plantaindoor/job/decision.hpp
@@ -9,9 +9,11 @@
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/crash_isolation.hpp"
 #include "plantaindoor/policy/interference.hpp"
+#include "plantaindoor/policy/resources.hpp"
 #include "plantaindoor/policy/worker_speed.hpp"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -30,6 +32,8 @@
     task_adopted,      ///< a worker has reported a run of a long-running task that is new here
     worker_slow,       ///< a worker begins or ceases to count as slow; concerns no job
     interference,      ///< a pair of kinds begins or ceases to count; concerns no job
+    job_waits,         ///< nothing of a job has run for some time though a task's turn had come
+    job_wait_ended,    ///< such a job has a run
 };
 
 /// Why the workers of a service don't take a task, each counted once.
@@ -43,6 +47,19 @@
     /// Workers that have max_per_worker tasks of the step.
     std::uint32_t at_limit = 0;
     std::uint32_t lacking_capacity = 0;
+    /// A task of the job waits at the cap of its workspace.
+    bool workspace_at_cap = false;
+};
+
+/// Where a job waits for a run, and what for.
+struct job_wait_place {
+    service_id pool;
+    std::uint32_t shard = 0;
+    /// Of one task, and the number of its step's tasks that wait.
+    policy::resources need;
+    std::uint32_t tasks = 0;
+    /// Waits and ends of waits that were left out since the previous decision of the kind.
+    std::size_t omitted = 0;
 };
 
 /// A decision about one job, with the details that operators need.
@@ -63,6 +80,8 @@
     /// Of a long-running task that waits or is started again, and what a waiting one is kept from.
     milliseconds waited{0};
     placement_obstacles obstacles;
+    /// Of a job that waits or has waited for a run, as are `waited` and the obstacles.
+    job_wait_place place;
     /// Of an awaited isolation.
     policy::suspect_position isolation;
     /// Of a worker that begins or ceases to count as slow.
@@ -83,7 +102,7 @@
 
 template<>
 struct enum_names<job::decision_kind> {
-    static constexpr std::array<enum_name<job::decision_kind>, 11> table{{
+    static constexpr std::array<enum_name<job::decision_kind>, 13> table{{
         {job::decision_kind::first_start, "first-start"},
         {job::decision_kind::run_ended, "run-ended"},
         {job::decision_kind::run_lost, "run-lost"},
@@ -95,6 +114,8 @@
         {job::decision_kind::task_adopted, "task-adopted"},
         {job::decision_kind::worker_slow, "worker-slow"},
         {job::decision_kind::interference, "interference"},
+        {job::decision_kind::job_waits, "job-waits"},
+        {job::decision_kind::job_wait_ended, "job-wait-ended"},
     }};
 };
 
--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -148,6 +149,24 @@
     [[nodiscard]] bool is_complete() const noexcept;
 };
 
+/// Numbers of a job's tasks in its current occurrences.
+struct task_counts {
+    std::uint32_t all = 0;
+    std::uint32_t done = 0;
+    std::uint32_t running = 0;
+};
+
+/// A job's wait for a run, which job_waits follows.
+struct job_wait {
+    /// Since when nothing has run though a task's turn had come; nullopt if that isn't so.
+    std::optional<time_point> since;
+    /// The number of done tasks then.
+    std::uint32_t done_tasks = 0;
+    std::size_t service = 0;
+    bool reported = false;
+    bool omitted = false;
+};
+
 /// State of one accepted job. Not thread-safe.
 class job_record {
 public:
@@ -246,6 +265,12 @@
     /// The long-running tasks that wait for a worker, in order.
     [[nodiscard]] std::vector<task_name> waiting_tasks() const;
 
+    [[nodiscard]] task_counts count_tasks() const noexcept;
+    /// The first task that waits and whose turn has come; nullopt if there is none.
+    [[nodiscard]] std::optional<task_name> find_waiting() const;
+    [[nodiscard]] job_wait& wait() noexcept { return m_wait; }
+    [[nodiscard]] const job_wait& wait() const noexcept { return m_wait; }
+
     /// Returns the state to persist, as JSON text.
     [[nodiscard]] std::string progress() const;
     /// Restores the state that progress() returned, with the queue's policy if that had changed
@@ -274,6 +299,7 @@
     std::map<std::uint32_t, occurrence_record> m_occurrences;
     std::uint32_t m_started_occurrences = 0;
     std::uint32_t m_predecessors = 0;
+    job_wait m_wait;
 };
 
 } // namespace plantaindoor::job
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "plantaindoor/common/list_extent.hpp"
 #include "plantaindoor/common/time.hpp"
 #include "plantaindoor/job/decision.hpp"
+#include "plantaindoor/job/job_waits.hpp"
 #include "plantaindoor/job/predecessor_doubt.hpp"
 #include "plantaindoor/job/record.hpp"
 #include "plantaindoor/job/spec.hpp"
@@ -285,6 +286,8 @@
     [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
     /// The long-running tasks that wait for a worker, as of the last plan().
     [[nodiscard]] const long_running_waits& waits() const noexcept { return m_waits; }
+    /// The other jobs that have nothing running though a task's turn has come.
+    [[nodiscard]] const job_waits& waiting_jobs() const noexcept { return m_job_waits; }
     /// Whether room on the worker is kept for a long-running task, as of the last plan().
     [[nodiscard]] bool is_reserved(const instance_id& worker) const
     {
@@ -314,8 +317,9 @@
     void mark_dirty(const job_id& id) { m_dirty.insert(id); }
     void note_decision(const job_record& job, decision recorded);
     /// Counts the long-running tasks that wait, makes their waits durable, and records a decision
-    /// on each that has waited for wait_report_delay.
+    /// on each that has waited for wait_report_delay. Follows the waits of the other jobs.
     void report_long_waits(time_point now);
+    void note_wait_event(const wait_event& event, time_point now);
     /// Marks the end of the wait of a long-running task of which a run is confirmed.
     void end_durable_wait(const task_name& name);
     /// Records that a task is started that has run before or has waited for long.
@@ -596,6 +600,7 @@
     speed_learner m_learner;
     std::uint64_t m_placements_changed = 0;
     long_running_waits m_waits;
+    job_waits m_job_waits;
     /// Time of the event that is being processed, and of the current round by the wall clock.
     time_point m_now{};
     wall_time m_wall_now{};
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -363,6 +363,36 @@
     return task != nullptr && std::exchange(task->durable_wait, std::nullopt).has_value();
 }
 
+task_counts job_record::count_tasks() const noexcept
+{
+    task_counts counts;
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (const step_record& step : occurrence.steps) {
+            const auto all = static_cast<std::uint32_t>(step.tasks.size());
+            counts.all += all;
+            counts.done += step.done;
+            counts.running += all - step.done - step.waiting;
+        }
+    }
+    return counts;
+}
+
+std::optional<task_name> job_record::find_waiting() const
+{
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].waiting == 0 || !is_unblocked(occurrence, step)) {
+                continue;
+            }
+            const auto& tasks = occurrence.steps[step].tasks;
+            const auto found = std::find_if(tasks.begin(), tasks.end(),
+                                            [](const auto& task) { return task.is_waiting(); });
+            return task_name{m_id, number, step, static_cast<std::uint32_t>(found - tasks.begin())};
+        }
+    }
+    return std::nullopt;
+}
+
 occurrence_record job_record::make_occurrence() const
 {
     occurrence_record created;
--- a/packages/job/src/scheduler_waits.cpp
+++ b/packages/job/src/scheduler_waits.cpp
@@ -1,6 +1,7 @@
 #include "plantaindoor/job/scheduler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantaindoor::job {
 
@@ -20,8 +21,12 @@
 void scheduler::report_long_waits(time_point now)
 {
     m_waits = {};
+    const bool sampled = m_job_waits.begin_round(now);
     for (const auto& [id, job] : m_open) {
         if (!job->is_long_running()) {
+            if (sampled) {
+                m_job_waits.follow(*job, m_workers, now);
+            }
             continue;
         }
         const bool doubtful = in_doubt(*job, now);
@@ -45,6 +50,33 @@
             }
         }
     }
+    if (sampled) {
+        for (const wait_event& each : m_job_waits.end_round()) {
+            note_wait_event(each, now);
+        }
+    }
+}
+
+void scheduler::note_wait_event(const wait_event& event, time_point now)
+{
+    const job_record& job = *event.job;
+    decision made{.kind = event.ended ? decision_kind::job_wait_ended : decision_kind::job_waits,
+                  .waited = event.waited};
+    if (event.run) {
+        made.run = event.run->first;
+        made.worker = event.run->second;
+    }
+    else if (const auto waiting = job.find_waiting(); waiting && !event.ended) {
+        made.run.task = *waiting;
+        made.obstacles = obstacles_of(job, *waiting, now);
+        made.obstacles.workspace_at_cap = waits_at_cap(job.id());
+        made.place.need = job.spec().steps[waiting->step].footprint();
+        made.place.tasks = job.occurrences().at(waiting->occurrence).steps[waiting->step].waiting;
+    }
+    made.place.pool = job.queue().service;
+    made.place.shard = m_options.shard;
+    made.place.omitted = event.omitted;
+    note_decision(job, std::move(made));
 }
 
 void scheduler::end_durable_wait(const task_name& name)
