--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -220,7 +220,7 @@
     }
     check_waiting_waves(now);
     const machine_orders orders = m_planner.plan(now, m_scheduler);
-    m_pool_reporter.report(m_planner.pools());
+    m_pool_reporter.report(m_planner.pools(), now);
     for (const cordon_change& each : orders.cordons) {
         m_scheduler.cordon_worker(each.worker, each.cordoned);
     }
--- a/packages/fleet/src/pool_reporter.cpp
+++ b/packages/fleet/src/pool_reporter.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 
 namespace plantaindoor::fleet {
@@ -12,6 +14,19 @@
 
 constexpr process::log_part pool_log("pool");
 
+bool differs_by_quarter(std::uint32_t before, std::uint32_t now)
+{
+    const std::uint32_t difference = std::max(before, now) - std::min(before, now);
+    return difference > 0 && 4 * difference >= before;
+}
+
+bool differs_by_quarter(const pool_figures& before, const pool_figures& now)
+{
+    return differs_by_quarter(before.wanted, now.wanted) ||
+           differs_by_quarter(before.present, now.present) ||
+           differs_by_quarter(before.leaving, now.leaving);
+}
+
 } // namespace
 
 pool_reporter::~pool_reporter()
@@ -23,7 +38,7 @@
     }
 }
 
-void pool_reporter::report(const std::map<service_id, pool_figures>& pools)
+void pool_reporter::report(const std::map<service_id, pool_figures>& pools, time_point now)
 {
     for (const auto& [id, figures] : pools) {
         reported_pool& pool = reported(id);
@@ -31,11 +46,15 @@
         pool.present->set(figures.present);
         pool.leaving->set(figures.leaving);
         const bool lacks = figures.missing() > 0;
-        if (lacks != pool.lacks) {
+        const bool repeats = lacks && (now - pool.logged_at >= report_interval ||
+                                       differs_by_quarter(pool.logged, figures));
+        if (lacks != pool.lacks || repeats) {
             pool_log.info(
                 fmt::format("shard {}: pool {} {} machines: {} wanted, {} present, {} leaving",
                             m_shard, id.str(), lacks ? "lacks" : "no longer lacks", figures.wanted,
                             figures.present, figures.leaving));
+            pool.logged = figures;
+            pool.logged_at = now;
         }
         pool.lacks = lacks;
     }
