fleet: Simulate services that contend for machines

No model had more than one pool whose machines move, so no test showed how machines are divided while all pools together want more than there are.

--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -57,11 +57,11 @@
                                  const platform_codec& codec, const std::string& name,
                                  std::uint32_t incarnation_number,
                                  std::shared_ptr<const fleet_config> config,
-                                 static_machines::list_provider machines)
+                                 const machines_factory& machines)
     : m_loop(loop),
       m_store(loop, m_loop, rows, random),
       m_workers(workers, m_loop, name),
-      m_machines(m_loop, std::move(machines))
+      m_machines(machines(m_loop))
 {
     m_writer = std::make_unique<job_writer>(m_loop, m_store, job_writer_options{});
     leader_elector_options options{.name = name,
@@ -73,7 +73,7 @@
         session_context{.loop = m_loop,
                         .store = m_store,
                         .workers = m_workers,
-                        .machines = m_machines,
+                        .machines = *m_machines,
                         .metrics = m_metrics,
                         .codec = codec,
                         .clock = [&loop] { return loop.now(); }},
@@ -187,6 +187,7 @@
     job::worker_listing& listing = m_listings.at(id.str());
     listing.draining = true;
     listing.remaining = drain_time;
+    m_workers.drain_worker(id);
     m_rows.put({"workers", "", id.str()}, "draining");
     m_loop.call_after(drain_time, [this, worker, id] {
         m_workers.end_worker(id);
@@ -263,10 +264,12 @@
     }
     m_entries[entry] = std::make_unique<simulated_entry>(
         m_loop, m_rows, m_workers, m_random, m_codec, fmt::format("e{}", entry), ++m_last_id,
-        m_config,
-        m_machine_list == machine_list::answers
-            ? static_machines::list_provider([this] { return machines(); })
-            : static_machines::list_provider());
+        m_config, [this](event_loop& entry_loop) {
+            return std::make_unique<static_machines>(
+                entry_loop, m_machine_list == machine_list::answers
+                                ? static_machines::list_provider([this] { return machines(); })
+                                : static_machines::list_provider());
+        });
 }
 
 shard_number fleet_simulation::shard_of(const job_id& id) const
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -59,10 +59,14 @@
 /// One incarnation of an entry.
 class simulated_entry {
 public:
+    /// Creates the client of the platform's machines; its callbacks run on the entry's loop.
+    using machines_factory =
+        std::function<std::unique_ptr<machine_gateway>(event_loop& entry_loop)>;
+
     simulated_entry(fakes::virtual_loop& loop, memory_rows& rows, model_workers& workers,
                     std::mt19937_64& random, const platform_codec& codec, const std::string& name,
                     std::uint32_t incarnation_number, std::shared_ptr<const fleet_config> config,
-                    static_machines::list_provider machines);
+                    const machines_factory& machines);
 
     [[nodiscard]] bool alive() const { return m_shards != nullptr; }
     [[nodiscard]] bool is_leader(shard_number shard = 0);
@@ -78,7 +82,7 @@
     fakes::process_loop m_loop;
     entry_store m_store;
     entry_workers m_workers;
-    static_machines m_machines;
+    std::unique_ptr<machine_gateway> m_machines;
     metrics_registry m_metrics;
     std::unique_ptr<job_writer> m_writer;
     std::unique_ptr<shard_set> m_shards;
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -62,9 +62,12 @@
     [[nodiscard]] bool has_address(const worker_address& to) const;
     /// Ends a worker instance and its runs without a report, as in a crash.
     void end_worker(const instance_id& id);
+    /// The worker, which must be up, takes no new tasks from now on.
+    void drain_worker(const instance_id& id) { m_instances.at(id).listing.draining = true; }
     /// Sets how a job behaves. Must be called before its first task is started.
     void add_job(const job_id& id, model_job model) { m_jobs[id] = std::move(model); }
     model_job& job(const job_id& id) { return m_jobs.at(id); }
+    [[nodiscard]] const model_job& job(const job_id& id) const { return m_jobs.at(id); }
     /// How many workers have ended under the job's task under which most have.
     [[nodiscard]] std::uint32_t most_crashes(const job_id& id) const;
     /// Calls `handler` a moment after a worker has started a task that crashes it.
@@ -92,6 +95,46 @@
     [[nodiscard]] std::size_t running() const;
     /// The worker that runs the task now; nullopt if none does.
     [[nodiscard]] std::optional<instance_id> worker_of(const job::task_name& task) const;
+    struct task_status {
+        bool running = false;
+        /// A run has ended as done.
+        bool done = false;
+        /// Done, but that end may not have been reported: its worker has ended without an
+        /// acknowledgement.
+        bool discarded = false;
+        /// As many runs have failed as the task may have attempts.
+        bool exhausted = false;
+    };
+    [[nodiscard]] task_status status_of(const job::task_name& name) const
+    {
+        const auto found = m_tasks.find(name);
+        if (found == m_tasks.end()) {
+            return {};
+        }
+        const task_history& task = found->second;
+        return {.running = task.running > 0,
+                .done = task.ever_done,
+                .discarded = task.ever_done && !task.done,
+                .exhausted = task.acknowledged_failures.size() >= m_jobs.at(name.job).max_attempts};
+    }
+    struct worker_status {
+        job::worker_listing listing;
+        job::resources used;
+        std::vector<job::task_name> tasks;
+    };
+    /// All workers that are up.
+    [[nodiscard]] std::vector<worker_status> workers() const
+    {
+        std::vector<worker_status> up;
+        for (const auto& [id, worker] : m_instances) {
+            worker_status& added = up.emplace_back(
+                worker_status{.listing = worker.listing, .used = worker.used, .tasks = {}});
+            for (const auto& [run, active] : worker.running) {
+                added.tasks.push_back(run.task);
+            }
+        }
+        return up;
+    }
     /// Runs started since the beginning.
     [[nodiscard]] std::size_t starts() const { return m_starts; }
 
