job: Stop the tasks of a cordoned worker only where that vacates it or they have a place

Long-running tasks on a worker that awaited a move or maintenance, and that fitted on no other, were stopped and started there 60 times in 20 s. Each stop costs the work since the last checkpoint and a gap; the planned work couldn't begin either.

Cause: evacuate() stopped each task that its step could spare, without asking where it would run next, and a waiting task for which no usable worker has room may be placed on a cordoned worker that still has long-running tasks. One stopped for planned work went back to the worker that the others of its step, which mustn't be stopped meanwhile, kept occupied.

Now the tasks of a cordoned worker are stopped together if all may be stopped at the same time: the worker is empty then, and nothing is placed there again. Otherwise they run on, and move one by one like those on workers that leave: each is stopped once room is kept for it elsewhere, and a machine is asked for those that have none. They come after the tasks that wait, and keep their place from the stop on. A task isn't placed on a cordoned worker whose long-running tasks are all being stopped.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -216,6 +216,7 @@
     /// Returns the task, or nullptr if no current occurrence has one of this name.
     [[nodiscard]] task_record* find(const task_name& name);
     [[nodiscard]] step_record& step_of(const task_name& name);
+    [[nodiscard]] const step_record& step_of(const task_name& name) const;
     /// Whether all steps that this one depends on are complete.
     [[nodiscard]] bool is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const;
 
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -456,14 +456,17 @@
     struct unplaced_task;
     [[nodiscard]] std::vector<unplaced_task>
     unplaced_long_running(const std::vector<candidate>& ranked, time_point now);
-    /// Adds the tasks of the candidates that run on workers that leave.
+    /// Adds the tasks of the candidates that run on workers that leave or are cordoned.
     void add_departing(const std::vector<candidate>& ranked, std::vector<unplaced_task>& unplaced,
                        time_point now);
-    /// Keeps room on another worker for a task whose worker leaves, and stops it there.
+    /// Whether a task that runs may be stopped for another place, after `evicted` others of its
+    /// step that planned work will stop.
+    [[nodiscard]] bool may_move(const unplaced_task& moving, std::uint32_t evicted) const;
+    /// Keeps room on another worker for a task that runs, and stops it where it runs.
     void hand_over(const unplaced_task& leaving, worker_record& destination,
                    reservation_round& round);
-    /// The long-running tasks on workers that leave or that don't answer, by the first task of
-    /// their step.
+    /// The long-running tasks on workers that leave or that don't answer, and those that may leave
+    /// cordoned workers, by the first task of their step.
     [[nodiscard]] std::map<task_name, std::uint32_t> displaced_tasks() const;
     /// Reserves a worker for the task; returns whether any suits.
     bool reserve_worker(reservation_round& round, const unplaced_task& unplaced, time_point now);
@@ -496,11 +499,15 @@
     /// Returns the started run, or nullptr if the worker's lease can't be extended.
     worker_run* order_start(job_record& job, const task_name& name, worker_record& worker,
                             std::uint32_t attempt, time_point now);
-    /// Requests the stop of long-running tasks on cordoned workers, and of those that can't run on
-    /// until they have another place on workers that leave.
+    /// Requests the stop of long-running tasks that can't run on until they have another place on
+    /// workers that leave, and of those on cordoned workers that are vacated by it.
     void evacuate(time_point now);
-    /// Whether enough other tasks of the step are running at full rate to stop this one.
-    [[nodiscard]] bool may_evict(job_record& job, const task_name& name, time_point now);
+    /// Whether all long-running tasks on the worker may be stopped together.
+    [[nodiscard]] bool may_vacate(const worker_record& worker) const;
+    /// Whether enough other tasks of the step run at full rate to stop this one, too, for planned
+    /// work that will stop `evicted` of those.
+    [[nodiscard]] bool may_evict(const run_name& run, const worker_run& running,
+                                 std::uint32_t evicted) const;
     void send_stops(time_point now);
     void throttle_best_effort(time_point now);
     /// The waiting tasks of a long-running step that could start on further workers; `first`: its
--- a/packages/job/include/plantaindoor/job/task_name.hpp
+++ b/packages/job/include/plantaindoor/job/task_name.hpp
@@ -18,6 +18,9 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
+    /// Stands for the step itself where tasks are counted by step.
+    [[nodiscard]] task_name first_of_step() const { return {job, occurrence, step, 0}; }
+
     friend auto operator<=>(const task_name&, const task_name&) = default;
 };
 
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -194,6 +194,8 @@
     /// Awaits planned work: no new task is placed there, except a long-running one that fits on no
     /// usable worker.
     bool cordoned = false;
+    /// Of a cordoned worker.
+    time_point cordoned_since{};
     /// As last reported by the worker itself; nullopt if it never was. Goes before the listing,
     /// whose row may be outdated.
     std::optional<resources> reported_capacity;
@@ -242,6 +244,10 @@
     [[nodiscard]] bool has_no_machine() const { return lists_without_machine >= 2; }
     /// Whether the worker drains, by its row or by its own report.
     [[nodiscard]] bool is_leaving() const noexcept { return departure.has_value(); }
+    /// Since when the tasks there are to move to other workers; nullopt if they aren't.
+    [[nodiscard]] std::optional<time_point> displaces_since() const;
+    /// Whether a long-running task there isn't being stopped.
+    [[nodiscard]] bool keeps_long_running() const;
     /// Whether the worker hasn't answered for so long that its tasks may be lost.
     [[nodiscard]] bool is_silent(time_point now) const;
     /// Whether the worker takes new tasks, apart from what may have passed in a moment.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -186,6 +186,11 @@
     return m_occurrences.at(name.occurrence).steps.at(name.step);
 }
 
+const step_record& job_record::step_of(const task_name& name) const
+{
+    return m_occurrences.at(name.occurrence).steps.at(name.step);
+}
+
 bool job_record::is_unblocked(const occurrence_record& occurrence, std::uint32_t step) const
 {
     const auto& depends_on = m_spec->steps[step].depends_on;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -336,8 +336,8 @@
     if (job_record* const job = find_job(run.task.job)) {
         job->note_not_running(run.task, {worker.listing.id, run.attempt}, waiting_since);
         task_record* const task = job->find(run.task);
-        if (worker.departure && task != nullptr && task->is_waiting()) {
-            task->displaced_since = worker.departure->announced();
+        if (task != nullptr && task->is_waiting()) {
+            task->displaced_since = worker.displaces_since();
         }
     }
 }
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -90,6 +90,8 @@
         /// The cap of the workspace allows no further task to start.
         bool at_cap = false;
         std::uint32_t reserved = 0;
+        /// Those of the reserved that run on cordoned workers.
+        std::uint32_t evicted = 0;
         /// Tasks of the step by worker, with those for which it is reserved.
         std::map<instance_id, std::uint32_t> siblings;
     };
@@ -100,10 +102,7 @@
         std::vector<std::vector<run_name>> runs;
     };
 
-    step_state& step_of(const task_name& name)
-    {
-        return steps[{name.job, name.occurrence, name.step, 0}];
-    }
+    step_state& step_of(const task_name& name) { return steps[name.first_of_step()]; }
 
     pool_view& pool_of(const scheduler& subject, const service_id& service, time_point now)
     {
@@ -158,7 +157,7 @@
 
     /// By the first task.
     std::map<task_name, step_state> steps;
-    /// Tasks that leave their workers, and where room is kept for them.
+    /// Tasks that move, and where room is kept for them.
     std::vector<std::pair<task_record*, instance_id>> handed_over;
     std::map<service_id, pool_view> pools;
 };
@@ -169,9 +168,17 @@
     time_point since{};
     job_record* job = nullptr;
     task_name name;
-    /// Where it runs; nullptr if it waits.
+    /// Where it runs, and is to be stopped once it has another place; nullptr if it waits.
     worker_record* leaving = nullptr;
     std::uint32_t attempt = 0;
+
+    /// Requires that it doesn't wait.
+    [[nodiscard]] const worker_run& run() const { return leaving->runs.at({name, attempt}); }
+    /// Whether only planned work would stop it.
+    [[nodiscard]] bool is_evicted() const
+    {
+        return leaving != nullptr && !leaving->is_leaving() && run().phase != run_phase::stopping;
+    }
 };
 
 std::vector<scheduler::unplaced_task>
@@ -206,7 +213,8 @@
 {
     std::map<job_id, job_record*> jobs;
     for (auto& [id, worker] : m_workers) {
-        if (!worker.is_leaving() || worker.long_running_runs == 0) {
+        const auto displaced_since = worker.displaces_since();
+        if (!displaced_since || worker.long_running_runs == 0) {
             continue;
         }
         if (jobs.empty()) {
@@ -223,7 +231,9 @@
             }
             if (!job->second->find(name.task)->must_be_isolated() &&
                 !job->second->spec().steps[name.task.step].gang) {
-                unplaced.push_back({.rank = worker.departure->announced(),
+                // A task that can run on for any time doesn't take room from those that wait.
+                const bool may_run_on = !worker.is_leaving() && run.phase != run_phase::stopping;
+                unplaced.push_back({.rank = may_run_on ? now : *displaced_since,
                                     .since = now,
                                     .job = job->second,
                                     .name = name.task,
@@ -236,18 +246,28 @@
 
 std::map<task_name, std::uint32_t> scheduler::displaced_tasks() const
 {
-    std::map<task_name, std::uint32_t> departing;
+    std::map<task_name, std::uint32_t> displaced;
+    std::map<task_name, std::uint32_t> evicted;
     for (const auto& [id, worker] : m_workers) {
-        if ((!worker.is_leaving() && !worker.is_silent(m_now)) || worker.long_running_runs == 0) {
+        const bool all_displaced = worker.is_leaving() || worker.is_silent(m_now);
+        if ((!all_displaced && !worker.cordoned) || worker.long_running_runs == 0) {
             continue;
         }
         for (const auto& [name, run] : worker.runs) {
-            if (run.long_running) {
-                ++departing[{name.task.job, name.task.occurrence, name.task.step, 0}];
+            if (!run.long_running) {
+                continue;
+            }
+            const task_name step = name.task.first_of_step();
+            if (all_displaced || run.phase == run_phase::stopping) {
+                ++displaced[step];
+            }
+            else if (may_evict(name, run, evicted[step])) {
+                ++displaced[step];
+                ++evicted[step];
             }
         }
     }
-    return departing;
+    return displaced;
 }
 
 void scheduler::place_long_running(const std::vector<candidate>& ranked, time_point now)
@@ -257,6 +277,9 @@
     for (const unplaced_task& each : unplaced_long_running(ranked, now)) {
         const task_name& name = each.name;
         auto& step = round.step_of(name);
+        if (each.leaving != nullptr && !may_move(each, step.evicted)) {
+            continue;
+        }
         if (step.exhausted || (step.at_cap && each.leaving == nullptr)) {
             continue;
         }
@@ -278,6 +301,7 @@
         }
         if (worker == nullptr) {
             step.exhausted = !reserve_worker(round, each, now);
+            step.evicted += each.is_evicted() && !step.exhausted ? 1 : 0;
         }
         else if (each.leaving != nullptr) {
             hand_over(each, *worker, round);
@@ -292,6 +316,11 @@
     m_reservations.end_round();
 }
 
+bool scheduler::may_move(const unplaced_task& moving, std::uint32_t evicted) const
+{
+    return !moving.is_evicted() || may_evict({moving.name, moving.attempt}, moving.run(), evicted);
+}
+
 void scheduler::hand_over(const unplaced_task& leaving, worker_record& destination,
                           reservation_round& round)
 {
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -350,7 +350,7 @@
         // the task to be placed may be one of those others.
         if (worker.listing.service == service && worker.cordoned && worker.listed &&
             worker.token_acknowledged && !worker.is_leaving() && worker.missed_polls == 0 &&
-            worker.long_running_runs > 0 && suits(worker)) {
+            worker.keeps_long_running() && suits(worker)) {
             return &worker;
         }
     }
@@ -392,46 +392,66 @@
 
 void scheduler::evacuate(time_point now)
 {
-    // A task that a predecessor has just ordered to stop is still reported as running.
-    const bool stops_may_be_pending = now < m_started + 2 * m_options.stop_time;
     for (auto& [id, worker] : m_workers) {
-        if (!worker.cordoned && !worker.is_leaving()) {
+        const bool evicted = worker.is_leaving()
+                                 ? now >= worker.departure->last_stop(m_options.stop_time)
+                                 : worker.cordoned && may_vacate(worker);
+        if (!evicted) {
             continue;
         }
-        for (auto& [name, run] : worker.runs) {
-            job_record* const job = find_job(name.task.job);
-            if (run.phase != run_phase::running || job == nullptr ||
-                !job->spec().steps[name.task.step].long_running) {
-                continue;
-            }
-            const bool evicted = worker.is_leaving()
-                                     ? now >= worker.departure->last_stop(m_options.stop_time)
-                                     : !stops_may_be_pending && may_evict(*job, name.task, now);
-            if (evicted) {
+        for (const auto& [name, run] : worker.runs) {
+            if (run.long_running && run.phase == run_phase::running) {
                 request_stop(worker, name);
             }
         }
     }
 }
 
-bool scheduler::may_evict(job_record& job, const task_name& name, time_point /*now*/)
+bool scheduler::may_vacate(const worker_record& worker) const
+{
+    // By the first task of their step.
+    std::map<task_name, std::uint32_t> evicted;
+    return std::all_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
+        const auto& [name, run] = each;
+        if (!run.long_running || run.phase == run_phase::stopping) {
+            return true;
+        }
+        std::uint32_t& of_step = evicted[name.task.first_of_step()];
+        if (!may_evict(name, run, of_step)) {
+            return false;
+        }
+        // A gang stops as a whole.
+        of_step += find(name.task.job)->spec().steps[name.task.step].gang ? 0 : 1;
+        return true;
+    });
+}
+
+bool scheduler::may_evict(const run_name& run, const worker_run& running,
+                          std::uint32_t evicted) const
 {
-    const step_spec& spec = job.spec().steps[name.step];
-    std::uint32_t unavailable = 0;
-    auto& tasks = job.step_of(name).tasks;
+    const task_name& name = run.task;
+    const job_record* const job = find(name.job);
+    // A task that a predecessor has just ordered to stop is still reported as running.
+    if (running.phase != run_phase::running || job == nullptr ||
+        m_now < m_started + 2 * m_options.stop_time) {
+        return false;
+    }
+    const step_spec& spec = job->spec().steps[name.step];
+    std::uint32_t unavailable = evicted;
+    const auto& tasks = job->step_of(name).tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (index == name.index) {
             continue;
         }
         const bool is_working = std::any_of(
-            tasks[index].runs.begin(), tasks[index].runs.end(), [&](const task_run& run) {
-                const auto worker = m_workers.find(run.worker);
+            tasks[index].runs.begin(), tasks[index].runs.end(), [&](const task_run& each) {
+                const auto worker = m_workers.find(each.worker);
                 // A task on a worker that leaves is about to be stopped.
                 if (worker == m_workers.end() || worker->second.is_leaving()) {
                     return false;
                 }
                 const auto known = worker->second.runs.find(
-                    {{job.id(), name.occurrence, name.step, index}, run.attempt});
+                    {{name.job, name.occurrence, name.step, index}, each.attempt});
                 return known != worker->second.runs.end() &&
                        known->second.phase == run_phase::running &&
                        known->second.working_since.has_value() && worker->second.missed_polls == 0;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -102,9 +102,13 @@
 void scheduler::cordon_worker(const instance_id& id, bool cordoned)
 {
     const auto found = m_workers.find(id);
-    if (found != m_workers.end()) {
-        found->second.cordoned = cordoned;
+    if (found == m_workers.end()) {
+        return;
+    }
+    if (cordoned && !found->second.cordoned) {
+        found->second.cordoned_since = m_now;
     }
+    found->second.cordoned = cordoned;
 }
 
 bool scheduler::is_removable(const worker_record& worker, time_point now)
--- a/packages/job/src/worker.cpp
+++ b/packages/job/src/worker.cpp
@@ -41,6 +41,21 @@
     return unresponsive_since && now - *unresponsive_since >= brief_silence;
 }
 
+std::optional<time_point> worker_record::displaces_since() const
+{
+    if (departure) {
+        return departure->announced();
+    }
+    return cordoned ? std::optional(cordoned_since) : std::nullopt;
+}
+
+bool worker_record::keeps_long_running() const
+{
+    return long_running_runs > 0 && std::any_of(runs.begin(), runs.end(), [](const auto& each) {
+               return each.second.long_running && each.second.phase != run_phase::stopping;
+           });
+}
+
 bool worker_record::accepts_tasks() const
 {
     return listed && token_acknowledged && !cordoned && !is_leaving();
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -234,8 +234,7 @@
 
 // Guards against a task that is stopped for planned work, placed on the same worker again for want
 // of another, and stopped again.
-TEST_CASE("a long-running task on a cordoned worker isn't stopped again and again",
-          "[.][cordoned_worker]")
+TEST_CASE("a long-running task on a cordoned worker isn't stopped again and again")
 {
     contended_pool pool;
     const instance_id full = pool.add_worker();
@@ -255,6 +254,103 @@
     CHECK(pool.starts.size() <= 5);
 }
 
+// Guards against planned work that waits for ever: no machine is asked for the tasks that it has to
+// move, or they stay when there is one.
+TEST_CASE("the long-running tasks of a step leave their cordoned worker once another has room")
+{
+    contended_pool pool;
+    const instance_id cordoned = pool.add_worker();
+    const job_id job = pool.submit(
+        {.count = 2, .need = {.cpu_millis = 6000, .memory_mb = 34000}, .long_running = true},
+        "serving");
+    pool.advance(seconds(1));
+    pool.cordon(cordoned, true);
+    pool.advance(seconds(3));
+    CHECK(pool.ended.empty());
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+    pool.longest_wait.clear();
+
+    const instance_id added = pool.add_worker();
+    std::ptrdiff_t fewest_at_work = 2;
+    for (int round = 0; round < 60; ++round) {
+        pool.advance(contended_pool::tick);
+        fewest_at_work = std::min(fewest_at_work, not_being_stopped(pool, job));
+    }
+    CHECK(pool.workers_of(job) == std::vector{added, added});
+    CHECK(pool.starts.size() == 4);
+    CHECK(fewest_at_work == 1);
+    CHECK(pool.worst_wait() <= 2 * contended_pool::stop_time);
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 0);
+}
+
+// Guards against a task that is stopped for planned work which can't begin, as its worker keeps
+// another task, and that gets no other place or is started there again.
+TEST_CASE("a task runs on beside one that its cordoned worker keeps")
+{
+    contended_pool pool;
+    const instance_id cordoned = pool.add_worker();
+    const job_id kept = pool.submit({.count = 2,
+                                     .need = {.cpu_millis = 6000, .memory_mb = 34000},
+                                     .max_per_worker = 1,
+                                     .long_running = true},
+                                    "serving");
+    const job_id other = pool.submit(
+        {.count = 1, .need = {.cpu_millis = 6000, .memory_mb = 34000}, .long_running = true},
+        "serving");
+    pool.advance(seconds(1));
+    REQUIRE(pool.workers_of(kept).size() == 1);
+    REQUIRE(pool.workers_of(other).size() == 1);
+    pool.cordon(cordoned, true);
+    pool.advance(seconds(5));
+    CHECK(pool.starts.size() == 2);
+    CHECK(not_being_stopped(pool, kept) == 1);
+    CHECK(not_being_stopped(pool, other) == 1);
+}
+
+// Guards against tasks that are stopped more than once for planned work, or that it waits for, as
+// they may only be stopped one after the other and short ones take each bit of room.
+TEST_CASE("the tasks of a cordoned worker move once and in time in a full pool")
+{
+    const auto long_running_on = [](const contended_pool& pool, const instance_id& id) {
+        const auto& runs = pool.workers.at(id).runs;
+        return static_cast<std::size_t>(std::count_if(
+            runs.begin(), runs.end(), [](const auto& run) { return run.step.long_running; }));
+    };
+    constexpr milliseconds longest_short_run{2100};
+    constexpr milliseconds move_time = longest_short_run + 2 * contended_pool::stop_time;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        contended_pool pool(seed);
+        for (int each = 0; each < 10; ++each) {
+            pool.add_worker();
+        }
+        static_cast<void>(pool.submit({.count = 5,
+                                       .need = {.cpu_millis = 5000, .memory_mb = 34000},
+                                       .max_per_worker = 1,
+                                       .long_running = true},
+                                      "serving"));
+        const job_id packed = pool.submit(
+            {.count = 4, .need = {.cpu_millis = 5000, .memory_mb = 34000}, .long_running = true},
+            "serving");
+        pool.advance(milliseconds(500));
+        pool.min_run = milliseconds(800);
+        pool.max_run = longest_short_run;
+        pool.backlog = 30;
+        pool.advance(seconds(4) + milliseconds(pool.random() % 2100));
+        for (int work = 0; work < 4; ++work) {
+            const instance_id cordoned = pool.workers_of(packed).at(work % 4);
+            const std::size_t started = pool.starts.size();
+            const std::size_t tasks = long_running_on(pool, cordoned);
+            pool.cordon(cordoned, true);
+            pool.advance(move_time * static_cast<int>(tasks));
+            INFO("seed " << seed << ", " << tasks << " tasks on " << cordoned.str());
+            CHECK(long_running_on(pool, cordoned) == 0);
+            CHECK(pool.starts.size() - started == tasks);
+            pool.cordon(cordoned, false);
+        }
+        CHECK(pool.violations.empty());
+    }
+}
+
 // Guards against a task that asks for no machine before it has been stopped, as another of its step
 // waits for the cap, which the leaving task uses already.
 TEST_CASE("a machine is asked for a task that leaves beside one that waits at the cap")
