fleet: Simulate backlogs of two shards and departures under contention

The tests here show that on workers and accepted jobs, with the users' rule as the oracle: nothing of a job runs for 3 s though a task could, the service has room for it twice over and is less than half in use, over all shards.

--- a/packages/fleet/tests/burst_traffic.hpp
+++ b/packages/fleet/tests/burst_traffic.hpp
@@ -16,6 +16,8 @@
     milliseconds end{0};
     double load = 0;
     std::optional<shard_number> shard = std::nullopt;
+    /// Jobs have a second step of tasks of which no two fit on one worker.
+    bool has_wide_step = false;
 };
 
 /// Not synchronised.
--- a/packages/fleet/tests/contended_fleet.cpp
+++ b/packages/fleet/tests/contended_fleet.cpp
@@ -175,12 +175,18 @@
     return row != nullptr && nlohmann::json::parse(row->value).at("state") == "completed";
 }
 
+void contended_fleet::note_disruption()
+{
+    m_jobs.note_disruption(m_loop.now());
+    m_pools.note_disruption(m_loop.now());
+}
+
 void contended_fleet::kill_leader(shard_number shard, milliseconds down)
 {
     for (std::size_t entry = 0; entry < entry_count; ++entry) {
         if (m_entries[entry]->is_leader(shard)) {
             m_entries[entry]->kill();
-            m_jobs.note_disruption(m_loop.now());
+            note_disruption();
             m_loop.call_after(down, [this, entry] { start_entry(entry); });
             return;
         }
@@ -211,7 +217,7 @@
             m_machines.remove(each.machine);
         }
     }
-    m_jobs.note_disruption(m_loop.now());
+    note_disruption();
 }
 
 void contended_fleet::set_machine_fault(machine_fault fault)
--- a/packages/fleet/tests/contended_fleet.hpp
+++ b/packages/fleet/tests/contended_fleet.hpp
@@ -78,6 +78,7 @@
     void add_machines();
     void start_entry(std::size_t entry);
     void sample();
+    void note_disruption();
 
     contended_fleet_options m_options;
     fakes::virtual_loop m_loop;
