--- a/tests/process/job_waits_test.py
+++ b/tests/process/job_waits_test.py
@@ -63,6 +63,17 @@
     def test_a_first_start_by_a_later_leader_ends_a_wait(self):
         self.check([waits(3, 2000), line(5, "first start on i-1"), line(30, "completed")], 4)
 
+    def test_a_start_that_is_confirmed_later_is_the_end_of_one_wait(self):
+        self.check([waits(3, 2000), line(5, "first start on i-1"), runs(5.04, 4040),
+                    line(30, "completed")], 4.04)
+
+    def test_a_start_that_came_to_nothing_doesn_t_end_a_wait(self):
+        self.check([waits(3, 2000), line(5, "first start on i-1"), runs(9, 8000)], 8)
+
+    def test_a_wait_after_a_first_start_is_another_wait(self):
+        self.check([waits(3, 2000), line(5, "first start on i-1"), waits(20, 2000),
+                    runs(21, 3000)], 4, count=2)
+
     def test_a_cancelled_job_waits_no_longer(self):
         self.check([waits(3, 2000), line(5, "cancelled"), line(30, "completed", OTHER)], 4)
 
