--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -79,7 +79,8 @@
 /// Workers that run every task for run_time, and one leader's scheduler and machine planner.
 class simulated_shard {
 public:
-    simulated_shard(std::size_t workers, double starts_per_second, bool interference)
+    simulated_shard(std::size_t workers, double starts_per_second, bool interference,
+                    std::size_t backlog)
         : m_interference(interference),
           m_scheduler({.former_services_known = true}, m_now),
           m_planner({}),
@@ -102,6 +103,11 @@
         }
         m_scheduler.note_live_workers({}, list_extent::complete, m_now);
         m_planner.note_machine_list(m_machines, m_now, list_extent::complete);
+        for (std::size_t job = 0; job < backlog; ++job) {
+            submit({.count = tasks_per_step,
+                    .need = {.cpu_millis = worker_cpu_millis + 1, .memory_mb = 1000},
+                    .estimate = run_time});
+        }
     }
 
     void run(seconds time)
@@ -172,21 +178,26 @@
     {
         m_due += m_jobs_per_second * std::chrono::duration<double>(plan_period).count();
         for (; m_due >= 1; m_due -= 1) {
-            auto spec = std::make_shared<job_spec>();
-            const step_spec step{.count = tasks_per_step,
-                                 .need = {.cpu_millis = task_cpu_millis, .memory_mb = 1000},
-                                 .estimate = run_time};
-            spec->steps = {step, step};
-            spec->steps[1].depends_on = {0};
-            ++m_jobs;
-            if (m_interference) {
-                // Services are assigned by the remainder too, so the divisors are coprime.
-                spec->steps[0].image = spec->steps[1].image = fmt::format("k{}", m_jobs % 4);
-            }
-            m_scheduler.submit(
-                job_id(fmt::format("{:016x}", m_jobs)),
-                {.queue = service_name(m_jobs % services), .spec = std::move(spec), .at = m_now});
+            submit({.count = tasks_per_step,
+                    .need = {.cpu_millis = task_cpu_millis, .memory_mb = 1000},
+                    .estimate = run_time});
+        }
+    }
+
+    /// Submits a job of two such steps.
+    void submit(const step_spec& step)
+    {
+        auto spec = std::make_shared<job_spec>();
+        spec->steps = {step, step};
+        spec->steps[1].depends_on = {0};
+        ++m_jobs;
+        if (m_interference) {
+            // Services are assigned by the remainder too, so the divisors are coprime.
+            spec->steps[0].image = spec->steps[1].image = fmt::format("k{}", m_jobs % 4);
         }
+        m_scheduler.submit(
+            job_id(fmt::format("{:016x}", m_jobs)),
+            {.queue = service_name(m_jobs % services), .spec = std::move(spec), .at = m_now});
     }
 
     void start(const orders& given)
@@ -263,9 +274,10 @@
     time_point m_next_machine_plan{};
 };
 
-void print_row(std::size_t workers, double starts_per_second, seconds time, bool interference)
+void print_row(std::size_t workers, double starts_per_second, seconds time, bool interference,
+               std::size_t backlog)
 {
-    simulated_shard shard(workers, starts_per_second, interference);
+    simulated_shard shard(workers, starts_per_second, interference, backlog);
     shard.run(time);
     const double run_seconds = std::chrono::duration<double>(time).count();
     const double per_start =
@@ -290,17 +302,20 @@
     cxxopts::Options options("leader_bench", "Processor time of a leader's decisions\n");
     options.add_options()("seconds", "simulated time of each row",
                           cxxopts::value<int>()->default_value("5"));
+    options.add_options()("backlog", "jobs that wait all the time, as no worker is large enough",
+                          cxxopts::value<std::size_t>()->default_value("0"));
     options.add_options()("interference",
                           "tasks of one of four images take twice as long beside another image");
     const auto arguments = bench::parse_or_exit(options, argc, argv);
     const seconds time(arguments["seconds"].as<int>());
     const bool interference = arguments.count("interference") > 0;
+    const auto backlog = arguments["backlog"].as<std::size_t>();
     std::cout << "| workers | starts/s | open jobs, most | round us | start us | report us | "
                  "persist us | machine plan us | per start us | of a core | pairs known |\n"
                  "|---|---|---|---|---|---|---|---|---|---|---|\n";
     for (const std::size_t workers : {130, 350, 1100, 1700}) {
         for (const double starts_per_worker : {0.0, 3.0, 6.0}) {
-            print_row(workers, starts_per_worker * double(workers), time, interference);
+            print_row(workers, starts_per_worker * double(workers), time, interference, backlog);
         }
     }
     return 0;
