job: Let a long-running task beyond a lowered cap run on while its worker leaves

A long-running task whose worker had announced that it leaves was stopped as soon as another worker had room for it, and then started nowhere: its workspace's cap had been lowered meanwhile. It lost the seconds for which its worker would have stayed. A machine was asked for such a task, too.

Cause: the cap isn't checked for a task that moves, since what runs is counted against it already. That holds only while the workspace is within its cap.

workspace_quota::check() can tell now whether a task may start once runs of the same need have ended. A task moves only if it may start in place of its own run; one beyond the cap runs on until it has to be stopped in order to end before its worker does. Of the tasks of a step that leave, only as many ask for machines as may start again.

A new one fails on the code before, where 1 machine instead of none, and 2 instead of 1, are asked for the tasks that leave. Two tests of the quota cover the new parameter, one of them the run that may exceed the cap.

What remains: where several tasks of such a workspace leave at once, those within the lowered cap move only when the one beyond it has been stopped.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -514,6 +514,10 @@
     /// first task.
     [[nodiscard]] std::uint32_t startable_tasks(const job_record& job,
                                                 const task_name& first) const;
+    /// Of `displaced` tasks of a long-running step, those that the cap lets start again once these
+    /// have ended.
+    [[nodiscard]] std::uint32_t movable_tasks(const job_record& job, const task_name& first,
+                                              std::uint32_t displaced) const;
     /// The capacity that long-running tasks leave on each usable worker, by service.
     [[nodiscard]] std::map<service_id, std::vector<resources>> lasting_room() const;
     /// The number of empty workers that `tasks` ready tasks of the step need since no worker of the
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -79,6 +79,18 @@
     return startable;
 }
 
+std::uint32_t scheduler::movable_tasks(const job_record& job, const task_name& first,
+                                       std::uint32_t displaced) const
+{
+    const resources& need = job.spec().steps[first.step].need;
+    std::uint32_t movable = displaced;
+    while (movable > 0 && m_quota.check(job.workspace(), need, 1, displaced - movable + 1) !=
+                              policy::quota_verdict::allowed) {
+        --movable;
+    }
+    return movable;
+}
+
 std::map<service_id, service_load> scheduler::loads() const
 {
     std::map<service_id, service_load> loads;
@@ -107,8 +119,9 @@
                                                 limit == 0 ? 1 : (spec.count + limit - 1) / limit);
                     const task_name first{id, number, static_cast<std::uint32_t>(step), 0};
                     const auto moving = displaced.find(first);
-                    const std::uint32_t unplaced = startable_tasks(job, first) +
-                                                   (moving == displaced.end() ? 0 : moving->second);
+                    const std::uint32_t unplaced =
+                        startable_tasks(job, first) +
+                        (moving == displaced.end() ? 0 : movable_tasks(job, first, moving->second));
                     if (unplaced > 0 && job.is_unblocked(occurrence, first.step)) {
                         const std::uint32_t before = missing.of(job.queue().service);
                         missing.add(job, occurrence, first.step, unplaced);
--- a/packages/job/src/scheduler_long_running.cpp
+++ b/packages/job/src/scheduler_long_running.cpp
@@ -283,7 +283,7 @@
         if (step.exhausted || (step.at_cap && each.leaving == nullptr)) {
             continue;
         }
-        // What runs is counted against the cap already.
+        // What runs is counted against the cap already; see may_move().
         if (each.leaving == nullptr &&
             !cap_allows(*each.job, name.occurrence, name.step, step.reserved + 1)) {
             step.at_cap = true;
@@ -318,7 +318,11 @@
 
 bool scheduler::may_move(const unplaced_task& moving, std::uint32_t evicted) const
 {
-    return !moving.is_evicted() || may_evict({moving.name, moving.attempt}, moving.run(), evicted);
+    const bool may_restart =
+        m_quota.check(moving.job->workspace(), moving.job->spec().steps[moving.name.step].need, 1,
+                      1) == policy::quota_verdict::allowed;
+    return may_restart && (!moving.is_evicted() ||
+                           may_evict({moving.name, moving.attempt}, moving.run(), evicted));
 }
 
 void scheduler::hand_over(const unplaced_task& leaving, worker_record& destination,
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -373,8 +373,7 @@
 
 // Guards against a task that is stopped seconds before its worker leaves although its workspace's
 // cap, lowered meanwhile, lets it start nowhere.
-TEST_CASE("a long-running task beyond a lowered cap runs on while its worker leaves",
-          "[.][lowered_cap]")
+TEST_CASE("a long-running task beyond a lowered cap runs on while its worker leaves")
 {
     contended_pool pool;
     const workspace_id alpha("alpha");
@@ -392,6 +391,36 @@
     CHECK(pool.workers_of(job).size() == 2);
 }
 
+// Guards against a machine that is moved for a task which may not start again, and against a step
+// of which no task moves, as one of them may not.
+TEST_CASE("of the tasks that leave, those within a lowered cap have other places")
+{
+    contended_pool pool;
+    const workspace_id alpha("alpha");
+    pool.announces_remaining = true;
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    for (int each = 0; each < 2; ++each) {
+        pool.add_worker();
+    }
+    const job_id job = pool.submit(one_per_worker(2), "serving", alpha);
+    pool.advance(seconds(1));
+    const auto leaving = pool.workers_of(job);
+    REQUIRE(leaving.size() == 2);
+    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 9600, .memory_mb = 50000}}});
+    pool.drain(leaving[0]);
+    pool.advance(seconds(1));
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 0);
+    pool.drain(leaving[1]);
+    pool.advance(seconds(1));
+    CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 1);
+
+    pool.add_worker();
+    pool.advance(contended_pool::drain_time);
+    CHECK(pool.workers_of(job).size() == 1);
+    CHECK(pool.starts.size() == 3);
+    CHECK(pool.violations.empty());
+}
+
 // Guards against tasks that wait for a place on a worker which has told that it leaves.
 TEST_CASE("no task is started on a worker whose report tells that it leaves")
 {
--- a/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
+++ b/packages/policy/include/plantaindoor/policy/workspace_quota.hpp
@@ -91,9 +91,9 @@
     void begin_round();
     /// A former leader may have started these tasks.
     void add_possible(const workspace_id& workspace, const resources& need, std::uint32_t tasks);
-    /// Whether `tasks` tasks may start together now.
+    /// Whether `tasks` tasks may start together once `ended` runs of the same need have ended.
     [[nodiscard]] quota_verdict check(const workspace_id& workspace, const resources& need,
-                                      std::uint32_t tasks) const;
+                                      std::uint32_t tasks, std::uint32_t ended = 0) const;
     /// Tasks wait since check() refused them, in units of `width` that start together. `has_room`:
     /// the shard could run one.
     void add_waiting(const workspace_id& workspace, quota_verdict reason, const resources& need,
--- a/packages/policy/src/workspace_quota.cpp
+++ b/packages/policy/src/workspace_quota.cpp
@@ -139,7 +139,7 @@
 }
 
 quota_verdict workspace_quota::check(const workspace_id& workspace, const resources& need,
-                                     std::uint32_t tasks) const
+                                     std::uint32_t tasks, std::uint32_t ended) const
 {
     const quota_usage* const usage = find(workspace);
     if (usage == nullptr) {
@@ -152,9 +152,10 @@
     // The rule for caps allows one task more than the cap; a gang has to fit. A run that starts
     // late, after the one that exceeds the cap, would be a second one.
     const bool may_exceed = tasks == 1 && usage->starting == 0 && usage->possible == resources{};
-    return can_add(usage->used(), all, usage->usable, usage->cap, may_exceed)
-               ? quota_verdict::allowed
-               : quota_verdict::part_in_use;
+    resources used = usage->used();
+    used -= amounts_for(need, ended);
+    return can_add(used, all, usage->usable, usage->cap, may_exceed) ? quota_verdict::allowed
+                                                                     : quota_verdict::part_in_use;
 }
 
 void workspace_quota::add_waiting(const workspace_id& workspace, quota_verdict reason,
--- a/packages/policy/tests/workspace_quota_test.cpp
+++ b/packages/policy/tests/workspace_quota_test.cpp
@@ -105,6 +105,32 @@
     CHECK(fill(quota, task) == 1);
 }
 
+// Guards against a run that is ended to start elsewhere, where it may not start again.
+TEST_CASE("A task may start in place of a run unless that is beyond a lowered cap")
+{
+    workspace_quota quota({});
+    quota.set_workspaces(with_cap({.cpu_millis = 800}));
+    const resources task{.cpu_millis = 400};
+    CHECK(fill(quota, task) == 2);
+    CHECK(quota.check(alpha, task, 1) == quota_verdict::part_in_use);
+    CHECK(quota.check(alpha, task, 1, 1) == quota_verdict::allowed);
+    quota.set_workspaces(with_cap({.cpu_millis = 400}));
+    CHECK(quota.check(alpha, task, 1, 1) == quota_verdict::part_in_use);
+    CHECK(quota.check(alpha, task, 1, 2) == quota_verdict::allowed);
+    quota.set_workspaces(with_cap({.cpu_millis = 300}));
+    CHECK(quota.check(alpha, task, 1, 2) == quota_verdict::larger_than_cap);
+}
+
+// Guards against a run of the one task that exceeds the cap which may not start again.
+TEST_CASE("A task may start in place of the run that exceeds the cap")
+{
+    workspace_quota quota({});
+    quota.set_workspaces(with_cap({.cpu_millis = 1000}));
+    const resources task{.cpu_millis = 400};
+    CHECK(fill(quota, task) == 3);
+    CHECK(quota.check(alpha, task, 1, 1) == quota_verdict::allowed);
+}
+
 TEST_CASE("A gang starts only within the part, and never if it is larger than the cap")
 {
     workspace_quota quota({});
