job: Keep over changes of the leader what earlier leaders may have lost

A task that crashes its workers could be started a sixth time although each leader knows how many predecessors may have lost a crash of it (BUDGET).

Cause: the number is counted from the claims that are later than the job's row. A row that one of these leaders wrote for other progress of the job, such as the end of another task, is newer than the claims before it, and the number wasn't part of it. The next leader counted one predecessor, whatever the earlier ones had lost. The class is that of the incident: a fact that decides the outcome of a job lives in the memory of one process.

The progress of a job now has the number for each task that isn't done, as ranges like the waits, and a successor adds its predecessors since that row. A task that outlives its suspicion has lost nothing any more, as before; that alone causes no write. Sound tasks are given up after three known crashes at the earliest, as before.

The new tests fail on the code before: behind 2, 3 and 10 leaders that each wrote the row, a task was given up after four known crashes (now three), and with one it still is after four.

Three leaders in succession that lose one crash each, and a third known crash shared with tasks of other jobs, still allow a sixth start.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -78,7 +78,8 @@
     /// Crashes for which another job's task turned out to be to blame.
     std::uint32_t explained_crashes = 0;
     /// Crashes that predecessors may not have persisted. Each can lose only one: it doesn't start
-    /// the task again before that is durable.
+    /// the task again before that is durable. Persisted, as a row that a later one of them writes
+    /// doesn't show how many there were before.
     std::uint32_t lost_crashes = 0;
     /// Since when a long-running task has waited for a worker, as far as this process knows;
     /// nullopt while it runs or while its step is blocked.
--- a/packages/job/src/progress.cpp
+++ b/packages/job/src/progress.cpp
@@ -55,39 +55,52 @@
     return workers;
 }
 
-/// The durable waits as [start, first task, number of tasks]: tasks of a step often begin to wait
-/// together.
-json waits_json(const std::vector<task_record>& tasks)
+/// The values of the tasks that aren't done as [value, first task, number of tasks]: tasks of a
+/// step often have the same one. Tasks without a value are left out.
+template<typename ValueOf>
+json ranges_json(const std::vector<task_record>& tasks, ValueOf value_of)
 {
     json result = json::array();
-    std::optional<wall_time> previous;
+    std::optional<std::int64_t> previous;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        const std::optional<wall_time> since =
-            tasks[index].done ? std::nullopt : tasks[index].durable_wait;
-        if (since && since == previous) {
+        const std::optional<std::int64_t> value =
+            tasks[index].done ? std::nullopt : value_of(tasks[index]);
+        if (value && value == previous) {
             json& count = result.back().back();
             count = count.get<std::size_t>() + 1;
         }
-        else if (since) {
-            result.push_back(json::array({since->time_since_epoch().count(), index, 1}));
+        else if (value) {
+            result.push_back(json::array({*value, index, 1}));
         }
-        previous = since;
+        previous = value;
     }
     return result;
 }
 
-void restore_waits(std::vector<task_record>& tasks, const json& from)
+template<typename Restore>
+void restore_ranges(std::vector<task_record>& tasks, const json& from, Restore restore)
 {
     for (const json& each : from) {
-        const wall_time since(milliseconds(each.at(0).get<std::int64_t>()));
+        const auto value = each.at(0).get<std::int64_t>();
         const auto first = each.at(1).get<std::size_t>();
         const auto count = each.at(2).get<std::size_t>();
         for (std::size_t offset = 0; offset < count; ++offset) {
-            tasks.at(first + offset).durable_wait = since;
+            restore(tasks.at(first + offset), value);
         }
     }
 }
 
+std::optional<std::int64_t> durable_wait_of(const task_record& task)
+{
+    return task.durable_wait ? std::optional(task.durable_wait->time_since_epoch().count())
+                             : std::nullopt;
+}
+
+std::optional<std::int64_t> lost_crashes_of(const task_record& task)
+{
+    return task.lost_crashes > 0 ? std::optional<std::int64_t>(task.lost_crashes) : std::nullopt;
+}
+
 json step_json(const step_record& step)
 {
     std::string marks;
@@ -117,9 +130,12 @@
     if (!explained.empty()) {
         result["explained"] = explained;
     }
-    if (json waits = waits_json(step.tasks); !waits.empty()) {
+    if (json waits = ranges_json(step.tasks, durable_wait_of); !waits.empty()) {
         result["waits"] = std::move(waits);
     }
+    if (json lost = ranges_json(step.tasks, lost_crashes_of); !lost.empty()) {
+        result["lost_crashes"] = std::move(lost);
+    }
     return result;
 }
 
@@ -144,7 +160,15 @@
     for (const auto& [index, count] : explained_by_task.items()) {
         step.tasks.at(std::stoul(index)).explained_crashes = count.get<std::uint32_t>();
     }
-    restore_waits(step.tasks, from.value("waits", json::array()));
+    restore_ranges(step.tasks, from.value("waits", json::array()),
+                   [](task_record& task, std::int64_t since) {
+                       task.durable_wait = wall_time(milliseconds(since));
+                   });
+    // Those of the predecessors since this was written are counted already.
+    restore_ranges(step.tasks, from.value("lost_crashes", json::array()),
+                   [](task_record& task, std::int64_t count) {
+                       task.lost_crashes += static_cast<std::uint32_t>(count);
+                   });
     const json failures_by_task = from.value("failed", json::object());
     for (const auto& [index, attempts] : failures_by_task.items()) {
         task_record& task = step.tasks.at(std::stoul(index));
--- a/packages/job/tests/crash_wait_test.cpp
+++ b/packages/job/tests/crash_wait_test.cpp
@@ -297,6 +297,45 @@
     CHECK(crashes == (predecessors < 2 ? 4 : 3));
 }
 
+// Guards against BUDGET: what earlier leaders may have lost was forgotten once the next one had
+// persisted any other progress of the job, and a task was started after five crashes.
+TEST_CASE("what predecessors may have lost counts over any number of leaders that persist the job")
+{
+    const std::uint32_t leaders = GENERATE(1, 2, 3, 10);
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(3, 300), seconds(60));
+    std::string progress(R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"..d"}]}})");
+    for (std::uint32_t leader = 0; leader < leaders; ++leader) {
+        begin_successor(pool, id, 1, progress);
+        progress = pool.subject->find(id)->progress();
+    }
+    const auto& tasks_of_step = pool.subject->find(id)->occurrences().at(0).steps[0].tasks;
+    CHECK(tasks_of_step[0].lost_crashes == leaders);
+    CHECK(tasks_of_step[1].lost_crashes == leaders);
+    std::uint32_t crashes = 1;
+    while (!crash_after(pool, id, seconds(1)) && crashes < 10) {
+        ++crashes;
+    }
+    CHECK(crashes == (leaders < 2 ? 4 : 3));
+}
+
+// Guards against a sound task whose limit stays lowered for all later leaders.
+TEST_CASE("a task that has outlived its suspicion is persisted without lost crashes")
+{
+    crash_pool pool(6);
+    const job_id id = pool.submit("j", tasks(2, 300), seconds(60));
+    begin_successor(pool, id, 3,
+                    R"({"state":"running","begun":1,"occurrences":{"0":[{"tasks":"..",)"
+                    R"("lost_crashes":[[2,0,1]]}]}})");
+    const auto& tasks_of_step = pool.subject->find(id)->occurrences().at(0).steps[0].tasks;
+    CHECK(tasks_of_step[0].lost_crashes == 5);
+    CHECK(tasks_of_step[1].lost_crashes == 3);
+    CHECK(pool.subject->find(id)->progress().find(R"("lost_crashes":[[5,0,1],[3,1,1]])") !=
+          std::string::npos);
+    pool.run_for(seconds(4));
+    CHECK(pool.subject->find(id)->progress().find("lost_crashes") == std::string::npos);
+}
+
 // Guards against BUDGET: the crashes that are durable and those that predecessors may have lost
 // reach the limit only with the change of the leader.
 TEST_CASE("an inherited task that has reached its limit is given up without another start")
