job: A worker is held for a wide task that finds no room

A task that fits on no worker stops only needs that are as large or larger for the round. Narrower tasks that rank behind it took each bit of room as it became free, so the wait of a wide one had no bound. Long-running tasks have reservations and some gangs hold workers; ordinary wide tasks had nothing.

A job that has had nothing running for 1 s, and whose task finds no room, now has one worker of its service held: that which is expected to have the room first. Nothing that ranks behind starts there until the task does; what ranks before isn't affected, and no run is stopped. At most one worker per service is held, for the first such job of the round. A worker that can't take the task any more is replaced. Jobs at their workspace's cap come no further than before and hold nothing.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "plantaindoor/job/worker.hpp"
 #include "plantaindoor/policy/crash_isolation.hpp"
 #include "plantaindoor/policy/long_running_reservations.hpp"
+#include "plantaindoor/policy/worker_holds.hpp"
 #include "plantaindoor/policy/workspace.hpp"
 #include "plantaindoor/policy/workspace_quota.hpp"
 #include "plantaindoor/policy/workspace_shares.hpp"
@@ -293,6 +294,11 @@
     {
         return m_reservations.is_reserved(worker);
     }
+    /// Whether the worker is kept for another task that finds no room, as of the last plan().
+    [[nodiscard]] bool is_held(const instance_id& worker) const
+    {
+        return m_worker_holds.is_held(worker);
+    }
     /// Number of jobs that are not terminal.
     [[nodiscard]] std::size_t open_count() const noexcept { return m_open.size(); }
     [[nodiscard]] learned_figures learned() const;
@@ -452,6 +458,10 @@
     /// the rest of the round, if the gang would otherwise starve.
     void hold_for_gang(const job_record& job, std::uint32_t step,
                        const std::vector<worker_record*>& chosen, time_point now);
+    /// Keeps a worker from lower-ranked tasks for the rest of the round, for a task that has found
+    /// no room and whose job has had nothing running for worker_holds::patience.
+    void hold_for_wide_task(const job_record& job, const occurrence_record& occurrence,
+                            std::uint32_t step, const task_record& task, time_point now);
     void release_held();
     /// Places the waiting long-running tasks, those first that have waited longest.
     void place_long_running(const std::vector<candidate>& ranked, time_point now);
@@ -567,6 +577,7 @@
     };
     std::map<service_id, held_capacity> m_held;
     policy::long_running_reservations m_reservations;
+    policy::worker_holds m_worker_holds;
     predecessor_doubt m_doubt;
     /// What is kept from other tasks in this round.
     std::vector<std::pair<worker_record*, resources>> m_reserved_room;
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -24,6 +24,7 @@
       m_started(now),
       m_quota({.shard = options.shard, .shards = options.shard_count}),
       m_reservations(options.stop_time),
+      m_worker_holds(options.stop_time),
       m_doubt({.detected = now + options.predecessor_detection,
                .lease_bound = now + options.predecessor_grace + with_clock_margins(options.lease),
                .former_services_known = options.former_services_known}),
--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -134,9 +134,11 @@
         });
     }
     place_long_running(ranked, now);
+    m_worker_holds.begin_round(now);
     for (const candidate& each : ranked) {
         place_job(each, now);
     }
+    m_worker_holds.end_round();
     m_quota.end_round(now);
     release_held();
 }
@@ -178,6 +180,7 @@
         worker_record* const worker =
             choose_worker(job, job.occurrences().at(occurrence), step, task, now);
         if (worker == nullptr) {
+            hold_for_wide_task(job, job.occurrences().at(occurrence), step, task, now);
             return;
         }
         order_start(job, {job.id(), occurrence, step, index}, *worker, next_attempt(task), now);
--- a/packages/job/src/scheduler_shares.cpp
+++ b/packages/job/src/scheduler_shares.cpp
@@ -160,6 +160,77 @@
     m_held.emplace(service, held_capacity{.footprint = spec.footprint(), .workers = chosen});
 }
 
+void scheduler::hold_for_wide_task(const job_record& job, const occurrence_record& occurrence,
+                                   std::uint32_t step, const task_record& task, time_point now)
+{
+    const service_id& service = job.queue().service;
+    const step_spec& spec = job.spec().steps[step];
+    const resources need = spec.footprint();
+    const auto since = job.wait().since;
+    if (spec.long_running || !since || now - *since < policy::worker_holds::patience ||
+        m_worker_holds.has_hold(service) || m_worker_holds.is_unfit(service, need) ||
+        job.count_tasks().running > 0) {
+        return;
+    }
+    const auto siblings = occurrence.steps[step].runs_by_worker();
+    const auto is_avoided = [&](const worker_record& worker) {
+        return std::find(task.avoided.begin(), task.avoided.end(), worker.listing.id) !=
+               task.avoided.end();
+    };
+    const auto is_large_enough = [&](const worker_record& worker) {
+        return (spec.required_label.empty() || worker.listing.has_label(spec.required_label)) &&
+               worker.capacity_beside_long_running().can_fit(need);
+    };
+    const auto& candidates = m_candidates[service];
+    const bool others = !task.avoided.empty() &&
+                        std::any_of(candidates.begin(), candidates.end(), [&](const auto* each) {
+                            return !is_avoided(*each) && is_large_enough(*each);
+                        });
+    const auto suits = [&](const worker_record& worker) {
+        const auto count = siblings.find(worker.listing.id);
+        return worker.is_usable(now) && !(others && is_avoided(worker)) &&
+               !m_reservations.is_reserved(worker.listing.id) &&
+               (spec.max_per_worker == 0 || count == siblings.end() ||
+                count->second < spec.max_per_worker) &&
+               is_large_enough(worker);
+    };
+    const auto kept = m_worker_holds.held_for(job.id(), service);
+    auto held = std::find_if(candidates.begin(), candidates.end(), [&](const auto* each) {
+        return kept && each->listing.id == *kept && suits(*each);
+    });
+    if (held == candidates.end()) {
+        if (!m_worker_holds.may_choose(service)) {
+            return;
+        }
+        m_worker_holds.note_choice(service);
+        std::vector<policy::reservable_worker> workers;
+        for (const worker_record* const each : candidates) {
+            if (!suits(*each)) {
+                continue;
+            }
+            policy::reservable_worker view{
+                .worker = each->listing.id, .free = each->free_capacity(), .is_slow = each->slow};
+            for (auto& [name, run] : short_runs(each->listing.id, now)) {
+                view.runs.push_back(run);
+            }
+            workers.push_back(std::move(view));
+        }
+        const auto chosen = m_worker_holds.choose(need, workers);
+        held = std::find_if(candidates.begin(), candidates.end(), [&](const auto* each) {
+            return chosen && each->listing.id == *chosen;
+        });
+    }
+    if (held == candidates.end()) {
+        if (spec.required_label.empty() && spec.max_per_worker == 0 && task.avoided.empty()) {
+            m_worker_holds.note_unfit(service, need);
+        }
+        return;
+    }
+    m_worker_holds.hold(job.id(), service, (*held)->listing.id);
+    (*held)->used += need;
+    m_reserved_room.emplace_back(*held, need);
+}
+
 void scheduler::release_held()
 {
     for (const auto& [service, held] : m_held) {
