job: Test the hold for a wide task beside long-running tasks

The worker that is held must have the room beside its long-running tasks, which stay where they are.

--- a/packages/job/tests/wide_task_test.cpp
+++ b/packages/job/tests/wide_task_test.cpp
@@ -257,3 +257,25 @@
     REQUIRE(waited);
     CHECK(*waited <= longest_wait);
 }
+
+// Guards against a hold on a worker that long-running tasks leave too little room on.
+TEST_CASE("the worker held for a wide task is one that has the room beside long-running tasks")
+{
+    const std::uint64_t seed = GENERATE(range(1, 4));
+    CAPTURE(seed);
+    wide_pool pool(seed);
+    const job_id serving = pool.submit({.count = 3,
+                                        .need = {.cpu_millis = 30000, .memory_mb = 4000},
+                                        .max_per_worker = 1,
+                                        .long_running = true},
+                                       "serving");
+    pool.advance(seconds(12));
+    const auto occupied = pool.workers_of(serving);
+    REQUIRE(occupied.size() == 3);
+    const job_id id = pool.submit(step_of(wide_by_cores), "urgent");
+    const auto waited = pool.wait_for_start(id, seconds(20));
+    REQUIRE(waited);
+    CHECK(*waited <= longest_wait);
+    CHECK(pool.workers_of(serving) == occupied);
+    CHECK(pool.violations.empty());
+}
