fleet: Selects the machines that a shard may give away

The planner lists the machines that no open wave names, and keeps those that change their shard without ordering them. Nothing uses it yet.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -10,10 +10,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plantaindoor::fleet {
@@ -109,6 +111,15 @@
     [[nodiscard]] bool completed() const { return started.size() >= request.machines.size(); }
 };
 
+/// A machine on which nothing runs and for which no order is planned.
+struct idle_machine {
+    std::string machine;
+    service_id pool;
+    /// Empty for a machine that is off.
+    instance_id worker;
+    rack_id rack;
+};
+
 /// Decides on machine orders. Deterministic; reads no clock. Not thread-safe.
 class machine_planner {
 public:
@@ -133,6 +144,15 @@
     [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
 
     [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
+    /// Machines that are being transferred from or to another shard: they stay listed, but get no
+    /// orders and serve no pool.
+    void set_in_transfer(std::set<std::string> machines) { m_in_transfer = std::move(machines); }
+    /// The shard is about to own the machine, which counted as started as the shard didn't own it:
+    /// its maintenance is still to come in each wave for which `was_started` returns false.
+    void reopen_waves(const std::string& machine,
+                      const std::function<bool(std::uint64_t wave)>& was_started);
+    /// The free machines that no open wave names, as of the last plan().
+    [[nodiscard]] std::vector<idle_machine> idle_machines(time_point now) const;
     /// The pools with demand or machines, as of the last plan().
     [[nodiscard]] const std::map<service_id, pool_figures>& pools() const { return m_pool_figures; }
 
@@ -272,6 +292,7 @@
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
     std::map<service_id, pool_figures> m_pool_figures;
+    std::set<std::string> m_in_transfer;
     /// Workers to uncordon as the order for their machine was dropped.
     std::vector<cordon_change> m_uncordoned;
     /// Machines whose planned move is reconsidered in the current plan() call.
--- a/packages/job/include/plantaindoor/job/worker.hpp
+++ b/packages/job/include/plantaindoor/job/worker.hpp
@@ -220,6 +220,8 @@
     time_point last_contact{};
     /// When the first order or poll since then failed; nullopt if none has.
     std::optional<time_point> unresponsive_since;
+    /// When a start was last left without an answer; it may be carried out later.
+    std::optional<time_point> unanswered_start;
     /// Number of reports received from the worker.
     std::uint64_t reports = 0;
     /// Loads have been reported since best-effort runs were last throttled.
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -379,6 +379,7 @@
         break;
     case order_answer::unanswered:
         note_no_answer(worker, now);
+        worker.unanswered_start = now;
         if (known->second.phase == run_phase::ordered) {
             known->second.phase = run_phase::unconfirmed;
             job_record* const job = find_job(run.task.job);
