fleet: Gives machines to shards that have no room

Callers saw an accepted job, or a long-running task, without a run while most of the workers were free: its shard had lost its workers, or worked off a backlog, and the room was in the other shard, which its leader doesn't see.

A leader asks another shard for machines: for long-running tasks that its shard has no room for, for tasks that have waited for 1.5 s for machines that its pools can't give, and if no worker of the shard answers. The other one gives idle machines by a row, and the asking one owns them once it has written its own. Off unless leader_elector_options::machine_transfers is set; rows that exist are observed in any case, so where there are several shards, a leader reads its shard's rows before the workers.

It hasn't been played on the users' platform.

--- a/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_elector.hpp
@@ -30,6 +30,8 @@
     machine_planner_options planning;
     /// How long callers can query a job's state after its end.
     seconds state_retention{120};
+    /// Whether machines are given to other shards and asked for. Equal in all entries.
+    bool machine_transfers = false;
     /// The configuration was known from then on.
     time_point first_config_at{};
 };
@@ -91,6 +93,12 @@
 
 private:
     void try_claim();
+    /// Whether a session under the claim of this version has ended that may have been about to give
+    /// a machine away: under that claim, the machine may still be given.
+    [[nodiscard]] bool is_used_up(row_version claim) const
+    {
+        return m_options.machine_transfers && claim == m_session_claim;
+    }
     void confirm_claim(time_point sent);
     /// Delays the next claim, for longer with each failure since the last known claim.
     void note_failed_claim();
@@ -109,6 +117,8 @@
     std::vector<received_wave> m_waves;
     leader_tracker m_leadership;
     std::unique_ptr<leader_session> m_session;
+    /// The version of the claim under which the last session began.
+    row_version m_session_claim = absent;
     bool m_claiming = false;
     /// Claims without a known outcome, or refused, since a claim was last read.
     std::uint32_t m_failed_claims = 0;
--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -9,6 +9,7 @@
 #include "plantaindoor/fleet/leader_lease.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 #include "plantaindoor/fleet/learned_log.hpp"
+#include "plantaindoor/fleet/machine_exchange.hpp"
 #include "plantaindoor/fleet/machine_session.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/progress_writer.hpp"
@@ -60,6 +61,8 @@
     machine_planner_options planning;
     /// How long callers can query a job's state after its end; then its rows are removed.
     seconds state_retention{120};
+    /// Whether machines are given to other shards and asked for.
+    bool machine_transfers = false;
     /// When the transaction that claimed leadership was sent.
     time_point claimed_at{};
 };
@@ -101,6 +104,10 @@
     void handle_worker_row(const stored_row& row);
     /// Whether this shard owns the worker's machine.
     [[nodiscard]] bool owns(const job::worker_listing& listing) const;
+    /// Another shard has given the machine to this one.
+    void take_over_machine(const std::string& machine, fencing_token token);
+    /// The worker's machine has been given to another shard.
+    void release_worker(const instance_id& id);
     void become_ready();
     void schedule_plan();
     void plan();
@@ -138,6 +145,9 @@
     std::unique_ptr<table_watcher> m_worker_rows;
     std::unique_ptr<worker_poller> m_poller;
     std::unique_ptr<progress_writer> m_progress_writer;
+    std::unique_ptr<machine_exchange> m_exchange;
+    /// Rows of workers whose machines this shard doesn't own.
+    std::map<instance_id, stored_row> m_other_workers;
     std::unique_ptr<machine_session> m_machines;
     std::unique_ptr<quota_exchange> m_quota_exchange;
     quota_reporter m_quota_reporter;
--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -6,7 +6,9 @@
 #include "plantaindoor/common/metrics.hpp"
 #include "plantaindoor/fleet/gateways.hpp"
 #include "plantaindoor/fleet/leader_lease.hpp"
+#include "plantaindoor/fleet/machine_exchange.hpp"
 #include "plantaindoor/fleet/machine_planner.hpp"
+#include "plantaindoor/fleet/machine_transfers.hpp"
 #include "plantaindoor/fleet/platform_codec.hpp"
 #include "plantaindoor/fleet/pool_reporter.hpp"
 #include "plantaindoor/fleet/recent_orders.hpp"
@@ -31,6 +33,12 @@
     shard_number shard = 0;
     std::shared_ptr<const shard_layout> layout;
     machine_planner_options planning;
+    /// Null where the layout alone determines what the shard owns.
+    machine_exchange* exchange = nullptr;
+    /// Whether an earlier leader of the shard may have sent orders.
+    bool has_predecessor = true;
+    /// Runs when the worker's machine has been given to another shard.
+    std::function<void(const instance_id&)> on_given;
     /// Bounds the time until the end of a worker is detected.
     milliseconds list_interval{400};
     milliseconds commit_timeout{1500};
@@ -77,6 +85,9 @@
     /// Whether these shards have started maintenance of all their machines in the wave.
     [[nodiscard]] bool completed_by(const wave_request& request, shard_number first,
                                     shard_number end) const;
+    [[nodiscard]] wave_rows known_waves() const;
+    /// Whether the planner is to know the machine.
+    [[nodiscard]] bool is_listed(const machine_info& machine) const;
     void read_list(time_point now);
     void handle_machine_list(machine_list list, time_point requested_at);
     /// Persists the affected machines, which a successor should leave alone for handover_delay, and
@@ -100,12 +111,13 @@
     machine_session_options m_options;
     machine_planner m_planner;
     recent_orders m_recent_orders;
+    std::optional<machine_transfers> m_transfers;
     pool_reporter m_pool_reporter;
     std::shared_ptr<bool> m_alive;
     std::unique_ptr<table_watcher> m_wave_rows;
-    std::map<std::uint64_t, std::set<std::string>> m_persisted_started;
-    /// Of the other shards: machines whose maintenance has started or that the shard doesn't own.
-    std::map<shard_number, std::map<std::uint64_t, std::set<std::string>>> m_started_elsewhere;
+    started_machines m_persisted_started;
+    /// Of the other shards.
+    std::map<shard_number, started_machines> m_started_elsewhere;
     std::vector<waiting_wave> m_waiting_waves;
     std::map<std::uint64_t, bool> m_written_completed;
     std::set<std::uint64_t> m_writing_status;
--- a/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/worker_poller.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace plantaindoor::fleet {
 
@@ -45,6 +46,8 @@
     void refresh();
     /// Sends the orders to their workers, as long as the lease is valid.
     void send(const job::orders& orders);
+    /// The worker belongs to another leader now: the answer to a poll in flight is ignored.
+    void forget(const instance_id& id);
     /// While paused, or without a valid lease, no polls are sent; the results of polls in flight
     /// are still processed.
     void set_paused(bool paused);
@@ -73,6 +76,7 @@
     /// Adapts the interval to the lateness of a poll that was due at `due`.
     void note_lateness(time_point due);
     [[nodiscard]] worker_address address_of(const instance_id& id) const;
+    [[nodiscard]] std::optional<machine_authority> authority_for(const instance_id& id) const;
 
     event_loop& m_loop;
     worker_gateway& m_workers;
@@ -83,6 +87,8 @@
     event m_on_stale_token;
     std::shared_ptr<bool> m_alive;
     std::map<instance_id, polled_worker> m_polled;
+    /// Workers that were forgotten while a poll was in flight.
+    std::set<instance_id> m_forgotten;
     milliseconds m_interval;
     bool m_paused = false;
     metric_counter& m_polls;
--- a/packages/fleet/src/leader_elector.cpp
+++ b/packages/fleet/src/leader_elector.cpp
@@ -113,6 +113,10 @@
     if (m_resigning || m_claiming || m_session || now < m_next_claim) {
         return false;
     }
+    if (m_leadership.is_leader() && is_used_up(m_leadership.version())) {
+        try_claim();
+        return true;
+    }
     if (m_leadership.is_leader()) {
         // An earlier attempt to claim was applied after all. Its send time is no longer available,
         // so the session starts with an expired lease.
@@ -206,7 +210,8 @@
             const auto claim = parse_leader_claim(row.value);
             m_leadership.note_claim(claim, row.version, m_context.loop.now());
             clear_failed_claims();
-            if (m_leadership.is_leader() && !m_session && !m_resigning) {
+            if (m_leadership.is_leader() && !m_session && !m_resigning &&
+                !is_used_up(row.version)) {
                 begin_session(*claim, row.version, sent);
             }
         }
@@ -228,7 +233,9 @@
         .scheduling = m_options.scheduling,
         .planning = m_options.planning,
         .state_retention = m_options.state_retention,
+        .machine_transfers = m_options.machine_transfers,
         .claimed_at = sent};
+    m_session_claim = claim_version;
     options.scheduling.attempt_base = claim.generation * attempts_per_generation;
     options.scheduling.predecessor_grace = m_options.tracking.lease;
     options.scheduling.shard_count = m_shard.layout->count();
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -113,16 +113,31 @@
             .on_persisted = [this] { schedule_plan(); },
             .on_renewed = [this](time_point sent) { handle_renewal(sent); },
             .on_lost = [this] { step_down(); }});
-    m_machines =
-        std::make_unique<machine_session>(m_context.loop, m_context.store, m_context.machines,
-                                          m_context.codec, m_scheduler, m_lease, m_context.metrics,
-                                          machine_session_options{.claim = m_options.claim_row,
-                                                                  .shard = m_options.shard.number,
-                                                                  .layout = m_options.shard.layout,
-                                                                  .planning = m_options.planning});
+    m_exchange = std::make_unique<machine_exchange>(
+        m_context.loop, m_context.store,
+        machine_exchange_options{.claim = m_options.claim_row,
+                                 .shard = m_options.shard.number,
+                                 .layout = m_options.shard.layout,
+                                 .enabled = m_options.machine_transfers},
+        machine_exchange::event_handlers{
+            .on_restored = [this] { read_workers(); },
+            .on_received = [this](const std::string& machine,
+                                  fencing_token token) { take_over_machine(machine, token); }});
+    m_machines = std::make_unique<machine_session>(
+        m_context.loop, m_context.store, m_context.machines, m_context.codec, m_scheduler, m_lease,
+        m_context.metrics,
+        machine_session_options{.claim = m_options.claim_row,
+                                .shard = m_options.shard.number,
+                                .layout = m_options.shard.layout,
+                                .planning = m_options.planning,
+                                .exchange = m_exchange.get(),
+                                .has_predecessor = m_options.claim.generation > 0,
+                                .on_given = [this](const instance_id& id) { release_worker(id); }});
     m_machines->set_pools(m_config->pools);
     read_progress();
-    read_workers();
+    if (m_exchange->ownership().is_restored()) {
+        read_workers();
+    }
     tick();
 }
 
@@ -266,6 +281,7 @@
 void leader_session::handle_worker_row(const stored_row& row)
 {
     const instance_id id(row.at.key);
+    m_other_workers.erase(id);
     if (row.removed) {
         if (m_scheduler.workers().contains(id)) {
             worker_log.info(fmt::format("worker {} is no longer listed", id.str()));
@@ -282,6 +298,7 @@
         return;
     }
     if (!owns(*listing)) {
+        m_other_workers[id] = row;
         return;
     }
     const bool starts_in_future =
@@ -315,7 +332,26 @@
 
 bool leader_session::owns(const job::worker_listing& listing) const
 {
-    return m_options.shard.layout->owner_of(listing.rack) == m_options.shard.number;
+    return m_exchange->ownership().owns(listing.machine, listing.rack);
+}
+
+void leader_session::take_over_machine(const std::string& machine, fencing_token token)
+{
+    leader_log.info(fmt::format("shard {}: machine {} received, token {}", m_options.shard.number,
+                                machine, token));
+    m_lease.raise_token(machine, token);
+    for (const auto& [id, row] : std::map(m_other_workers)) {
+        const auto listing = m_context.codec.parse_worker(row);
+        if (listing && listing->machine == machine) {
+            handle_worker_row(row);
+        }
+    }
+}
+
+void leader_session::release_worker(const instance_id& id)
+{
+    m_poller->forget(id);
+    m_scheduler.note_worker_unlisted(id, m_context.loop.now());
 }
 
 void leader_session::become_ready()
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -75,6 +75,18 @@
       m_maintenance_orders(
           metrics.counter({"machine_upkeeps_total", "Machine maintenances ordered", {}}))
 {
+    if (m_options.exchange != nullptr && m_options.layout->count() > 1) {
+        m_transfers.emplace(
+            *m_options.exchange, m_planner, m_scheduler,
+            machine_transfers_options{
+                .giving = {.lease = m_options.handover_delay,
+                           .max_order_delay = max_order_delay,
+                           .min_machines = m_options.planning.min_machines},
+                .requesting = {.shard = m_options.shard, .shards = m_options.layout->count()},
+                .began = m_loop.now(),
+                .has_predecessor = m_options.has_predecessor},
+            m_options.on_given);
+    }
     read_waves();
 }
 
@@ -196,7 +208,11 @@
 void machine_session::check_waiting_waves(time_point now)
 {
     std::erase_if(m_waiting_waves, [&](waiting_wave& wave) {
-        if (!wave.turn_began && completed_by(wave.request, 0, wave.share.first_of_turn)) {
+        if (!completed_by(wave.request, 0, wave.share.first_of_turn)) {
+            // One of them may have received a machine of the wave.
+            wave.turn_began.reset();
+        }
+        else if (!wave.turn_began) {
             wave.turn_began = now;
         }
         // Their last machines may still be down.
@@ -219,6 +235,9 @@
         read_list(now);
     }
     check_waiting_waves(now);
+    if (m_transfers) {
+        m_transfers->begin_round(known_waves());
+    }
     const machine_orders orders = m_planner.plan(now, m_scheduler);
     m_pool_reporter.report(m_planner.pools());
     for (const cordon_change& each : orders.cordons) {
@@ -232,6 +251,24 @@
     }
     m_recent_orders.tick(now);
     persist_waves();
+    if (m_transfers) {
+        m_transfers->end_round(known_waves(), now);
+    }
+}
+
+wave_rows machine_session::known_waves() const
+{
+    wave_rows waves{.own = m_persisted_started, .of_other_shards = m_started_elsewhere};
+    for (const waiting_wave& each : m_waiting_waves) {
+        waves.waiting.insert(each.request.machines.begin(), each.request.machines.end());
+    }
+    return waves;
+}
+
+bool machine_session::is_listed(const machine_info& machine) const
+{
+    return m_transfers ? m_transfers->is_listed(machine.machine, machine.rack)
+                       : m_options.layout->owner_of(machine.rack) == m_options.shard;
 }
 
 void machine_session::persist_and_send(const std::vector<machine_order>& orders, time_point now)
@@ -274,9 +311,7 @@
     if (m_scheduler.has_predecessor_doubt(now) && !machines.empty()) {
         m_scheduler.note_machines(names_of(machines), list.extent, requested_at);
     }
-    std::erase_if(machines, [this](const machine_info& each) {
-        return m_options.layout->owner_of(each.rack) != m_options.shard;
-    });
+    std::erase_if(machines, [this](const machine_info& each) { return !is_listed(each); });
     m_planner.note_machine_list(machines, requested_at, list.extent);
     for (const auto& [id, cause] : ended_workers(machines, requested_at, m_scheduler)) {
         machine_log.info(fmt::format(
@@ -287,7 +322,8 @@
     }
     std::map<instance_id, service_id> live_workers;
     for (const machine_info& machine : machines) {
-        if (!machine.worker.empty()) {
+        const bool in_transfer = m_transfers && m_transfers->is_in_transfer(machine.machine);
+        if (!machine.worker.empty() && !in_transfer) {
             live_workers.emplace(machine.worker, machine.pool);
         }
     }
@@ -296,7 +332,7 @@
 
 void machine_session::send_order(const machine_order& order)
 {
-    const auto authority = m_lease.authority();
+    const auto authority = m_lease.authority(order.machine);
     if (!authority) {
         machine_log.warning(
             fmt::format("machine {}: order not sent: the leader lease has expired", order.machine));
@@ -304,6 +340,9 @@
         return;
     }
     m_scheduler.expect_planned_end(order.machine, m_loop.now() + max_order_delay);
+    if (m_transfers) {
+        m_transfers->note_order(order.machine, m_loop.now());
+    }
     auto done = [this, order, start = m_scheduler.latest_start(order.worker),
                  alive = m_alive](machine_answer answer) {
         if (*alive) {
@@ -344,6 +383,9 @@
         m_recent_orders.remove(order.machine);
     }
     m_planner.note_answer(order, answer, now);
+    if (m_transfers) {
+        m_transfers->note_answer(order.machine, answer, now);
+    }
     persist_waves();
 }
 
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -59,6 +59,26 @@
     return {.id = id, .address = found == workers.end() ? "" : found->second.listing.address};
 }
 
+std::optional<machine_authority> worker_poller::authority_for(const instance_id& id) const
+{
+    const auto found = m_scheduler.workers().find(id);
+    return found == m_scheduler.workers().end() ? m_lease.authority()
+                                                : m_lease.authority(found->second.listing.machine);
+}
+
+void worker_poller::forget(const instance_id& id)
+{
+    const auto found = m_polled.find(id);
+    if (found == m_polled.end()) {
+        return;
+    }
+    m_loop.cancel(found->second.timer);
+    if (found->second.polling) {
+        m_forgotten.insert(id);
+    }
+    m_polled.erase(found);
+}
+
 void worker_poller::refresh()
 {
     if (m_paused) {
@@ -100,7 +120,7 @@
 
 void worker_poller::poll(const instance_id& id)
 {
-    const auto authority = m_lease.authority();
+    const auto authority = authority_for(id);
     if (m_paused || !authority || !m_scheduler.needs_polling(id)) {
         return;
     }
@@ -128,6 +148,9 @@
                                        const std::optional<wall_time>& start,
                                        const poll_result& result)
 {
+    if (m_forgotten.erase(id) > 0) {
+        return;
+    }
     polled_worker& polled = m_polled[id];
     polled.polling = false;
     const time_point now = m_loop.now();
@@ -189,12 +212,12 @@
 void worker_poller::send(const job::orders& orders)
 {
     for (const job::stop_order& order : orders.stops) {
-        if (const auto authority = m_lease.authority()) {
+        if (const auto authority = authority_for(order.worker)) {
             send_stop(order, authority->token);
         }
     }
     for (const job::start_order& order : orders.starts) {
-        if (const auto authority = m_lease.authority()) {
+        if (const auto authority = authority_for(order.worker)) {
             send_start(order, authority->token);
         }
         else {
@@ -203,7 +226,7 @@
         }
     }
     for (const job::throttle_order& order : orders.throttles) {
-        if (const auto authority = m_lease.authority()) {
+        if (const auto authority = authority_for(order.worker)) {
             m_throttles.add();
             m_workers.throttle(address_of(order.worker), order, authority->token,
                                [](job::order_answer) {
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -1,6 +1,7 @@
 #include "fleet_simulation.hpp"
 
 #include "plantaindoor/fleet/job_rows.hpp"
+#include "plantaindoor/fleet/machine_transfer_rows.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -57,7 +58,7 @@
                                  const platform_codec& codec, const std::string& name,
                                  std::uint32_t incarnation_number,
                                  std::shared_ptr<const fleet_config> config,
-                                 static_machines::list_provider machines)
+                                 static_machines::list_provider machines, bool machine_transfers)
     : m_loop(loop),
       m_store(loop, m_loop, rows, random),
       m_workers(workers, m_loop, name),
@@ -69,6 +70,7 @@
     options.tracking.delay = entry_delay * static_cast<int>(name.back() - '0');
     options.scheduling.lease = milliseconds(5000);
     options.state_retention = fleet_simulation::state_retention_time;
+    options.machine_transfers = machine_transfers;
     m_shards = std::make_unique<shard_set>(
         session_context{.loop = m_loop,
                         .store = m_store,
@@ -101,9 +103,11 @@
 }
 
 fleet_simulation::fleet_simulation(std::uint64_t seed, machine_list machines, shard_number shards,
-                                   std::vector<policy::workspace_policy> workspaces)
+                                   std::vector<policy::workspace_policy> workspaces,
+                                   machine_transfers transfers)
     : m_random(seed),
       m_machine_list(machines),
+      m_transfers(transfers),
       m_layout(layout_of(shards)),
       m_rows(m_loop),
       m_workers(m_loop, m_random),
@@ -128,6 +132,8 @@
                          milliseconds(1000 + random_below(2000)));
         }
     });
+    m_workers.on_start([this](const instance_id& worker, const job::run_name& run,
+                              fencing_token token) { check_owner(worker, run, token); });
     m_rows.put(shard_layout_address(), to_text(m_layout));
     m_worker_ids.resize(worker_count);
     m_machine_down.resize(worker_count);
@@ -238,6 +244,25 @@
     return listed;
 }
 
+void fleet_simulation::check_owner(const instance_id& worker, const job::run_name& run,
+                                   fencing_token token)
+{
+    const job::worker_listing& listing = m_listings.at(worker.str());
+    const shard_number owner = m_layout.owner_of(listing.rack);
+    if (m_rows.find(machine_transfer_address(owner, listing.machine)) == nullptr) {
+        return;
+    }
+    for (shard_number shard = 0; shard < m_layout.count(); ++shard) {
+        const stored_row* const receipt =
+            m_rows.find(machine_transfer_address(shard, listing.machine));
+        if (shard != owner && receipt != nullptr && shard == shard_of(run.task.job) &&
+            token >= receipt->version) {
+            return;
+        }
+    }
+    m_workers.report_violation("a start from a leader that doesn't own the machine", run);
+}
+
 void fleet_simulation::set_workspaces(std::vector<policy::workspace_policy> workspaces)
 {
     fleet_config config = *m_config;
@@ -266,7 +291,8 @@
         m_config,
         m_machine_list == machine_list::answers
             ? static_machines::list_provider([this] { return machines(); })
-            : static_machines::list_provider());
+            : static_machines::list_provider(),
+        m_transfers == machine_transfers::enabled);
 }
 
 shard_number fleet_simulation::shard_of(const job_id& id) const
@@ -284,6 +310,14 @@
     return std::nullopt;
 }
 
+job_id fleet_simulation::submit_to(shard_number shard, model_job job)
+{
+    while (shard_of(job_id(fmt::format("{:016x}", m_last_id + 1))) != shard) {
+        ++m_last_id;
+    }
+    return submit(std::move(job));
+}
+
 job_id fleet_simulation::submit(model_job job)
 {
     job_id id(fmt::format("{:016x}", ++m_last_id));
@@ -396,6 +430,46 @@
     }
 }
 
+void fleet_simulation::inject_entry_fault()
+{
+    const auto led = leader(random_below(m_layout.count()));
+    const std::size_t entry = random_below(4) > 0 && led ? *led : random_below(entry_count);
+    const auto fault_duration = milliseconds(500 + random_below(6000));
+    constexpr std::array store_faults{store_fault::unresponsive, store_fault::refusing,
+                                      store_fault::lost_answer, store_fault::late};
+    constexpr std::array path_faults{path_fault::unresponsive, path_fault::lost_answer,
+                                     path_fault::executed_late};
+    switch (random_below(6)) {
+    case 0:
+        kill(entry);
+        m_loop.call_after(milliseconds(200 + random_below(3000)), [this, entry] {
+            if (!m_entries[entry]->alive()) {
+                restart(entry);
+            }
+        });
+        break;
+    case 1:
+        m_entries[entry]->loop().suspend_for(fault_duration);
+        break;
+    case 2:
+    case 3: {
+        entry_store& store = m_entries[entry]->store();
+        store.set_fault(store_faults[random_below(store_faults.size())]);
+        m_loop.call_after(fault_duration, [&store] { store.set_fault(store_fault::none); });
+        break;
+    }
+    default: {
+        const instance_id worker = m_worker_ids[random_below(worker_count)];
+        const std::string name = fmt::format("e{}", entry);
+        m_workers.set_fault(name, worker, path_faults[random_below(path_faults.size())]);
+        m_loop.call_after(fault_duration, [this, name, worker] {
+            m_workers.set_fault(name, worker, path_fault::none);
+        });
+        break;
+    }
+    }
+}
+
 void fleet_simulation::clear_faults()
 {
     m_workers.clear_path_faults();
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -62,7 +62,7 @@
     simulated_entry(fakes::virtual_loop& loop, memory_rows& rows, model_workers& workers,
                     std::mt19937_64& random, const platform_codec& codec, const std::string& name,
                     std::uint32_t incarnation_number, std::shared_ptr<const fleet_config> config,
-                    static_machines::list_provider machines);
+                    static_machines::list_provider machines, bool machine_transfers);
 
     [[nodiscard]] bool alive() const { return m_shards != nullptr; }
     [[nodiscard]] bool is_leader(shard_number shard = 0);
@@ -95,10 +95,14 @@
     /// Whether requests for the platform's list of machines are answered.
     enum class machine_list { unresponsive, answers };
 
+    /// Whether shards give each other machines.
+    enum class machine_transfers { disabled, enabled };
+
     explicit fleet_simulation(std::uint64_t seed,
                               machine_list machines = machine_list::unresponsive,
                               shard_number shards = 1,
-                              std::vector<policy::workspace_policy> workspaces = {});
+                              std::vector<policy::workspace_policy> workspaces = {},
+                              machine_transfers transfers = machine_transfers::disabled);
     fleet_simulation(const fleet_simulation&) = delete;
     fleet_simulation& operator=(const fleet_simulation&) = delete;
     ~fleet_simulation();
@@ -107,6 +111,8 @@
     /// Submits a job at the first live one of up to entry_count randomly drawn entries. The job
     /// counts as accepted once the entry has reported it as persisted.
     job_id submit(model_job job);
+    /// Submits a job that belongs to the shard.
+    job_id submit_to(shard_number shard, model_job job);
     /// Cancels a job at the first entry that is neither dead nor frozen.
     void cancel(const job_id& id);
     /// Replaces the workspaces in all live entries at once. The workers check the caps that they
@@ -128,6 +134,9 @@
     void replace_worker_row(std::size_t worker, wall_time started_at, milliseconds replaced_time);
     /// Injects a random fault. Faults of a single entry mostly hit the leader, if there is one.
     void inject_fault();
+    /// Injects a random fault of an entry, its store or its paths to a worker. It mostly hits a
+    /// leader.
+    void inject_entry_fault();
     /// Ends all faults of the store and the paths to workers, and restarts dead entries.
     void clear_faults();
 
@@ -149,10 +158,13 @@
 private:
     void begin_worker(std::size_t worker);
     [[nodiscard]] std::vector<machine_info> machines() const;
+    /// Reports a violation if the start comes from a leader whose shard doesn't own the machine.
+    void check_owner(const instance_id& worker, const job::run_name& run, fencing_token token);
 
     fakes::virtual_loop m_loop;
     std::mt19937_64 m_random;
     machine_list m_machine_list;
+    machine_transfers m_transfers;
     shard_layout m_layout;
     memory_rows m_rows;
     model_workers m_workers;
--- a/packages/fleet/tests/model_workers.cpp
+++ b/packages/fleet/tests/model_workers.cpp
@@ -251,6 +251,9 @@
     log_event(order.run, "starts on worker " + worker.listing.id.str() + " under token " +
                              std::to_string(token));
     check_start(worker, order, when);
+    if (m_on_start) {
+        m_on_start(order.worker, order.run, token);
+    }
     ++m_starts;
     ++m_tasks[order.run.task].running;
     worker.used += need;
--- a/packages/fleet/tests/model_workers.hpp
+++ b/packages/fleet/tests/model_workers.hpp
@@ -72,6 +72,13 @@
     {
         m_on_crashing_start = std::move(handler);
     }
+    /// Calls `handler` for each start that a worker carries out.
+    void
+    on_start(std::function<void(const instance_id&, const job::run_name&, fencing_token)> handler)
+    {
+        m_on_start = std::move(handler);
+    }
+    void report_violation(const std::string& what, const job::run_name& run);
     /// Injects a fault between an entry and a worker.
     void set_fault(const std::string& entry, const instance_id& worker, path_fault fault)
     {
@@ -157,7 +164,6 @@
     void acknowledge_end(const worker_instance& worker, const job::ended_run& end);
     /// Reports a violation if the order breaks a rule.
     void check_start(const worker_instance& worker, const job::start_order& order, arrival when);
-    void report_violation(const std::string& what, const job::run_name& run);
     /// Reports a violation if the run that was just started brings its workspace above its cap, a
     /// tenth of it, and one task more.
     void check_cap(const job::start_order& order);
@@ -177,6 +183,7 @@
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
     std::function<void(const instance_id&)> m_on_crashing_start;
+    std::function<void(const instance_id&, const job::run_name&, fencing_token)> m_on_start;
 };
 
 /// One entry's client of the workers, subject to the entry's path faults.
--- a/packages/fleet/tests/two_shards_test.cpp
+++ b/packages/fleet/tests/two_shards_test.cpp
@@ -29,8 +29,9 @@
 /// shard 0.
 class two_rack_fleet {
 public:
-    two_rack_fleet(std::uint64_t seed, shard_number shards)
-        : m_world(seed, fleet_simulation::machine_list::answers, shards)
+    two_rack_fleet(std::uint64_t seed, shard_number shards,
+                   fleet_simulation::machine_transfers transfers)
+        : m_world(seed, fleet_simulation::machine_list::answers, shards, {}, transfers)
     {
         m_world.run_for(seconds(2));
         do {
@@ -74,11 +75,12 @@
 };
 
 /// Two of the four workers leave; each runs the task when it announces that.
-void check_departures(shard_number shards)
+void check_departures(shard_number shards, fleet_simulation::machine_transfers transfers =
+                                               fleet_simulation::machine_transfers::disabled)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         INFO("seed " << seed << ", " << shards << " shards");
-        two_rack_fleet fleet(seed, shards);
+        two_rack_fleet fleet(seed, shards, transfers);
         REQUIRE(fleet.worker());
         fleet.retire_worker();
         fleet.run_for(seconds(8));
@@ -105,3 +107,9 @@
 {
     check_departures(2);
 }
+
+// Guards against the same where the shards give each other machines.
+TEST_CASE("a long-running task runs on in a machine of another shard")
+{
+    check_departures(2, fleet_simulation::machine_transfers::enabled);
+}
--- a/packages/fleet/tests/worker_poller_test.cpp
+++ b/packages/fleet/tests/worker_poller_test.cpp
@@ -34,15 +34,17 @@
                   fencing_token /*token*/, order_callback /*done*/) override
     {
     }
-    void poll(const worker_address& /*to*/, const job::poll_order& /*order*/,
-              fencing_token /*token*/, poll_callback done) override
+    void poll(const worker_address& /*to*/, const job::poll_order& /*order*/, fencing_token token,
+              poll_callback done) override
     {
+        last_poll_token = token;
         polls.push_back(std::move(done));
     }
 
     std::vector<std::pair<job::start_order, order_callback>> starts;
     std::vector<std::pair<job::stop_order, order_callback>> stops;
     std::vector<poll_callback> polls;
+    fencing_token last_poll_token = 0;
 };
 
 /// A worker that has answered its first poll, and a task that was ordered there.
@@ -204,3 +206,34 @@
     REQUIRE(fixture.workers.starts.size() == 2);
     CHECK(fixture.workers.starts[1].first.run.task.job == job_id("k"));
 }
+
+// Guards against a leader that resigns because the new owner of a machine has polled its worker.
+TEST_CASE("the refusal of a poll to a worker that was given away doesn't end the leadership")
+{
+    poller_fixture fixture;
+    while (fixture.workers.polls.empty()) {
+        REQUIRE(fixture.loop.run_one(fixture.loop.now() + seconds(5)));
+    }
+    const auto poll = std::exchange(fixture.workers.polls, {}).front();
+    fixture.scheduler.note_worker_ended(w1, job::worker_end::order, fixture.loop.now());
+    fixture.subject.forget(w1);
+    poll({.answer = job::order_answer::stale_token, .report = {}});
+    CHECK(fixture.stale_tokens == 0);
+    fixture.loop.run_for(seconds(5));
+    CHECK(fixture.workers.polls.empty());
+}
+
+// Guards against orders that the worker of a received machine refuses, as it knows the token of
+// its former owner.
+TEST_CASE("the worker of a received machine is polled with the machine's token")
+{
+    poller_fixture fixture;
+    CHECK(fixture.workers.last_poll_token == 7);
+    fixture.lease.raise_token("m1", 9);
+    fixture.lease.raise_token("m2", 11);
+    fixture.answer_poll(first_start);
+    while (fixture.workers.polls.empty()) {
+        REQUIRE(fixture.loop.run_one(fixture.loop.now() + seconds(5)));
+    }
+    CHECK(fixture.workers.last_poll_token == 9);
+}
