--- a/apps/plantaindoor_entry/main.cpp
+++ b/apps/plantaindoor_entry/main.cpp
@@ -137,6 +137,7 @@
     leadership.scheduling.learn_worker_speed = settings.tasks_interfere;
     leadership.scheduling.learn_interference = settings.tasks_interfere;
     leadership.scheduling.unavailable_after = settings.unavailable_after;
+    leadership.machine_transfers = settings.machine_transfers;
     leadership.state_retention = settings.state_retention + retention_margin;
     return options;
 }
