fleet: A shard doesn't give away its last machine

Once the receiver's row had been read, a machine that had left was no longer in transfer, and counted as present until the next list of the machines; a second request within that time was served from that count.

The planner is told all machines that were given away.

--- a/packages/fleet/include/plantaindoor/fleet/machine_ownership.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_ownership.hpp
@@ -43,6 +43,8 @@
     {
         return token(machine, rack).has_value();
     }
+    /// The machines that this leader or an earlier one has given away.
+    [[nodiscard]] const std::set<std::string>& given() const noexcept { return m_given; }
     /// Whether the shard has received the machine, under this claim or an earlier one.
     [[nodiscard]] bool has_received(const std::string& machine) const
     {
--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -144,9 +144,9 @@
     [[nodiscard]] machine_orders plan(time_point now, const job::scheduler& scheduler);
 
     [[nodiscard]] const std::map<std::uint64_t, wave_progress>& waves() const { return m_waves; }
-    /// Machines that are being transferred from or to another shard: they stay listed, but get no
-    /// orders and serve no pool.
-    void set_in_transfer(std::set<std::string> machines) { m_in_transfer = std::move(machines); }
+    /// Machines that were given to this or another shard and that this one doesn't own: while they
+    /// are listed, they get no orders and serve no pool.
+    void set_unavailable(std::set<std::string> machines) { m_unavailable = std::move(machines); }
     /// The shard is about to own the machine, which counted as started as the shard didn't own it:
     /// its maintenance is still to come in each wave for which `was_started` returns false.
     void reopen_waves(const std::string& machine,
@@ -292,7 +292,7 @@
     std::map<std::uint64_t, wave_progress> m_waves;
     std::map<service_id, std::deque<arrival_sample>> m_arrivals;
     std::map<service_id, pool_figures> m_pool_figures;
-    std::set<std::string> m_in_transfer;
+    std::set<std::string> m_unavailable;
     /// Workers to uncordon as the order for their machine was dropped.
     std::vector<cordon_change> m_uncordoned;
     /// Machines whose planned move is reconsidered in the current plan() call.
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -248,7 +248,7 @@
         }
         machine.expected =
             now - *machine.awaited_since <= m_options.move_time + m_options.arrival_margin &&
-            !m_in_transfer.contains(name);
+            !m_unavailable.contains(name);
         machine.used = known ? worker->second.used.cpu_millis : 0;
         // A worker that is kept for a long-running task counts as if the task ran there already.
         const bool reserved = known && scheduler.is_reserved(machine.worker);
@@ -273,7 +273,7 @@
     const auto blocked = m_blocked.find(name);
     const auto expected = m_expected_orders.find(name);
     return machine.state == machine_state::up && !machine.planned_order && !machine.leaving &&
-           !m_in_transfer.contains(name) &&
+           !m_unavailable.contains(name) &&
            (blocked == m_blocked.end() || now >= blocked->second) &&
            (expected == m_expected_orders.end() || now >= expected->second.blocked_until);
 }
--- a/packages/fleet/src/machine_transfers.cpp
+++ b/packages/fleet/src/machine_transfers.cpp
@@ -50,14 +50,15 @@
 
 void machine_transfers::begin_round(const wave_rows& waves)
 {
-    std::set<std::string> in_transfer = m_exchange.leaving();
+    // One that has left stays in the planner until the next list of the machines.
+    std::set<std::string> unavailable = m_exchange.ownership().given();
     for (const auto& each : m_exchange.arriving()) {
-        in_transfer.insert(each.first);
+        unavailable.insert(each.first);
         m_planner.reopen_waves(each.first, [&](std::uint64_t wave) {
             return has_started(waves, each.second, wave, each.first);
         });
     }
-    m_planner.set_in_transfer(std::move(in_transfer));
+    m_planner.set_unavailable(std::move(unavailable));
 }
 
 void machine_transfers::end_round(const wave_rows& waves, time_point now)
--- a/packages/fleet/tests/machine_transfer_simulation_test.cpp
+++ b/packages/fleet/tests/machine_transfer_simulation_test.cpp
@@ -84,6 +84,8 @@
         }
     }
     CHECK(count_rows(world, 0) <= count_rows(world, 1));
+    // Two machines were shard 1's, and one stays.
+    CHECK(count_rows(world, 1) <= 1);
     return count_rows(world, 0);
 }
 
@@ -143,3 +145,10 @@
     }
     CHECK(received >= 15);
 }
+
+// Guards against a shard that gives away its last machine: one that had just left still counted
+// as its own until the next list of the machines.
+TEST_CASE("a shard keeps a machine when it is asked twice in a row")
+{
+    run_with_faults(1271, 12);
+}
