--- a/packages/fleet/tests/contended_fleet_test.cpp
+++ b/packages/fleet/tests/contended_fleet_test.cpp
@@ -69,8 +69,7 @@
 }
 
 // Guards against machines that all go to the pool whose name sorts first.
-TEST_CASE("all pools in need get a share of the machines that one gives up",
-          "[.][contending_pools]")
+TEST_CASE("all pools in need get a share of the machines that one gives up")
 {
     check_seeds(run_bursts_after_another);
 }
