fleet: Avoid moving the machine of a worker that is held for a wide task

Such a machine is now taken after the others of its pool.

No test of its own yet; the suites of job, policy and fleet are run on this.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -197,6 +197,8 @@
         bool expected = true;
         /// Whether long-running tasks run on the machine.
         bool long_running = false;
+        /// Whether the worker is held for a wide task, which would have to wait for another one.
+        bool held = false;
     };
     struct arrival_sample {
         time_point at{};
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -254,6 +254,7 @@
         const bool reserved = known && scheduler.is_reserved(machine.worker);
         machine.long_running = reserved || (known && worker->second.long_running_runs > 0);
         machine.idle = machine.idle && !reserved;
+        machine.held = known && scheduler.is_held(machine.worker);
     }
 }
 
--- a/packages/fleet/src/machine_planner_moves.cpp
+++ b/packages/fleet/src/machine_planner_moves.cpp
@@ -54,7 +54,8 @@
             const machine_record& machine = m_machines.at(name);
             const bool unknown = !machine.worker.empty() && !machine.answered;
             // A machine that is being vacated already is the first to become idle.
-            return std::tuple(!m_previous_moves.contains(name), unknown, machine.used);
+            return std::tuple(!m_previous_moves.contains(name), unknown, machine.held,
+                              machine.used);
         };
         std::stable_sort(
             machines.begin(), machines.end(),
--- a/packages/fleet/src/machine_requester.cpp
+++ b/packages/fleet/src/machine_requester.cpp
@@ -14,7 +14,7 @@
     const auto found = demand.pools.find(pool);
     const pool_figures figures = found == demand.pools.end() ? pool_figures{} : found->second;
     const job::service_load& load = demand.loads.at(pool);
-    const bool has_tasks = load.ready > 0 || load.long_running > 0;
+    const bool has_tasks = load.ordinary.ready > 0 || load.long_running > 0;
     if (!demand.has_workers && has_tasks && figures.present == 0) {
         return std::max(figures.required, 1U);
     }
@@ -25,7 +25,7 @@
                                            time_point now)
 {
     const auto found = demand.pools.find(pool);
-    if (found == demand.pools.end() || demand.loads.at(pool).ready <= 0 ||
+    if (found == demand.pools.end() || demand.loads.at(pool).ordinary.ready <= 0 ||
         found->second.missing() == 0) {
         m_short_since.erase(pool);
         return 0;
--- a/packages/fleet/tests/machine_requester_test.cpp
+++ b/packages/fleet/tests/machine_requester_test.cpp
@@ -43,7 +43,7 @@
 TEST_CASE("a shard that has all the machines that it wants asks for none")
 {
     requester_fixture fixture;
-    fixture.loads[checks].ready = 1000;
+    fixture.loads[checks].ordinary.ready = 1000;
     CHECK_FALSE(fixture.update_for(seconds(10)));
 }
 
@@ -70,7 +70,7 @@
     requester_fixture fixture;
     fixture.pools[checks] = {.wanted = 12, .present = 2};
     CHECK_FALSE(fixture.update_for(seconds(3)));
-    fixture.loads[checks].ready = 1000;
+    fixture.loads[checks].ordinary.ready = 1000;
     CHECK_FALSE(fixture.update_for(milliseconds(1500)));
     const auto request = fixture.update_for(milliseconds(200));
     REQUIRE(request);
@@ -92,7 +92,7 @@
     }
     SECTION("for a task that is ready")
     {
-        fixture.loads[checks].ready = 500;
+        fixture.loads[checks].ordinary.ready = 500;
     }
     const auto request = fixture.update();
     REQUIRE(request);
