--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -69,8 +69,8 @@
         if (per_machine <= 0) {
             continue;
         }
-        const auto machines_for = [&](double needed) {
-            return static_cast<std::uint32_t>(std::ceil((load.long_running + needed) / per_machine *
+        const auto machines_for = [&, long_running = load.long_running](double needed) {
+            return static_cast<std::uint32_t>(std::ceil((long_running + needed) / per_machine *
                                                         percent / m_options.max_load_percent));
         };
         const double arrivals = arrival_rate(pool, load, now);
