fleet: Sort the machines to move only for a pool that gets one

Two of the four steps of each planning round collected and sorted all machines that may be moved, also when no pool gets any, which is the usual round. Dividing the machines needs only the number of those in standby pools, so they are counted, and the rest is done once a receiver is known. What makes a machine movable was written twice, and what the long-running steps need during maintenance was computed twice while a wave is open; each is in one place now.

No change in behaviour.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -292,9 +292,11 @@
     /// The machines of each pool that may be moved, the best of them first.
     using move_candidates = std::map<service_id, std::deque<std::string>>;
     [[nodiscard]] move_candidates candidates_by_pool(time_point now) const;
+    /// Whether the machine is free and no long-running task keeps it in its pool.
+    [[nodiscard]] bool is_movable(const std::string& name, const machine_record& machine,
+                                  time_point now) const;
     /// Divides the machines among the pools by what they want.
-    [[nodiscard]] divided_pools divide_machines(const move_round& round,
-                                                const move_candidates& candidates);
+    [[nodiscard]] divided_pools divide_machines(const move_round& round);
     [[nodiscard]] policy::pool_need need_of(const service_id& pool, const pool_figures& state,
                                             time_point now);
     /// The pool that lacks the largest part of its share, where pools that lack what they require
--- a/packages/fleet/src/machine_planner_moves.cpp
+++ b/packages/fleet/src/machine_planner_moves.cpp
@@ -38,12 +38,18 @@
     policy::pool_share share;
 };
 
+bool machine_planner::is_movable(const std::string& name, const machine_record& machine,
+                                 time_point now) const
+{
+    return is_free(name, machine, now) && !machine.long_running;
+}
+
 machine_planner::move_candidates machine_planner::candidates_by_pool(time_point now) const
 {
     std::map<service_id, std::vector<std::string>> found;
     for (const auto& [name, machine] : m_machines) {
         // A standby pool's machines have no worker that could have answered.
-        if (is_free(name, machine, now) && !machine.long_running &&
+        if (is_movable(name, machine, now) &&
             (is_standby(machine.pool) || is_present(machine, machine.pool))) {
             found[machine.pool].push_back(name);
         }
@@ -87,16 +93,16 @@
     return need;
 }
 
-machine_planner::divided_pools machine_planner::divide_machines(const move_round& round,
-                                                                const move_candidates& candidates)
+machine_planner::divided_pools machine_planner::divide_machines(const move_round& round)
 {
     std::vector<service_id> pools;
     std::vector<policy::pool_need> needs;
-    std::size_t machines = 0;
+    auto machines = static_cast<std::size_t>(
+        std::count_if(m_machines.begin(), m_machines.end(), [&](const auto& each) {
+            return is_standby(each.second.pool) && is_movable(each.first, each.second, round.now);
+        }));
     for (const service_id& pool : m_sources) {
         if (is_standby(pool)) {
-            const auto movable = candidates.find(pool);
-            machines += movable == candidates.end() ? 0 : movable->second.size();
             continue;
         }
         const pool_figures& state = round.states.at(pool);
@@ -170,9 +176,13 @@
 
 void machine_planner::move_wanted(move_round& round, machine_origin origin)
 {
+    const divided_pools pools = divide_machines(round);
+    auto receiver = next_receiver(round, pools, origin);
+    if (!receiver) {
+        return;
+    }
     move_candidates candidates = candidates_by_pool(round.now);
-    const divided_pools pools = divide_machines(round, candidates);
-    while (const auto receiver = next_receiver(round, pools, origin)) {
+    for (; receiver; receiver = next_receiver(round, pools, origin)) {
         const auto source = next_source(round, pools, candidates, origin);
         if (!source) {
             return;
@@ -234,8 +244,7 @@
     std::vector<required_candidate> candidates;
     for (const service_id& source : m_sources) {
         for (const auto& [name, machine] : m_machines) {
-            if (source != pool && machine.pool == source && is_free(name, machine, round.now) &&
-                !machine.long_running) {
+            if (source != pool && machine.pool == source && is_movable(name, machine, round.now)) {
                 candidates.push_back(required_candidate_of(name, machine, deadline, round));
             }
         }
--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -81,12 +81,13 @@
         state.timely = machines_for(needed_capacity(load.timely, arrivals, present_capacity));
         state.valuable = machines_for(needed_capacity(load.valuable, arrivals, present_capacity));
         state.at_least = machines > 0 ? 1 : 0;
-        // Long-running steps must fit onto the remaining machines while others are maintained.
-        state.wanted = load.min_workers == 0
-                           ? machines
-                           : std::max(machines, load.min_workers + spare + under_maintenance(pool));
-        if (has_open_waves && load.min_workers > 0) {
-            state.at_least = load.min_workers + spare + under_maintenance(pool);
+        state.wanted = machines;
+        if (load.min_workers > 0) {
+            // Long-running steps must fit onto the remaining machines while others are maintained.
+            const std::uint32_t during_maintenance =
+                load.min_workers + spare + under_maintenance(pool);
+            state.wanted = std::max(machines, during_maintenance);
+            state.at_least = has_open_waves ? during_maintenance : state.at_least;
         }
         if (load.blocked_workers > 0) {
             // All machines of the pool together may have room enough, but none has it for one task.
