job: One answer to what keeps a task from a worker

hold_for_wide_task() repeated the checks of choose_worker(): the label, the number of the step's tasks on a worker, the workers on which the task has failed, and whether those are left out. A rule that changed in one place would have held a worker that the task could never use. Both ask task_limits now.

--- a/packages/job/src/scheduler_placement.cpp
+++ b/packages/job/src/scheduler_placement.cpp
@@ -1,4 +1,5 @@
 #include "plantaindoor/job/scheduler.hpp"
+#include "plantaindoor/job/task_limits.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -230,32 +231,10 @@
             }
         }
     }
-    const auto is_avoided = [&](const worker_record& worker) {
-        return std::find(task.avoided.begin(), task.avoided.end(), worker.listing.id) !=
-               task.avoided.end();
-    };
-    const auto has_label = [&](const worker_record& worker) {
-        return spec.required_label.empty() || worker.listing.has_label(spec.required_label);
-    };
     const auto& candidates = m_candidates[job.queue().service];
-    // A worker that fails the tasks it starts is the first to have free capacity again. No further
-    // attempt is spent on it while another worker may become free. Long-running tasks have no limit
-    // on attempts, and with one task per worker the others may never have room.
-    const bool others = !spec.long_running && !task.avoided.empty() &&
-                        std::any_of(candidates.begin(), candidates.end(), [&](const auto* each) {
-                            return !is_avoided(*each) && has_label(*each) &&
-                                   each->capacity_beside_long_running().can_fit(need);
-                        });
+    const task_limits limits(spec, task, siblings, candidates);
     const auto suits = [&](const worker_record& worker) {
-        if (others && is_avoided(worker)) {
-            return false;
-        }
-        if (!worker.free_capacity().can_fit(need) || !has_label(worker)) {
-            return false;
-        }
-        const auto count = siblings.find(worker.listing.id);
-        return spec.max_per_worker == 0 || count == siblings.end() ||
-               count->second < spec.max_per_worker;
+        return worker.free_capacity().can_fit(need) && limits.allow(worker);
     };
     const auto* const partners = m_learner.partners_of(job, step);
     const bool sensitive = is_sensitive(job, step);
@@ -268,7 +247,7 @@
                           (!spec.same_rack || racks.empty() || racks.contains(worker.listing.rack));
         // Pack tasks on few workers, so that other machines can be moved out of the pool.
         const interference_cost cost = learned ? cost_of(worker) : interference_cost{};
-        return suitability(!is_avoided(worker), !learned || !worker.slow, near, -cost.strong,
+        return suitability(!limits.is_avoided(worker), !learned || !worker.slow, near, -cost.strong,
                            worker.long_running_runs > 0, -cost.mild,
                            -worker.free_capacity().cpu_millis);
     };
@@ -298,7 +277,8 @@
         m_placements_changed += preferred == best ? 0 : 1;
         best = preferred;
     }
-    if (best == nullptr && spec.required_label.empty() && spec.max_per_worker == 0 && !others) {
+    if (best == nullptr && spec.required_label.empty() && spec.max_per_worker == 0 &&
+        !limits.exclude_avoided()) {
         m_unplaceable[job.queue().service].push_back(need);
     }
     if (best == nullptr && spec.long_running) {
--- a/packages/job/src/scheduler_shares.cpp
+++ b/packages/job/src/scheduler_shares.cpp
@@ -1,4 +1,5 @@
 #include "plantaindoor/job/scheduler.hpp"
+#include "plantaindoor/job/task_limits.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -173,26 +174,11 @@
         return;
     }
     const auto siblings = occurrence.steps[step].runs_by_worker();
-    const auto is_avoided = [&](const worker_record& worker) {
-        return std::find(task.avoided.begin(), task.avoided.end(), worker.listing.id) !=
-               task.avoided.end();
-    };
-    const auto is_large_enough = [&](const worker_record& worker) {
-        return (spec.required_label.empty() || worker.listing.has_label(spec.required_label)) &&
-               worker.capacity_beside_long_running().can_fit(need);
-    };
     const auto& candidates = m_candidates[service];
-    const bool others = !task.avoided.empty() &&
-                        std::any_of(candidates.begin(), candidates.end(), [&](const auto* each) {
-                            return !is_avoided(*each) && is_large_enough(*each);
-                        });
+    const task_limits limits(spec, task, siblings, candidates);
     const auto suits = [&](const worker_record& worker) {
-        const auto count = siblings.find(worker.listing.id);
-        return worker.is_usable(now) && !(others && is_avoided(worker)) &&
-               !m_reservations.is_reserved(worker.listing.id) &&
-               (spec.max_per_worker == 0 || count == siblings.end() ||
-                count->second < spec.max_per_worker) &&
-               is_large_enough(worker);
+        return worker.is_usable(now) && !m_reservations.is_reserved(worker.listing.id) &&
+               worker.capacity_beside_long_running().can_fit(need) && limits.allow(worker);
     };
     const auto kept = m_worker_holds.held_for(job.id(), service);
     auto held = std::find_if(candidates.begin(), candidates.end(), [&](const auto* each) {
