fleet: Keep the rows of other shards' workers only if machines are received

A leader copied the row of each worker of the other shards, though nothing reads the copies unless machines are given between shards, which is off by default. Rows that were received earlier are read before the workers, so they don't need them.

No change in what is decided; fleet_test passes (156 cases, Release). The memory that it saves wasn't measured.

--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -299,7 +299,9 @@
         return;
     }
     if (!owns(*listing)) {
-        m_other_workers[id] = row;
+        if (m_exchange->is_enabled()) {
+            m_other_workers[id] = row;
+        }
         return;
     }
     const bool starts_in_future =
