tests: Share what tests of departures, maintenance and faults wrote twice

The two random fault injectors of the fleet simulation draw from the same faults in the same order as before; the platform that accepts maintenance is one class for both tests of machine sessions; the tests of a lowered cap start from one function. No assertion is changed.

--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -372,50 +372,64 @@
     return nlohmann::json::parse(row->value).at("state");
 }
 
+void fleet_simulation::restart_later(std::size_t entry, milliseconds after)
+{
+    m_loop.call_after(after, [this, entry] {
+        if (!m_entries[entry]->alive()) {
+            restart(entry);
+        }
+    });
+}
+
+void fleet_simulation::kill_for_a_while(std::size_t entry)
+{
+    kill(entry);
+    restart_later(entry, milliseconds(200 + random_below(3000)));
+}
+
+void fleet_simulation::impair_store(std::size_t entry, milliseconds duration)
+{
+    constexpr std::array faults{store_fault::unresponsive, store_fault::refusing,
+                                store_fault::lost_answer, store_fault::late};
+    entry_store& store = m_entries[entry]->store();
+    store.set_fault(faults[random_below(faults.size())]);
+    m_loop.call_after(duration, [&store] { store.set_fault(store_fault::none); });
+}
+
+void fleet_simulation::impair_path(std::size_t entry, milliseconds duration)
+{
+    constexpr std::array faults{path_fault::unresponsive, path_fault::lost_answer,
+                                path_fault::executed_late};
+    const instance_id worker = m_worker_ids[random_below(worker_count)];
+    const std::string name = fmt::format("e{}", entry);
+    m_workers.set_fault(name, worker, faults[random_below(faults.size())]);
+    m_loop.call_after(
+        duration, [this, name, worker] { m_workers.set_fault(name, worker, path_fault::none); });
+}
+
 void fleet_simulation::inject_fault()
 {
     const std::size_t entry =
         random_below(4) > 0 && leader() ? *leader() : random_below(entry_count);
     const auto fault_duration = milliseconds(500 + random_below(6000));
-    const auto restart_later = [this, entry](milliseconds after) {
-        m_loop.call_after(after, [this, entry] {
-            if (!m_entries[entry]->alive()) {
-                restart(entry);
-            }
-        });
-    };
-    constexpr std::array store_faults{store_fault::unresponsive, store_fault::refusing,
-                                      store_fault::lost_answer, store_fault::late};
-    constexpr std::array path_faults{path_fault::unresponsive, path_fault::lost_answer,
-                                     path_fault::executed_late};
     switch (random_below(8)) {
     case 0:
-        kill(entry);
-        restart_later(milliseconds(200 + random_below(3000)));
+        kill_for_a_while(entry);
         break;
     case 1:
         m_entries[entry]->loop().suspend_for(fault_duration);
         break;
     case 2:
-    case 3: {
-        entry_store& store = m_entries[entry]->store();
-        store.set_fault(store_faults[random_below(store_faults.size())]);
-        m_loop.call_after(fault_duration, [&store] { store.set_fault(store_fault::none); });
+    case 3:
+        impair_store(entry, fault_duration);
         break;
-    }
     case 4:
         crash_worker(random_below(worker_count), milliseconds(300 + random_below(5000)));
         break;
     case 5:
-    case 6: {
-        const instance_id worker = m_worker_ids[random_below(worker_count)];
-        const std::string name = fmt::format("e{}", entry);
-        m_workers.set_fault(name, worker, path_faults[random_below(path_faults.size())]);
-        m_loop.call_after(fault_duration, [this, name, worker] {
-            m_workers.set_fault(name, worker, path_fault::none);
-        });
+    case 6:
+        impair_path(entry, fault_duration);
         break;
-    }
     default:
         if (random_below(2) == 0) {
             m_rows.drop_history();
@@ -423,11 +437,7 @@
         else {
             for (std::size_t each = 0; each < entry_count; ++each) {
                 kill(each);
-                m_loop.call_after(milliseconds(500), [this, each] {
-                    if (!m_entries[each]->alive()) {
-                        restart(each);
-                    }
-                });
+                restart_later(each, milliseconds(500));
             }
         }
         break;
@@ -439,39 +449,21 @@
     const auto led = leader(random_below(m_layout.count()));
     const std::size_t entry = random_below(4) > 0 && led ? *led : random_below(entry_count);
     const auto fault_duration = milliseconds(500 + random_below(6000));
-    constexpr std::array store_faults{store_fault::unresponsive, store_fault::refusing,
-                                      store_fault::lost_answer, store_fault::late};
-    constexpr std::array path_faults{path_fault::unresponsive, path_fault::lost_answer,
-                                     path_fault::executed_late};
     switch (random_below(6)) {
     case 0:
-        kill(entry);
-        m_loop.call_after(milliseconds(200 + random_below(3000)), [this, entry] {
-            if (!m_entries[entry]->alive()) {
-                restart(entry);
-            }
-        });
+        kill_for_a_while(entry);
         break;
     case 1:
         m_entries[entry]->loop().suspend_for(fault_duration);
         break;
     case 2:
-    case 3: {
-        entry_store& store = m_entries[entry]->store();
-        store.set_fault(store_faults[random_below(store_faults.size())]);
-        m_loop.call_after(fault_duration, [&store] { store.set_fault(store_fault::none); });
+    case 3:
+        impair_store(entry, fault_duration);
         break;
-    }
-    default: {
-        const instance_id worker = m_worker_ids[random_below(worker_count)];
-        const std::string name = fmt::format("e{}", entry);
-        m_workers.set_fault(name, worker, path_faults[random_below(path_faults.size())]);
-        m_loop.call_after(fault_duration, [this, name, worker] {
-            m_workers.set_fault(name, worker, path_fault::none);
-        });
+    default:
+        impair_path(entry, fault_duration);
         break;
     }
-    }
 }
 
 void fleet_simulation::clear_faults()
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -161,6 +161,11 @@
 
 private:
     void begin_worker(std::size_t worker);
+    void restart_later(std::size_t entry, milliseconds after);
+    void kill_for_a_while(std::size_t entry);
+    /// A random fault of the entry's store, or of its path to a random worker.
+    void impair_store(std::size_t entry, milliseconds duration);
+    void impair_path(std::size_t entry, milliseconds duration);
     [[nodiscard]] std::vector<machine_info> machines() const;
     /// Reports a violation if the start comes from a leader whose shard doesn't own the machine.
     void check_owner(const instance_id& worker, const job::run_name& run, fencing_token token);
--- a/packages/fleet/tests/machine_session_test.cpp
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -1,6 +1,7 @@
 // Orders for machines around a process that was suspended, and around a change of the leader.
 #include "plantaindoor/fleet/machine_session.hpp"
 
+#include "maintained_machines.hpp"
 #include "memory_rows.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 
@@ -9,39 +10,12 @@
 using namespace plantaindoor;
 using namespace plantaindoor::fleet;
 using plantaindoor::fleet::testing::entry_store;
+using plantaindoor::fleet::testing::maintained_machines;
 using plantaindoor::fleet::testing::memory_rows;
 
 namespace {
 
 const service_id checks{"checks"};
-constexpr milliseconds list_delay{5};
-
-/// Machines whose maintenance takes a moment; counts those that are down at once.
-class maintained_machines final : public machine_gateway {
-public:
-    explicit maintained_machines(event_loop& loop) : m_loop(loop) {}
-
-    void list(list_callback done) override
-    {
-        m_loop.call_after(list_delay, [this, done = std::move(done)] { done(listed); });
-    }
-    void move(const machine_authority& /*by*/, const std::string& /*machine*/,
-              const service_id& /*pool*/, machine_callback /*done*/) override
-    {
-    }
-    void maintain(const machine_authority& /*by*/, const std::string& machine,
-                  std::uint64_t /*wave*/, machine_callback done) override
-    {
-        ordered.push_back(machine);
-        m_loop.call_after(list_delay, [done = std::move(done)] { done(machine_answer::accepted); });
-    }
-
-    machine_list listed;
-    std::vector<std::string> ordered;
-
-private:
-    event_loop& m_loop;
-};
 
 /// A session with two idle machines and a wave that allows one to be down, in a store whose answers
 /// the process may get only after it was suspended.
--- a/packages/fleet/tests/machine_transfers_test.cpp
+++ b/packages/fleet/tests/machine_transfers_test.cpp
@@ -1,6 +1,7 @@
 // Waves around the transfer of a machine between two shards.
 #include "plantaindoor/fleet/machine_transfers.hpp"
 
+#include "maintained_machines.hpp"
 #include "memory_rows.hpp"
 #include "plantaindoor/fleet/leader_tracker.hpp"
 #include "plantaindoor/fleet/machine_session.hpp"
@@ -16,51 +17,13 @@
 using namespace plantaindoor;
 using namespace plantaindoor::fleet;
 using plantaindoor::fleet::testing::entry_store;
+using plantaindoor::fleet::testing::maintained_machines;
+using plantaindoor::fleet::testing::maintenance_order;
 using plantaindoor::fleet::testing::memory_rows;
 
 namespace {
 
 const service_id checks{"checks"};
-constexpr milliseconds answer_delay{5};
-
-struct maintenance_order {
-    std::string machine;
-    fencing_token token = 0;
-};
-
-/// Machines whose maintenance takes a moment.
-class maintained_machines final : public machine_gateway {
-public:
-    explicit maintained_machines(event_loop& loop) : m_loop(loop) {}
-
-    void list(list_callback done) override
-    {
-        m_loop.call_after(answer_delay, [this, done = std::move(done)] { done(listed); });
-    }
-    void move(const machine_authority& /*by*/, const std::string& /*machine*/,
-              const service_id& /*pool*/, machine_callback /*done*/) override
-    {
-    }
-    void maintain(const machine_authority& by, const std::string& machine, std::uint64_t /*wave*/,
-                  machine_callback done) override
-    {
-        ordered.push_back({machine, by.token});
-        m_loop.call_after(answer_delay,
-                          [done = std::move(done)] { done(machine_answer::accepted); });
-    }
-
-    [[nodiscard]] std::ptrdiff_t count(const std::string& machine) const
-    {
-        return std::count_if(ordered.begin(), ordered.end(),
-                             [&](const auto& each) { return each.machine == machine; });
-    }
-
-    machine_list listed;
-    std::vector<maintenance_order> ordered;
-
-private:
-    event_loop& m_loop;
-};
 
 /// The leaders of two shards: shard 0 owns m0 and m1 by the layout, shard 1 owns m2.
 struct transfer_fixture {
@@ -221,7 +184,7 @@
         INFO(name);
         CHECK(fixture.machines.count(name) == 1);
     }
-    for (const maintenance_order& each : fixture.machines.ordered) {
+    for (const maintenance_order& each : fixture.machines.orders) {
         if (each.machine == "m1") {
             CHECK(each.token == fixture.receipt("m1")->version);
         }
--- a/packages/job/tests/departing_worker_test.cpp
+++ b/packages/job/tests/departing_worker_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+const workspace_id alpha("alpha");
+
 step_spec one_per_worker(std::uint32_t count)
 {
     return {.count = count,
@@ -29,6 +31,26 @@
     return job;
 }
 
+/// Caps the workspace `alpha` at that many tasks of one_per_worker().
+void set_cap(contended_pool& pool, std::int64_t tasks)
+{
+    pool.subject.set_workspaces(
+        {{.id = alpha, .cap = {.cpu_millis = 9600 * tasks, .memory_mb = 50000 * tasks}}});
+}
+
+/// Submits a job of a workspace that is capped at two tasks, and starts what may start.
+job_id start_capped(contended_pool& pool, int workers, std::uint32_t tasks)
+{
+    pool.announces_remaining = true;
+    set_cap(pool, 2);
+    for (int each = 0; each < workers; ++each) {
+        pool.add_worker();
+    }
+    job_id job = pool.submit(one_per_worker(tasks), "serving", alpha);
+    pool.advance(seconds(1));
+    return job;
+}
+
 /// The tasks that run and aren't being stopped.
 std::ptrdiff_t not_being_stopped(const contended_pool& pool, const job_id& job)
 {
@@ -356,14 +378,7 @@
 TEST_CASE("a machine is asked for a task that leaves beside one that waits at the cap")
 {
     contended_pool pool;
-    const workspace_id alpha("alpha");
-    pool.announces_remaining = true;
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
-    for (int each = 0; each < 2; ++each) {
-        pool.add_worker();
-    }
-    const job_id job = pool.submit(one_per_worker(3), "serving", alpha);
-    pool.advance(seconds(1));
+    const job_id job = start_capped(pool, 2, 3);
     REQUIRE(pool.workers_of(job).size() == 2);
     pool.drain(pool.workers_of(job).front());
     pool.advance(milliseconds(500));
@@ -376,16 +391,9 @@
 TEST_CASE("a long-running task beyond a lowered cap runs on while its worker leaves")
 {
     contended_pool pool;
-    const workspace_id alpha("alpha");
-    pool.announces_remaining = true;
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
-    for (int each = 0; each < 3; ++each) {
-        pool.add_worker();
-    }
-    const job_id job = pool.submit(one_per_worker(2), "serving", alpha);
-    pool.advance(seconds(1));
+    const job_id job = start_capped(pool, 3, 2);
     REQUIRE(pool.workers_of(job).size() == 2);
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 9600, .memory_mb = 50000}}});
+    set_cap(pool, 1);
     pool.drain(pool.workers_of(job).front());
     pool.advance(seconds(2));
     CHECK(pool.workers_of(job).size() == 2);
@@ -396,17 +404,10 @@
 TEST_CASE("of the tasks that leave, those within a lowered cap have other places")
 {
     contended_pool pool;
-    const workspace_id alpha("alpha");
-    pool.announces_remaining = true;
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
-    for (int each = 0; each < 2; ++each) {
-        pool.add_worker();
-    }
-    const job_id job = pool.submit(one_per_worker(2), "serving", alpha);
-    pool.advance(seconds(1));
+    const job_id job = start_capped(pool, 2, 2);
     const auto leaving = pool.workers_of(job);
     REQUIRE(leaving.size() == 2);
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 9600, .memory_mb = 50000}}});
+    set_cap(pool, 1);
     pool.drain(leaving[0]);
     pool.advance(seconds(1));
     CHECK(pool.subject.loads().at(contended_pool::service).missing_workers == 0);
@@ -439,8 +440,7 @@
 TEST_CASE("no machine is asked for the tasks of a step that are beyond the workspace's cap")
 {
     contended_pool pool;
-    const workspace_id alpha("alpha");
-    pool.subject.set_workspaces({{.id = alpha, .cap = {.cpu_millis = 19200, .memory_mb = 100000}}});
+    set_cap(pool, 2);
     pool.add_worker();
     static_cast<void>(pool.submit(one_per_worker(3), "serving", alpha));
     pool.advance(seconds(2));
