--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,94 +1,74 @@
-"""A caller hands in a scheduled job of which many times are due; other callers hand in small jobs.
-
-TROUBLE=0 hands in the same job with few times. VARIANT=wide takes 17 steps of 4,096 tasks instead."""
+"""Large jobs come at once in two queues, some times; processes that end are started again."""
 
 import asyncio
 import os
 import random
 import sys
-import time
 
 os.environ["CASE"] = __file__
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
-from users_platform import call, now, run_case  # noqa: E402
-
-SERVICE = "lexicon"
-WORKERS = 4
-ROOM = {"cpu": 64000, "memMb": 256000, "gpu": 0}
-FINISH_S = 14
-ACK_S = 4
-TASK = {"cpu": 500, "memMb": 100, "estimateMs": 500}
-SMALL = {"spec": "small", "steps": [{"count": 2, **TASK}, {"count": 2, **TASK, "after": [0]},
-                                    {"count": 2, **TASK, "after": [1]}]}
-SMALL_TASKS = 6
-# The large job's tasks need the label of one worker, so that the others always have room.
-LARGE = {"cpu": 4000, "memMb": 1000, "estimateMs": 2000, "requires": "k2"}
-EACH_S = 30
-
-
-def scheduled_job(times):
-    first = int((time.time() - times * EACH_S) * 1000)
-    return {"spec": "reading", "steps": [{"count": 1, **LARGE}], "repeatCount": times,
-            "startAtMs": first, "intervalMs": EACH_S * 1000}
+from users_platform import call, run_case  # noqa: E402
 
-
-def wide_job(steps, count):
-    wide = {"count": count, **LARGE}
-    return {"spec": "wide", "steps": [wide] + [{**wide, "after": [n]} for n in range(steps - 1)]}
+QUEUES = ("dispatch", "forecast")
+ROOM = {"cpu": 16000, "memMb": 64000, "gpu": 0}
+BURSTS, JOBS_EACH, BURST_S, GAP_S = 12, 20, 0.4, 6.0
+DAY_MS = 24 * 3600 * 1000
+LARGE = {"spec": "large", "steps": [{"count": 2000, "cpu": 16000, "memMb": 4000, "estimateMs": DAY_MS}]}
+SMALL = {"spec": "small", "steps": [{"count": 4, "cpu": 1000, "memMb": 100, "estimateMs": 300}]}
+ENDS, MACHINES = 3, 2  # three times in the day on a tenth of the machines, two at least
 
 
 async def play(platform, entries, trouble, record):
-    pick = random.Random(6)
-    accepted = {}
+    pick = random.Random(9)
+    ended = {entry.name: [] for entry in entries}
+    running = True
+
+    async def watch(entry):
+        while running:
+            code = await entry.process.wait()
+            if not running:
+                return
+            ended[entry.name].append(code)
+            record(f"entry {entry.name} ended by itself with code {code}")
+            await asyncio.sleep(0.5)
+            await entry.start()
 
-    async def submit(body, label):
+    async def submit(queue, body):
         job = f"{pick.getrandbits(64):016x}"
         platform.jobs[job] = body
-        for _ in range(5):
-            status, _ = await call(record, pick.choice(entries), "POST", f"/{SERVICE}/{job}", body)
-            if status == 200:
-                accepted[job] = (label, now())
-                return job
-            await asyncio.sleep(0.5)
-        record(f"job {job} ({label}) was not accepted")
-        return None
+        entry = pick.choice(entries)
+        status, _ = await call(record, entry, "POST", f"/{queue}/{job}", body)
+        return (queue, job) if status == 200 else None
 
-    async def state_of(job):
-        for _ in range(5):
-            status, answer = await call(record, pick.choice(entries), "GET", f"/{SERVICE}/{job}")
+    async def cancel(queue, job):
+        for _ in range(8):
+            status, _ = await call(record, pick.choice(entries), "DELETE", f"/{queue}/{job}")
             if status in (200, 410):
-                return answer.get("state", "unknown")
-        return "not answered"
+                return
+            await asyncio.sleep(0.3)
 
-    for _ in range(3):
-        await submit(SMALL, "before")
-        await asyncio.sleep(0.5)
-    if os.environ.get("VARIANT") == "wide":
-        large = await submit(wide_job(17, 4096) if trouble else wide_job(2, 64), "large")
-    else:
-        large = await submit(scheduled_job(3600 if trouble else 60), "large")
-    for _ in range(15):
-        await asyncio.sleep(1)
-        await submit(SMALL, "after")
-    await asyncio.sleep(FINISH_S)
-    broken = []
-    unnoted, listed = platform.checker.unnoted_ends(ACK_S)
-    record(f"ends that workers listed over {ACK_S} s ago: {len(listed)}, not taken note of: {len(unnoted)}")
-    if len(unnoted) > len(listed) / 5:
-        broken.append(f"Acks: {len(unnoted)} of {len(listed)} ends aren't taken note of {ACK_S} s later")
-    for job, (label, at) in accepted.items():
-        if job == large:
-            continue
-        state = await state_of(job)
-        done = sum(task.startswith(job) for task in platform.checker.done)
-        idle = platform.checker.longest_idle(job, at, now())
-        if state != "completed":
-            broken.append(f"LOST: small job {job}, accepted {now() - at:.0f} s ago {label} the large one: "
-                          f"shown as {state}, {done} of {SMALL_TASKS} tasks done, up to {idle:.1f} s "
-                          f"without a run")
-    record(f"small jobs accepted: {len(accepted) - 1}; transactions that the store refused as a row is "
-           f"larger than rowBytes: {platform.store.too_large}")
-    return broken
+    watches = [asyncio.ensure_future(watch(entry)) for entry in entries]
+    for _ in range(BURSTS):
+        calls = []
+        for _ in range(JOBS_EACH):
+            for queue in QUEUES:
+                calls.append(asyncio.ensure_future(submit(queue, LARGE if trouble else SMALL)))
+            await asyncio.sleep(BURST_S / JOBS_EACH)
+        accepted = [each for each in await asyncio.gather(*calls) if each]
+        await asyncio.sleep(GAP_S / 2)
+        if trouble:
+            await asyncio.gather(*(cancel(*each) for each in accepted))
+        await asyncio.sleep(GAP_S / 2)
+        record(f"ends so far: {ended}")
+        if sum(len(codes) >= ENDS for codes in ended.values()) >= MACHINES:
+            break
+    running = False
+    for each in watches:
+        each.cancel()
+    often = [name for name, codes in ended.items() if len(codes) >= ENDS]
+    if len(often) >= MACHINES:
+        return [f"Fault: processes ended by themselves: {ended}"]
+    return []
 
 
-run_case(play, {SERVICE: WORKERS}, ROOM)
+run_case(play, {queue: 4 for queue in QUEUES}, ROOM)
