fleet: Poll no worker before the jobs are read

Cause: a session whose lease expired before it had read the jobs un-paused the poller when the lease was renewed, ready or not. The workers' reports then named tasks of jobs that weren't known: their ends were applied without effect and acknowledged with the next poll, their runs were stopped. When the jobs had been read, the tasks seemed never to have run.

Now one function decides whether workers are polled: with a valid lease, after all jobs have been read, and not after the leadership was lost (a renewal that arrived after step_down() un-paused the poller as well). Orders, machines and quotas asked for all three before.

The simulated store can now refuse a part of the calls, and entries can be told that probes found the leader's process ended, as in a real takeover.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -123,6 +123,8 @@
     void remove_job_rows(const job_id& id);
     void handle_renewal(time_point sent);
     void check_lease();
+    /// Polls the workers only with a valid lease and once all jobs have been read.
+    void update_polling();
     void step_down();
     void tick();
 
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -102,6 +102,7 @@
     m_poller = std::make_unique<worker_poller>(
         m_context.loop, m_context.workers, m_scheduler, m_lease, m_context.metrics,
         worker_poller_options{}, [this] { schedule_plan(); }, [this] { step_down(); });
+    update_polling();
     m_progress_writer = std::make_unique<progress_writer>(
         m_context.loop, m_context.store, m_scheduler, m_context.metrics,
         progress_writer_options{.claim = m_options.claim_row,
@@ -363,6 +364,7 @@
         return;
     }
     m_ready = true;
+    update_polling();
     for (const auto& [id, progress] : m_persisted_progress) {
         const job::job_record* const job = m_scheduler.find(id);
         if (job == nullptr) {
@@ -520,7 +522,7 @@
         m_paused = expired;
         leader_log.warning(expired ? "leader lease expired: sending no orders"
                                    : "leader lease renewed");
-        m_poller->set_paused(expired);
+        update_polling();
         if (!expired && m_ready) {
             m_catching_up = true;
             m_job_rows->refresh();
@@ -528,6 +530,13 @@
     }
 }
 
+void leader_session::update_polling()
+{
+    // Until the jobs are known, the ends of their tasks would be acknowledged without effect, and
+    // their runs stopped.
+    m_poller->set_paused(m_paused || !m_ready || m_leadership_lost);
+}
+
 void leader_session::tick()
 {
     m_tick_timer = m_context.loop.call_after(tick_period, [this] {
@@ -548,7 +557,7 @@
 void leader_session::step_down()
 {
     if (!std::exchange(m_leadership_lost, true)) {
-        m_poller->set_paused(true);
+        update_polling();
         m_on_lost();
     }
 }
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -95,6 +95,14 @@
     return elector != nullptr && elector->session() != nullptr;
 }
 
+void simulated_entry::note_leader_ended(shard_number shard)
+{
+    leader_elector* const elector = m_shards->elector(shard);
+    if (elector != nullptr && elector->tracker().claim()) {
+        elector->note_incarnation_ended(elector->tracker().claim()->incarnation);
+    }
+}
+
 void simulated_entry::kill()
 {
     m_loop.terminate();
--- a/packages/fleet/tests/fleet_simulation.hpp
+++ b/packages/fleet/tests/fleet_simulation.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] job_writer& writer() { return *m_writer; }
     /// Must be alive.
     void apply(std::shared_ptr<const fleet_config> config) { m_shards->apply(std::move(config)); }
+    /// As when probes have found that the process of the shard's leader has ended. Must be alive.
+    void note_leader_ended(shard_number shard = 0);
     /// Stops the entry at once: nothing more runs on its loop. Can't be undone.
     void kill();
 
--- a/packages/fleet/tests/memory_rows.cpp
+++ b/packages/fleet/tests/memory_rows.cpp
@@ -127,10 +127,19 @@
     return found == m_rows.end() ? nullptr : &found->second;
 }
 
+store_fault entry_store::draw_fault()
+{
+    if (m_fault != store_fault::refusing_part) {
+        return m_fault;
+    }
+    return std::uniform_int_distribution<int>(0, 2)(m_random) == 0 ? store_fault::refusing
+                                                                   : store_fault::none;
+}
+
 void entry_store::commit(row_transaction transaction, milliseconds timeout, commit_callback done)
 {
     ++m_commits;
-    switch (m_fault) {
+    switch (draw_fault()) {
     case store_fault::unresponsive:
         answer_after(timeout, std::move(done), commit_result{.outcome = commit_outcome::unknown});
         return;
@@ -151,6 +160,7 @@
                           [this, transaction] { (void)m_rows.apply(transaction); });
         answer_after(timeout, std::move(done), commit_result{.outcome = commit_outcome::unknown});
         return;
+    case store_fault::refusing_part: // draw_fault() has resolved it.
     case store_fault::none:
         break;
     }
@@ -162,8 +172,9 @@
 
 void entry_store::read(row_query query, milliseconds timeout, read_callback done)
 {
-    if (reads_fail()) {
-        const nanoseconds delay = m_fault == store_fault::refusing ? 2 * one_way_latency : timeout;
+    const store_fault fault = draw_fault();
+    if (fails_reads(fault)) {
+        const nanoseconds delay = fault == store_fault::refusing ? 2 * one_way_latency : timeout;
         answer_after(delay, std::move(done), std::optional<row_page>());
         return;
     }
@@ -175,9 +186,10 @@
 void entry_store::watch(const std::string& table, row_version after, milliseconds wait,
                         row_watch_callback done)
 {
-    if (reads_fail()) {
+    const store_fault fault = draw_fault();
+    if (fails_reads(fault)) {
         const nanoseconds delay =
-            m_fault == store_fault::refusing ? 2 * one_way_latency : wait + watch_timeout_margin;
+            fault == store_fault::refusing ? 2 * one_way_latency : wait + watch_timeout_margin;
         answer_after(delay, std::move(done), row_watch_result{});
         return;
     }
@@ -196,7 +208,7 @@
                                const row_watch_callback& done)
 {
     // A fault that was set during the wait makes the watch fail.
-    if (reads_fail()) {
+    if (m_fault != store_fault::refusing_part && fails_reads(m_fault)) {
         answer_after(one_way_latency, done, row_watch_result{});
         return;
     }
--- a/packages/fleet/tests/memory_rows.hpp
+++ b/packages/fleet/tests/memory_rows.hpp
@@ -23,6 +23,7 @@
     lost_answer,      ///< a commit is applied; every request times out
     late,             ///< a commit is applied seconds later; every request times out
     refusing_commits, ///< commits fail at once; other requests succeed
+    refusing_part,    ///< a third of the requests is not executed and fails at once
 };
 
 /// The store's state, shared by all entries. Not synchronised.
@@ -92,9 +93,12 @@
         });
     }
     void finish_watch(const std::string& table, row_version after, const row_watch_callback& done);
-    [[nodiscard]] bool reads_fail() const
+    /// The fault of the next request.
+    [[nodiscard]] store_fault draw_fault();
+    /// Whether the fault makes reads and watches fail.
+    [[nodiscard]] static bool fails_reads(store_fault fault)
     {
-        return m_fault != store_fault::none && m_fault != store_fault::refusing_commits;
+        return fault != store_fault::none && fault != store_fault::refusing_commits;
     }
 
     fakes::virtual_loop& m_loop;
