policy: Add up the demands of pools without overflow

Cause: machine_division added the pools' demands in 32 bits. A sum beyond that wrapped round, the shares computed with it were more machines than there were, the rest fell below zero, and the loop that distributes it wrote beyond its list. The demands themselves came from a double that was cast to 32 bits, which is undefined above them: a pool with more work counted as one with less.

Now sums of demands have 64 bits, and a demand beyond the type's range is its largest value (`common/saturate.hpp`). The same conversion and sums in the machine planner and in the workers that blocked and long-running tasks need use it too.

--- a/packages/fleet/src/machine_planner_pools.cpp
+++ b/packages/fleet/src/machine_planner_pools.cpp
@@ -1,3 +1,4 @@
+#include "plantaindoor/common/saturate.hpp"
 #include "plantaindoor/fleet/machine_capacity.hpp"
 #include "plantaindoor/fleet/machine_planner.hpp"
 
@@ -70,8 +71,8 @@
             continue;
         }
         const auto machines_for = [&, long_running = load.long_running](double needed) {
-            return static_cast<std::uint32_t>(std::ceil((long_running + needed) / per_machine *
-                                                        percent / m_options.max_load_percent));
+            return round_up_saturated<std::uint32_t>((long_running + needed) / per_machine *
+                                                     percent / m_options.max_load_percent);
         };
         const double arrivals = arrival_rate(pool, load, now);
         const double present_capacity = per_machine * count_present(pool) - load.long_running;
@@ -85,13 +86,14 @@
         if (load.min_workers > 0) {
             // Long-running steps must fit onto the remaining machines while others are maintained.
             const std::uint32_t during_maintenance =
-                load.min_workers + spare + under_maintenance(pool);
+                add_saturated(load.min_workers, spare + under_maintenance(pool));
             state.wanted = std::max(machines, during_maintenance);
             state.at_least = has_open_waves ? during_maintenance : state.at_least;
         }
         if (load.blocked_workers > 0) {
             // All machines of the pool together may have room enough, but none has it for one task.
-            state.wanted = std::max(state.wanted, count_settled(pool) + load.blocked_workers);
+            state.wanted =
+                std::max(state.wanted, add_saturated(load.blocked_workers, count_settled(pool)));
             state.at_least = std::max(state.at_least, count_settled(pool) + 1);
         }
         // Any other machine would be of no use for these.
@@ -105,7 +107,8 @@
         if (load.missing_workers > 0) {
             // Workers without a long-running task may be unable to take one.
             state.required =
-                std::max(state.required, count_settled(pool) + load.missing_workers - with_label);
+                std::max(state.required,
+                         add_saturated(load.missing_workers - with_label, count_settled(pool)));
         }
         state.wanted = std::max(state.wanted, state.required);
     }
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 using namespace plantaindoor;
 using namespace plantaindoor::fleet;
@@ -745,3 +747,27 @@
         CHECK(planner.plan(later + milliseconds(100 * tenth), scheduler).orders.empty());
     }
 }
+
+// Guards against a demand beyond the range of the type it is counted in: a pool with more work than
+// all machines could do in years counted as one with little.
+TEST_CASE("a pool never wants fewer machines for more work")
+{
+    job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
+    scheduler.set_queues({{.name = "q", .service = checks}});
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
+    const job::step_spec large{.count = job::max_tasks_per_step,
+                               .need = {.cpu_millis = 5'000'000, .memory_mb = 1},
+                               .estimate = std::chrono::days(4)};
+    std::uint32_t wanted = 0;
+    for (int each = 0; each < 100; ++each) {
+        INFO(each << " jobs");
+        submit(scheduler, "j" + std::to_string(each), start, large);
+        static_cast<void>(planner.plan(start + milliseconds(100 * each), scheduler));
+        const std::uint32_t now_wanted = planner.pools().at(checks).wanted;
+        CHECK(now_wanted >= wanted);
+        wanted = now_wanted;
+    }
+    CHECK(wanted == std::numeric_limits<std::uint32_t>::max());
+}
--- a/packages/job/src/scheduler_loads.cpp
+++ b/packages/job/src/scheduler_loads.cpp
@@ -1,3 +1,4 @@
+#include "plantaindoor/common/saturate.hpp"
 #include "plantaindoor/job/missing_workers.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
@@ -121,8 +122,8 @@
                 if (spec.long_running) {
                     load.long_running += cpu * spec.count;
                     const std::uint32_t limit = spec.max_per_worker;
-                    load.min_workers = std::max(load.min_workers,
-                                                limit == 0 ? 1 : (spec.count + limit - 1) / limit);
+                    load.min_workers =
+                        std::max(load.min_workers, limit == 0 ? 1 : (spec.count - 1) / limit + 1);
                     const task_name first{id, number, static_cast<std::uint32_t>(step), 0};
                     const auto moving = displaced.find(first);
                     const std::uint32_t unplaced =
@@ -151,8 +152,10 @@
                     add(&ordinary_load::ready, cpu * record.waiting);
                     add(&ordinary_load::ready_work, spec.work_of(record.waiting));
                     if (record.waiting > 0) {
-                        load.blocked_workers += workers_for_blocked(spec, record.waiting,
-                                                                    rooms_of(job.queue().service));
+                        load.blocked_workers =
+                            add_saturated(load.blocked_workers,
+                                          workers_for_blocked(spec, record.waiting,
+                                                              rooms_of(job.queue().service)));
                     }
                 }
             }
--- a/packages/policy/src/machine_division.cpp
+++ b/packages/policy/src/machine_division.cpp
@@ -12,10 +12,11 @@
 /// Absorbs the rounding of quotients.
 constexpr double rounding_error = 1e-6;
 
-std::uint32_t total(const std::vector<pool_need>& pools, machine_demand demand)
+/// May exceed the range of a single pool's demand.
+std::uint64_t total(const std::vector<pool_need>& pools, machine_demand demand)
 {
-    return std::accumulate(pools.begin(), pools.end(), std::uint32_t{0},
-                           [&](std::uint32_t sum, const auto& each) { return sum + each[demand]; });
+    return std::accumulate(pools.begin(), pools.end(), std::uint64_t{0},
+                           [&](std::uint64_t sum, const auto& each) { return sum + each[demand]; });
 }
 
 machine_demand after(machine_demand demand)
--- a/packages/policy/tests/machine_division_test.cpp
+++ b/packages/policy/tests/machine_division_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <numeric>
 #include <random>
 #include <tuple>
@@ -244,3 +246,55 @@
         REQUIRE_FALSE((lacks && spare));
     });
 }
+
+// Guards against a process that ends: the sum of the demands wrapped round, so that the shares were
+// more machines than there were, and the loop that distributes the rest wrote beyond its list.
+TEST_CASE("demands whose sum exceeds 32 bits are divided like any other")
+{
+    constexpr std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    constexpr std::uint32_t half = most / 2 + 1;
+    for (const std::uint32_t demand : {half, most}) {
+        INFO("demand " << demand);
+        const std::vector pools{need_of(10, {1, demand, demand, demand}),
+                                need_of(30, {1, demand, demand, demand})};
+        const auto shares = subject.divide(pools, 40);
+        CHECK(shares[0].keeps == 20);
+        CHECK(shares[1].keeps == 20);
+
+        const std::vector required{need_of(10, {demand, demand, demand, demand}),
+                                   need_of(30, {demand, demand, demand, demand})};
+        const auto of_required = subject.divide(required, 40);
+        CHECK(of_required[0].keeps + of_required[1].keeps == 40);
+    }
+}
+
+// As above, for any demands that the type can hold.
+TEST_CASE("the shares are never more than there are machines, whatever the demands")
+{
+    constexpr std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    for (int seed = 0; seed < random_cases; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        std::vector<pool_need> pools = random_pools(random);
+        const std::uint32_t machines = present_in(pools);
+        for (pool_need& pool : pools) {
+            // Scaled by a random power of two up to the largest value.
+            const unsigned shift = std::uniform_int_distribution<unsigned>(0, 31)(random);
+            for (std::uint32_t& each : pool.up_to) {
+                const std::uint64_t scaled = std::uint64_t{each} << shift;
+                each = static_cast<std::uint32_t>(std::min<std::uint64_t>(scaled, most));
+            }
+        }
+        std::uint64_t needed = 0;
+        std::uint64_t kept = 0;
+        const auto shares = subject.divide(pools, machines);
+        REQUIRE(shares.size() == pools.size());
+        for (std::size_t pool = 0; pool < pools.size(); ++pool) {
+            needed += pools[pool][machine_demand::all];
+            kept += shares[pool].keeps;
+            CHECK(shares[pool].keeps <= pools[pool][machine_demand::all]);
+            CHECK(shares[pool].receives_up_to <= shares[pool].keeps);
+        }
+        CHECK(kept == std::min<std::uint64_t>(needed, machines));
+    }
+}
