job: Bound a job's objective

What callers saw: a job with very long estimates counted as one that is too late to be worth anything, and ran after all others, from the moment of its submission.

Cause: the objective is the queue's stretch times the critical path, which acceptance bounds to 17.5 years; times a stretch of 20 it exceeds a time_point (292 years of nanoseconds) once the tiers multiply it by three, and the cast of the double is undefined for larger ones.

Now the objective is at most 30 years after the submission.

Evidence: the new test of job_record and tier_of failed with a stretch of 20 and of 1e300 (tier zero_value instead of on_time), and passes.

--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Larger objectives count as this, a multiple of which still fits into a time_point.
+constexpr milliseconds max_objective = std::chrono::years(30);
+
 void set_lost_crashes(occurrence_record& occurrence, std::uint32_t count)
 {
     for (step_record& step : occurrence.steps) {
@@ -100,10 +103,11 @@
 
 time_point job_record::objective() const
 {
-    const auto allowed_time =
-        std::chrono::duration_cast<milliseconds>(std::chrono::duration<double, std::milli>(
-            m_queue.stretch * double(critical_path().count())));
-    return m_submitted + allowed_time + m_queue.target_latency;
+    const double stretched = m_queue.stretch * double(critical_path().count());
+    const milliseconds allowed_time(
+        static_cast<std::int64_t>(std::clamp(stretched, 0.0, double(max_objective.count()))));
+    const milliseconds latency = std::min(m_queue.target_latency, max_objective);
+    return m_submitted + std::min(allowed_time + latency, max_objective);
 }
 
 std::optional<wall_time> job_record::next_due() const
