job: Bound the tasks of a job at a time, and refuse jobs that no fleet could do

What callers saw: a repeated job whose times had passed, or a job of 64 steps of 4,096 tasks, was accepted and could exhaust the memory of each leader in turn: all occurrences that were due were started at once.

Cause: acceptance bounded the tasks of a step, the steps and the occurrences, but not their product.

Jobs that were accepted before are still loaded. Of a repeated job as many occurrences run at a time as have 16,384 tasks together; one that is due starts when an earlier one is complete.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -221,7 +221,8 @@
     {
         return m_occurrences;
     }
-    /// Starts all occurrences that are due; returns whether any was started.
+    /// Starts the occurrences that are due, as far as those started have no more than
+    /// max_tasks_per_job tasks together; returns whether any was started.
     bool start_due(wall_time now);
     /// When the next occurrence is due; nullopt when all have started.
     [[nodiscard]] std::optional<wall_time> next_due() const;
@@ -281,6 +282,7 @@
 
 private:
     occurrence_record make_occurrence() const;
+    [[nodiscard]] bool has_room_for_occurrence() const;
     /// Throws also other exceptions than spec_error.
     void restore_occurrences(std::string_view progress);
 
--- a/packages/job/include/plantaindoor/job/spec.hpp
+++ b/packages/job/include/plantaindoor/job/spec.hpp
@@ -79,6 +79,8 @@
 
     /// Whether any step runs until the job is cancelled.
     [[nodiscard]] bool is_long_running() const noexcept;
+    /// Number of tasks of one occurrence.
+    [[nodiscard]] std::size_t task_count() const noexcept;
 };
 
 /// A job's specification or its persisted progress is invalid.
@@ -94,12 +96,20 @@
 inline constexpr std::size_t max_payload_bytes = 4000;
 inline constexpr std::size_t max_steps = 64;
 inline constexpr std::uint32_t max_tasks_per_step = 4096;
+/// Of all steps of one occurrence, and of all occurrences that are started at a time.
+inline constexpr std::size_t max_tasks_per_job = 16384;
+/// Estimated work of one occurrence, in days of one core.
+inline constexpr std::int64_t max_core_days = 10'000'000;
 inline constexpr std::uint32_t max_occurrences = 100000;
 
-/// Throws spec_error where a limit is exceeded or a step depends on itself or a later one.
-/// Thread-safe.
+/// Throws spec_error where a limit of a step is exceeded or a step depends on itself or a later
+/// one. Thread-safe.
 void check_spec(const job_spec& spec);
 
+/// Throws spec_error for more tasks or work than a new job may have. Requires a specification that
+/// has passed check_spec(). Not for accepted jobs, which have to run. Thread-safe.
+void check_size(const job_spec& spec);
+
 /// Returns the sum of estimates along the critical path, the longest chain of dependent steps.
 /// Requires a specification that has passed check_spec(). Thread-safe.
 [[nodiscard]] milliseconds critical_path_length(const job_spec& spec);
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -121,15 +121,24 @@
 bool job_record::start_due(wall_time now)
 {
     bool started = false;
-    for (auto due = next_due(); due && *due <= now; due = next_due()) {
+    auto due = next_due();
+    for (; due && *due <= now && has_room_for_occurrence(); due = next_due()) {
         m_occurrences.emplace(m_started_occurrences, make_occurrence());
         ++m_started_occurrences;
         started = true;
     }
-    m_predecessors = 0;
+    if (!due || *due > now) {
+        m_predecessors = 0;
+    }
     return started;
 }
 
+bool job_record::has_room_for_occurrence() const
+{
+    return m_occurrences.empty() ||
+           (m_occurrences.size() + 1) * m_spec->task_count() <= max_tasks_per_job;
+}
+
 void job_record::note_predecessors(std::uint32_t count)
 {
     m_predecessors = count;
--- a/packages/job/src/spec.cpp
+++ b/packages/job/src/spec.cpp
@@ -1,6 +1,9 @@
 #include "plantaindoor/job/spec.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace plantaindoor::job {
@@ -24,6 +27,17 @@
     }
 }
 
+double core_days_of(const job_spec& spec)
+{
+    constexpr double millis_per_core = 1000;
+    constexpr double day_seconds = std::chrono::duration<double>(std::chrono::days(1)).count();
+    const double work = std::accumulate(
+        spec.steps.begin(), spec.steps.end(), 0.0, [](double sum, const step_spec& step) {
+            return step.long_running ? sum : sum + step.work_of(step.count);
+        });
+    return work / millis_per_core / day_seconds;
+}
+
 } // namespace
 
 bool job_spec::is_long_running() const noexcept
@@ -32,6 +46,12 @@
                        [](const step_spec& step) { return step.long_running; });
 }
 
+std::size_t job_spec::task_count() const noexcept
+{
+    return std::accumulate(steps.begin(), steps.end(), std::size_t{0},
+                           [](std::size_t sum, const step_spec& step) { return sum + step.count; });
+}
+
 void check_spec(const job_spec& spec)
 {
     if (spec.payload.size() > max_payload_bytes) {
@@ -49,6 +69,17 @@
     }
 }
 
+void check_size(const job_spec& spec)
+{
+    if (spec.task_count() > max_tasks_per_job) {
+        throw spec_error("steps", fmt::format("of at most {} tasks together", max_tasks_per_job));
+    }
+    if (core_days_of(spec) > double(max_core_days)) {
+        throw spec_error("steps",
+                         fmt::format("at most {} core days of estimated work", max_core_days));
+    }
+}
+
 std::vector<milliseconds> critical_paths(const job_spec& spec)
 {
     std::vector<milliseconds> path_lengths(spec.steps.size(), milliseconds(0));
--- a/packages/job/tests/large_job_test.cpp
+++ b/packages/job/tests/large_job_test.cpp
@@ -16,6 +16,15 @@
 constexpr time_point start{std::chrono::hours(1)};
 const service_id checks{"checks"};
 
+/// A job of `width` tasks that is repeated at once, more often than any process can follow.
+job_record repeated_job(std::uint32_t width)
+{
+    auto spec = std::make_shared<job_spec>();
+    spec->steps.push_back({.count = width});
+    spec->repeats = repetition{.count = max_occurrences};
+    return {job_id("j"), {.name = "q", .service = checks}, std::move(spec), start};
+}
+
 } // namespace
 
 // Guards against an objective that overflows: the job counted as one that is too late to be worth
@@ -43,6 +52,28 @@
     }
 }
 
+// Guards against a process that runs out of memory: all occurrences of a repeated job whose times
+// had passed were started at once.
+TEST_CASE("the occurrences that run at a time have a bounded number of tasks")
+{
+    for (const std::uint32_t width : {1U, 1000U, max_tasks_per_step}) {
+        INFO(width << " tasks");
+        job_record job = repeated_job(width);
+        const std::size_t most = max_tasks_per_job / width;
+        CHECK(job.start_due(wall_time(seconds(1))));
+        CHECK(job.occurrences().size() == most);
+        CHECK_FALSE(job.start_due(wall_time(seconds(2))));
+
+        for (std::uint32_t task = 0; task < width; ++task) {
+            job.note_done({job_id("j"), 0, 0, task});
+        }
+        CHECK_FALSE(job.remove_complete_occurrences());
+        CHECK(job.start_due(wall_time(seconds(3))));
+        CHECK(job.occurrences().size() == most);
+        CHECK(job.occurrences().contains(static_cast<std::uint32_t>(most)));
+    }
+}
+
 // Guards against a number of workers that wraps round to none.
 TEST_CASE("a long-running step with a high limit on each worker needs one")
 {
--- a/packages/job/tests/spec_test.cpp
+++ b/packages/job/tests/spec_test.cpp
@@ -64,6 +64,32 @@
     }
 }
 
+// Guards against jobs whose bookkeeping alone exceeds the memory and the time of a process.
+TEST_CASE("a new job with more tasks or work than any fleet could do is rejected")
+{
+    job_spec spec = sequential_steps({1});
+    SECTION("tasks of all steps")
+    {
+        spec = sequential_steps(std::vector<int>(max_tasks_per_job / max_tasks_per_step, 1));
+        for (step_spec& step : spec.steps) {
+            step.count = max_tasks_per_step;
+        }
+        CHECK_NOTHROW(check_size(spec));
+        spec.steps.emplace_back();
+        CHECK_THROWS_AS(check_size(spec), spec_error);
+    }
+    SECTION("work")
+    {
+        spec.steps[0].need.cpu_millis = 1000 * max_core_days / 100;
+        spec.steps[0].estimate = std::chrono::days(100);
+        CHECK_NOTHROW(check_size(spec));
+        spec.steps[0].count = 2;
+        CHECK_THROWS_AS(check_size(spec), spec_error);
+        spec.steps[0].long_running = true;
+        CHECK_NOTHROW(check_size(spec));
+    }
+}
+
 TEST_CASE("the critical path is the longest chain of dependent steps")
 {
     job_spec spec = sequential_steps({100, 200, 300});
