--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -333,8 +333,8 @@
         };
         return rank(left) < rank(right);
     });
-    const auto batches = (waiting.size() + wave.request.max_down - 1) /
-                         std::max<std::uint32_t>(wave.request.max_down, 1);
+    const std::size_t at_a_time = std::max<std::uint32_t>(wave.request.max_down, 1);
+    const std::size_t batches = (waiting.size() + at_a_time - 1) / at_a_time;
     const auto time_left = wave.first_seen + wave.request.deadline - now;
     const bool deadline_near =
         time_left < m_options.wave_reserve +
