fleet: Keep a cancelled job from being accepted afterwards

Cause: a cancellation that found no row of the job left nothing behind. The entry that had the POST repeated its write, or the store executed the first one late, and the condition "no row" still held. The entry also went on trying for a caller that had left.

Now a cancellation that finds no row writes a "withdrawn" row where the accepted job would lie, under the same condition, and answers 410 only once that is durable. Each write that accepts a job requires that there is no row, so it fails from then on, at any entry and however late; a POST that arrives later is answered with 410 too. If the job was accepted meanwhile, it is cancelled as any other. A job of which there is only a withdrawn row doesn't exist for GET. The writer never puts two writes of one row into a transaction any more, of which the store would keep the later one. A POST isn't tried again once its caller has closed the connection.

Accepting a job costs nothing more by this; a DELETE of a job that doesn't exist costs a write.

--- a/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_request_handler.hpp
@@ -55,8 +55,10 @@
     /// The connection to the shard's leader. Requires that the layout is set and has the shard.
     [[nodiscard]] peer_client& leader_of(shard_number shard) { return m_shards[shard].leader; }
 
-    void submit(const job_id& id, const accepted_job& accepted, time_point deadline,
+    void submit(const job_id& id, const accepted_job& accepted, acceptance_limits limits,
                 submit_callback done);
+    /// A job that was reported as no_such_job isn't accepted afterwards, for as long as the state
+    /// of an ended job is kept.
     void cancel(const std::string& queue, const job_id& id, time_point deadline,
                 cancel_callback done);
     void state(const std::string& queue, const job_id& id, state_callback done);
@@ -75,6 +77,8 @@
     };
 
     [[nodiscard]] located_job locate(const std::string& queue, const job_id& id) const;
+    /// Cancels a job that has no rows yet.
+    void withdraw(const located_job& job, time_point deadline, cancel_callback done);
     void persist_cancellation(const located_job& job, time_point deadline, cancel_callback done);
     void state_from_store(const located_job& job, state_callback done);
     void state_from_accepted_rows(const located_job& job, state_callback done);
--- a/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_rows.hpp
@@ -1,4 +1,5 @@
-// Rows of a job in the store: the accepted request, its cancellation and its progress.
+// Rows of a job in the store: the accepted request or its withdrawal, its cancellation and its
+// progress.
 #pragma once
 
 #include "plantaindoor/common/ids.hpp"
@@ -53,4 +54,9 @@
 /// Returns no value for text that isn't an accepted job.
 [[nodiscard]] std::optional<accepted_job> parse_accepted_job(std::string_view text);
 
+/// Value of the row at accepted_address() of a job that was cancelled before it was accepted. Each
+/// write that accepts a job requires that there is no row, so none can succeed any more, however
+/// late the store executes it.
+inline constexpr std::string_view withdrawn_row_value = "withdrawn";
+
 } // namespace plantaindoor::fleet
--- a/packages/fleet/include/plantaindoor/fleet/job_writer.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/job_writer.hpp
@@ -21,7 +21,8 @@
 
 enum class job_write_outcome {
     persisted,     ///< durable, by this write or an earlier one
-    id_conflict,   ///< another job has this id
+    id_conflict,   ///< another job has this id, or a job to be withdrawn was accepted
+    withdrawn,     ///< the job was cancelled before it was accepted
     not_persisted, ///< nothing was written, and nothing will be
     unknown,       ///< it may have been written, or may still be
 };
@@ -34,6 +35,13 @@
     std::size_t max_waiting = 2000;
 };
 
+/// How long it is worth trying to accept a job.
+struct acceptance_limits {
+    time_point deadline{};
+    /// Whether the caller has left, so that nobody waits for the answer; may be empty.
+    std::function<bool()> caller_gone;
+};
+
 /// Batches writes by partition and retries them until their deadline. Loop thread only.
 class job_writer {
 public:
@@ -46,9 +54,12 @@
     ~job_writer();
 
     /// Persists an accepted job. Calls `done` once, by the deadline; a transaction or a retry delay
-    /// that is in progress then is awaited first.
+    /// that is in progress then is awaited first. Once the caller has left, it isn't tried again.
     void accept(shard_number shard, const job_id& id, const accepted_job& accepted,
-                time_point deadline, callback done);
+                acceptance_limits limits, callback done);
+    /// Persists that a job without rows was cancelled, so that it can't be accepted any more. Calls
+    /// `done` as accept() does.
+    void withdraw(shard_number shard, const job_id& id, time_point deadline, callback done);
     /// Persists the cancellation of a job. Calls `done` as accept() does.
     void cancel(shard_number shard, const job_id& id, time_point deadline, callback done);
 
@@ -59,8 +70,9 @@
     struct item {
         row_address at;
         std::string value;
-        time_point deadline{};
+        acceptance_limits limits;
         callback done;
+        time_point added{};
         /// An earlier transaction that contained this item has an unknown outcome.
         bool outcome_unknown = false;
     };
@@ -79,7 +91,9 @@
     void resolve_conflict(partition& part, const std::vector<stored_row>& present);
     void requeue(partition& part, bool outcome_unknown);
     void schedule_retry(const partition_key& key);
-    /// Answers the queued items whose deadline is too close for another retry.
+    /// Whether the item's deadline is too close for another retry, or its caller has left.
+    [[nodiscard]] bool is_expired(const item& queued) const;
+    /// Answers the queued items that have expired.
     void expire(const partition_key& key);
     void answer(item& answered, job_write_outcome outcome);
 
@@ -97,9 +111,10 @@
 
 template<>
 struct enum_names<fleet::job_write_outcome> {
-    static constexpr std::array<enum_name<fleet::job_write_outcome>, 4> table{{
+    static constexpr std::array<enum_name<fleet::job_write_outcome>, 5> table{{
         {fleet::job_write_outcome::persisted, "kept"},
         {fleet::job_write_outcome::id_conflict, "differs"},
+        {fleet::job_write_outcome::withdrawn, "withdrawn"},
         {fleet::job_write_outcome::not_persisted, "not-kept"},
         {fleet::job_write_outcome::unknown, "unknown"},
     }};
--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -19,6 +19,7 @@
 #include "plantaindoor/fleet/row_store.hpp"
 #include "plantaindoor/fleet/shard_layout.hpp"
 #include "plantaindoor/fleet/table_watcher.hpp"
+#include "plantaindoor/fleet/withdrawn_jobs.hpp"
 #include "plantaindoor/fleet/worker_poller.hpp"
 #include "plantaindoor/job/scheduler.hpp"
 
@@ -174,6 +175,7 @@
     metric_gauge& m_usable_workers;
     metric_gauge& m_waiting_long_running;
     metric_gauge& m_longest_wait;
+    withdrawn_jobs m_withdrawn_jobs;
     job_wait_gauges m_job_wait_gauges;
     learned_gauges m_learned_gauges;
 };
--- a/packages/fleet/src/job_request_handler.cpp
+++ b/packages/fleet/src/job_request_handler.cpp
@@ -22,6 +22,13 @@
             .limit = 2};
 }
 
+bool has_accepted(const std::vector<stored_row>& job_rows)
+{
+    return std::any_of(job_rows.begin(), job_rows.end(), [](const stored_row& row) {
+        return !parse_job_row_key(row.at.key).cancelling && row.value != withdrawn_row_value;
+    });
+}
+
 } // namespace
 
 job_request_handler::job_request_handler(event_loop& loop, row_store& store,
@@ -65,14 +72,14 @@
 }
 
 void job_request_handler::submit(const job_id& id, const accepted_job& accepted,
-                                 time_point deadline, submit_callback done)
+                                 acceptance_limits limits, submit_callback done)
 {
     if (!m_layout) {
         done(job_write_outcome::not_persisted);
         return;
     }
     const located_job job = locate(accepted.queue, id);
-    m_writer.accept(job.shard, id, accepted, deadline,
+    m_writer.accept(job.shard, id, accepted, std::move(limits),
                     [this, job, accepted, done = std::move(done)](job_write_outcome outcome) {
                         leader_session* const session = ready_session(job.shard);
                         if (outcome == job_write_outcome::persisted && session != nullptr) {
@@ -104,15 +111,32 @@
                      if (!page) {
                          done(cancel_outcome::not_persisted);
                      }
-                     else if (page->rows.empty()) {
-                         done(cancel_outcome::no_such_job);
+                     else if (has_accepted(page->rows)) {
+                         persist_cancellation(job, deadline, done);
                      }
                      else {
-                         persist_cancellation(job, deadline, done);
+                         withdraw(job, deadline, done);
                      }
                  });
 }
 
+void job_request_handler::withdraw(const located_job& job, time_point deadline,
+                                   cancel_callback done)
+{
+    // A write that accepts the job may still be retried, or executed late.
+    m_writer.withdraw(job.shard, job.id, deadline,
+                      [this, job, deadline, done = std::move(done)](job_write_outcome outcome) {
+                          if (outcome == job_write_outcome::id_conflict) {
+                              persist_cancellation(job, deadline, done);
+                              return;
+                          }
+                          done(outcome == job_write_outcome::persisted ? cancel_outcome::no_such_job
+                               : outcome == job_write_outcome::not_persisted
+                                   ? cancel_outcome::not_persisted
+                                   : cancel_outcome::unknown);
+                      });
+}
+
 void job_request_handler::persist_cancellation(const located_job& job, time_point deadline,
                                                cancel_callback done)
 {
@@ -194,7 +218,7 @@
                          done({});
                          return;
                      }
-                     if (page->rows.empty()) {
+                     if (!has_accepted(page->rows)) {
                          done({.available = true, .state = std::nullopt});
                          return;
                      }
--- a/packages/fleet/src/job_writer.cpp
+++ b/packages/fleet/src/job_writer.cpp
@@ -11,15 +11,22 @@
 constexpr std::size_t max_items = max_transaction_entries / 2;
 constexpr std::string_view cancel_value = "cancelled";
 
-/// Whether an existing row is equivalent to the one that the item would have written.
-bool has_same_content(const std::string& wanted, const std::string& present)
+/// Callers rarely leave sooner; limits the number of checks.
+constexpr milliseconds caller_check_delay{100};
+
+/// The outcome of writing the value `wanted` where there is a row with the value `present`.
+job_write_outcome outcome_beside(const std::string& wanted, const std::string& present)
 {
+    using enum job_write_outcome;
     if (wanted == cancel_value) {
-        return true;
+        return persisted;
+    }
+    if (present == withdrawn_row_value) {
+        return wanted == withdrawn_row_value ? persisted : withdrawn;
     }
     const auto ours = parse_accepted_job(wanted);
     const auto theirs = parse_accepted_job(present);
-    return ours && theirs && ours->body == theirs->body;
+    return ours && theirs && ours->body == theirs->body ? persisted : id_conflict;
 }
 
 } // namespace
@@ -38,11 +45,19 @@
 }
 
 void job_writer::accept(shard_number shard, const job_id& id, const accepted_job& accepted,
-                        time_point deadline, callback done)
+                        acceptance_limits limits, callback done)
 {
     add({.at = accepted_address(shard, id),
          .value = to_text(accepted),
-         .deadline = deadline,
+         .limits = std::move(limits),
+         .done = std::move(done)});
+}
+
+void job_writer::withdraw(shard_number shard, const job_id& id, time_point deadline, callback done)
+{
+    add({.at = accepted_address(shard, id),
+         .value = std::string(withdrawn_row_value),
+         .limits = {.deadline = deadline},
          .done = std::move(done)});
 }
 
@@ -50,7 +65,7 @@
 {
     add({.at = cancelled_address(shard, id),
          .value = std::string(cancel_value),
-         .deadline = deadline,
+         .limits = {.deadline = deadline},
          .done = std::move(done)});
 }
 
@@ -63,6 +78,7 @@
     }
     const partition_key key{new_item.at.table, new_item.at.partition};
     partition& part = m_partitions[key];
+    new_item.added = m_loop.now();
     part.queue.push_back(std::move(new_item));
     if (!part.busy && part.timer == timer_id::none) {
         send(key);
@@ -81,8 +97,13 @@
     }
     row_transaction transaction;
     std::size_t bytes = 0;
+    const auto is_in_transaction = [&](const row_address& at) {
+        return std::any_of(part.sent.begin(), part.sent.end(),
+                           [&](const item& each) { return each.at == at; });
+    };
     while (!part.queue.empty() && part.sent.size() < max_items &&
-           bytes + part.queue.front().value.size() < max_transaction_bytes) {
+           bytes + part.queue.front().value.size() < max_transaction_bytes &&
+           !is_in_transaction(part.queue.front().at)) {
         item& next = part.queue.front();
         bytes += next.value.size();
         transaction.conditions.push_back({next.at, absent});
@@ -137,9 +158,7 @@
             retried.push_back(std::move(each));
         }
         else {
-            answer(each, has_same_content(each.value, existing->value)
-                             ? job_write_outcome::persisted
-                             : job_write_outcome::id_conflict);
+            answer(each, outcome_beside(each.value, existing->value));
         }
     }
     for (auto each = retried.rbegin(); each != retried.rend(); ++each) {
@@ -167,13 +186,20 @@
     });
 }
 
+bool job_writer::is_expired(const item& queued) const
+{
+    const time_point now = m_loop.now();
+    return queued.limits.deadline <= now + m_options.initial_retry_delay ||
+           (queued.limits.caller_gone && now - queued.added >= caller_check_delay &&
+            queued.limits.caller_gone());
+}
+
 void job_writer::expire(const partition_key& key)
 {
     partition& part = m_partitions[key];
-    const time_point cutoff = m_loop.now() + m_options.initial_retry_delay;
     std::deque<item> remaining;
     for (item& each : std::exchange(part.queue, {})) {
-        if (each.deadline <= cutoff) {
+        if (is_expired(each)) {
             answer(each, each.outcome_unknown ? job_write_outcome::unknown
                                               : job_write_outcome::not_persisted);
         }
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -88,6 +88,7 @@
       m_longest_wait(context.metrics.gauge(
           shard_gauge("long_running_longest_wait_seconds",
                       "Longest present wait of a long-running task", m_options.shard.number))),
+      m_withdrawn_jobs(context.loop, context.store, {.retention = m_options.state_retention}),
       m_job_wait_gauges(context.metrics, m_options.shard.number),
       m_learned_gauges(context.metrics, m_options.shard.number)
 {
@@ -218,6 +219,9 @@
     if (key.cancelling) {
         cancel(key.id);
     }
+    else if (row.value == withdrawn_row_value) {
+        m_withdrawn_jobs.note_row(row);
+    }
     else {
         load_job(key.id, row.value,
                  predecessors_since(m_options.claim, m_options.claim_row.version, row.version));
@@ -547,6 +551,7 @@
         plan();
         if (m_ready && m_workers_read && !m_paused && !m_leadership_lost) {
             m_quota_exchange->tick();
+            m_withdrawn_jobs.tick();
         }
         refresh_gauges();
         remove_expired_jobs();
--- a/packages/fleet/tests/contended_fleet.cpp
+++ b/packages/fleet/tests/contended_fleet.cpp
@@ -157,7 +157,7 @@
                                     .accepted = m_loop.wall_now(),
                                     .body = id.str()};
         entry.writer().accept(m_layout.shard_of(m_queues[service], id), id, accepted,
-                              m_loop.now() + seconds(2),
+                              {.deadline = m_loop.now() + seconds(2)},
                               [this, id, service](job_write_outcome outcome) {
                                   if (outcome == job_write_outcome::persisted) {
                                       ++m_accepted;
--- a/packages/fleet/tests/fleet_simulation.cpp
+++ b/packages/fleet/tests/fleet_simulation.cpp
@@ -345,7 +345,7 @@
                                     .workspace = workspace,
                                     .accepted = m_loop.wall_now(),
                                     .body = id.str()};
-        entry.writer().accept(shard_of(id), id, accepted, m_loop.now() + seconds(2),
+        entry.writer().accept(shard_of(id), id, accepted, {.deadline = m_loop.now() + seconds(2)},
                               [this, id](job_write_outcome outcome) {
                                   if (outcome == job_write_outcome::persisted) {
                                       m_accepted.insert(id);
