job: Start an occurrence of which a worker reports a run

What callers would see: a task of a repeated job that was done ran again (TWICE), or was stopped and ran again.

Cause: a predecessor whose wall clock is ahead starts an occurrence before it is due by the successor's clock, and may end before that is persisted. The successor has no record of the occurrence, so it applied the end without effect and acknowledged it, or stopped the run, and started the task when the occurrence became due.

Now a reported run of an occurrence that is due within a minute starts the occurrences up to it.

--- a/packages/job/include/plantaindoor/job/record.hpp
+++ b/packages/job/include/plantaindoor/job/record.hpp
@@ -224,6 +224,9 @@
     /// Starts the occurrences that are due, as far as those started have no more than
     /// max_tasks_per_job tasks together; returns whether any was started.
     bool start_due(wall_time now);
+    /// Starts the occurrences up to this one, of which a worker has reported a run, if it is due by
+    /// `latest_due`; returns whether any was started.
+    bool start_reported(std::uint32_t occurrence, wall_time latest_due);
     /// When the next occurrence is due; nullopt when all have started.
     [[nodiscard]] std::optional<wall_time> next_due() const;
     /// Removes the complete occurrences of a repeated job; returns whether every occurrence of the
@@ -283,6 +286,7 @@
 private:
     occurrence_record make_occurrence() const;
     [[nodiscard]] bool has_room_for_occurrence() const;
+    void start_next_occurrence();
     /// Throws also other exceptions than spec_error.
     void restore_occurrences(std::string_view progress);
 
--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -343,6 +343,8 @@
     [[nodiscard]] placement_obstacles obstacles_of(const job_record& job, const task_name& name,
                                                    time_point now) const;
 
+    /// The task of a run that a worker has reported; nullptr if the job has none of this name.
+    [[nodiscard]] task_record* find_reported(job_record& job, const task_name& name);
     void apply_end(worker_record& worker, const ended_run& end, time_point now);
     void apply_running(worker_record& worker, const reported_run& reported, time_point now);
     /// Whether an unlisted worker is no longer of interest: nothing runs there.
--- a/packages/job/src/record.cpp
+++ b/packages/job/src/record.cpp
@@ -123,8 +123,7 @@
     bool started = false;
     auto due = next_due();
     for (; due && *due <= now && has_room_for_occurrence(); due = next_due()) {
-        m_occurrences.emplace(m_started_occurrences, make_occurrence());
-        ++m_started_occurrences;
+        start_next_occurrence();
         started = true;
     }
     if (!due || *due > now) {
@@ -133,6 +132,31 @@
     return started;
 }
 
+bool job_record::start_reported(std::uint32_t occurrence, wall_time latest_due)
+{
+    if (!m_spec->repeats || occurrence < m_started_occurrences ||
+        occurrence >= m_spec->repeats->count || is_terminal(m_state)) {
+        return false;
+    }
+    const std::size_t added = occurrence - m_started_occurrences + std::size_t{1};
+    // A predecessor may have completed others that aren't known as complete.
+    const bool has_room =
+        (m_occurrences.size() + added) * m_spec->task_count() <= 2 * max_tasks_per_job;
+    if (m_spec->repeats->first + m_spec->repeats->interval * occurrence > latest_due || !has_room) {
+        return false;
+    }
+    while (m_started_occurrences <= occurrence) {
+        start_next_occurrence();
+    }
+    return true;
+}
+
+void job_record::start_next_occurrence()
+{
+    m_occurrences.emplace(m_started_occurrences, make_occurrence());
+    ++m_started_occurrences;
+}
+
 bool job_record::has_room_for_occurrence() const
 {
     return m_occurrences.empty() ||
--- a/packages/job/src/scheduler_jobs.cpp
+++ b/packages/job/src/scheduler_jobs.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint32_t failures_before_quarantine = 3;
 constexpr milliseconds quarantine_time{5000};
+/// By which the wall clocks of two entries differ at most.
+constexpr milliseconds max_clock_difference{60000};
 
 bool has_best_effort(const job_spec& spec)
 {
@@ -230,10 +232,20 @@
     }
 }
 
+task_record* scheduler::find_reported(job_record& job, const task_name& name)
+{
+    // A predecessor whose clock was ahead has started the occurrence earlier than this process
+    // would.
+    if (job.start_reported(name.occurrence, m_wall_now + max_clock_difference)) {
+        mark_dirty(job.id());
+    }
+    return job.find(name);
+}
+
 void scheduler::apply_end(worker_record& worker, const ended_run& end, time_point now)
 {
     job_record* const job = find_job(end.run.task.job);
-    task_record* const task = job == nullptr ? nullptr : job->find(end.run.task);
+    task_record* const task = job == nullptr ? nullptr : find_reported(*job, end.run.task);
     if (task == nullptr) {
         release_run(worker, end.run);
         return;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -223,7 +223,7 @@
     auto known = worker.runs.find(reported.run);
     if (known == worker.runs.end()) {
         job_record* const job = find_job(reported.run.task.job);
-        task_record* const task = job == nullptr ? nullptr : job->find(reported.run.task);
+        task_record* const task = job == nullptr ? nullptr : find_reported(*job, reported.run.task);
         if (task == nullptr || is_terminal(job->state()) || task->done || !task->runs.empty()) {
             stop_unexpected_run(worker, reported.run, now);
         }
