job: Cordon a worker that isn't listed yet

Cause: the list of machines shows a new worker before its row has been read. The machine planner cordons it for a wave then, and the scheduler, which didn't know the worker yet, dropped the cordon. Tasks started on it once its row was read, and the order was sent in a moment in which none ran.

Now a cordon of an unknown worker is kept until the worker is listed, uncordoned or ended.

Evidence: the new test starts a task on the cordoned worker before, and none until it is uncordoned now.

--- a/packages/job/include/plantaindoor/job/scheduler.hpp
+++ b/packages/job/include/plantaindoor/job/scheduler.hpp
@@ -222,7 +222,8 @@
     /// started.
     void note_live_workers(const std::map<instance_id, service_id>& live_workers,
                            list_extent extent, time_point now);
-    /// Cordons a worker before planned work, or uncordons it.
+    /// Cordons a worker before planned work, or uncordons it. One that isn't listed yet is cordoned
+    /// once it is.
     void cordon_worker(const instance_id& id, bool cordoned);
     /// The runs on a worker that aren't long-running; none for an unknown worker.
     [[nodiscard]] std::map<run_name, policy::short_run> short_runs(const instance_id& id,
@@ -606,6 +607,8 @@
     std::set<job_id> m_inherited;
     /// Jobs that were cancelled before they were submitted.
     std::set<job_id> m_cancelled_early;
+    /// Workers that were cordoned before they were listed.
+    std::set<instance_id> m_cordoned_early;
     std::map<instance_id, worker_record> m_workers;
     /// The worker that has answered last at each address.
     std::unordered_map<std::string, instance_id> m_worker_at_address;
--- a/packages/job/src/scheduler_workers.cpp
+++ b/packages/job/src/scheduler_workers.cpp
@@ -65,6 +65,8 @@
         worker.last_answer = now;
         // What is being persisted is of another record of this id.
         m_persisting_sequences.erase(id);
+        worker.cordoned = m_cordoned_early.erase(id) > 0;
+        worker.cordoned_since = now;
     }
     note_listed_start(worker, listing, now);
     if (!listing.draining) {
@@ -92,6 +94,7 @@
 void scheduler::note_worker_ended(const instance_id& id, worker_end cause, time_point now)
 {
     m_now = now;
+    m_cordoned_early.erase(id);
     const auto found = m_workers.find(id);
     if (found != m_workers.end()) {
         mark_runs_lost(found->second, cause);
@@ -103,6 +106,12 @@
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end()) {
+        if (cordoned) {
+            m_cordoned_early.insert(id);
+        }
+        else {
+            m_cordoned_early.erase(id);
+        }
         return;
     }
     if (cordoned && !found->second.cordoned) {
--- a/packages/job/tests/unlisted_worker_test.cpp
+++ b/packages/job/tests/unlisted_worker_test.cpp
@@ -61,3 +61,27 @@
         CHECK(again[0].worker == w2);
     }
 }
+
+// Guards against TWICE: the list of machines shows a new worker before its row has been read. Tasks
+// started on such a worker although its machine was about to be maintained.
+TEST_CASE("a worker that is cordoned before it is listed gets no tasks")
+{
+    scheduler subject({.predecessor_grace = milliseconds(0)}, time_point{});
+    time_point now = time_point{} + seconds(1);
+    subject.set_queues({{.name = "q", .service = service_id("checks")}});
+    auto spec = std::make_shared<job_spec>();
+    spec->steps.push_back({.need = {.cpu_millis = 100}});
+    subject.submit(job_id("j"), {.queue = "q", .spec = std::move(spec), .at = now});
+
+    subject.cordon_worker(w1, true);
+    subject.note_worker_listed({.id = w1,
+                                .service = service_id("checks"),
+                                .address = "w1:80",
+                                .capacity = {.cpu_millis = 1000}},
+                               now);
+    subject.note_report(w1, {.worker_clock = milliseconds(1)}, now, now);
+    CHECK(subject.plan(now, wall_time{}).starts.empty());
+    subject.cordon_worker(w1, false);
+    now += milliseconds(10);
+    CHECK(subject.plan(now, wall_time{}).starts.size() == 1);
+}
