fleet: Don't take accepted maintenance for the end of the worker

Cause: the successor ordered the same machines again. The platform answers such an order as accepted although it was carried out before, and nothing ends. The successor took the next workers of the machines for ended, marked their runs as lost and started the tasks elsewhere while they ran.

Now an accepted order for maintenance doesn't end the worker; the next list of machines does, or its polls. The end of a worker after an order to move it is still concluded from the answer, unless the worker has runs, and such a contradiction is logged.

Evidence: the new test gives the worker a run while the order is under way; before, the worker was dropped and the task started again.

--- a/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_session.hpp
@@ -98,6 +98,8 @@
     /// `start` is the start of the order's worker that was known when the order was sent.
     void handle_answer(const machine_order& order, const std::optional<wall_time>& start,
                        machine_answer answer);
+    /// The platform has accepted the order, or had carried it out before.
+    void note_accepted(const machine_order& order);
     void persist_waves();
     void persist_started(std::uint64_t wave, const std::set<std::string>& started);
     void write_wave_status(std::uint64_t wave, bool completed);
--- a/packages/fleet/src/machine_session.cpp
+++ b/packages/fleet/src/machine_session.cpp
@@ -372,7 +372,7 @@
     const auto latest = m_scheduler.latest_start(order.worker);
     const bool restarted = start && latest && *start < *latest;
     if (answer == machine_answer::accepted && !order.worker.empty() && !restarted) {
-        m_scheduler.note_worker_ended(order.worker, job::worker_end::order, now);
+        note_accepted(order);
     }
     else if (answer != machine_answer::accepted && answer != machine_answer::unanswered) {
         m_scheduler.cancel_planned_end(order.machine);
@@ -389,6 +389,23 @@
     persist_waves();
 }
 
+void machine_session::note_accepted(const machine_order& order)
+{
+    const auto worker = m_scheduler.workers().find(order.worker);
+    const bool has_runs = worker != m_scheduler.workers().end() && !worker->second.runs.empty();
+    if (has_runs) {
+        // Orders are sent for idle workers only.
+        machine_log.warning(
+            fmt::format("machine {} worker {}: accepted, but the worker has {} runs", order.machine,
+                        order.worker.str(), worker->second.runs.size()));
+    }
+    // An order that was carried out before is accepted again without any effect. The list of
+    // machines shows whether the worker has ended, and an idle one loses nothing until then.
+    if (order.action == machine_action::move && !has_runs) {
+        m_scheduler.note_worker_ended(order.worker, job::worker_end::order, m_loop.now());
+    }
+}
+
 void machine_session::persist_waves()
 {
     for (const auto& [number, wave] : m_planner.waves()) {
--- a/packages/fleet/tests/machine_session_test.cpp
+++ b/packages/fleet/tests/machine_session_test.cpp
@@ -141,3 +141,36 @@
     fixture.tick_for(seconds(3));
     CHECK(fixture.machines.ordered.size() == 2);
 }
+
+// Guards against TWICE: maintenance that a predecessor had ordered was ordered again, which is
+// accepted without any effect. The leader took the next worker of the machine for ended, and
+// started its tasks again while they ran.
+TEST_CASE("an accepted order doesn't end the tasks that run on the worker")
+{
+    machine_session_fixture fixture;
+    fixture.scheduler.set_queues({{.name = "q", .service = checks}});
+    fixture.add_wave();
+    while (fixture.machines.ordered.empty()) {
+        fixture.subject->tick(fixture.loop.now());
+        fixture.loop.run_for(milliseconds(1));
+    }
+    const instance_id worker("w-" + fixture.machines.ordered.front());
+    const instance_id other(worker == instance_id("w-m1") ? "w-m2" : "w-m1");
+    fixture.scheduler.cordon_worker(other, true);
+    fixture.scheduler.cordon_worker(worker, false);
+    auto spec = std::make_shared<job::job_spec>();
+    spec->steps.push_back({.need = {.cpu_millis = 100}});
+    fixture.scheduler.submit(job_id("j"),
+                             {.queue = "q", .spec = std::move(spec), .at = fixture.loop.now()});
+    const auto starts = fixture.scheduler.plan(fixture.loop.now(), wall_time{}).starts;
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].worker == worker);
+    fixture.scheduler.note_start(worker, starts[0].run, job::order_answer::accepted,
+                                 fixture.loop.now());
+
+    fixture.loop.run_for(milliseconds(100)); // The order is answered.
+    REQUIRE(fixture.scheduler.workers().contains(worker));
+    CHECK(fixture.scheduler.workers().at(worker).runs.contains(starts[0].run));
+    fixture.scheduler.cordon_worker(other, false);
+    CHECK(fixture.scheduler.plan(fixture.loop.now(), wall_time{}).starts.empty());
+}
