fleet: Count maintenance for the wave it was ordered for

Cause: a machine that the list shows in maintenance counted as started in the wave of whichever order was planned for it, even if that order had never been sent and a predecessor's order for another wave had brought the machine down.

Now it counts if the planned order was sent and not refused, or if the machine is due in one wave only.

Evidence: the new test counts the machine for one of two waves before, and for none now; with one wave it still counts.

--- a/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/machine_planner.hpp
@@ -180,6 +180,8 @@
         std::optional<machine_order> planned_order;
         /// Whether planned_order has been given.
         bool ordered = false;
+        /// Whether planned_order may have been carried out: it was sent, and not refused.
+        bool may_be_done = false;
         /// Whether the answer to the order is pending.
         bool in_flight = false;
         /// When the last order was given or answered.
@@ -251,6 +253,8 @@
                                          double present_capacity) const;
     void order_idle_machines(time_point now, machine_orders& out);
     void cordon(machine_record& machine, machine_order planned_order, machine_orders& out);
+    /// In how many waves the machine is due that hasn't begun its maintenance there.
+    [[nodiscard]] std::size_t count_open_waves(const std::string& machine) const;
     /// Whether the entry, of a list that was requested then, shows the machine as up after the time
     /// that the last order takes: one that was done before is accepted without any effect.
     [[nodiscard]] bool was_done_before(const machine_record& machine, const machine_info& entry,
--- a/packages/fleet/src/machine_planner.cpp
+++ b/packages/fleet/src/machine_planner.cpp
@@ -74,7 +74,8 @@
             // An order whose answer was lost has been carried out.
             machine.ordered = true;
             if (entry.state == machine_state::maintenance &&
-                machine.planned_order->action == machine_action::maintain) {
+                machine.planned_order->action == machine_action::maintain &&
+                (machine.may_be_done || count_open_waves(entry.machine) == 1)) {
                 m_waves[machine.planned_order->wave].started.insert(entry.machine);
             }
         }
@@ -93,6 +94,17 @@
     }
 }
 
+std::size_t machine_planner::count_open_waves(const std::string& machine) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_waves.begin(), m_waves.end(), [&](const auto& each) {
+            const wave_progress& wave = each.second;
+            const auto& machines = wave.request.machines;
+            return !wave.started.contains(machine) &&
+                   std::find(machines.begin(), machines.end(), machine) != machines.end();
+        }));
+}
+
 bool machine_planner::was_done_before(const machine_record& machine, const machine_info& entry,
                                       time_point requested_at) const
 {
@@ -161,6 +173,8 @@
     machine.changed = now;
     machine.awaited_since = now;
     machine.in_flight = false;
+    machine.may_be_done =
+        answer == machine_answer::unanswered || answer == machine_answer::accepted;
     if (answer == machine_answer::accepted || answer == machine_answer::not_in_wave) {
         m_expected_orders.erase(order.machine);
     }
@@ -285,6 +299,7 @@
     planned_order.worker = machine.worker;
     machine.planned_order = std::move(planned_order);
     machine.ordered = false;
+    machine.may_be_done = false;
     if (!machine.worker.empty() && !m_previous_moves.contains(machine.planned_order->machine)) {
         out.cordons.push_back({machine.worker, true});
     }
@@ -373,6 +388,7 @@
             machine.planned_order->worker = machine.worker; // It may differ from the cordoned one.
             machine.ordered_start = machine.worker_start;
             machine.ordered = true;
+            machine.may_be_done = true;
             machine.in_flight = true;
             machine.changed = now;
             out.orders.push_back(*machine.planned_order);
--- a/packages/fleet/tests/machine_planner_test.cpp
+++ b/packages/fleet/tests/machine_planner_test.cpp
@@ -771,3 +771,36 @@
     }
     CHECK(wanted == std::numeric_limits<std::uint32_t>::max());
 }
+
+// Guards against MIXED: a machine that a predecessor's order for one wave had brought down counted
+// as maintained in another wave, for which its order hadn't been sent.
+TEST_CASE("maintenance for one of two waves doesn't count for the other")
+{
+    job::scheduler scheduler = scheduler_with({listing_of("m1", "w1")});
+    scheduler.set_queues({{.name = "q", .service = checks}});
+    submit(scheduler, "j", start, {.need = {.cpu_millis = 100}}); // Keeps the worker busy.
+    const auto starts = scheduler.plan(start, wall_time{}).starts;
+    REQUIRE(starts.size() == 1);
+    scheduler.note_start(starts[0].worker, starts[0].run, job::order_answer::accepted, start);
+    machine_planner planner({});
+    planner.set_pools({{.id = checks}});
+    planner.note_machine_list({machine_up("m1", checks, "w1")}, start, list_extent::complete);
+    const bool second_wave = GENERATE(false, true);
+    for (const std::uint64_t number : {1, 2}) {
+        if (number == 1 || second_wave) {
+            planner.note_wave(
+                {.number = number, .machines = {"m1"}, .deadline = seconds(1), .max_down = 1},
+                start, {});
+        }
+    }
+    REQUIRE(planner.plan(start + milliseconds(100), scheduler).orders.empty());
+
+    machine_info maintained = machine_up("m1", checks, "");
+    maintained.state = machine_state::maintenance;
+    planner.note_machine_list({maintained}, start + milliseconds(200), list_extent::complete);
+    std::size_t started = 0;
+    for (const auto& [number, wave] : planner.waves()) {
+        started += wave.started.size();
+    }
+    CHECK(started == (second_wave ? 0 : 1));
+}
