fleet: Poll no worker before the first round of placement

What callers would see: a task of a scheduled job was stopped and started elsewhere, or ran again after it was done (TWICE), if its occurrence had started just before the leader was killed.

Before, the first polls left in the turn of the first round.

Now the first polls leave after the first round, and after a lapse of the lease as soon as it is renewed, as before.

--- a/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
+++ b/packages/fleet/include/plantaindoor/fleet/leader_session.hpp
@@ -124,7 +124,7 @@
     void remove_job_rows(const job_id& id);
     void handle_renewal(time_point sent);
     void check_lease();
-    /// Polls the workers only with a valid lease and once all jobs have been read.
+    /// Polls the workers only with a valid lease and after a first round with all jobs.
     void update_polling();
     void step_down();
     void tick();
@@ -162,6 +162,8 @@
     /// date, so that no task of a job that was cancelled meanwhile is started.
     bool m_catching_up = false;
     bool m_ready = false;
+    /// Whether the first round of placement is over.
+    bool m_has_planned = false;
     bool m_leadership_lost = false;
     bool m_job_view_outdated = false;
     bool m_workers_read = false;
--- a/packages/fleet/src/leader_session.cpp
+++ b/packages/fleet/src/leader_session.cpp
@@ -368,7 +368,6 @@
         return;
     }
     m_ready = true;
-    update_polling();
     for (const auto& [id, progress] : m_persisted_progress) {
         const job::job_record* const job = m_scheduler.find(id);
         if (job == nullptr) {
@@ -412,6 +411,9 @@
         m_poller->refresh();
     }
     m_poller->send(m_scheduler.plan(started, m_context.loop.wall_now()));
+    if (!std::exchange(m_has_planned, true)) {
+        update_polling();
+    }
     m_progress_writer->refresh();
     log_decisions();
     m_plan_seconds.record(m_context.loop.now() - started);
@@ -536,9 +538,9 @@
 
 void leader_session::update_polling()
 {
-    // Until the jobs are known, the ends of their tasks would be acknowledged without effect, and
-    // their runs stopped.
-    m_poller->set_paused(m_paused || !m_ready || m_leadership_lost);
+    // Until the jobs are known and those occurrences have started that are due, the ends of their
+    // tasks would be acknowledged without effect, and their runs stopped.
+    m_poller->set_paused(m_paused || !m_has_planned || m_leadership_lost);
 }
 
 void leader_session::tick()
--- a/packages/fleet/src/worker_poller.cpp
+++ b/packages/fleet/src/worker_poller.cpp
@@ -101,8 +101,7 @@
 
 void worker_poller::set_paused(bool paused)
 {
-    m_paused = paused;
-    if (!paused) {
+    if (std::exchange(m_paused, paused) && !paused) {
         refresh();
     }
 }
--- a/packages/fleet/tests/takeover_outage_test.cpp
+++ b/packages/fleet/tests/takeover_outage_test.cpp
@@ -1,4 +1,4 @@
-// Outages of the store while a successor reads the jobs of its predecessor.
+// What a successor does with the reports of workers until it knows the jobs of its predecessor.
 #include "fleet_simulation.hpp"
 
 #include <catch2/catch.hpp>
@@ -77,3 +77,38 @@
         }
     }
 }
+
+// Guards against TWICE: a report that arrived before the successor's first round named an
+// occurrence that the successor had not started yet; its run was stopped, and the task started
+// elsewhere.
+TEST_CASE("an occurrence that was started just before its leader was killed runs once")
+{
+    constexpr milliseconds interval{400};
+    constexpr std::uint32_t occurrences = 20;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        fleet_simulation world(seed);
+        world.run_for(seconds(2));
+        model_job job = parallel_job(1, milliseconds(1500));
+        auto spec = std::make_shared<job::job_spec>(*job.spec);
+        spec->repeats = job::repetition{.first = wall_time(std::chrono::hours(1)) + seconds(4),
+                                        .interval = interval,
+                                        .count = occurrences};
+        job.spec = std::move(spec);
+        const job_id id = world.submit(std::move(job));
+        world.run_for(seconds(3) + interval * world.random_below(10));
+        const std::size_t before = world.workers().starts();
+        while (world.workers().starts() == before) {
+            world.run_for(step);
+        }
+
+        replace_leader(world);
+        world.run_for(seconds(30));
+
+        for (const std::string& each : world.workers().violations()) {
+            FAIL_CHECK(each);
+        }
+        CHECK(world.workers().starts() == occurrences);
+        CHECK(world.stored_state(id) == "completed");
+    }
+}
